--- /dev/null
+++ b/fulmarreel-balance/src/lib.rs
@@ -0,0 +1,3 @@
+//! Choice of a target, admission to its slots and retry budgets, without I/O.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/fulmarreel-node/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder until the thin path lands.
+fn main() {}
