--- a/fulmarreel-testing/src/lib.rs
+++ b/fulmarreel-testing/src/lib.rs
@@ -1,3 +1,5 @@
 //! Stand-ins for the platform's store, targets and callers; test scaffolding only.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
+
+pub mod store;
