feat(platform): store trait, etcd v3 gateway client and contract tests

The nodes and the command line need compare-and-swap, leases and watches of the platform behind one trait.

--- a/fulmarreel-platform/src/lib.rs
+++ b/fulmarreel-platform/src/lib.rs
@@ -1,3 +1,22 @@
 //! The platform's key-value store: trait, HTTP client, key layout.
+//!
+//! [`Store`] is what the rest of the system asks of the platform: compare-and-swap, leases,
+//! watches and one global revision. [`etcd::Client`] speaks it to the JSON gateway of etcd v3.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
+
+pub mod commit;
+pub mod entry;
+pub mod error;
+pub mod etcd;
+pub mod keys;
+pub mod store;
+pub mod watch;
+
+pub use {
+    commit::{Outcome, Transaction},
+    entry::{Entry, Lease, Listing, Revision},
+    error::Error,
+    store::Store,
+    watch::{Batch, Event},
+};
--- /dev/null
+++ b/fulmarreel-platform/tests/platform.rs
@@ -0,0 +1,11 @@
+//! Contract tests: the trait, by the HTTP client, on the stand-in.
+
+mod platform {
+    mod commit;
+    mod faults;
+    mod keys;
+    mod lease;
+    mod read;
+    mod support;
+    mod watch;
+}
--- a/fulmarreel-testing/examples/store.rs
+++ b/fulmarreel-testing/examples/store.rs
@@ -7,7 +7,9 @@
         .value_from_str("--listen")
         .context("--listen ADDR is wanted")?;
     smol::block_on(async {
-        let stand = Stand::start(addr).await.with_context(|| format!("listen on {addr}"))?;
+        let stand = Stand::start(addr)
+            .await
+            .with_context(|| format!("listen on {addr}"))?;
         println!("listening on {}", stand.address());
         std::future::pending::<()>().await;
         Ok(())
--- a/fulmarreel-testing/src/store/api.rs
+++ b/fulmarreel-testing/src/store/api.rs
@@ -16,8 +16,10 @@
     pub message: &'static str,
 }
 
-const UNKNOWN_LEASE: Refusal =
-    Refusal { status: 404, message: "etcdserver: requested lease not found" };
+const UNKNOWN_LEASE: Refusal = Refusal {
+    status: 404,
+    message: "etcdserver: requested lease not found",
+};
 const COMPACTED: Refusal = Refusal {
     status: 400,
     message: "etcdserver: mvcc: required revision has been compacted",
@@ -29,14 +31,22 @@
     let data = &mut shared.data;
     let before = data.revision;
     let (kind, answer) = match path {
-        "/v3/kv/range" => ("range", range(data, body, data.revision.saturating_sub(stale))),
+        "/v3/kv/range" => (
+            "range",
+            range(data, body, data.revision.saturating_sub(stale)),
+        ),
         "/v3/kv/put" => ("put", put(data, body)),
         "/v3/kv/deleterange" => ("deleterange", delete(data, body)),
         "/v3/kv/txn" => ("txn", txn(data, body)),
         "/v3/lease/grant" => ("grant", Ok(grant(data, body))),
         "/v3/lease/keepalive" => ("keepalive", Ok(keep_alive(data, body))),
         "/v3/lease/revoke" => ("revoke", revoke(data, body)),
-        _ => return Err(Refusal { status: 404, message: "Not Found" }),
+        _ => {
+            return Err(Refusal {
+                status: 404,
+                message: "Not Found",
+            });
+        }
     };
     let wrote = data.revision != before;
     shared.count(kind);
@@ -51,12 +61,17 @@
 }
 
 pub fn bytes(value: &Value) -> Vec<u8> {
-    BASE64_STANDARD.decode(value.as_str().unwrap_or("")).unwrap_or_default()
+    BASE64_STANDARD
+        .decode(value.as_str().unwrap_or(""))
+        .unwrap_or_default()
 }
 
 /// An int64, which the gateway takes as a string or a number.
 pub fn int(value: &Value) -> u64 {
-    value.as_str().map_or_else(|| value.as_u64(), |text| text.parse().ok()).unwrap_or(0)
+    value
+        .as_str()
+        .map_or_else(|| value.as_u64(), |text| text.parse().ok())
+        .unwrap_or(0)
 }
 
 /// A pair as the gateway writes it: defaults are left out.
@@ -103,7 +118,12 @@
 fn put(data: &mut Data, body: &Value) -> Result<Value, Refusal> {
     let lease = check_lease(data, body)?;
     let revision = data.revision + 1;
-    data.put(&bytes(&body["key"]), &bytes(&body["value"]), lease, revision);
+    data.put(
+        &bytes(&body["key"]),
+        &bytes(&body["value"]),
+        lease,
+        revision,
+    );
     data.revision = revision;
     Ok(json!({"header": header(revision)}))
 }
--- a/fulmarreel-testing/src/store/data.rs
+++ b/fulmarreel-testing/src/store/data.rs
@@ -75,7 +75,11 @@
         if revision >= self.revision {
             pairs.clone_from(&self.pairs);
         } else {
-            for change in self.history.iter().take_while(|c| c.pair.modified <= revision) {
+            for change in self
+                .history
+                .iter()
+                .take_while(|c| c.pair.modified <= revision)
+            {
                 if change.delete {
                     pairs.remove(&change.pair.key);
                 } else {
@@ -83,7 +87,10 @@
                 }
             }
         }
-        pairs.into_values().filter(|pair| in_range(&pair.key, start, end)).collect()
+        pairs
+            .into_values()
+            .filter(|pair| in_range(&pair.key, start, end))
+            .collect()
     }
 
     /// Writes at `revision`, which the caller makes current once the whole write is done.
@@ -98,16 +105,27 @@
             lease,
         };
         self.pairs.insert(key.to_vec(), pair.clone());
-        self.history.push(Change { delete: false, pair });
+        self.history.push(Change {
+            delete: false,
+            pair,
+        });
     }
 
     /// Deletes a range at `revision` and says how many keys went.
     pub fn delete(&mut self, start: &[u8], end: &[u8], revision: u64) -> usize {
-        let keys: Vec<_> =
-            self.pairs.keys().filter(|key| in_range(key, start, end)).cloned().collect();
+        let keys: Vec<_> = self
+            .pairs
+            .keys()
+            .filter(|key| in_range(key, start, end))
+            .cloned()
+            .collect();
         for key in &keys {
             self.pairs.remove(key);
-            let pair = Pair { key: key.clone(), modified: revision, ..Pair::default() };
+            let pair = Pair {
+                key: key.clone(),
+                modified: revision,
+                ..Pair::default()
+            };
             self.history.push(Change { delete: true, pair });
         }
         keys.len()
@@ -116,7 +134,13 @@
     pub fn grant(&mut self, ttl: u64) -> i64 {
         let id = self.next_lease;
         self.next_lease += 1;
-        self.leases.insert(id, Lease { ttl, expires_at: Instant::now() + Duration::from_secs(ttl) });
+        self.leases.insert(
+            id,
+            Lease {
+                ttl,
+                expires_at: Instant::now() + Duration::from_secs(ttl),
+            },
+        );
         id
     }
 
@@ -132,8 +156,12 @@
         if self.leases.remove(&id).is_none() {
             return false;
         }
-        let keys: Vec<_> =
-            self.pairs.values().filter(|p| p.lease == id).map(|p| p.key.clone()).collect();
+        let keys: Vec<_> = self
+            .pairs
+            .values()
+            .filter(|p| p.lease == id)
+            .map(|p| p.key.clone())
+            .collect();
         if !keys.is_empty() {
             let revision = self.revision + 1;
             for key in &keys {
@@ -146,8 +174,12 @@
 
     /// Revokes what has lapsed by `now` and says whether anything had.
     pub fn expire(&mut self, now: Instant) -> bool {
-        let lapsed: Vec<_> =
-            self.leases.iter().filter(|(_, l)| l.expires_at <= now).map(|(id, _)| *id).collect();
+        let lapsed: Vec<_> = self
+            .leases
+            .iter()
+            .filter(|(_, l)| l.expires_at <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for id in &lapsed {
             self.revoke(*id);
         }
--- a/fulmarreel-testing/src/store/mod.rs
+++ b/fulmarreel-testing/src/store/mod.rs
@@ -99,7 +99,11 @@
                 lock(&expiring).expire();
             }
         });
-        Ok(Self { addr, shared, _tasks: vec![accept, expire] })
+        Ok(Self {
+            addr,
+            shared,
+            _tasks: vec![accept, expire],
+        })
     }
 
     /// The address that it listens on.
--- a/fulmarreel-testing/src/store/serve.rs
+++ b/fulmarreel-testing/src/store/serve.rs
@@ -28,7 +28,9 @@
             stream.set_nodelay(true).ok();
             let shared = shared.clone();
             // A failed connection concerns its client alone.
-            executor.spawn(async move { connection(stream, &shared).await.ok() }).detach();
+            executor
+                .spawn(async move { connection(stream, &shared).await.ok() })
+                .detach();
         }
     };
     executor.run(accepting).await;
@@ -121,7 +123,10 @@
         }
     }
     if expects {
-        stream.get_mut().write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        stream
+            .get_mut()
+            .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+            .await?;
     }
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await?;
@@ -170,11 +175,21 @@
             0 => held.data.revision + 1,
             from => from,
         };
-        (Open(shared, id), next, held.data.revision, held.data.compacted)
+        (
+            Open(shared, id),
+            next,
+            held.data.revision,
+            held.data.compacted,
+        )
     };
-    let head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let head =
+        b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
     stream.get_mut().write_all(head).await?;
-    chunk(stream, &json!({"header": api::header(revision), "created": true})).await?;
+    chunk(
+        stream,
+        &json!({"header": api::header(revision), "created": true}),
+    )
+    .await?;
     if next <= compacted {
         let canceled = json!({"header": api::header(revision), "canceled": true,
             "compact_revision": (compacted + 1).to_string()});
@@ -187,7 +202,11 @@
             return Ok(());
         }
         if !stalled && !events.is_empty() {
-            chunk(stream, &json!({"header": api::header(revision), "events": events})).await?;
+            chunk(
+                stream,
+                &json!({"header": api::header(revision), "events": events}),
+            )
+            .await?;
         }
         next = next.max(revision + 1);
         let tick = async {
@@ -217,7 +236,9 @@
 ) -> (Vec<Value>, u64, bool, bool) {
     let shared = lock(shared);
     let data = &shared.data;
-    let first = data.history.partition_point(|change| change.pair.modified < next);
+    let first = data
+        .history
+        .partition_point(|change| change.pair.modified < next);
     let events = data.history[first..]
         .iter()
         .filter(|change| in_range(&change.pair.key, start, end))
@@ -226,5 +247,10 @@
             false => json!({"kv": api::pair(&change.pair)}),
         })
         .collect();
-    (events, data.revision, shared.faults.down, id < shared.stalled_below)
+    (
+        events,
+        data.revision,
+        shared.faults.down,
+        id < shared.stalled_below,
+    )
 }
