--- a/fulmarreel-platform/src/etcd/client.rs
+++ b/fulmarreel-platform/src/etcd/client.rs
@@ -88,13 +88,6 @@
     }
 }
 
-fn malformed(subject: Subject<'_>, err: &dyn std::error::Error) -> Error {
-    Error::Malformed {
-        site: subject.site(self.answered()),
-        reason: err.to_string(),
-    }
-}
-
 fn check_sizes(transaction: &Transaction) -> Result<(), Error> {
     for write in &transaction.writes {
         if let Write::Put { key, value, .. } = write
--- a/fulmarreel-platform/tests/platform/faults.rs
+++ b/fulmarreel-platform/tests/platform/faults.rs
@@ -206,7 +206,7 @@
     smol::block_on(async {
         let stand = start().await;
         let peer = stand.address().to_string();
-        stand.shut_down();
+        stand.shut_down().await;
         let store = client(&[&peer], TIMEOUT);
         match store.commit(&Transaction::new().put("a", b"v")).await {
             Err(Error::NotSent { site, .. }) => {
@@ -277,7 +277,7 @@
     smol::block_on(async {
         let (gone, stand) = (start().await, start().await);
         let (first, second) = (gone.address().to_string(), stand.address().to_string());
-        gone.shut_down();
+        gone.shut_down().await;
         let store = client(&[&first, &second], TIMEOUT);
         put(&store, "a", b"v").await;
         assert_eq!(value(&store, "a").await.unwrap(), b"v");
--- a/fulmarreel-platform/tests/platform/watch.rs
+++ b/fulmarreel-platform/tests/platform/watch.rs
@@ -169,7 +169,7 @@
 fn end_of_the_connection() {
     with_store(async |stand, store| {
         let mut watch = store.watch("a", Revision(1), IDLE).await.unwrap();
-        stand.shut_down();
+        stand.shut_down().await;
         let err = loop {
             if let Err(err) = watch.next().await {
                 break err;
--- a/fulmarreel-testing/src/store/mod.rs
+++ b/fulmarreel-testing/src/store/mod.rs
@@ -24,12 +24,12 @@
 /// How often a watch without events reports its progress.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
 
-/// A running stand-in; it stops when dropped.
+/// A running stand-in; it stops soon after it is dropped.
 #[derive(Debug)]
 pub struct Stand {
     addr: SocketAddr,
     shared: Arc<Mutex<Shared>>,
-    _tasks: Vec<Task<()>>,
+    tasks: Vec<Task<()>>,
 }
 
 /// What the connections share.
@@ -102,7 +102,7 @@
         Ok(Self {
             addr,
             shared,
-            _tasks: vec![accept, expire],
+            tasks: vec![accept, expire],
         })
     }
 
@@ -121,6 +121,10 @@
         lock(&self.shared).counts()
     }
 
-    /// Stops serving and closes every connection.
-    pub fn shut_down(self) {}
+    /// Stops serving; when it returns, the listener and every connection are closed.
+    pub async fn shut_down(self) {
+        for task in self.tasks {
+            task.cancel().await;
+        }
+    }
 }
