--- /dev/null
+++ b/fulmarreel-wire/src/gossip.rs
@@ -0,0 +1,61 @@
+//! Membership records as they travel over UDP.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The most bytes in one datagram, below the smallest usual MTU.
+pub const MAX_DATAGRAM_BYTES: usize = 1_200;
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// The sender's [`PROTOCOL`](crate::PROTOCOL).
+    pub protocol: u16,
+    /// Where the sender accepts peers.
+    pub from: SocketAddr,
+    /// Records that the sender passes on.
+    pub records: Vec<Record>,
+}
+
+/// What one node says of itself, passed on by others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Where the node accepts peers; names the node.
+    pub address: SocketAddr,
+    /// When its process started, in milliseconds since the Unix epoch.
+    pub boot: u64,
+    /// Raised by the node itself with each change of its record.
+    pub sequence: u32,
+    /// Availability zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+    /// The target in the node's instance, if it has announced itself.
+    pub target: Option<Target>,
+    /// The node's own condition.
+    pub state: State,
+}
+
+/// What a target announced.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// Service that it belongs to.
+    pub service: String,
+    /// Version that it runs.
+    pub version: String,
+    /// Calls that it runs at once.
+    pub slots: u16,
+    /// Whether it takes no new calls.
+    pub leaving: bool,
+}
+
+/// Condition of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// It answers.
+    Alive,
+    /// It did not answer for a while.
+    Suspect,
+    /// It is gone.
+    Gone,
+}
