feat(node): the whole path, thin

Cause: nothing could be called yet. A call comes in over HTTP at any node, is routed by an immutable view of documents and targets, travels over one multiplexed connection to the node in front of its target, and is handed over there over HTTP. Documents come from the store's watch, members by gossip; the command line applies a document by compare-and-swap.

Ruled out: HTTP between nodes (two HTTP hops miss the latency goal, shared/DESIGN.md). Still missing, by intent: call states, flow control, admission, failure detection, moves.

--- a/fulmarreel-membership/src/lib.rs
+++ b/fulmarreel-membership/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod convert;
 pub mod record;
 pub mod table;
 
--- a/fulmarreel-testing/src/lib.rs
+++ b/fulmarreel-testing/src/lib.rs
@@ -2,4 +2,6 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod process;
 pub mod store;
+pub mod target;
--- /dev/null
+++ b/fulmarreel-testing/src/process/mod.rs
@@ -0,0 +1,112 @@
+//! Programs of this workspace as processes, ended by their ids.
+
+mod mesh;
+mod port;
+
+pub use mesh::{Mesh, Place, eventually};
+pub use port::free_address;
+
+use anyhow::{Context, ensure};
+use std::{
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+/// A running program; killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program of the workspace, or one of its examples.
+    ///
+    /// # Errors
+    ///
+    /// The program was not built, or cannot be started.
+    pub fn start(program: &str, arguments: &[&str]) -> anyhow::Result<Self> {
+        let path = locate(program)?;
+        let quiet = std::env::var_os("FULMARREEL_TEST_LOG").is_none();
+        let sink = || {
+            if quiet {
+                Stdio::null()
+            } else {
+                Stdio::inherit()
+            }
+        };
+        let child = Command::new(&path)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(sink())
+            .stderr(sink())
+            .spawn()
+            .with_context(|| format!("start {}", path.display()))?;
+        Ok(Self { child })
+    }
+
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal such as `TERM`, `STOP` or `CONT`.
+    ///
+    /// # Errors
+    ///
+    /// The signal is unknown or the process is gone.
+    pub fn signal(&self, signal: &str) -> anyhow::Result<()> {
+        let status = Command::new("kill")
+            .args([format!("-{signal}"), self.id().to_string()])
+            .status()?;
+        ensure!(status.success(), "kill -{signal} {}: {status}", self.id());
+        Ok(())
+    }
+
+    /// Waits for the process to end by itself.
+    ///
+    /// # Errors
+    ///
+    /// It did not end in time, or not successfully.
+    pub fn wait(&mut self, patience: Duration) -> anyhow::Result<()> {
+        let deadline = Instant::now() + patience;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                ensure!(status.success(), "process {}: {status}", self.id());
+                return Ok(());
+            }
+            ensure!(
+                Instant::now() < deadline,
+                "process {} still runs",
+                self.id()
+            );
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Either call fails only where the process has already ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Finds a built program beside the running one.
+///
+/// # Errors
+///
+/// The program was not built.
+pub fn locate(program: &str) -> anyhow::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let candidates = own
+        .ancestors()
+        .skip(1)
+        .take(2)
+        .flat_map(|folder| [folder.join(program), folder.join("examples").join(program)]);
+    candidates
+        .into_iter()
+        .find(|path| path.is_file())
+        .with_context(|| format!("{program} is not built; run scripts/test"))
+}
--- a/fulmarreel-testing/src/store/serve.rs
+++ b/fulmarreel-testing/src/store/serve.rs
@@ -139,7 +139,10 @@
         "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
         body.len()
     );
-    stream.get_mut().write_all((head + &body).as_bytes()).await
+    stream
+        .get_mut()
+        .write_all((head + body.as_str()).as_bytes())
+        .await
 }
 
 async fn chunk(stream: &mut BufReader<TcpStream>, result: &Value) -> io::Result<()> {
--- a/fulmarreel-wire/src/gossip.rs
+++ b/fulmarreel-wire/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Membership records as they travel over UDP.
 
+use crate::framing;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -59,3 +60,23 @@
     /// It is gone.
     Gone,
 }
+
+impl Datagram {
+    /// The bytes to send.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, framing::Error> {
+        Ok(postcard::to_stdvec(self)?)
+    }
+
+    /// Reads what was received.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no datagram.
+    pub fn decode(bytes: &[u8]) -> Result<Self, framing::Error> {
+        framing::decode(bytes)
+    }
+}
