feat(rollout): decisions of a move as pure functions

The decisions of a move need no sockets and no clock, so they stand in their own crate: evidence that adds up in any order, a side-by-side sequential comparison per route, the owner's next step, a node's own guard, the join of published states and the choice of version per call.

--- /dev/null
+++ b/fulmarreel-rollout/src/compare/absorb.rs
@@ -0,0 +1,59 @@
+//! Evidence is taken in, once a tick.
+
+use super::{Comparison, JUMP, MAX_TICK, Watched};
+use crate::Evidence;
+use fulmarreel_document::shift::Timestamp;
+use std::time::Duration;
+
+/// Weight of the latest tick in the running mean of the call rate.
+const RATE_WEIGHT: f64 = 0.2;
+
+impl Comparison {
+    /// Takes in all evidence that has come since the last tick; the step is the one in force.
+    pub fn absorb(&mut self, evidence: &Evidence, step: u64, now: Timestamp) {
+        let elapsed = self.tick(now);
+        if self.step.step != step {
+            self.step = Watched {
+                step,
+                ..Watched::default()
+            };
+        }
+        if evidence.reports == 0 {
+            return;
+        }
+        let total = evidence.total();
+        self.reports = evidence.reports;
+        self.step.time += elapsed.min(MAX_TICK);
+        self.step.new_calls += total.new.calls;
+        self.note_rate(total.old.calls + total.new.calls, elapsed);
+        for (route, pair) in &evidence.routes {
+            let track = self.routes.entry(*route).or_default();
+            track.absorb(pair, self.fault, evidence.reports);
+        }
+        self.total.absorb(&total, self.fault, evidence.reports);
+    }
+
+    /// Notes the time and returns what has passed since the last tick, zero after a jump.
+    fn tick(&mut self, now: Timestamp) -> Duration {
+        let passed = now.0.checked_sub(self.clock.last.0);
+        self.clock.last = now;
+        match passed.map(Duration::from_millis) {
+            Some(passed) if passed <= JUMP => passed,
+            _ => {
+                self.clock.steady_since = now;
+                Duration::ZERO
+            }
+        }
+    }
+
+    fn note_rate(&mut self, calls: u64, elapsed: Duration) {
+        if elapsed.is_zero() {
+            return;
+        }
+        let rate = calls as f64 / elapsed.as_secs_f64();
+        self.calls_per_s = Some(match self.calls_per_s {
+            None => rate,
+            Some(mean) => mean + RATE_WEIGHT * (rate - mean),
+        });
+    }
+}
--- /dev/null
+++ b/fulmarreel-rollout/src/compare/track.rs
@@ -0,0 +1,121 @@
+//! One route's measures.
+
+use super::channel::{Channel, Counts, Part};
+use crate::evidence::{BUCKETS, Pair, Tally};
+use fulmarreel_document::shift::Fault;
+
+/// Calls to the old version that make a batch.
+const BATCH_OLD_CALLS: u64 = 20;
+
+/// Ticks after which a batch is closed however few calls it has.
+const BATCH_TICKS: u32 = 10;
+
+/// Calls to the old version before its latency is known.
+const MIN_LATENCY_CALLS: f64 = 100.0;
+
+/// Part of the old version's latency counts that a batch keeps.
+const LATENCY_KEPT: f64 = 0.99;
+
+/// Buckets of latency per factor of two.
+const BUCKETS_PER_OCTAVE: f64 = 2.0;
+
+/// The quantile of latency that is compared.
+const QUANTILE: f64 = 0.95;
+
+/// Reporters from which on the loudest one is left out.
+const MIN_REPORTERS: u32 = 3;
+
+/// One reporter in this many is left out of a verdict, and at least one.
+const REPORTERS_PER_LEFT_OUT: u32 = 100;
+
+/// Most reporters that are left out of a verdict.
+const MAX_LEFT_OUT: u32 = 16;
+
+/// The measures of one route.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Track {
+    pub errors: Channel,
+    pub latency: Channel,
+    /// A bit for each reporter that has called the new version.
+    pub reporters: u64,
+    batch: Pair,
+    ticks: u32,
+    old_latency: [f64; BUCKETS],
+}
+
+impl Track {
+    /// Takes in one tick's sum.
+    pub fn absorb(&mut self, pair: &Pair, fault: Fault, reports: u32) {
+        self.reporters |= pair.reporters;
+        self.batch.merge(pair);
+        self.ticks += 1;
+        if self.batch.old.calls < BATCH_OLD_CALLS && self.ticks < BATCH_TICKS {
+            return;
+        }
+        let batch = std::mem::take(&mut self.batch);
+        self.ticks = 0;
+        self.absorb_batch(&batch, fault, reports);
+    }
+
+    fn absorb_batch(&mut self, batch: &Pair, fault: Fault, reports: u32) {
+        let left_out = self.left_out(reports);
+        let bound = fault.error_percent / 100.0;
+        let errors = |tally: &Tally| tally.errors as f64;
+        self.errors.absorb(
+            counts(batch, errors),
+            batch.failing.as_ref().map(|loudest| Part {
+                reporter: loudest.reporter,
+                bad: errors(&loudest.new),
+            }),
+            bound,
+            left_out,
+        );
+        if let Some(edge) = self.slow_edge(fault.latency_ratio) {
+            let slow = |tally: &Tally| tally.latency[edge..].iter().sum::<u64>() as f64;
+            self.latency.absorb(
+                counts(batch, slow),
+                batch.slowest.as_ref().map(|loudest| Part {
+                    reporter: loudest.reporter,
+                    bad: slow(&loudest.new),
+                }),
+                bound,
+                left_out,
+            );
+        }
+        for (kept, count) in self.old_latency.iter_mut().zip(batch.old.latency) {
+            *kept = *kept * LATENCY_KEPT + count as f64;
+        }
+    }
+
+    /// How many reporters a verdict does without, so that a few that mislead decide nothing.
+    pub fn left_out(&self, reports: u32) -> usize {
+        if self.reporters.count_ones() < MIN_REPORTERS {
+            return 0;
+        }
+        (reports / REPORTERS_PER_LEFT_OUT).clamp(1, MAX_LEFT_OUT) as usize
+    }
+
+    /// The first bucket whose calls count as slow, once the old version's latency is known.
+    fn slow_edge(&self, ratio: f64) -> Option<usize> {
+        let calls: f64 = self.old_latency.iter().sum();
+        if calls < MIN_LATENCY_CALLS {
+            return None;
+        }
+        let mut below = 0.0;
+        let quantile = self.old_latency.iter().position(|count| {
+            below += count;
+            below >= QUANTILE * calls
+        })?;
+        let edge = quantile + (BUCKETS_PER_OCTAVE * ratio.log2()).round() as usize;
+        (edge < BUCKETS).then_some(edge)
+    }
+}
+
+fn counts(pair: &Pair, bad: impl Fn(&Tally) -> f64) -> Counts {
+    Counts {
+        old_calls: pair.old.calls as f64,
+        old_bad: bad(&pair.old),
+        new_calls: pair.new.calls as f64,
+        new_bad: bad(&pair.new),
+    }
+}
--- /dev/null
+++ b/fulmarreel-rollout/src/evidence/wire.rs
@@ -0,0 +1,199 @@
+//! Evidence as it travels: only the buckets that hold calls.
+
+use super::{BUCKETS, Evidence, Loudest, Pair, Route, Tally};
+use serde::{Deserialize, Serialize};
+
+/// Evidence as it travels between nodes.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Wire {
+    reports: u32,
+    routes: Vec<WirePair>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WirePair {
+    route: Route,
+    old: WireTally,
+    new: WireTally,
+    loudest: WireLoudest,
+}
+
+/// A single report names its reporter once; a sum names the loudest reporters.
+#[derive(Debug, Serialize, Deserialize)]
+enum WireLoudest {
+    None,
+    Own(u32),
+    Sum {
+        reporters: u64,
+        failing: Option<(u32, WireTally)>,
+        slowest: Option<(u32, WireTally)>,
+    },
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireTally {
+    errors: u64,
+    /// Number of the first bucket that holds calls, and the counts from there on.
+    first: u8,
+    latency: Vec<u64>,
+}
+
+/// Why received evidence was refused.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// A histogram reaches past the last bucket.
+    #[error("route {route}: a latency histogram ends at bucket {end}, expected at most {BUCKETS}")]
+    Buckets {
+        /// The route.
+        route: Route,
+        /// One past the last bucket given.
+        end: usize,
+    },
+    /// More errors than calls.
+    #[error("route {route}: {errors} errors in {calls} calls")]
+    Errors {
+        /// The route.
+        route: Route,
+        /// Errors given.
+        errors: u64,
+        /// Calls given.
+        calls: u64,
+    },
+    /// A route is given twice.
+    #[error("route {route} is given twice")]
+    Twice {
+        /// The route.
+        route: Route,
+    },
+}
+
+impl From<&Evidence> for Wire {
+    fn from(evidence: &Evidence) -> Self {
+        let routes = evidence.routes.iter().map(|(&route, pair)| WirePair {
+            route,
+            old: (&pair.old).into(),
+            new: (&pair.new).into(),
+            loudest: pair.into(),
+        });
+        Self {
+            reports: evidence.reports,
+            routes: routes.collect(),
+        }
+    }
+}
+
+impl From<&Tally> for WireTally {
+    fn from(tally: &Tally) -> Self {
+        let first = tally.latency.iter().position(|&count| count > 0);
+        let last = tally.latency.iter().rposition(|&count| count > 0);
+        let latency = match (first, last) {
+            (Some(first), Some(last)) => tally.latency[first..=last].to_vec(),
+            _ => Vec::new(),
+        };
+        Self {
+            errors: tally.errors,
+            first: first.unwrap_or(0) as u8,
+            latency,
+        }
+    }
+}
+
+impl TryFrom<Wire> for Evidence {
+    type Error = Error;
+
+    fn try_from(wire: Wire) -> Result<Self, Error> {
+        let mut evidence = Self {
+            reports: wire.reports,
+            ..Self::default()
+        };
+        for pair in wire.routes {
+            let route = pair.route;
+            if evidence.routes.insert(route, pair.try_into()?).is_some() {
+                return Err(Error::Twice { route });
+            }
+        }
+        Ok(evidence)
+    }
+}
+
+impl From<&Pair> for WireLoudest {
+    fn from(pair: &Pair) -> Self {
+        let wire = |loudest: &Loudest| (loudest.reporter, (&loudest.new).into());
+        match (&pair.failing, &pair.slowest) {
+            (None, None) => Self::None,
+            (Some(one), Some(other)) if one == other && one.new == pair.new => {
+                Self::Own(one.reporter)
+            }
+            (failing, slowest) => Self::Sum {
+                reporters: pair.reporters,
+                failing: failing.as_ref().map(wire),
+                slowest: slowest.as_ref().map(wire),
+            },
+        }
+    }
+}
+
+impl TryFrom<WirePair> for Pair {
+    type Error = Error;
+
+    fn try_from(wire: WirePair) -> Result<Self, Error> {
+        let route = wire.route;
+        let old = wire.old.checked(route)?;
+        let new = wire.new.checked(route)?;
+        let checked = |loudest: Option<(u32, WireTally)>| {
+            let checked = loudest.map(|(reporter, tally)| {
+                let new = tally.checked(route)?;
+                Ok(Loudest { reporter, new })
+            });
+            checked.transpose()
+        };
+        match wire.loudest {
+            WireLoudest::None => Ok(Self {
+                old,
+                new,
+                ..Self::default()
+            }),
+            WireLoudest::Own(reporter) => Ok(Self::report(reporter, old, new)),
+            WireLoudest::Sum {
+                reporters,
+                failing,
+                slowest,
+            } => Ok(Self {
+                old,
+                new,
+                reporters,
+                failing: checked(failing)?,
+                slowest: checked(slowest)?,
+            }),
+        }
+    }
+}
+
+impl WireTally {
+    fn checked(&self, route: Route) -> Result<Tally, Error> {
+        let first = usize::from(self.first);
+        let end = first + self.latency.len();
+        if end > BUCKETS {
+            return Err(Error::Buckets { route, end });
+        }
+        let calls = self
+            .latency
+            .iter()
+            .fold(0u64, |sum, &n| sum.saturating_add(n));
+        if self.errors > calls {
+            let errors = self.errors;
+            return Err(Error::Errors {
+                route,
+                errors,
+                calls,
+            });
+        }
+        let mut latency = [0; BUCKETS];
+        latency[first..end].copy_from_slice(&self.latency);
+        Ok(Tally {
+            calls,
+            errors: self.errors,
+            latency,
+        })
+    }
+}
--- a/fulmarreel-rollout/src/lib.rs
+++ b/fulmarreel-rollout/src/lib.rs
@@ -1,3 +1,23 @@
-//! Decisions of a move to a new version, without I/O.
+//! Decisions of a move to a new version, without I/O and without a clock.
+//!
+//! A node that owns a move feeds a [`Comparison`] with the fleet's [`Evidence`] and asks
+//! [`step::step()`] what to publish; every node joins the published [`State`] with
+//! [`State::join()`], chooses the version of each call with [`share::picks()`], and keeps a
+//! [`Guard`] that stops its own use of a version that fails here.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
+
+pub mod compare;
+pub mod evidence;
+pub mod guard;
+pub mod plan;
+pub mod share;
+pub mod state;
+pub mod step;
+
+pub use compare::Comparison;
+pub use evidence::Evidence;
+pub use guard::Guard;
+pub use plan::Plan;
+pub use share::Share;
+pub use state::State;
--- /dev/null
+++ b/fulmarreel-rollout/src/state/wire.rs
@@ -0,0 +1,218 @@
+//! The published state as it is stored and sent.
+
+use super::{Figures, Measure, Phase, Reason, State};
+use crate::{Share, evidence::Route, share};
+use fulmarreel_document::shift::Timestamp;
+use serde::{Deserialize, Serialize};
+
+/// A state as it is stored and sent. Fields have fixed places, for codecs without names.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Wire {
+    revision: u64,
+    step: u64,
+    share_ppm: u32,
+    phase: WirePhase,
+    reason: WireReason,
+    at_ms: u64,
+    moved_at_ms: Option<u64>,
+}
+
+/// Why a received state was refused.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The share is no share.
+    #[error("step {step} of revision {revision}: {source}")]
+    Share {
+        /// Revision of the document.
+        revision: u64,
+        /// The step.
+        step: u64,
+        /// The share's own error.
+        source: share::Error,
+    },
+    /// The share does not fit the phase.
+    #[error("step {step} of revision {revision}: {share_ppm} parts per million in this phase")]
+    Phase {
+        /// Revision of the document.
+        revision: u64,
+        /// The step.
+        step: u64,
+        /// The share given.
+        share_ppm: u32,
+    },
+}
+
+macro_rules! mirror {
+    ($(#[$doc:meta])* $wire:ident = $own:ident { $($variant:ident),* $(,)? }) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        enum $wire { $($variant),* }
+
+        impl From<$own> for $wire {
+            fn from(own: $own) -> Self {
+                match own { $($own::$variant => Self::$variant),* }
+            }
+        }
+
+        impl From<$wire> for $own {
+            fn from(wire: $wire) -> Self {
+                match wire { $($wire::$variant => Self::$variant),* }
+            }
+        }
+    };
+}
+
+mirror! {
+    /// A phase by name.
+    WirePhase = Phase {
+        Waiting, Proving, Held, Raising, Soaking, Checking, Completed, TakenBack,
+    }
+}
+
+mirror! {
+    /// A measure by name.
+    WireMeasure = Measure { Errors, Latency }
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WireFigures {
+    measure: WireMeasure,
+    route: Option<Route>,
+    new_calls: u64,
+    new_bad: u64,
+    old_calls: u64,
+    old_bad: u64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireReason {
+    Declared,
+    Started,
+    NeedsCalls,
+    Proved,
+    Scheduled,
+    HourUnproven,
+    HourHeld,
+    Suspected,
+    Cleared,
+    Soaked,
+    SoakedLate,
+    Bad(WireFigures),
+}
+
+impl From<&State> for Wire {
+    fn from(state: &State) -> Self {
+        Self {
+            revision: state.revision,
+            step: state.step,
+            share_ppm: state.share.parts(),
+            phase: state.phase.into(),
+            reason: (&state.reason).into(),
+            at_ms: state.at.0,
+            moved_at_ms: state.moved_at.map(|at| at.0),
+        }
+    }
+}
+
+impl TryFrom<Wire> for State {
+    type Error = Error;
+
+    fn try_from(wire: Wire) -> Result<Self, Error> {
+        let (revision, step) = (wire.revision, wire.step);
+        let share = Share::try_from(wire.share_ppm).map_err(|source| Error::Share {
+            revision,
+            step,
+            source,
+        })?;
+        let phase = Phase::from(wire.phase);
+        let fits = match phase {
+            Phase::Waiting | Phase::TakenBack => share == Share::NONE,
+            Phase::Soaking | Phase::Completed => share == Share::ALL,
+            Phase::Proving | Phase::Held | Phase::Raising | Phase::Checking => true,
+        };
+        if !fits {
+            return Err(Error::Phase {
+                revision,
+                step,
+                share_ppm: wire.share_ppm,
+            });
+        }
+        Ok(Self {
+            revision,
+            step,
+            share,
+            phase,
+            reason: wire.reason.into(),
+            at: Timestamp(wire.at_ms),
+            moved_at: wire.moved_at_ms.map(Timestamp),
+        })
+    }
+}
+
+impl From<&Reason> for WireReason {
+    fn from(reason: &Reason) -> Self {
+        match reason {
+            Reason::Started => Self::Started,
+            Reason::NeedsCalls => Self::NeedsCalls,
+            Reason::Proved => Self::Proved,
+            Reason::Scheduled => Self::Scheduled,
+            Reason::HourUnproven => Self::HourUnproven,
+            Reason::HourHeld => Self::HourHeld,
+            Reason::Suspected => Self::Suspected,
+            Reason::Cleared => Self::Cleared,
+            Reason::Soaked => Self::Soaked,
+            Reason::SoakedLate => Self::SoakedLate,
+            Reason::Bad(figures) => Self::Bad((*figures).into()),
+            Reason::Declared => Self::Declared,
+        }
+    }
+}
+
+impl From<WireReason> for Reason {
+    fn from(wire: WireReason) -> Self {
+        match wire {
+            WireReason::Declared => Self::Declared,
+            WireReason::Started => Self::Started,
+            WireReason::NeedsCalls => Self::NeedsCalls,
+            WireReason::Proved => Self::Proved,
+            WireReason::Scheduled => Self::Scheduled,
+            WireReason::HourUnproven => Self::HourUnproven,
+            WireReason::HourHeld => Self::HourHeld,
+            WireReason::Suspected => Self::Suspected,
+            WireReason::Cleared => Self::Cleared,
+            WireReason::Soaked => Self::Soaked,
+            WireReason::SoakedLate => Self::SoakedLate,
+            WireReason::Bad(figures) => Self::Bad(figures.into()),
+        }
+    }
+}
+
+impl From<Figures> for WireFigures {
+    fn from(figures: Figures) -> Self {
+        Self {
+            measure: figures.measure.into(),
+            route: figures.route,
+            new_calls: figures.new_calls,
+            new_bad: figures.new_bad,
+            old_calls: figures.old_calls,
+            old_bad: figures.old_bad,
+        }
+    }
+}
+
+impl From<WireFigures> for Figures {
+    fn from(wire: WireFigures) -> Self {
+        Self {
+            measure: wire.measure.into(),
+            route: wire.route,
+            new_calls: wire.new_calls,
+            new_bad: wire.new_bad,
+            old_calls: wire.old_calls,
+            old_bad: wire.old_bad,
+        }
+    }
+}
--- /dev/null
+++ b/fulmarreel-rollout/src/step/decide.rs
@@ -0,0 +1,194 @@
+//! One decision.
+
+use super::{Contact, Hold, Outcome, contact, ramp};
+use crate::{
+    Comparison, Plan, Share, State,
+    state::{Phase, Reason},
+};
+use fulmarreel_document::shift::{Fallback, Timestamp};
+use std::time::Duration;
+
+/// Share of the new version while both are compared after all traffic had moved.
+const CHECKING: f64 = 0.5;
+
+/// How long a comparison after the move takes if nothing speaks against the version.
+const CHECK: Duration = Duration::from_secs(20);
+
+/// Calls to the new version that a step waits for beyond its time.
+const STEP_CALLS: u64 = 100;
+
+/// Decides on the next step. The comparison has taken in what came until `now`.
+pub fn step(
+    state: &State,
+    plan: &Plan,
+    comparison: &Comparison,
+    contact: &Contact,
+    now: Timestamp,
+) -> Outcome {
+    if state.is_final() {
+        return Outcome::Hold(Hold::Over);
+    }
+    if let Some(figures) = comparison.verdict() {
+        let verdict = state.next(Share::NONE, Phase::TakenBack, Reason::Bad(figures), now);
+        return Outcome::TakeBack(verdict);
+    }
+    if let Some(hold) = contact.hinders(state, comparison, now) {
+        return Outcome::Hold(hold);
+    }
+    let decision = Decision {
+        state,
+        plan,
+        comparison,
+        now,
+        left: contact::ahead(plan.complete_by, now),
+    };
+    match state.phase {
+        _ if contact.new_targets == 0 && state.phase != Phase::Completed => {
+            Outcome::Hold(Hold::NoTargets)
+        }
+        Phase::Waiting => decision.start(),
+        Phase::Proving => decision.prove(),
+        Phase::Held => decision.prove_late(),
+        Phase::Raising => decision.raise(),
+        Phase::Soaking => decision.soak(),
+        Phase::Checking => decision.check(),
+        Phase::Completed | Phase::TakenBack => Outcome::Hold(Hold::Over),
+    }
+}
+
+struct Decision<'a> {
+    state: &'a State,
+    plan: &'a Plan,
+    comparison: &'a Comparison,
+    now: Timestamp,
+    left: Duration,
+}
+
+impl Decision<'_> {
+    fn start(&self) -> Outcome {
+        match self.comparison.calls_per_s() {
+            Some(rate) if rate > 0.0 => self.to(
+                ramp::first(self.plan, rate),
+                Phase::Proving,
+                Reason::Started,
+            ),
+            _ if self.hour_presses() => self.hour(),
+            _ => Outcome::Hold(Hold::NoCalls),
+        }
+    }
+
+    fn prove(&self) -> Outcome {
+        if self.comparison.doubts() {
+            return Outcome::Hold(Hold::Doubted);
+        }
+        if self.comparison.proves() && self.watched_for(ramp::proving_dwell(self.left)) {
+            return self.grow(Reason::Proved);
+        }
+        if self.hour_presses() {
+            return self.hour();
+        }
+        self.gather()
+    }
+
+    fn prove_late(&self) -> Outcome {
+        if self.comparison.doubts() {
+            return Outcome::Hold(Hold::Doubted);
+        }
+        if self.comparison.proves() && self.watched_for(ramp::MIN_DWELL) {
+            return self.grow(Reason::Proved);
+        }
+        self.gather()
+    }
+
+    /// Raises an unproven share as far as the proof needs it.
+    fn gather(&self) -> Outcome {
+        let share = ramp::proving(self.plan, self.comparison, self.state.share, self.left);
+        if share > self.state.share && self.watched_for(ramp::MIN_DWELL) {
+            return self.to(share, self.state.phase, Reason::NeedsCalls);
+        }
+        Outcome::Hold(Hold::Unproven)
+    }
+
+    /// What the document says about an unproven version at its hour.
+    fn hour(&self) -> Outcome {
+        match self.plan.fallback {
+            Fallback::Complete => self.grow(Reason::HourUnproven),
+            Fallback::Hold if self.left.is_zero() => {
+                self.to(self.state.share, Phase::Held, Reason::HourHeld)
+            }
+            Fallback::Hold => self.gather(),
+        }
+    }
+
+    fn raise(&self) -> Outcome {
+        if self.comparison.doubts() {
+            return Outcome::Hold(Hold::Doubted);
+        }
+        let dwell = ramp::dwell(self.state.share, self.left);
+        let seen = self.comparison.new_calls() >= STEP_CALLS || self.watched_for(dwell * 2);
+        if seen && self.watched_for(dwell) {
+            return self.grow(Reason::Scheduled);
+        }
+        Outcome::Hold(Hold::NotDue)
+    }
+
+    fn soak(&self) -> Outcome {
+        if self.comparison.suspects() {
+            let share = Share::from_fraction(CHECKING);
+            let state = self.next(share, Phase::Checking, Reason::Suspected);
+            return Outcome::Lower(state);
+        }
+        if self.watched_for(self.plan.soak) {
+            let reason = if self.moved_late() {
+                Reason::SoakedLate
+            } else {
+                Reason::Soaked
+            };
+            return Outcome::Complete(self.next(Share::ALL, Phase::Completed, reason));
+        }
+        Outcome::Hold(Hold::NotDue)
+    }
+
+    fn check(&self) -> Outcome {
+        if self.comparison.doubts() || self.comparison.suspects() {
+            return Outcome::Hold(Hold::Doubted);
+        }
+        if self.watched_for(CHECK) {
+            return self.to(Share::ALL, Phase::Soaking, Reason::Cleared);
+        }
+        Outcome::Hold(Hold::NotDue)
+    }
+
+    fn grow(&self, reason: Reason) -> Outcome {
+        let share = ramp::next(self.state.share);
+        let phase = if share == Share::ALL {
+            Phase::Soaking
+        } else {
+            Phase::Raising
+        };
+        self.to(share, phase, reason)
+    }
+
+    fn to(&self, share: Share, phase: Phase, reason: Reason) -> Outcome {
+        Outcome::Raise(self.next(share, phase, reason))
+    }
+
+    fn next(&self, share: Share, phase: Phase, reason: Reason) -> State {
+        self.state.next(share, phase, reason, self.now)
+    }
+
+    fn watched_for(&self, time: Duration) -> bool {
+        self.comparison.watched() >= time
+    }
+
+    /// Whether an unproven version would have to grow from now on to be on time.
+    fn hour_presses(&self) -> bool {
+        self.left <= ramp::least(self.state.share)
+    }
+
+    fn moved_late(&self) -> bool {
+        self.state
+            .moved_at
+            .is_some_and(|moved| moved > self.plan.complete_by)
+    }
+}
