feat(document): refusals name the field's own line, checks against clock and other documents

Cause: the parser's serde errors point at the start of the object, and its loose dialect took missing commas and single quotes. Fields are now located in the syntax tree by the path that serde_path_to_error follows; a second pass finds fields that stand twice. The hour and the destinations are checks of their own, which nodes do not apply. Ruled out: a deserializer of our own over the syntax tree, as more code for the same places.

--- a/fulmarreel-document/src/lib.rs
+++ b/fulmarreel-document/src/lib.rs
@@ -13,11 +13,13 @@
 #![forbid(unsafe_code)]
 
 mod access;
+pub mod check;
 mod name;
 pub mod parse;
 mod raw;
 pub mod route;
 pub mod shift;
+pub mod source;
 
 pub use name::{Service, Version};
 pub use parse::parse;
--- a/fulmarreel-document/src/parse.rs
+++ b/fulmarreel-document/src/parse.rs
@@ -1,42 +1,29 @@
 //! From text to a checked document.
 
-use crate::{Document, MAX_BYTES, Route, Service, Shift, Version, name, raw, route, shift};
-use jsonc_parser::{ParseOptions, errors::ParseError, parse_to_serde_value};
+use crate::{
+    Document, MAX_BYTES, Route, Service, Shift, Version, name, raw, route, shift,
+    source::{self, Refusal},
+};
 use std::time::Duration;
 
-/// Why a document was refused.
-#[derive(Debug, thiserror::Error)]
+/// The longest timeout of a route, in milliseconds.
+const MAX_TIMEOUT_MS: u64 = 600_000;
+
+/// The longest soak, in seconds.
+const MAX_SOAK_SECONDS: u64 = 604_800;
+
+/// Why a document was refused; each message begins with the line and column.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
     /// The text is longer than the store can hold.
-    #[error("the document has {bytes} bytes, expected at most {MAX_BYTES}")]
+    #[error("1:1: the whole document: {bytes} bytes, expected at most {MAX_BYTES}")]
     TooLarge {
         /// Length of the text in bytes.
         bytes: usize,
     },
-    /// The text is not JSON with comments, or has a missing, unknown or mistyped field.
-    #[error("{0}")]
-    Syntax(#[from] ParseError),
-    /// The text holds no value at all.
-    #[error("the document is empty, expected an object")]
-    Empty,
-    /// A field's value breaks a rule.
-    #[error("field '{field}': {given}, expected {expected}")]
-    Field {
-        /// Path of the field, such as `routes[0].path`.
-        field: String,
-        /// What was found.
-        given: String,
-        /// What is accepted.
-        expected: &'static str,
-    },
-    /// A name is malformed.
-    #[error("field '{field}': {source}")]
-    Name {
-        /// Path of the field.
-        field: String,
-        /// The name's own error.
-        source: name::Error,
-    },
+    /// The text or one of its fields was refused.
+    #[error(transparent)]
+    Source(#[from] source::Error),
 }
 
 /// Parses and checks a document.
@@ -44,14 +31,15 @@
     if text.len() > MAX_BYTES {
         return Err(Error::TooLarge { bytes: text.len() });
     }
-    let raw: Option<raw::Document> = parse_to_serde_value(text, &ParseOptions::default())?;
-    raw.ok_or(Error::Empty)?.try_into()
+    let raw: raw::Document = source::read(text)?;
+    let document: Result<Document, Refusal> = raw.try_into();
+    Ok(document.map_err(|refusal| refusal.located(text))?)
 }
 
 impl TryFrom<raw::Document> for Document {
-    type Error = Error;
+    type Error = Refusal;
 
-    fn try_from(raw: raw::Document) -> Result<Self, Error> {
+    fn try_from(raw: raw::Document) -> Result<Self, Refusal> {
         let service = service("service", &raw.service)?;
         let version = version("version", &raw.version)?;
         let routes = routes(&service, &raw.routes)?;
@@ -60,7 +48,7 @@
         if let Some(shift) = &shift
             && shift.to == version
         {
-            return Err(refusal(
+            return Err(Refusal::new(
                 "move.to",
                 &version,
                 "a version other than 'version'",
@@ -75,38 +63,32 @@
     }
 }
 
-fn service(field: &str, given: &str) -> Result<Service, Error> {
-    given.try_into().map_err(|source| Error::Name {
-        field: field.to_owned(),
-        source,
-    })
+fn service(field: &str, given: &str) -> Result<Service, Refusal> {
+    given.try_into().map_err(|error| name(field, &error))
 }
 
-fn version(field: &str, given: &str) -> Result<Version, Error> {
-    given.try_into().map_err(|source| Error::Name {
-        field: field.to_owned(),
-        source,
-    })
+fn version(field: &str, given: &str) -> Result<Version, Refusal> {
+    given.try_into().map_err(|error| name(field, &error))
 }
 
-fn refusal(field: &str, given: &impl ToString, expected: &'static str) -> Error {
-    Error::Field {
-        field: field.to_owned(),
-        given: given.to_string(),
-        expected,
-    }
+fn name(field: &str, error: &name::Error) -> Refusal {
+    Refusal::new(field, &format!("'{}'", error.given), error.expected)
 }
 
-fn routes(own: &Service, raw: &[raw::Route]) -> Result<Vec<Route>, Error> {
+fn routes(own: &Service, raw: &[raw::Route]) -> Result<Vec<Route>, Refusal> {
     if raw.is_empty() {
-        return Err(refusal("routes", &"an empty list", "at least one route"));
+        return Err(Refusal::new(
+            "routes",
+            &"an empty list",
+            "at least one route",
+        ));
     }
     let mut routes: Vec<Route> = Vec::with_capacity(raw.len());
     for (index, raw) in raw.iter().enumerate() {
         let route = one_route(own, index, raw)?;
         if routes.iter().any(|other| other.path == route.path) {
             let field = format!("routes[{index}].path");
-            return Err(refusal(
+            return Err(Refusal::new(
                 &field,
                 &route.path,
                 "a path that no other route has",
@@ -118,10 +100,12 @@
     Ok(routes)
 }
 
-fn one_route(own: &Service, index: usize, raw: &raw::Route) -> Result<Route, Error> {
-    if !raw.path.starts_with('/') {
+fn one_route(own: &Service, index: usize, raw: &raw::Route) -> Result<Route, Refusal> {
+    let plain = |c: char| !c.is_whitespace() && !c.is_control() && c != '?' && c != '#';
+    if !raw.path.starts_with('/') || !raw.path.chars().all(plain) {
         let field = format!("routes[{index}].path");
-        return Err(refusal(&field, &raw.path, "a path that starts with '/'"));
+        let expected = "a path that starts with '/', without blanks, '?' and '#'";
+        return Err(Refusal::new(&field, &format!("'{}'", raw.path), expected));
     }
     let destination = raw
         .service
@@ -131,10 +115,10 @@
         .filter(|destination| destination != own);
     let timeout = match raw.timeout_ms {
         None => route::DEFAULT_TIMEOUT,
-        Some(ms @ 1..=600_000) => Duration::from_millis(ms),
+        Some(ms @ 1..=MAX_TIMEOUT_MS) => Duration::from_millis(ms),
         Some(ms) => {
             let field = format!("routes[{index}].timeout_ms");
-            return Err(refusal(&field, &ms, "1 to 600000 milliseconds"));
+            return Err(Refusal::new(&field, &ms, "1 to 600000 milliseconds"));
         }
     };
     Ok(Route {
@@ -145,7 +129,7 @@
     })
 }
 
-fn shift(raw: &raw::Shift, idempotent: bool) -> Result<Shift, Error> {
+fn shift(raw: &raw::Shift, idempotent: bool) -> Result<Shift, Refusal> {
     let default_percent = if idempotent {
         shift::DEFAULT_UNPROVEN_PERCENT_IDEMPOTENT
     } else {
@@ -164,39 +148,48 @@
             Some(raw::Fallback::Complete) => shift::Fallback::Complete,
             Some(raw::Fallback::Hold) | None => shift::Fallback::Hold,
         },
-        soak: raw
-            .soak_seconds
-            .map_or(shift::DEFAULT_SOAK, Duration::from_secs),
+        soak: soak(raw.soak_seconds)?,
     })
 }
 
-fn timestamp(given: &str) -> Result<shift::Timestamp, Error> {
+fn timestamp(given: &str) -> Result<shift::Timestamp, Refusal> {
     let field = "move.complete_by";
     let expected = "a time with offset such as 2026-12-04T18:00:00-06:00";
     let parsed: jiff::Timestamp = given
         .parse()
-        .map_err(|_| refusal(field, &given, expected))?;
+        .map_err(|_| Refusal::new(field, &given, expected))?;
     u64::try_from(parsed.as_millisecond())
         .map(shift::Timestamp)
-        .map_err(|_| refusal(field, &given, "a time after 1970"))
+        .map_err(|_| Refusal::new(field, &given, "a time after 1970"))
+}
+
+fn soak(seconds: Option<u64>) -> Result<Duration, Refusal> {
+    match seconds {
+        None => Ok(shift::DEFAULT_SOAK),
+        Some(seconds @ 0..=MAX_SOAK_SECONDS) => Ok(Duration::from_secs(seconds)),
+        Some(seconds) => {
+            let expected = "0 to 604800 seconds";
+            Err(Refusal::new("move.soak_seconds", &seconds, expected))
+        }
+    }
 }
 
-fn percent(field: &str, given: Option<f64>, default: f64) -> Result<f64, Error> {
+fn percent(field: &str, given: Option<f64>, default: f64) -> Result<f64, Refusal> {
     match given {
         None => Ok(default),
-        Some(percent) if percent > 0.0 && percent <= 100.0 => Ok(percent),
-        Some(percent) => Err(refusal(field, &percent, "more than 0 and at most 100")),
+        Some(percent @ f64::MIN_POSITIVE..=100.0) => Ok(percent),
+        Some(percent) => Err(Refusal::new(field, &percent, "more than 0 and at most 100")),
     }
 }
 
-fn fault(raw: Option<&raw::Fault>) -> Result<shift::Fault, Error> {
+fn fault(raw: Option<&raw::Fault>) -> Result<shift::Fault, Refusal> {
     let errors = raw.and_then(|raw| raw.error_percent);
     let latency_ratio = raw
         .and_then(|raw| raw.latency_ratio)
         .unwrap_or(shift::DEFAULT_LATENCY_RATIO);
     if !(latency_ratio > 1.0 && latency_ratio.is_finite()) {
         let field = "move.fault.latency_ratio";
-        return Err(refusal(field, &latency_ratio, "a number over 1"));
+        return Err(Refusal::new(field, &latency_ratio, "a number over 1"));
     }
     Ok(shift::Fault {
         error_percent: percent(
