feat(testing): open-loop caller and a relay with switchable faults

The caller keeps its rate whatever the answers do, checks that each answer is whole and its own, and tells not-run, unknown, cut and wrong apart. The relay delays, drops, cuts, and swallows open connections while new ones work.

--- a/fulmarreel-testing/src/lib.rs
+++ b/fulmarreel-testing/src/lib.rs
@@ -2,6 +2,8 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod load;
 pub mod process;
+pub mod relay;
 pub mod store;
 pub mod target;
--- /dev/null
+++ b/fulmarreel-testing/src/relay/tcp.rs
@@ -0,0 +1,114 @@
+//! Connections through a relay.
+
+use super::Control;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future::race};
+use smol::{
+    Timer,
+    channel::{Receiver, Sender, bounded},
+    net::{Shutdown, TcpListener, TcpStream},
+};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Bytes read at once.
+const READ_BYTES: usize = 16_384;
+
+/// Reads that may be on their way in one direction.
+const READS_UNDERWAY: usize = 256;
+
+/// How often an idle connection looks whether it was cut.
+const CUT_INTERVAL: Duration = Duration::from_millis(20);
+
+pub(super) async fn run(listener: &TcpListener, forward: SocketAddr, control: &Arc<Control>) {
+    loop {
+        let Ok((near, _)) = listener.accept().await else {
+            continue;
+        };
+        if control.is_cut() {
+            continue;
+        }
+        let control = Arc::clone(control);
+        smol::spawn(async move {
+            let _ = relay(near, forward, &control).await;
+        })
+        .detach();
+    }
+}
+
+async fn relay(near: TcpStream, forward: SocketAddr, control: &Arc<Control>) -> io::Result<()> {
+    let connection = control.accept();
+    let far = TcpStream::connect(forward).await?;
+    near.set_nodelay(true)?;
+    far.set_nodelay(true)?;
+    let there = pipe(near.clone(), far.clone(), connection, control);
+    let back = pipe(far.clone(), near.clone(), connection, control);
+    race(race(there, back), cut(control)).await;
+    let _ = near.shutdown(Shutdown::Both);
+    let _ = far.shutdown(Shutdown::Both);
+    Ok(())
+}
+
+async fn cut(control: &Control) {
+    while !control.is_cut() {
+        Timer::after(CUT_INTERVAL).await;
+    }
+}
+
+async fn pipe(from: TcpStream, to: TcpStream, connection: u64, control: &Arc<Control>) {
+    let (sender, receiver) = bounded(READS_UNDERWAY);
+    race(
+        read(from, sender, connection, control),
+        write(to, receiver, connection, control),
+    )
+    .await;
+}
+
+async fn read(
+    mut from: TcpStream,
+    sender: Sender<(Instant, Vec<u8>)>,
+    connection: u64,
+    control: &Control,
+) {
+    let mut buffer = vec![0; READ_BYTES];
+    loop {
+        let read = from.read(&mut buffer).await;
+        if control.swallows(connection) {
+            // Not even the end of the connection may be seen on the other side.
+            if !matches!(read, Ok(bytes) if bytes > 0) {
+                std::future::pending::<()>().await;
+            }
+            continue;
+        }
+        let Ok(bytes @ 1..) = read else {
+            return;
+        };
+        let due = Instant::now() + control.delay();
+        if sender.send((due, buffer[..bytes].to_vec())).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn write(
+    mut to: TcpStream,
+    receiver: Receiver<(Instant, Vec<u8>)>,
+    connection: u64,
+    control: &Control,
+) {
+    while let Ok((due, bytes)) = receiver.recv().await {
+        if due > Instant::now() {
+            Timer::at(due).await;
+        }
+        if control.swallows(connection) {
+            continue;
+        }
+        if to.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+    std::future::pending::<()>().await;
+}
