--- a/fulmarreel-platform/tests/platform.rs
+++ b/fulmarreel-platform/tests/platform.rs
@@ -3,6 +3,7 @@
 mod platform {
     mod commit;
     mod faults;
+    mod gateway;
     mod keys;
     mod lease;
     mod read;
--- /dev/null
+++ b/fulmarreel-testing/tests/store.rs
@@ -0,0 +1,78 @@
+//! The store stand-in's own switches over HTTP.
+
+use {
+    fulmarreel_testing::store::Stand,
+    rstest::rstest,
+    serde_json::{Value, json},
+    trillium_client::{Client, Error},
+    trillium_smol::ClientConfig,
+};
+
+async fn post(stand: &Stand, path: &str, body: &Value) -> Result<(u16, Value), Error> {
+    let url = format!("http://{}{path}", stand.address());
+    let client = Client::new(ClientConfig::new()).without_keepalive();
+    let mut conn = client.post(url).with_body(body.to_string()).await?;
+    let status = conn.status().map_or(0, |status| status as u16);
+    let text = conn.response_body().read_string().await?;
+    Ok((status, serde_json::from_str(&text).unwrap()))
+}
+
+async fn start() -> Stand {
+    Stand::start("127.0.0.1:0".parse().unwrap()).await.unwrap()
+}
+
+#[test]
+fn counts_by_kind() {
+    smol::block_on(async {
+        let stand = start().await;
+        for path in [
+            "/v3/kv/put",
+            "/v3/kv/range",
+            "/v3/kv/range",
+            "/v3/lease/grant",
+        ] {
+            assert_eq!(
+                post(&stand, path, &json!({"key": "YQ=="})).await.unwrap().0,
+                200
+            );
+        }
+        let (_, counts) = post(&stand, "/counts", &json!({})).await.unwrap();
+        assert_eq!(
+            counts,
+            json!({"grant": 1, "open_watches": 0, "put": 1, "range": 2})
+        );
+    });
+}
+
+#[test]
+fn down_leaves_the_switches_in_reach() {
+    smol::block_on(async {
+        let stand = start().await;
+        let key = json!({"key": "YQ=="});
+        assert_eq!(
+            post(&stand, "/faults", &json!({"down": true}))
+                .await
+                .unwrap()
+                .0,
+            200
+        );
+        assert!(post(&stand, "/v3/kv/put", &key).await.is_err());
+        assert_eq!(post(&stand, "/faults", &json!({})).await.unwrap().0, 200);
+        let (_, answer) = post(&stand, "/v3/kv/range", &key).await.unwrap();
+        assert_eq!(
+            answer.get("kvs"),
+            None,
+            "a write took effect while the store was down"
+        );
+    });
+}
+
+#[rstest]
+#[case::unknown_field(json!({"dwn": true}))]
+#[case::wrong_type(json!({"down": 1}))]
+fn bad_fault(#[case] faults: Value) {
+    smol::block_on(async {
+        let stand = start().await;
+        assert_eq!(post(&stand, "/faults", &faults).await.unwrap().0, 400);
+    });
+}
