feat(call,balance): ledger of calls, retry rule, admission, choice and retry budget

Pure decisions with the clock and the random source passed in. A refusal leaves a fence, and a connection of a higher generation fences all that still arrives on earlier ones; forgotten calls are answered as unknown.

--- a/fulmarreel-balance/src/lib.rs
+++ b/fulmarreel-balance/src/lib.rs
@@ -1,3 +1,10 @@
 //! Choice of a target, admission to its slots and retry budgets, without I/O.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
+
+pub mod admission;
+mod budget;
+pub mod choice;
+
+pub use admission::Admission;
+pub use budget::Budget;
--- /dev/null
+++ b/fulmarreel-call/tests/call/ledger.rs
@@ -0,0 +1,147 @@
+use fulmarreel_call::{
+    Fate, Ledger,
+    ledger::{Cancellation, Error, KEEP, MAX_KEPT_BYTES},
+};
+use rstest::rstest;
+use std::time::{Duration, Instant};
+
+const CALL: u64 = 7;
+
+/// Steps in the life of a call before it is asked for.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Open,
+    HandOver,
+    Answer,
+    Lose,
+    Refuse,
+    Cancel,
+    Withdraw,
+    Query,
+    /// Time passes until calls that ended are forgotten.
+    Forget,
+    /// The kept answers of other calls fill the memory.
+    Crowd,
+}
+
+fn after(steps: &[Step]) -> Ledger<&'static str> {
+    let mut ledger = Ledger::default();
+    let mut now = Instant::now();
+    ledger.connect(1);
+    for step in steps {
+        match step {
+            Step::Open => ledger.open(1, CALL).expect("a new call"),
+            Step::HandOver => _ = ledger.hand_over(CALL),
+            Step::Answer => ledger.answer(CALL, "whole", 5, now),
+            Step::Lose => ledger.lose(CALL, now),
+            Step::Refuse => _ = ledger.refuse(CALL, now),
+            Step::Cancel => _ = ledger.cancel(CALL, now),
+            Step::Withdraw => _ = ledger.withdraw(CALL, now),
+            Step::Query => _ = ledger.query(CALL, now),
+            Step::Forget => {
+                now += KEEP;
+                ledger.expire(now);
+            }
+            Step::Crowd => {
+                ledger.open(1, CALL + 1).expect("a new call");
+                ledger.hand_over(CALL + 1);
+                ledger.answer(CALL + 1, "large", MAX_KEPT_BYTES, now);
+            }
+        }
+    }
+    ledger
+}
+
+/// Seen to fail with `query` answering `NotRun` for every call that is not known.
+#[rstest]
+#[case::never_arrived(&[], Fate::NotRun)]
+#[case::queued(&[Step::Open], Fate::Running)]
+#[case::running(&[Step::Open, Step::HandOver], Fate::Running)]
+#[case::answered(&[Step::Open, Step::HandOver, Step::Answer], Fate::Answered(&"whole"))]
+#[case::lost(&[Step::Open, Step::HandOver, Step::Lose], Fate::Unknown)]
+#[case::refused(&[Step::Open, Step::Refuse], Fate::NotRun)]
+#[case::cancelled(&[Step::Open, Step::Cancel], Fate::NotRun)]
+#[case::cancelled_too_late(&[Step::Open, Step::HandOver, Step::Cancel], Fate::Running)]
+#[case::refused_too_late(&[Step::Open, Step::HandOver, Step::Refuse], Fate::Running)]
+#[case::never_reached_the_target(&[Step::Open, Step::HandOver, Step::Withdraw], Fate::NotRun)]
+#[case::forgotten(&[Step::Open, Step::HandOver, Step::Answer, Step::Forget], Fate::Unknown)]
+#[case::crowded_out(&[Step::Open, Step::HandOver, Step::Answer, Step::Crowd], Fate::Unknown)]
+fn a_query_never_says_not_run_of_a_call_that_may_have_run(
+    #[case] steps: &[Step],
+    #[case] expected: Fate<'_, &'static str>,
+) {
+    assert_eq!(after(steps).query(CALL, Instant::now()), expected);
+}
+
+/// Seen to fail with `open` ignoring the generation.
+#[test]
+fn a_copy_that_arrives_after_the_query_is_not_run() {
+    let mut ledger = Ledger::<()>::default();
+    ledger.connect(1);
+    ledger.connect(2);
+    assert_eq!(ledger.query(CALL, Instant::now()), Fate::NotRun);
+    let late = ledger.open(1, CALL);
+    let replaced = Error::Replaced {
+        given: 1,
+        present: 2,
+    };
+    assert_eq!(late, Err(replaced));
+    assert!(!ledger.hand_over(CALL));
+}
+
+/// Seen to fail with `refuse`, `cancel` and `query` that leave no fence.
+#[rstest]
+#[case::refused(&[Step::Open, Step::Refuse])]
+#[case::cancelled(&[Step::Open, Step::Cancel])]
+#[case::cancelled_before_it_arrived(&[Step::Cancel])]
+#[case::queried_before_it_arrived(&[Step::Query])]
+fn a_copy_of_a_call_that_was_not_run_is_not_run_either(#[case] steps: &[Step]) {
+    let mut ledger = after(steps);
+    let copy = ledger.open(1, CALL);
+    assert_eq!(copy, Err(Error::Repeated { sequence: CALL }));
+    assert!(!ledger.hand_over(CALL));
+}
+
+/// Seen to fail with `open` replacing a known call.
+#[test]
+fn a_repeated_open_is_not_run_again() {
+    let mut ledger = after(&[Step::Open, Step::HandOver, Step::Answer]);
+    assert_eq!(
+        ledger.open(1, CALL),
+        Err(Error::Repeated { sequence: CALL })
+    );
+    assert_eq!(ledger.query(CALL, Instant::now()), Fate::Answered(&"whole"));
+}
+
+/// Seen to fail with `cancel` answering `NotRun` whatever the state.
+#[rstest]
+#[case::queued(&[Step::Open], Cancellation::NotRun)]
+#[case::running(&[Step::Open, Step::HandOver], Cancellation::TooLate)]
+#[case::answered(&[Step::Open, Step::HandOver, Step::Answer], Cancellation::TooLate)]
+#[case::forgotten(&[Step::Open, Step::HandOver, Step::Answer, Step::Forget], Cancellation::TooLate)]
+fn a_cancellation_says_not_run_only_while_queued(
+    #[case] steps: &[Step],
+    #[case] expected: Cancellation,
+) {
+    let mut ledger = after(steps);
+    assert_eq!(ledger.cancel(CALL, Instant::now()), expected);
+    let may_run = ledger.hand_over(CALL);
+    assert!(!may_run, "a cancelled call was handed over");
+}
+
+/// Seen to fail with `expire` and with `shrink` left empty.
+#[test]
+fn memory_stays_bounded() {
+    let mut ledger = Ledger::default();
+    let start = Instant::now();
+    for sequence in 1..=10_000 {
+        let now = start + Duration::from_millis(sequence);
+        ledger.expire(now);
+        ledger.open(0, sequence).expect("a new call");
+        ledger.hand_over(sequence);
+        ledger.answer(sequence, vec![0; 1_024], 1_024, now);
+    }
+    assert!(ledger.len() <= KEEP.as_millis() as usize + 1);
+    let kept = (1..=10_000).filter(|call| matches!(ledger.query(*call, start), Fate::Answered(_)));
+    assert_eq!(kept.count(), MAX_KEPT_BYTES / 1_024);
+}
