feat(cli): check, diff, apply, delete, get, status, wait and history

Each command is a module with its own Outcome and Error; arguments, tables, JSON and exit codes are in cli. All documents of a run are checked before the first is written; then each is written by its own compare-and-swap, destinations first, and the run stops at the first failure, so that no document goes in whose destination did not. A past hour is refused unless the same move is in the store already: it was accepted in time, and the rest of its document must stay changeable.

--- a/fulmarreel-document/src/lib.rs
+++ b/fulmarreel-document/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod shift;
 pub mod source;
 
-pub use name::{Service, Version};
+pub use name::{Error as NameError, Service, Version};
 pub use parse::parse;
 pub use route::Route;
 pub use shift::Shift;
--- a/fulmarreel-document/src/parse.rs
+++ b/fulmarreel-document/src/parse.rs
@@ -200,3 +200,21 @@
         latency_ratio,
     })
 }
+
+impl Error {
+    /// Where the refused field is.
+    pub fn place(&self) -> source::Place {
+        match self {
+            Self::TooLarge { .. } => source::Place::START,
+            Self::Source(error) => error.place(),
+        }
+    }
+
+    /// Path of the refused field, if it is about one.
+    pub fn field(&self) -> Option<&str> {
+        match self {
+            Self::TooLarge { .. } => None,
+            Self::Source(error) => error.field(),
+        }
+    }
+}
--- a/fulmarreel-document/src/source/mod.rs
+++ b/fulmarreel-document/src/source/mod.rs
@@ -115,3 +115,25 @@
         refusal: Refusal,
     },
 }
+
+impl Error {
+    /// Where the refused field is.
+    pub fn place(&self) -> Place {
+        match self {
+            Self::Empty => Place::START,
+            Self::Syntax { place, .. }
+            | Self::Duplicate { place, .. }
+            | Self::Shape { place, .. }
+            | Self::Field { place, .. } => *place,
+        }
+    }
+
+    /// Path of the refused field, if it is about one.
+    pub fn field(&self) -> Option<&str> {
+        match self {
+            Self::Empty | Self::Syntax { .. } => None,
+            Self::Duplicate { field, .. } | Self::Shape { field, .. } => Some(field),
+            Self::Field { refusal, .. } => Some(&refusal.field),
+        }
+    }
+}
--- a/fulmarreel/src/apply.rs
+++ b/fulmarreel/src/apply.rs
@@ -1,91 +1,168 @@
 //! Writes documents to the store, each by compare-and-swap on the revision that was read.
 
-use fulmarreel_document::{Document, parse};
-use fulmarreel_platform::{Outcome, Revision, Store, Transaction, error, keys::Key};
-use std::{io, path::Path};
+use crate::{File, stored::Documents};
+use fulmarreel_platform::{self as platform, Revision, Store, Transaction, keys::Key};
+use std::collections::BTreeSet;
 
-/// Why a document was not applied.
+/// How documents are applied.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Options {
+    /// The revision that the operator read; for a single document.
+    pub revision: Option<Revision>,
+}
+
+/// What became of one document.
+#[derive(Debug)]
+pub enum Outcome {
+    /// It is in the store at this revision.
+    Written(Revision),
+    /// The store held the same text already, at this revision.
+    Unchanged(Revision),
+    /// An earlier document of the same run was not written, so this one was not tried.
+    NotTried,
+}
+
+/// Why a document was not written, or may not have been.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The file cannot be read.
-    #[error("{path}: cannot be read: {source}")]
-    Read {
-        /// The file.
-        path: String,
-        /// The operating system's error.
-        source: io::Error,
-    },
-    /// The file holds no valid document.
-    #[error("{path}: {source}")]
-    Document {
-        /// The file.
-        path: String,
-        /// What is wrong with it.
-        source: parse::Error,
-    },
-    /// The store failed.
-    #[error("{service}: {source}")]
-    Store {
-        /// The service.
-        service: String,
-        /// The store's error.
-        source: error::Error,
-    },
     /// Someone else changed the document since it was read.
     #[error(
-        "{service}: changed by someone else: revision {read} was read, {found} is in the store"
+        "{service}: not written: revision {read} was read, but revision {found} is in the store; get it, merge and apply again"
     )]
     Conflict {
         /// The service.
         service: String,
         /// The revision that was read.
         read: Revision,
-        /// The revision in the store.
+        /// The revision in the store; [`Revision::ABSENT`] if it was deleted.
         found: Revision,
     },
+    /// The store failed, and nothing was written.
+    #[error("{service}: not written: {source}")]
+    Store {
+        /// The service.
+        service: String,
+        /// The store's error.
+        source: platform::Error,
+    },
+    /// The reply to the write was lost and reading back did not tell.
+    #[error("{service}: may have been written: {source}; compare with 'diff' before a new try")]
+    Unknown {
+        /// The service.
+        service: String,
+        /// The store's error.
+        source: platform::Error,
+    },
 }
 
-/// Applies the document of one file; returns its service and revision.
-///
-/// # Errors
+/// One document's result.
+#[derive(Debug)]
+pub struct Applied {
+    /// The service.
+    pub service: String,
+    /// What became of it.
+    pub result: Result<Outcome, Error>,
+}
+
+/// Writes each document, those that others route to first; stops at the first that fails.
 ///
-/// Nothing is written where the file or the document is refused, or a conflict is found.
-pub async fn apply(store: &impl Store, path: &Path) -> Result<(Document, Revision), Error> {
-    let shown = || path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
-        path: shown(),
-        source,
-    })?;
-    let document = parse(&text).map_err(|source| Error::Document {
-        path: shown(),
-        source,
-    })?;
-    let revision = write(store, &document, &text).await?;
-    Ok((document, revision))
+/// The documents must have passed [`check`](crate::check::check()) against `stored`.
+pub async fn apply(
+    store: &impl Store,
+    files: &[File],
+    stored: &Documents,
+    options: Options,
+) -> Vec<Applied> {
+    let mut stopped = false;
+    let mut applied = Vec::with_capacity(files.len());
+    for file in in_order(files) {
+        let result = if stopped {
+            Ok(Outcome::NotTried)
+        } else {
+            one(store, file, stored, options).await
+        };
+        stopped |= result.is_err();
+        applied.push(Applied {
+            service: file.document.service().to_string(),
+            result,
+        });
+    }
+    applied
+}
+
+async fn one(
+    store: &impl Store,
+    file: &File,
+    stored: &Documents,
+    options: Options,
+) -> Result<Outcome, Error> {
+    let service = file.document.service();
+    let found = stored.revision(service);
+    let read = options.revision.unwrap_or(found);
+    if read != found {
+        return Err(Error::Conflict {
+            service: service.to_string(),
+            read,
+            found,
+        });
+    }
+    if stored
+        .get(service)
+        .is_some_and(|stored| stored.text == file.text)
+    {
+        return Ok(Outcome::Unchanged(found));
+    }
+    write(store, service.as_str(), &file.text, read).await
 }
 
-async fn write(store: &impl Store, document: &Document, text: &str) -> Result<Revision, Error> {
-    let service = document.service().to_string();
-    let failed = |source| Error::Store {
-        service: service.clone(),
-        source,
-    };
-    let key = Key::Document { service: &service }
-        .checked()
-        .expect("a service's name is a valid key");
-    let read = store.get(&key).await.map_err(failed)?;
-    let read = read.map_or(Revision::ABSENT, |entry| entry.revision);
+async fn write(
+    store: &impl Store,
+    service: &str,
+    text: &str,
+    read: Revision,
+) -> Result<Outcome, Error> {
+    let key = Key::Document { service }.to_string();
     let transaction = Transaction::new()
         .when_revision(&key, read)
         .put(&key, text.as_bytes());
-    match store.commit_checked(&transaction).await.map_err(failed)? {
-        Outcome::Written(revision) => Ok(revision),
-        Outcome::Conflict(found) => Err(Error::Conflict {
+    let service = service.to_owned();
+    match store.commit_checked(&transaction).await {
+        Ok(platform::Outcome::Written(revision)) => Ok(Outcome::Written(revision)),
+        Ok(platform::Outcome::Conflict(found)) => Err(Error::Conflict {
+            service,
             read,
             found: found
                 .first()
                 .map_or(Revision::ABSENT, |entry| entry.revision),
-            service,
         }),
+        Err(source) if source.is_unknown() => Err(Error::Unknown { service, source }),
+        Err(source) => Err(Error::Store { service, source }),
+    }
+}
+
+/// Each file after those whose services it routes to; a circle keeps the order given.
+fn in_order(files: &[File]) -> Vec<&File> {
+    let (mut ordered, mut seen) = (Vec::new(), BTreeSet::new());
+    for file in files {
+        visit(files, file, &mut seen, &mut ordered);
+    }
+    ordered
+}
+
+fn visit<'a>(
+    files: &'a [File],
+    file: &'a File,
+    seen: &mut BTreeSet<&'a str>,
+    ordered: &mut Vec<&'a File>,
+) {
+    if !seen.insert(file.document.service().as_str()) {
+        return;
+    }
+    for service in file.document.dependencies() {
+        let other = files.iter().find(|file| file.document.service() == service);
+        if let Some(other) = other {
+            visit(files, other, seen, ordered);
+        }
     }
+    ordered.push(file);
 }
--- /dev/null
+++ b/fulmarreel/src/cli/mod.rs
@@ -0,0 +1,54 @@
+//! From arguments to a command, and from its outcome to text and an exit code.
+
+mod arguments;
+mod exit;
+mod json;
+mod print;
+mod run;
+mod table;
+mod time;
+
+pub use arguments::{Arguments, Command, STORE_VARIABLE, Usage};
+pub use exit::Exit;
+pub use time::now;
+
+use fulmarreel_document::shift::Timestamp;
+use std::{ffi::OsString, io};
+
+/// What a run takes from its surroundings.
+#[derive(Debug, Clone)]
+pub struct Environment {
+    /// The value of [`STORE_VARIABLE`].
+    pub store: Option<String>,
+    /// The current time.
+    pub now: Timestamp,
+}
+
+/// Runs one command: results go to `out`, errors to `err`, one line each.
+pub fn run(
+    arguments: Vec<OsString>,
+    environment: &Environment,
+    out: &mut impl io::Write,
+    err: &mut impl io::Write,
+) -> Exit {
+    let arguments = match Arguments::parse(arguments, environment.store.as_deref()) {
+        Ok(arguments) => arguments,
+        Err(usage) => {
+            // Nothing is left to be done where the error stream itself is closed.
+            let _ = writeln!(err, "fulmarreel: {usage}");
+            return Exit::Usage;
+        }
+    };
+    let mut printer = print::Printer {
+        json: arguments.json,
+        out,
+        err,
+    };
+    match smol::block_on(run::run(&arguments, environment.now, &mut printer)) {
+        Ok(exit) => exit,
+        Err(error) => {
+            let _ = writeln!(err, "fulmarreel: cannot write the result: {error}");
+            Exit::Refused
+        }
+    }
+}
--- /dev/null
+++ b/fulmarreel/src/cli/run.rs
@@ -0,0 +1,258 @@
+//! Runs a command and says how it ended.
+
+use super::{
+    Exit,
+    arguments::{Arguments, Command, HELP},
+    print::Printer,
+};
+use crate::{apply, check, delete, diff, file, get, history, status, stored, wait};
+use fulmarreel_document::{Service, shift::Timestamp};
+use fulmarreel_platform::{
+    Error, Revision,
+    etcd::{Client, Options},
+};
+use fulmarreel_rollout::state::Phase;
+use std::{
+    io,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+/// How long one call to the store may take.
+const STORE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Runs a command.
+///
+/// # Errors
+///
+/// The result cannot be written.
+pub(super) async fn run<O: io::Write, E: io::Write>(
+    arguments: &Arguments,
+    now: Timestamp,
+    printer: &mut Printer<'_, O, E>,
+) -> io::Result<Exit> {
+    let store = Client::new(Options {
+        peers: arguments.store.clone(),
+        timeout: STORE_TIMEOUT,
+    });
+    let asked = !arguments.store.is_empty();
+    match &arguments.command {
+        Command::Help => printer.text(HELP).map(|()| Exit::Done),
+        Command::Version => printer
+            .text(concat!("fulmarreel ", env!("CARGO_PKG_VERSION"), "\n"))
+            .map(|()| Exit::Done),
+        Command::Check(paths) => run_check(paths, asked.then_some(&store), now, printer).await,
+        Command::Diff(paths) => run_diff(paths, &store, now, printer).await,
+        Command::Apply { paths, revision } => {
+            run_apply(paths, *revision, &store, now, printer).await
+        }
+        Command::Delete { service, revision } => {
+            run_delete(service, *revision, &store, printer).await
+        }
+        Command::Get(services) => run_get(services, &store, printer).await,
+        Command::Status(services) => match status::status(&store, services).await {
+            Ok(outcomes) => printer.standings(&outcomes).map(|()| Exit::Done),
+            Err(error) => absent(&error, printer),
+        },
+        Command::Wait { service, timeout } => {
+            let options = wait::Options {
+                service: service.clone(),
+                deadline: Instant::now() + *timeout,
+            };
+            run_wait(&options, &store, printer).await
+        }
+        Command::History(services) => match history::history(&store, services).await {
+            Ok(moves) => printer.moves(&moves).map(|()| Exit::Done),
+            Err(error) => failed(&error, printer),
+        },
+    }
+}
+
+/// Documents that passed every check, and what the store holds beside them.
+struct Checked {
+    files: Vec<crate::File>,
+    stored: stored::Documents,
+}
+
+/// Reads and checks documents; with a store, against its documents too.
+async fn checked<O: io::Write, E: io::Write>(
+    paths: &[PathBuf],
+    store: Option<&Client>,
+    now: Timestamp,
+    printer: &mut Printer<'_, O, E>,
+) -> io::Result<Result<Checked, Exit>> {
+    let files = match file::read(paths) {
+        Ok(files) => files,
+        Err(errors) => return printer.refused(&errors).map(|()| Err(Exit::Refused)),
+    };
+    let stored = match store {
+        None => None,
+        Some(store) => match stored::documents(store).await {
+            Ok(stored) => Some(stored),
+            Err(error) => return failed(&error, printer).map(Err),
+        },
+    };
+    let options = check::Options {
+        now,
+        stored: stored.as_ref(),
+    };
+    let errors = check::check(&files, options);
+    if !errors.is_empty() {
+        return printer.refused(&errors).map(|()| Err(Exit::Refused));
+    }
+    let stored = stored.unwrap_or_default();
+    Ok(Ok(Checked { files, stored }))
+}
+
+async fn run_check<O: io::Write, E: io::Write>(
+    paths: &[PathBuf],
+    store: Option<&Client>,
+    now: Timestamp,
+    printer: &mut Printer<'_, O, E>,
+) -> io::Result<Exit> {
+    match checked(paths, store, now, printer).await? {
+        Ok(checked) => printer.accepted(checked.files.len()).map(|()| Exit::Done),
+        Err(exit) => Ok(exit),
+    }
+}
+
+async fn run_diff<O: io::Write, E: io::Write>(
+    paths: &[PathBuf],
+    store: &Client,
+    now: Timestamp,
+    printer: &mut Printer<'_, O, E>,
+) -> io::Result<Exit> {
+    let checked = match checked(paths, Some(store), now, printer).await? {
+        Ok(checked) => checked,
+        Err(exit) => return Ok(exit),
+    };
+    let outcomes = diff::diff(&checked.files, &checked.stored);
+    printer.differences(&outcomes)?;
+    let same = outcomes
+        .iter()
+        .all(|outcome| outcome.change == diff::Change::Unchanged);
+    Ok(if same { Exit::Done } else { Exit::Different })
+}
+
+async fn run_apply<O: io::Write, E: io::Write>(
+    paths: &[PathBuf],
+    revision: Option<Revision>,
+    store: &Client,
+    now: Timestamp,
+    printer: &mut Printer<'_, O, E>,
+) -> io::Result<Exit> {
+    let checked = match checked(paths, Some(store), now, printer).await? {
+        Ok(checked) => checked,
+        Err(exit) => return Ok(exit),
+    };
+    if revision.is_some() && checked.files.len() != 1 {
+        let given = checked.files.len();
+        printer.error(&format!(
+            "fulmarreel: apply: --revision with {given} documents, expected a single document"
+        ))?;
+        return Ok(Exit::Usage);
+    }
+    let options = apply::Options { revision };
+    let applied = apply::apply(store, &checked.files, &checked.stored, options).await;
+    printer.applied(&applied)?;
+    let error = applied.iter().find_map(|one| one.result.as_ref().err());
+    Ok(error.map_or(Exit::Done, |error| match error {
+        apply::Error::Conflict { .. } => Exit::Conflict,
+        apply::Error::Store { .. } => Exit::Store,
+        apply::Error::Unknown { .. } => Exit::Unknown,
+    }))
+}
+
+async fn run_delete<O: io::Write, E: io::Write>(
+    service: &Service,
+    revision: Revision,
+    store: &Client,
+    printer: &mut Printer<'_, O, E>,
+) -> io::Result<Exit> {
+    let stored = match stored::documents(store).await {
+        Ok(stored) => stored,
+        Err(error) => return failed(&error, printer),
+    };
+    let Err(error) = delete::delete(store, service, revision, &stored).await else {
+        return printer
+            .text(&format!("{service}: deleted\n"))
+            .map(|()| Exit::Done);
+    };
+    printer.error(&error)?;
+    Ok(match error {
+        delete::Error::Absent { .. } => Exit::Absent,
+        delete::Error::Needed { .. } => Exit::Refused,
+        delete::Error::Conflict { .. } => Exit::Conflict,
+        delete::Error::Store { .. } => Exit::Store,
+        delete::Error::Unknown { .. } => Exit::Unknown,
+    })
+}
+
+async fn run_get<O: io::Write, E: io::Write>(
+    services: &[String],
+    store: &Client,
+    printer: &mut Printer<'_, O, E>,
+) -> io::Result<Exit> {
+    let documents = match get::get(store, services).await {
+        Ok(documents) => documents,
+        Err(error) => return absent(&error, printer),
+    };
+    match documents.0.first_key_value() {
+        // A single document's text is written as it is, ready to be edited and applied again.
+        Some((service, stored)) if services.len() == 1 && !printer.json => {
+            printer.error(&format!("{service}: revision {}", stored.revision))?;
+            printer.text(&stored.text)?;
+        }
+        _ => printer.documents(&documents)?,
+    }
+    Ok(Exit::Done)
+}
+
+async fn run_wait<O: io::Write, E: io::Write>(
+    options: &wait::Options,
+    store: &Client,
+    printer: &mut Printer<'_, O, E>,
+) -> io::Result<Exit> {
+    match wait::wait(store, options).await {
+        Ok(state) => {
+            let exit = match state.phase {
+                Phase::TakenBack => Exit::TakenBack,
+                _ => Exit::Done,
+            };
+            let ended = stored::Move {
+                service: options.service.clone(),
+                number: None,
+                state: Ok(state),
+            };
+            printer.moves(&[ended]).map(|()| exit)
+        }
+        Err(error) => {
+            printer.error(&error)?;
+            Ok(match error {
+                wait::Error::Absent { .. } | wait::Error::NoMove { .. } => Exit::Absent,
+                wait::Error::Replaced { .. } => Exit::Conflict,
+                wait::Error::Late { .. } => Exit::Late,
+                wait::Error::Malformed(_) | wait::Error::Store(_) => Exit::Store,
+            })
+        }
+    }
+}
+
+fn absent<O: io::Write, E: io::Write>(
+    error: &get::Error,
+    printer: &mut Printer<'_, O, E>,
+) -> io::Result<Exit> {
+    printer.error(error)?;
+    Ok(match error {
+        get::Error::Absent { .. } => Exit::Absent,
+        get::Error::Store(_) => Exit::Store,
+    })
+}
+
+fn failed<O: io::Write, E: io::Write>(
+    error: &Error,
+    printer: &mut Printer<'_, O, E>,
+) -> io::Result<Exit> {
+    printer.error(error)?;
+    Ok(Exit::Store)
+}
--- /dev/null
+++ b/fulmarreel/src/delete.rs
@@ -0,0 +1,115 @@
+//! Deletes a document, by compare-and-swap on the revision that the operator read.
+
+use crate::stored::Documents;
+use fulmarreel_document::{Document, Service};
+use fulmarreel_platform::{self as platform, Revision, Store, Transaction, keys::Key};
+
+/// Why a document was not deleted, or may not have been.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The store has no document of the service.
+    #[error("{service}: no document in the store")]
+    Absent {
+        /// The service.
+        service: String,
+    },
+    /// Another document has a route to the service.
+    #[error("{service}: not deleted: the document of '{other}' has a route to it")]
+    Needed {
+        /// The service.
+        service: String,
+        /// The service with the route.
+        other: String,
+    },
+    /// The document is not at the revision that the operator read.
+    #[error(
+        "{service}: not deleted: revision {read} was read, but revision {found} is in the store"
+    )]
+    Conflict {
+        /// The service.
+        service: String,
+        /// The revision that was read.
+        read: Revision,
+        /// The revision in the store.
+        found: Revision,
+    },
+    /// The store failed, and nothing was deleted.
+    #[error("{service}: not deleted: {source}")]
+    Store {
+        /// The service.
+        service: String,
+        /// The store's error.
+        source: platform::Error,
+    },
+    /// The reply was lost and reading back did not tell.
+    #[error("{service}: may have been deleted: {source}; see 'get' before a new try")]
+    Unknown {
+        /// The service.
+        service: String,
+        /// The store's error.
+        source: platform::Error,
+    },
+}
+
+/// Deletes the document of a service at the revision that was read.
+///
+/// # Errors
+///
+/// The document is absent, needed by another, or at another revision; or the store failed.
+pub async fn delete(
+    store: &impl Store,
+    service: &Service,
+    read: Revision,
+    stored: &Documents,
+) -> Result<(), Error> {
+    let name = || service.to_string();
+    let Some(now) = stored.get(service) else {
+        return Err(Error::Absent { service: name() });
+    };
+    let conflict = |found| Error::Conflict {
+        service: name(),
+        read,
+        found,
+    };
+    if now.revision != read {
+        return Err(conflict(now.revision));
+    }
+    if let Some(other) = dependent(service, stored) {
+        let service = name();
+        return Err(Error::Needed { service, other });
+    }
+    let key = Key::Document {
+        service: service.as_str(),
+    }
+    .to_string();
+    let transaction = Transaction::new().when_revision(&key, read).delete(&key);
+    match store.commit(&transaction).await {
+        Ok(platform::Outcome::Written(_)) => Ok(()),
+        Ok(platform::Outcome::Conflict(found)) => Err(conflict(
+            found
+                .first()
+                .map_or(Revision::ABSENT, |entry| entry.revision),
+        )),
+        // A deletion leaves no value that says whose it was; that the key is gone is enough.
+        Err(source) if source.is_unknown() => match store.get(&key).await {
+            Ok(None) => Ok(()),
+            _ => Err(Error::Unknown {
+                service: name(),
+                source,
+            }),
+        },
+        Err(source) => Err(Error::Store {
+            service: name(),
+            source,
+        }),
+    }
+}
+
+fn dependent(service: &Service, stored: &Documents) -> Option<String> {
+    let routes_to_it = |document: &Document| document.dependencies().any(|other| other == service);
+    stored
+        .0
+        .iter()
+        .find(|(_, stored)| stored.document.as_ref().is_ok_and(routes_to_it))
+        .map(|(name, _)| name.clone())
+}
--- /dev/null
+++ b/fulmarreel/tests/cli.rs
@@ -0,0 +1,10 @@
+//! The command line: arguments, exit codes, and what it does to the store.
+
+#[path = "cli/apply.rs"]
+mod apply;
+#[path = "cli/refuse.rs"]
+mod refuse;
+#[path = "cli/status.rs"]
+mod status;
+#[path = "cli/support.rs"]
+mod support;
