--- a/fulmarreel-rollout/src/guard/admit.rs
+++ b/fulmarreel-rollout/src/guard/admit.rs
@@ -24,4 +24,9 @@
         self.outstanding += 1;
         true
     }
+
+    /// Ends an admitted call that did not run and so says nothing about the version.
+    pub fn release(&mut self) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+    }
 }
--- a/fulmarreel-rollout/src/state/mod.rs
+++ b/fulmarreel-rollout/src/state/mod.rs
@@ -69,6 +69,11 @@
         matches!(self.phase, Phase::Completed | Phase::TakenBack)
     }
 
+    /// The step that follows a verdict of an earlier owner, whose figures are not known.
+    pub fn relayed(&self, at: Timestamp) -> Self {
+        self.next(Share::NONE, Phase::TakenBack, Reason::Relayed, at)
+    }
+
     /// The step after this one.
     pub(crate) fn next(&self, share: Share, phase: Phase, reason: Reason, at: Timestamp) -> Self {
         let moved = (share == Share::ALL).then_some(at);
--- a/fulmarreel-rollout/src/state/reason.rs
+++ b/fulmarreel-rollout/src/state/reason.rs
@@ -56,6 +56,8 @@
     SoakedLate,
     /// The version is bad.
     Bad(Figures),
+    /// An earlier owner found the version bad, and only its verdict has arrived.
+    Relayed,
 }
 
 impl fmt::Display for Reason {
@@ -73,6 +75,7 @@
             Self::Soaked => "all traffic moved in time and the soak is over",
             Self::SoakedLate => "all traffic moved after the hour and the soak is over",
             Self::Bad(figures) => return figures.fmt(f),
+            Self::Relayed => "an earlier owner found the version bad",
         };
         f.write_str(text)
     }
--- a/fulmarreel-rollout/src/state/wire.rs
+++ b/fulmarreel-rollout/src/state/wire.rs
@@ -102,6 +102,7 @@
     Soaked,
     SoakedLate,
     Bad(WireFigures),
+    Relayed,
 }
 
 impl From<&State> for Wire {
@@ -167,6 +168,7 @@
             Reason::Soaked => Self::Soaked,
             Reason::SoakedLate => Self::SoakedLate,
             Reason::Bad(figures) => Self::Bad((*figures).into()),
+            Reason::Relayed => Self::Relayed,
             Reason::Declared => Self::Declared,
         }
     }
@@ -187,6 +189,7 @@
             WireReason::Soaked => Self::Soaked,
             WireReason::SoakedLate => Self::SoakedLate,
             WireReason::Bad(figures) => Self::Bad(figures.into()),
+            WireReason::Relayed => Self::Relayed,
         }
     }
 }
--- a/fulmarreel-wire/src/framing.rs
+++ b/fulmarreel-wire/src/framing.rs
@@ -50,3 +50,12 @@
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
     Ok(postcard::from_bytes(bytes)?)
 }
+
+/// Encodes a value without a prefix, to be carried inside a frame.
+///
+/// # Errors
+///
+/// It cannot be encoded.
+pub fn encode_bare<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
+    Ok(postcard::to_stdvec(value)?)
+}
--- a/fulmarreel-wire/src/gossip.rs
+++ b/fulmarreel-wire/src/gossip.rs
@@ -68,7 +68,7 @@
     ///
     /// It cannot be encoded.
     pub fn encode(&self) -> Result<Vec<u8>, framing::Error> {
-        Ok(postcard::to_stdvec(self)?)
+        framing::encode_bare(self)
     }
 
     /// Reads what was received.
--- a/fulmarreel-wire/src/hello.rs
+++ b/fulmarreel-wire/src/hello.rs
@@ -8,6 +8,8 @@
     Calls,
     /// Documents and the state of moves.
     Sync,
+    /// Reports on the versions of a service.
+    Evidence,
 }
 
 /// The first message in each direction of a TCP connection between nodes.
