--- a/fulmarreel-wire/src/gossip.rs
+++ b/fulmarreel-wire/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Membership records as they travel over UDP.
+//! Membership as it travels over UDP.
 
 use crate::framing;
 use serde::{Deserialize, Serialize};
@@ -14,10 +14,49 @@
     pub protocol: u16,
     /// Where the sender accepts peers.
     pub from: SocketAddr,
+    /// What it is for.
+    pub kind: Kind,
+    /// What the sender holds, in short.
+    pub digest: Digest,
     /// Records that the sender passes on.
     pub records: Vec<Record>,
 }
 
+/// What a datagram is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Asks for an [`Kind::Ack`] of the same sequence.
+    Ping {
+        /// Repeated in the answer.
+        sequence: u32,
+    },
+    /// Answers a [`Kind::Ping`], or a [`Kind::Relay`] once its target has answered.
+    Ack {
+        /// That of the question.
+        sequence: u32,
+    },
+    /// Asks the receiver to ping a third node.
+    Relay {
+        /// Repeated in the answer.
+        sequence: u32,
+        /// The node to ping.
+        target: SocketAddr,
+    },
+    /// Carries records alone.
+    News,
+}
+
+/// What a node holds, in short; where two digests differ, the nodes compare over TCP.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Hash of the records of nodes that are not gone.
+    pub members: u64,
+    /// Hash of the distributed entries and verdicts.
+    pub entries: u64,
+    /// Milliseconds since a region's watcher was in contact with the store, as far as known.
+    pub contact_ms: Option<u32>,
+}
+
 /// What one node says of itself, passed on by others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -33,7 +72,9 @@
     pub region: String,
     /// The target in the node's instance, if it has announced itself.
     pub target: Option<Target>,
-    /// The node's own condition.
+    /// Whether the node watches the store for its region.
+    pub watcher: bool,
+    /// The node's condition; all but this field is the node's own word.
     pub state: State,
 }
 
