--- a/fulmarreel-membership/src/convert.rs
+++ b/fulmarreel-membership/src/convert.rs
@@ -1,10 +1,11 @@
-//! Between records of the membership and those on the wire.
+//! Between claims of the membership and records on the wire.
 
-use crate::{Incarnation, Record, Target};
+use crate::{Claim, Incarnation, Record, Status, Target};
 use fulmarreel_wire::gossip;
 
-impl From<&Record> for gossip::Record {
-    fn from(record: &Record) -> Self {
+impl From<&Claim> for gossip::Record {
+    fn from(claim: &Claim) -> Self {
+        let record = &claim.record;
         Self {
             address: record.address,
             boot: record.incarnation.boot,
@@ -12,25 +13,16 @@
             zone: record.zone.clone(),
             region: record.region.clone(),
             target: record.target.as_ref().map(gossip::Target::from),
-            state: gossip::State::Alive,
+            watcher: record.watcher,
+            state: claim.status.into(),
         }
     }
 }
 
-impl From<&Target> for gossip::Target {
-    fn from(target: &Target) -> Self {
-        Self {
-            service: target.service.clone(),
-            version: target.version.clone(),
-            slots: target.slots,
-            leaving: target.leaving,
-        }
-    }
-}
-
-impl From<gossip::Record> for Record {
+impl From<gossip::Record> for Claim {
     fn from(record: gossip::Record) -> Self {
-        Self {
+        let status = record.state.into();
+        let record = Record {
             address: record.address,
             incarnation: Incarnation {
                 boot: record.boot,
@@ -39,6 +31,19 @@
             zone: record.zone,
             region: record.region,
             target: record.target.map(Target::from),
+            watcher: record.watcher,
+        };
+        Self { record, status }
+    }
+}
+
+impl From<&Target> for gossip::Target {
+    fn from(target: &Target) -> Self {
+        Self {
+            service: target.service.clone(),
+            version: target.version.clone(),
+            slots: target.slots,
+            leaving: target.leaving,
         }
     }
 }
@@ -53,3 +58,23 @@
         }
     }
 }
+
+impl From<Status> for gossip::State {
+    fn from(status: Status) -> Self {
+        match status {
+            Status::Alive => Self::Alive,
+            Status::Suspect => Self::Suspect,
+            Status::Gone => Self::Gone,
+        }
+    }
+}
+
+impl From<gossip::State> for Status {
+    fn from(state: gossip::State) -> Self {
+        match state {
+            gossip::State::Alive => Self::Alive,
+            gossip::State::Suspect => Self::Suspect,
+            gossip::State::Gone => Self::Gone,
+        }
+    }
+}
--- a/fulmarreel-membership/src/record.rs
+++ b/fulmarreel-membership/src/record.rs
@@ -24,6 +24,8 @@
     pub region: String,
     /// The target in its instance.
     pub target: Option<Target>,
+    /// Whether the node watches the store for its region.
+    pub watcher: bool,
 }
 
 /// What a target announced.
