feat(node): gossip and sync by the decisions of membership and distribution

Replaces the placeholders: random records, and a watch of the store by every node. Entries reach nodes by pushes over a tree in each zone and by comparison where the digests of pings differ.

--- a/fulmarreel-node/src/serve/mod.rs
+++ b/fulmarreel-node/src/serve/mod.rs
@@ -1,6 +1,6 @@
 //! Calls from peers, handed over to the node's own target.
 
-use crate::{peer::stream, state::State, target::Client};
+use crate::{peer::stream, state::State, sync, target::Client};
 use fulmarreel_wire::{
     Hello, PROTOCOL, Purpose,
     call::{Chunk, Failed, Failure, Frame, MAX_CHUNK_BYTES, Open, Refusal, Refused},
@@ -44,10 +44,13 @@
 ) -> io::Result<()> {
     tcp.set_nodelay(true)?;
     let hello: Hello = stream::read(&mut tcp).await?;
-    if hello.protocol != PROTOCOL || hello.purpose != Purpose::Calls {
+    if hello.protocol != PROTOCOL {
         log::warn!("peer {}: refused {hello:?}", hello.address);
         return Ok(());
     }
+    if hello.purpose == Purpose::Sync {
+        return sync::accept(state, tcp, &hello).await;
+    }
     let (outgoing, frames) = bounded(QUEUED_FRAMES);
     let writing = tcp.clone();
     crate::runtime::spawn(async move { write_frames(writing, &frames).await });
--- a/fulmarreel-node/src/state/mod.rs
+++ b/fulmarreel-node/src/state/mod.rs
@@ -1,44 +1,90 @@
 //! What a node believes, and the view of it that calls are routed by.
 
+mod documents;
+mod members;
+mod shift;
+pub mod traffic;
 mod view;
 
 use crate::Settings;
-use fulmarreel_distribution::{Catalog, catalog};
-use fulmarreel_membership::{Incarnation, Record, Table, Target};
+use fastrand::Rng;
+use fulmarreel_distribution::{
+    Catalog, Entry, Log, Verdict, Verdicts, freshness::Freshness, pace::Pace, readiness::Readiness,
+};
+use fulmarreel_membership::{Group, Incarnation, Outgoing, Record};
+use shift::Moves;
+use smol::channel::{Receiver, Sender, unbounded};
 use std::{
     sync::{Arc, Mutex, RwLock},
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
+pub use documents::{News, Reason};
+pub use shift::Published;
+pub use traffic::Traffic;
 pub use view::{Candidate, Service, View};
 
 /// What a node believes.
 ///
-/// Documents and members change under locks of their own; each change builds a new [`View`] aside
-/// and swaps it in, so that a call sees one state from start to end.
+/// Each part changes under a lock of its own; each change builds a new [`View`] aside and swaps it
+/// in, so that a call sees one state from start to end. Where two locks are taken, the documents'
+/// comes first and the members' last.
 #[derive(Debug)]
 pub struct State {
     /// The settings that the node was started with.
     pub settings: Settings,
     /// When this process started, in milliseconds since the Unix epoch.
     pub boot: u64,
-    members: Mutex<Table>,
+    /// When this process started, on the clock that deadlines are counted by.
+    pub started: Instant,
+    /// Control traffic since the start.
+    pub traffic: Traffic,
     documents: Mutex<Catalog>,
+    log: Mutex<Log>,
+    verdicts: Mutex<Verdicts>,
+    moves: Mutex<Moves>,
+    readiness: Mutex<Readiness>,
+    freshness: Mutex<Freshness>,
+    pace: Mutex<Pace>,
+    announced: Mutex<Option<Instant>>,
+    members: Mutex<Group>,
     view: RwLock<Arc<View>>,
+    spread: (Sender<News>, Receiver<News>),
+    datagrams: (Sender<Vec<Outgoing>>, Receiver<Vec<Outgoing>>),
 }
 
 impl State {
     /// The state of a node that knows nothing but its settings.
     pub fn new(settings: Settings) -> Self {
-        let state = Self {
+        let (boot, now) = (unix_millis(), Instant::now());
+        let own = Record {
+            address: settings.advertise,
+            incarnation: Incarnation { boot, sequence: 0 },
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            target: None,
+            watcher: false,
+        };
+        let seeds = settings.seeds.clone();
+        let members = Group::new(own, seeds, Rng::new(), now);
+        Self {
             settings,
-            boot: unix_millis(),
-            members: Mutex::default(),
+            boot,
+            started: now,
+            traffic: Traffic::default(),
             documents: Mutex::default(),
+            log: Mutex::default(),
+            verdicts: Mutex::default(),
+            moves: Mutex::default(),
+            readiness: Mutex::new(Readiness::new(now)),
+            freshness: Mutex::default(),
+            pace: Mutex::new(Pace::new(now)),
+            announced: Mutex::default(),
+            members: Mutex::new(members),
             view: RwLock::default(),
-        };
-        state.announce(None);
-        state
+            spread: unbounded(),
+            datagrams: unbounded(),
+        }
     }
 
     /// The view to route by.
@@ -46,78 +92,35 @@
         Arc::clone(&self.view.read().expect("view lock"))
     }
 
-    /// Records what the node's own target said of itself.
-    pub fn announce(&self, target: Option<Target>) {
-        let own = self.settings.advertise;
-        {
-            let mut members = self.members.lock().expect("members lock");
-            let known = members.records().find(|record| record.address == own);
-            if known.is_some_and(|known| known.target == target) {
-                return;
-            }
-            let sequence = known.map_or(0, |known| known.incarnation.sequence + 1);
-            members.merge(&Record {
-                address: own,
-                incarnation: Incarnation {
-                    boot: self.boot,
-                    sequence,
-                },
-                zone: self.settings.zone.clone(),
-                region: self.settings.region.clone(),
-                target,
-            });
-        }
-        self.rebuild();
-    }
-
-    /// Takes in records that a peer passed on.
-    pub fn merge(&self, records: &[Record]) {
-        let changed = {
-            let mut members = self.members.lock().expect("members lock");
-            let mut changed = false;
-            for record in records {
-                let foreign = record.address != self.settings.advertise;
-                changed |= foreign && members.merge(record);
-            }
-            changed
-        };
-        if changed {
-            self.rebuild();
-        }
-    }
-
-    /// Whether the node's own target is of that service and version, and takes calls.
-    pub fn has_target(&self, service: &str, version: &str) -> bool {
-        let members = self.members.lock().expect("members lock");
-        let own = members
-            .records()
-            .find(|record| record.address == self.settings.advertise)
-            .and_then(|record| record.target.as_ref());
-        own.is_some_and(|own| own.service == service && own.version == version && !own.leaving)
-    }
-
-    /// Every known record.
-    pub fn records(&self) -> Vec<Record> {
-        let members = self.members.lock().expect("members lock");
-        members.records().cloned().collect()
+    /// Whether the node knows enough to serve.
+    ///
+    /// # Errors
+    ///
+    /// What it still waits for.
+    pub fn ready(&self) -> Result<(), Reason> {
+        let readiness = self.readiness.lock().expect("readiness lock");
+        readiness.check(Instant::now()).map_err(Reason::Unready)
     }
 
-    /// Offers a document's value at a revision.
-    pub fn offer(&self, service: &str, revision: u64, value: Option<&str>) -> catalog::Outcome {
-        let outcome = {
-            let mut documents = self.documents.lock().expect("documents lock");
-            documents.offer(service, revision, value)
+    /// Builds a view of what is believed now and swaps it in.
+    fn rebuild(&self) {
+        let mut documents = self.documents.lock().expect("documents lock");
+        let targets = {
+            let members = self.members.lock().expect("members lock");
+            view::Targets::collect(members.table())
         };
-        if matches!(outcome, catalog::Outcome::Taken) {
-            self.rebuild();
+        for change in documents.settle(&targets.known()) {
+            match change.revision {
+                Some(revision) => log::info!(
+                    "document service={} revision={revision} in force",
+                    change.service
+                ),
+                None => log::info!("document service={} deleted", change.service),
+            }
         }
-        outcome
-    }
-
-    fn rebuild(&self) {
-        let documents = self.documents.lock().expect("documents lock");
-        let members = self.members.lock().expect("members lock");
-        let view = View::build(&documents, &members);
+        let moves = self.moves.lock().expect("moves lock");
+        let verdicts = self.verdicts.lock().expect("verdicts lock");
+        let view = View::build(&documents, targets, &moves, &verdicts);
         *self.view.write().expect("view lock") = Arc::new(view);
     }
 }
--- a/fulmarreel-node/src/state/view.rs
+++ b/fulmarreel-node/src/state/view.rs
@@ -1,8 +1,9 @@
 //! An immutable view of documents and targets that calls are routed by.
 
-use fulmarreel_distribution::Catalog;
+use super::shift::{Moves, Published};
+use fulmarreel_distribution::{Catalog, Verdicts, catalog};
 use fulmarreel_document::Document;
-use fulmarreel_membership::Table;
+use fulmarreel_membership::{Status, Table};
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 /// Documents and targets at one moment.
@@ -20,6 +21,10 @@
     pub revision: u64,
     /// Targets by version.
     pub candidates: HashMap<String, Vec<Candidate>>,
+    /// The published state of the move to a new version, as its owner wrote it last.
+    pub published_move: Option<Published>,
+    /// Versions that were taken back under this revision.
+    pub taken_back: Vec<String>,
 }
 
 /// A target that a call may be sent to.
@@ -33,19 +38,71 @@
     pub region: String,
     /// Calls that it runs at once.
     pub slots: u16,
+    /// Whether its node has not answered lately: the others are preferred.
+    pub suspect: bool,
 }
 
-impl View {
-    pub(super) fn build(documents: &Catalog, members: &Table) -> Self {
-        let mut services = HashMap::new();
-        for (name, entry) in documents.entries() {
-            let Some(document) = &entry.document else {
+/// Targets by service and version.
+#[derive(Debug, Default)]
+pub(super) struct Targets {
+    by_service: HashMap<String, HashMap<String, Vec<Candidate>>>,
+}
+
+impl Targets {
+    pub(super) fn collect(members: &Table) -> Self {
+        let mut targets = Self::default();
+        for claim in members.present() {
+            let record = &claim.record;
+            let Some(target) = record.target.as_ref().filter(|target| !target.leaving) else {
                 continue;
             };
+            let candidate = Candidate {
+                address: record.address,
+                zone: record.zone.clone(),
+                region: record.region.clone(),
+                slots: target.slots,
+                suspect: claim.status == Status::Suspect,
+            };
+            let service = targets.by_service.entry(target.service.clone());
+            let versions = service.or_default();
+            let version = versions.entry(target.version.clone()).or_default();
+            version.push(candidate);
+        }
+        targets
+    }
+
+    /// The services and versions that have a target.
+    pub(super) fn known(&self) -> catalog::Targets {
+        let mut known = catalog::Targets::default();
+        for (service, versions) in &self.by_service {
+            for version in versions.keys() {
+                known.add(service, version);
+            }
+        }
+        known
+    }
+}
+
+impl View {
+    pub(super) fn build(
+        documents: &Catalog,
+        mut targets: Targets,
+        moves: &Moves,
+        verdicts: &Verdicts,
+    ) -> Self {
+        let mut services = HashMap::new();
+        for (name, revised) in documents.in_force() {
+            let revision = revised.revision;
+            let taken_back = verdicts
+                .iter()
+                .filter(|verdict| verdict.service == name && verdict.revision == revision)
+                .map(|verdict| verdict.version.clone());
             let service = Service {
-                document: Arc::clone(document),
-                revision: entry.revision,
-                candidates: candidates(name, members),
+                document: Arc::clone(&revised.document),
+                revision,
+                candidates: targets.by_service.remove(name).unwrap_or_default(),
+                published_move: moves.get(name).cloned(),
+                taken_back: taken_back.collect(),
             };
             services.insert(name.to_owned(), service);
         }
@@ -64,26 +121,3 @@
             .map(|(name, service)| (name.as_str(), service))
     }
 }
-
-fn candidates(service: &str, members: &Table) -> HashMap<String, Vec<Candidate>> {
-    let mut candidates: HashMap<String, Vec<Candidate>> = HashMap::new();
-    for record in members.records() {
-        let Some(target) = &record.target else {
-            continue;
-        };
-        if target.service != service || target.leaving {
-            continue;
-        }
-        let candidate = Candidate {
-            address: record.address,
-            zone: record.zone.clone(),
-            region: record.region.clone(),
-            slots: target.slots,
-        };
-        candidates
-            .entry(target.version.clone())
-            .or_default()
-            .push(candidate);
-    }
-    candidates
-}
--- /dev/null
+++ b/fulmarreel-node/src/sync/place.rs
@@ -0,0 +1,91 @@
+//! A watcher's place in the store: one of a few keys of its region or zone, held by a lease.
+//!
+//! The lease only bounds how many nodes watch. A watcher whose lease has lapsed while it was paused
+//! does no harm: what it passes on is at most outdated, and the highest revision wins.
+
+use crate::state::State;
+use fulmarreel_distribution::duty::{SLOTS, Scope};
+use fulmarreel_platform::{
+    Error, Lease, Outcome, Store, Transaction,
+    etcd::Client,
+    keys::{self, Key},
+};
+use smol::Timer;
+use std::time::{Duration, Instant};
+
+/// How long a place is held without renewal.
+const LEASE: Duration = Duration::from_secs(10);
+
+/// Time between two renewals.
+const RENEWAL: Duration = Duration::from_secs(3);
+
+/// A place that this node holds.
+#[derive(Debug)]
+pub(super) struct Place {
+    /// Its number among the places of the region or zone.
+    pub(super) slot: u32,
+    lease: Lease,
+}
+
+/// Tries for a free place; none where all are taken.
+pub(super) async fn take(
+    state: &State,
+    client: &Client,
+    scope: Scope,
+) -> Result<Option<Place>, Error> {
+    let name = match scope {
+        Scope::Region => &state.settings.region,
+        Scope::Zone => &state.settings.zone,
+    };
+    let Ok(prefix) = keys::watchers(name) else {
+        log::error!("watcher: {name} is no name for a key");
+        return Ok(None);
+    };
+    let listing = client.list(&prefix).await?;
+    let mut free = (0..SLOTS).filter_map(|slot| {
+        let key = Key::Watcher { zone: name, slot }.to_string();
+        let taken = listing.entries.iter().any(|entry| entry.key == key);
+        (!taken).then_some((slot, key))
+    });
+    let Some((slot, key)) = free.next() else {
+        return Ok(None);
+    };
+    let lease = client.grant(LEASE).await?;
+    let value = format!("{} {}", state.settings.advertise, state.boot);
+    let transaction =
+        Transaction::new()
+            .when_absent(&key)
+            .put_leased(&key, value.as_bytes(), lease);
+    match client.commit_checked(&transaction).await {
+        Ok(Outcome::Written(_)) => Ok(Some(Place { slot, lease })),
+        Ok(Outcome::Conflict(_)) => {
+            client.revoke(lease).await?;
+            Ok(None)
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Keeps a place until it is lost.
+pub(super) async fn keep(client: &Client, place: &Place) {
+    let mut lapses = Instant::now() + LEASE;
+    loop {
+        Timer::after(RENEWAL).await;
+        let asked = Instant::now();
+        match client.keep_alive(place.lease).await {
+            Ok(left) => lapses = asked + left,
+            Err(Error::Expired { .. }) => return,
+            Err(error) => log::info!("watcher: {error}"),
+        }
+        if Instant::now() >= lapses {
+            return;
+        }
+    }
+}
+
+/// Gives a place up.
+pub(super) async fn release(client: &Client, place: &Place) {
+    if let Err(error) = client.revoke(place.lease).await {
+        log::info!("watcher: {error}");
+    }
+}
