feat(node): settings checked whole, JSON log lines, decisions, metrics, readiness and view

Settings are read as documents are, so a refusal names line and field. simplelog writes no JSON itself: it keeps level and output and is given each record as one line of JSON, with the typed fields of log's key-values. Decisions are sampled by the second and what is left out is counted. The output is behind a bounded queue with a thread of its own, since a stalled reader of the log would otherwise stall calls. The mesh of the tests waits for its store to listen: the first test that applied a document at once met a closed port (exit 4).

--- a/fulmarreel-node/src/admin/mod.rs
+++ b/fulmarreel-node/src/admin/mod.rs
@@ -1,79 +1,54 @@
-//! What the target and operators talk to: announcements, health and a view of what is believed.
+//! What the target and operators talk to: announcements, health, metrics and beliefs.
 
-use crate::state::State;
-use fulmarreel_membership::Target;
-use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
-use trillium::{Conn, Method, Status};
+mod announce;
+mod belief;
 
-/// What a target says of itself.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Announcement {
-    service: String,
-    version: String,
-    slots: u16,
-    #[serde(default)]
-    leaving: bool,
-}
+use crate::{state::State, telemetry::metrics};
+use belief::Belief;
+use std::sync::Arc;
+use trillium::{Conn, KnownHeaderName, Method, Status};
 
-/// What this node believes of one service.
-#[derive(Debug, Serialize)]
-struct Belief {
-    revision: u64,
-    version: String,
-    targets: BTreeMap<String, Vec<SocketAddr>>,
-}
+/// The content type of the Prometheus text format.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 
 /// Serves one request of the target or of an operator.
-pub async fn handle(state: &Arc<State>, mut conn: Conn) -> Conn {
+pub async fn handle(state: &Arc<State>, conn: Conn) -> Conn {
     match (conn.method(), conn.path()) {
-        (Method::Get, "/health") => conn.ok("alive"),
-        (Method::Get, "/view") => {
-            let view = serde_json::to_vec_pretty(&beliefs(state)).unwrap_or_default();
-            conn.ok(view)
-        }
-        (Method::Post, "/announce") => {
-            let body = conn.request_body().read_bytes().await.unwrap_or_default();
-            match serde_json::from_slice::<Announcement>(&body) {
-                Ok(announcement) => {
-                    state.announce(Some(announcement.into()));
-                    conn.ok("")
-                }
-                Err(error) => conn
-                    .with_status(Status::BadRequest)
-                    .with_body(error.to_string())
-                    .halt(),
-            }
+        (Method::Get, "/health") => conn.ok("alive\n"),
+        (Method::Get, "/ready") => readiness(state, conn),
+        (Method::Get, "/view") => view(state, conn),
+        (Method::Get, "/metrics") => {
+            belief::record(state);
+            conn.with_response_header(KnownHeaderName::ContentType, METRICS_TYPE)
+                .ok(metrics::render())
         }
-        _ => conn.with_status(Status::NotFound).halt(),
+        (Method::Post, "/announce") => announce::handle(state, conn).await,
+        _ => conn
+            .with_status(Status::NotFound)
+            .with_body("expected GET /health, /ready, /view, /metrics or POST /announce\n")
+            .halt(),
     }
 }
 
-impl From<Announcement> for Target {
-    fn from(announcement: Announcement) -> Self {
-        Self {
-            service: announcement.service,
-            version: announcement.version,
-            slots: announcement.slots,
-            leaving: announcement.leaving,
-        }
+/// Says whether callers may be sent here, and if not, why.
+fn readiness(state: &State, conn: Conn) -> Conn {
+    match belief::ready(state) {
+        Ok(()) => conn.ok("ready\n"),
+        Err(reason) => conn
+            .with_status(Status::ServiceUnavailable)
+            .with_body(format!("{reason}\n"))
+            .halt(),
     }
 }
 
-fn beliefs(state: &State) -> BTreeMap<String, Belief> {
-    let view = state.view();
-    let beliefs = view.services().map(|(name, service)| {
-        let targets = service.candidates.iter().map(|(version, candidates)| {
-            let addresses = candidates.iter().map(|candidate| candidate.address);
-            (version.clone(), addresses.collect())
-        });
-        let belief = Belief {
-            revision: service.revision,
-            version: service.document.version().to_string(),
-            targets: targets.collect(),
-        };
-        (name.to_owned(), belief)
-    });
-    beliefs.collect()
+fn view(state: &State, conn: Conn) -> Conn {
+    match serde_json::to_vec_pretty(&Belief::of(state)) {
+        Ok(body) => conn
+            .with_response_header(KnownHeaderName::ContentType, "application/json")
+            .ok(body),
+        Err(error) => conn
+            .with_status(Status::InternalServerError)
+            .with_body(error.to_string())
+            .halt(),
+    }
 }
--- a/fulmarreel-node/src/lib.rs
+++ b/fulmarreel-node/src/lib.rs
@@ -3,7 +3,7 @@
 //! A call comes in at [`ingress`], is routed by the view in [`state`], travels over a connection
 //! of [`peer`] to the node in front of its target, and is handed over there by [`serve`] through
 //! [`target`]. Documents arrive by [`sync`], membership by [`gossip`]; [`admin`] is what the target
-//! and operators talk to.
+//! and operators talk to, and [`telemetry`] what operators see.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
@@ -18,6 +18,7 @@
 pub mod state;
 pub mod sync;
 pub mod target;
+pub mod telemetry;
 
 pub use run::run;
 pub use settings::Settings;
--- a/fulmarreel-node/src/run.rs
+++ b/fulmarreel-node/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     admin, gossip, ingress::Ingress, runtime, serve, settings::Settings, state::State, sync,
-    target::Client,
+    target::Client, telemetry,
 };
 use std::{io, net::SocketAddr, sync::Arc};
 use trillium::{Conn, Handler};
@@ -14,6 +14,7 @@
 /// An address cannot be bound.
 pub fn run(settings: Settings) -> io::Result<()> {
     runtime::init();
+    telemetry::metrics::init().map_err(io::Error::other)?;
     runtime::block_on(start(settings))
 }
 
--- a/fulmarreel-node/src/settings/mod.rs
+++ b/fulmarreel-node/src/settings/mod.rs
@@ -1,9 +1,21 @@
 //! A node's settings: JSON with comments, checked whole at start.
 
+mod check;
 mod raw;
 
-use jsonc_parser::{ParseOptions, errors::ParseError, parse_to_serde_value};
-use std::{io, net::SocketAddr, path::Path};
+use fulmarreel_document::source::{self, Refusal};
+use log::LevelFilter;
+use std::{
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+/// The largest request body where the settings name none, in bytes.
+pub const DEFAULT_REQUEST_BYTES: u64 = 8 * 1_048_576;
+
+/// Decisions that are logged in a second where the settings name no number.
+pub const DEFAULT_DECISIONS_PER_SECOND: u32 = 100;
 
 /// What a node must know before it starts.
 #[derive(Debug, Clone)]
@@ -26,80 +38,64 @@
     pub store: Vec<SocketAddr>,
     /// Peers to contact first.
     pub seeds: Vec<SocketAddr>,
+    /// What a node takes at most.
+    pub limits: Limits,
+    /// What is logged.
+    pub log: Log,
 }
 
-/// Why settings were refused.
+/// What a node takes at most.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// The largest request body in bytes.
+    pub request_bytes: u64,
+}
+
+/// What is logged.
+#[derive(Debug, Clone, Copy)]
+pub struct Log {
+    /// The least severe level that is written.
+    pub level: LevelFilter,
+    /// Decisions that are written in a second; further ones are counted.
+    pub decisions_per_second: u32,
+}
+
+/// Why settings were refused; each message begins with the file.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The file cannot be read.
-    #[error("cannot read settings '{path}': {source}")]
+    #[error("{}: cannot be read: {source}, expected a readable file", path.display())]
     Read {
         /// The file.
-        path: String,
+        path: PathBuf,
         /// The operating system's error.
         source: io::Error,
     },
-    /// The text is no JSON with comments, or has a missing, unknown or mistyped field.
-    #[error("{0}")]
-    Syntax(#[from] ParseError),
-    /// A field's value breaks a rule.
-    #[error("field '{field}': '{given}', expected {expected}")]
-    Field {
-        /// Name of the field.
-        field: &'static str,
-        /// What was found.
-        given: String,
-        /// What is accepted.
-        expected: &'static str,
+    /// The text or one of its fields was refused.
+    #[error("{}:{source}", path.display())]
+    Refused {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong, with line and column.
+        source: source::Error,
     },
 }
 
 /// Reads and checks a settings file.
 pub fn load(path: &Path) -> Result<Settings, Error> {
     let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
-        path: path.display().to_string(),
+        path: path.to_owned(),
         source,
     })?;
-    parse(&text)
-}
-
-/// Checks the text of a settings file.
-pub fn parse(text: &str) -> Result<Settings, Error> {
-    let raw: raw::Settings = parse_to_serde_value(text, &ParseOptions::default())?;
-    raw.try_into()
-}
-
-impl TryFrom<raw::Settings> for Settings {
-    type Error = Error;
-
-    fn try_from(raw: raw::Settings) -> Result<Self, Error> {
-        let peers = address("peers.bind", &raw.peers.bind)?;
-        let advertise = match raw.peers.advertise {
-            Some(given) => address("peers.advertise", &given)?,
-            None => peers,
-        };
-        Ok(Self {
-            zone: raw.zone,
-            region: raw.region,
-            callers: address("callers.bind", &raw.callers.bind)?,
-            peers,
-            advertise,
-            admin: address("admin.bind", &raw.admin.bind)?,
-            target: address("target", &raw.target)?,
-            store: addresses("store", &raw.store)?,
-            seeds: addresses("seeds", &raw.seeds)?,
-        })
-    }
-}
-
-fn address(field: &'static str, given: &str) -> Result<SocketAddr, Error> {
-    given.parse().map_err(|_| Error::Field {
-        field,
-        given: given.to_owned(),
-        expected: "an IP number and a port such as 127.0.0.1:7000",
+    parse(&text).map_err(|source| Error::Refused {
+        path: path.to_owned(),
+        source,
     })
 }
 
-fn addresses(field: &'static str, given: &[String]) -> Result<Vec<SocketAddr>, Error> {
-    given.iter().map(|given| address(field, given)).collect()
+/// Checks the text of a settings file.
+pub fn parse(text: &str) -> Result<Settings, source::Error> {
+    let raw: raw::Settings = source::read(text)?;
+    let settings: Result<Settings, Refusal> = raw.try_into();
+    settings.map_err(|refusal| refusal.located(text))
 }
--- /dev/null
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -0,0 +1,121 @@
+//! Metrics, in the Prometheus text format.
+//!
+//! Names and labels are part of the operators' interface; docs/OPERATIONS.md lists them.
+
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use smol::Timer;
+use std::{sync::OnceLock, time::Duration};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0,
+];
+
+/// How often recorded latencies are folded into their buckets.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// How a call ended, from its caller's side.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The target's whole answer was passed on.
+    Answered,
+    /// It did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// The outcome's name, as in the answer's header.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Starts recording; to be called once, with the tasks' executor running.
+///
+/// # Errors
+///
+/// The buckets are refused.
+pub fn init() -> Result<(), BuildError> {
+    let recorder = PrometheusBuilder::new()
+        .set_buckets(&LATENCY_BOUNDS)?
+        .build_recorder();
+    let handle = recorder.handle();
+    // A second start in one process, as in tests, goes on with the first recorder.
+    if metrics::set_global_recorder(recorder).is_ok() {
+        let _ = HANDLE.set(handle.clone());
+        crate::runtime::spawn(async move {
+            loop {
+                Timer::after(UPKEEP_INTERVAL).await;
+                handle.run_upkeep();
+            }
+        });
+    }
+    Ok(())
+}
+
+/// All metrics as text; empty before [`init`].
+pub fn render() -> String {
+    HANDLE
+        .get()
+        .map_or_else(String::new, PrometheusHandle::render)
+}
+
+/// Counts the end of a call that a caller sent to this node.
+pub fn call_ended(service: &str, version: &str, outcome: Outcome, latency: Duration) {
+    let labels = [
+        ("service", service.to_owned()),
+        ("version", version.to_owned()),
+        ("outcome", outcome.name().to_owned()),
+    ];
+    counter!("fulmarreel_calls_total", &labels).increment(1);
+    histogram!("fulmarreel_call_seconds", "service" => service.to_owned())
+        .record(latency.as_secs_f64());
+}
+
+/// Counts a call that was sent on a second time.
+pub fn call_retried(service: &str) {
+    counter!("fulmarreel_retries_total", "service" => service.to_owned()).increment(1);
+}
+
+/// Counts a decision that was left out of the log.
+pub fn decision_dropped() {
+    counter!("fulmarreel_decisions_dropped_total").increment(1);
+}
+
+/// Counts a log line that the output could not take.
+pub fn line_dropped() {
+    counter!("fulmarreel_log_lines_dropped_total").increment(1);
+}
+
+/// Sets the revision of the document in force.
+pub fn document(service: &str, revision: u64) {
+    gauge!("fulmarreel_document_revision", "service" => service.to_owned()).set(revision as f64);
+}
+
+/// Sets how many targets of a version are known.
+pub fn targets(service: &str, version: &str, count: usize) {
+    let labels = [
+        ("service", service.to_owned()),
+        ("version", version.to_owned()),
+    ];
+    gauge!("fulmarreel_targets", &labels).set(count as f64);
+}
+
+/// Sets how many nodes of an availability zone are known.
+pub fn members(zone: &str, count: usize) {
+    gauge!("fulmarreel_members", "zone" => zone.to_owned()).set(count as f64);
+}
+
+/// Sets whether the node is ready for callers.
+pub fn ready(ready: bool) {
+    gauge!("fulmarreel_ready").set(if ready { 1.0 } else { 0.0 });
+}
--- /dev/null
+++ b/fulmarreel-node/tests/node/logs.rs
@@ -0,0 +1,111 @@
+use fulmarreel_node::telemetry::{
+    Decision, Sampler, decision::Kind, logger::Logger, queue::Queue, sampler::Admission,
+};
+use log::LevelFilter;
+use serde_json::{Value, json};
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex, mpsc},
+};
+
+/// An output that tests read.
+#[derive(Clone, Default)]
+struct Shared(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Shared {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The only test that logs: a process has one logger.
+#[test]
+fn each_line_is_json_with_typed_fields_in_the_levels_asked_for() {
+    let output = Shared::default();
+    Logger::new(LevelFilter::Info, output.clone())
+        .install()
+        .unwrap();
+    log::debug!("below the level");
+    log::info!(target: "trillium_http::conn", "a library's chatter");
+    log::warn!(target: "m", attempt = 3, at = "not this"; "quoted \"text\"\nin two lines");
+    Decision {
+        call: Some(u64::MAX),
+        version: Some("v2"),
+        ..Decision::new(Kind::Route, "reservas", "own zone")
+    }
+    .log();
+    let text = String::from_utf8(output.0.lock().unwrap().clone()).unwrap();
+    let lines: Vec<Value> = text
+        .lines()
+        .map(|line| {
+            let mut line: Value = serde_json::from_str(line).unwrap();
+            let at = line.as_object_mut().unwrap().remove("at").unwrap();
+            assert!(at.as_str().unwrap().ends_with('Z'), "{at}");
+            line
+        })
+        .collect();
+    let expected = [
+        json!({
+            "level": "warn", "module": "m", "attempt": 3,
+            "message": "quoted \"text\"\nin two lines",
+        }),
+        json!({
+            "level": "info", "module": "decision", "decision": "route", "call": u64::MAX,
+            "service": "reservas", "version": "v2", "reason": "own zone",
+        }),
+    ];
+    assert_eq!(lines, expected);
+}
+
+/// Fails where lines left out are not told in the next second, or told twice.
+#[test]
+fn lines_over_the_limit_are_left_out_and_counted() {
+    let sampler = Sampler::new(2);
+    let seconds = [5, 5, 5, 5, 6, 6, 9, 8];
+    let told = |admitted, dropped_before| Admission {
+        admitted,
+        dropped_before,
+    };
+    let expected = [
+        told(true, 0),
+        told(true, 0),
+        told(false, 0),
+        told(false, 0),
+        told(true, 2),
+        told(true, 0),
+        told(true, 0),
+        told(true, 0),
+    ];
+    assert_eq!(seconds.map(|second| sampler.admit(second)), expected);
+}
+
+/// An output that takes nothing until it is released.
+struct Stalled(mpsc::Receiver<()>);
+
+impl Write for Stalled {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // Ends with an error once the test is over.
+        let _ = self.0.recv();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Hangs where a stalled reader of the log makes the writers wait.
+#[test]
+fn a_stalled_output_does_not_stall_its_writers() {
+    let (release, stalled) = mpsc::channel();
+    let mut queue = Queue::start(Stalled(stalled)).unwrap();
+    for _ in 0..10_000 {
+        queue.write_all(b"line\n").unwrap();
+    }
+    drop(release);
+}
--- /dev/null
+++ b/fulmarreel-node/tests/node/program.rs
@@ -0,0 +1,68 @@
+use anyhow::{Context, ensure};
+use fulmarreel_testing::process::{Mesh, eventually};
+use std::{net::SocketAddr, process::Command};
+
+async fn read(address: SocketAddr, path: &str) -> anyhow::Result<(u16, String)> {
+    let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
+    let mut conn = client.get(format!("http://{address}{path}")).await?;
+    let status = conn.status().context("no status")? as u16;
+    Ok((status, conn.response_body().read_string().await?))
+}
+
+/// Fails where a member, its target or the document's revision is missing from the view.
+#[test]
+fn operators_read_health_readiness_beliefs_and_metrics() -> anyhow::Result<()> {
+    let mut mesh = Mesh::start()?;
+    let place = mesh.add("altiplano", "alt-apizaco", "reservas", "v1")?;
+    let admin = mesh.places[place].admin;
+    let document = r#"{ "service": "reservas", "version": "v1", "routes": [{ "path": "/" }] }"#;
+    mesh.apply("reservas.jsonc", document)?;
+    smol::block_on(async {
+        let seen = eventually(|| async {
+            let (_, view) = read(admin, "/view").await?;
+            let view: serde_json::Value = serde_json::from_str(&view)?;
+            let document = &view["documents"]["reservas"];
+            ensure!(document["targets"]["v1"][0].is_string(), "{view}");
+            ensure!(view["ready"] == true, "{view}");
+            Ok(view)
+        })
+        .await?;
+        ensure!(seen["documents"]["reservas"]["revision"] == 2, "{seen}");
+        ensure!(seen["members"][0]["service"] == "reservas", "{seen}");
+        ensure!(read(admin, "/health").await?.0 == 200);
+        ensure!(read(admin, "/ready").await?.0 == 200);
+        ensure!(read(admin, "/nothing").await?.0 == 404);
+        let (_, metrics) = read(admin, "/metrics").await?;
+        for line in [
+            "fulmarreel_document_revision{service=\"reservas\"} 2",
+            "fulmarreel_members{zone=\"alt-apizaco\"} 1",
+            "fulmarreel_ready 1",
+        ] {
+            ensure!(
+                metrics.lines().any(|found| found == line),
+                "{line}: {metrics}"
+            );
+        }
+        Ok(())
+    })
+}
+
+#[rstest::rstest]
+#[case(&["--settings", "/nonexistent", "--check-settings"], 1, "fulmarreel-node: /nonexistent: cannot be read")]
+#[case(&["--settings", "x", "--verbose"], 2, "fulmarreel-node: unknown arguments")]
+#[case(&[], 2, "fulmarreel-node: ")]
+#[case(&["--help"], 0, "")]
+fn the_program_refuses_in_one_line(
+    #[case] arguments: &[&str],
+    #[case] code: i32,
+    #[case] error: &str,
+) {
+    let program = Command::new(env!("CARGO_BIN_EXE_fulmarreel-node"))
+        .args(arguments)
+        .output()
+        .unwrap();
+    let shown = String::from_utf8(program.stderr).unwrap();
+    assert_eq!(program.status.code(), Some(code), "{shown}");
+    assert!(shown.starts_with(error), "{shown}");
+    assert!(shown.lines().count() <= 1, "{shown}");
+}
--- a/fulmarreel-testing/src/process/mesh.rs
+++ b/fulmarreel-testing/src/process/mesh.rs
@@ -3,7 +3,7 @@
 use super::{Process, free_address};
 use anyhow::Context;
 use std::{
-    net::SocketAddr,
+    net::{SocketAddr, TcpStream},
     path::{Path, PathBuf},
     time::{Duration, Instant},
 };
@@ -51,6 +51,7 @@
     pub fn start() -> anyhow::Result<Self> {
         let store_address = free_address()?;
         let store = Process::start("store", &["--listen", &store_address.to_string()])?;
+        await_listener(store_address)?;
         let name = format!("fulmarreel-{}-{}", std::process::id(), store_address.port());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder)?;
@@ -138,6 +139,18 @@
     }
 }
 
+/// Waits until something listens.
+fn await_listener(address: SocketAddr) -> anyhow::Result<()> {
+    let deadline = Instant::now() + PATIENCE;
+    while let Err(error) = TcpStream::connect(address) {
+        if Instant::now() >= deadline {
+            return Err(error).with_context(|| format!("nothing listens on {address}"));
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    Ok(())
+}
+
 /// Starts a node with a settings file.
 fn start_node(settings: &Path) -> anyhow::Result<Process> {
     let path = settings.to_str().context("settings path")?;
