feat(node): beliefs show what waits and why, moves, members' status; the CLI reads publications

The view and /ready take the reasons that distribution gives; documents in force and versions taken back are logged as decisions. The value at a move's key is a publication with its owner, so status, wait and history decode that. Gauges that are no longer set, such as of a version that left, go after a minute: they stayed at their last value otherwise.

--- a/fulmarreel-node/src/admin/belief.rs
+++ b/fulmarreel-node/src/admin/belief.rs
@@ -1,9 +1,11 @@
 //! What this node believes, as operators read it.
 
 use crate::{
-    state::{Service, State},
+    state::{Published, Service, State},
     telemetry::metrics,
 };
+use fulmarreel_membership::{Claim, Status};
+use fulmarreel_rollout::Publication;
 use serde::Serialize;
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -15,7 +17,11 @@
     region: String,
     ready: bool,
     waiting: Option<String>,
+    /// How long ago a watcher of the region was in contact with the store.
+    store_contact_age_ms: Option<u64>,
     documents: BTreeMap<String, Document>,
+    /// Services whose newest document is not in force, and why.
+    held: BTreeMap<String, String>,
     members: Vec<Member>,
 }
 
@@ -25,12 +31,25 @@
     revision: u64,
     version: String,
     targets: BTreeMap<String, Vec<SocketAddr>>,
+    shift: Option<Shift>,
+    taken_back: Vec<String>,
+}
+
+/// The move of a document in force.
+#[derive(Debug, Serialize)]
+struct Shift {
+    to: String,
+    share_percent: f64,
+    phase: String,
+    reason: String,
+    owner: Option<SocketAddr>,
 }
 
 /// A node that is known.
 #[derive(Debug, Serialize)]
 struct Member {
     address: SocketAddr,
+    status: &'static str,
     zone: String,
     region: String,
     boot: u64,
@@ -47,15 +66,20 @@
         let documents = view
             .services()
             .map(|(name, service)| (name.to_owned(), Document::from(service)));
-        let ready = ready(state);
+        let held = state.held().into_iter();
+        let age = state.contact_age();
         Self {
             address: state.settings.advertise,
             zone: state.settings.zone.clone(),
             region: state.settings.region.clone(),
-            ready: ready.is_ok(),
-            waiting: ready.err(),
+            ready: state.ready().is_ok(),
+            waiting: state.ready().err().map(|reason| reason.to_string()),
+            store_contact_age_ms: age.map(|age| age.as_millis() as u64),
             documents: documents.collect(),
-            members: members(state),
+            held: held
+                .map(|(service, reason)| (service, reason.to_string()))
+                .collect(),
+            members: state.members().iter().map(Member::from).collect(),
         }
     }
 }
@@ -70,51 +94,85 @@
             revision: service.revision,
             version: service.document.version().to_string(),
             targets: targets.collect(),
+            shift: Shift::of(service),
+            taken_back: service.taken_back.clone(),
         }
     }
 }
 
-/// Whether the node knows enough to take calls, or what it waits for.
-pub(super) fn ready(state: &State) -> Result<(), String> {
-    if state.view().services().next().is_some() {
-        Ok(())
-    } else {
-        Err("no document is known yet".to_owned())
+impl Shift {
+    /// The declared move with its published state, if that is of the same revision.
+    fn of(service: &Service) -> Option<Self> {
+        let to = service.document.shift()?.to().to_string();
+        let published = service.published_move.as_ref().and_then(decode);
+        let current = published.filter(|published| published.state.revision == service.revision);
+        Some(match current {
+            Some(Publication { owner, state }) => Self {
+                to,
+                share_percent: state.share.fraction() * 100.0,
+                phase: format!("{:?}", state.phase),
+                reason: state.reason.to_string(),
+                owner: Some(owner),
+            },
+            None => Self {
+                to,
+                share_percent: 0.0,
+                phase: "Waiting".to_owned(),
+                reason: "no step is known".to_owned(),
+                owner: None,
+            },
+        })
+    }
+}
+
+fn decode(published: &Published) -> Option<Publication> {
+    Publication::decode(&published.value).ok()
+}
+
+impl From<&Claim> for Member {
+    fn from(claim: &Claim) -> Self {
+        let record = &claim.record;
+        let target = record.target.as_ref();
+        Self {
+            address: record.address,
+            status: match claim.status {
+                Status::Alive => "alive",
+                Status::Suspect => "suspect",
+                Status::Gone => "gone",
+            },
+            zone: record.zone.clone(),
+            region: record.region.clone(),
+            boot: record.incarnation.boot,
+            sequence: record.incarnation.sequence,
+            service: target.map(|target| target.service.clone()),
+            version: target.map(|target| target.version.clone()),
+            slots: target.map(|target| target.slots),
+            leaving: target.is_some_and(|target| target.leaving),
+        }
     }
 }
 
 /// Sets the metrics that show beliefs.
 pub(super) fn record(state: &State) {
-    metrics::ready(ready(state).is_ok());
+    metrics::ready(state.ready().is_ok());
+    metrics::held(state.held().len());
+    if let Some(age) = state.contact_age() {
+        metrics::store_contact_age(age);
+    }
     for (name, service) in state.view().services() {
         metrics::document(name, service.revision);
         for (version, candidates) in &service.candidates {
             metrics::targets(name, version, candidates.len());
         }
+        if let Some(shift) = Shift::of(service) {
+            metrics::share(name, &shift.to, shift.share_percent / 100.0);
+        }
     }
     let mut zones: BTreeMap<String, usize> = BTreeMap::new();
-    for record in state.records() {
-        *zones.entry(record.zone).or_default() += 1;
+    for claim in state.members() {
+        *zones.entry(claim.record.zone).or_default() += 1;
     }
     for (zone, count) in zones {
         metrics::members(&zone, count);
     }
 }
-
-fn members(state: &State) -> Vec<Member> {
-    let records = state.records().into_iter().map(|record| {
-        let target = record.target.as_ref();
-        Member {
-            address: record.address,
-            boot: record.incarnation.boot,
-            sequence: record.incarnation.sequence,
-            service: target.map(|target| target.service.clone()),
-            version: target.map(|target| target.version.clone()),
-            slots: target.map(|target| target.slots),
-            leaving: target.is_some_and(|target| target.leaving),
-            zone: record.zone,
-            region: record.region,
-        }
-    });
-    records.collect()
-}
--- a/fulmarreel-node/src/admin/mod.rs
+++ b/fulmarreel-node/src/admin/mod.rs
@@ -32,7 +32,7 @@
 
 /// Says whether callers may be sent here, and if not, why.
 fn readiness(state: &State, conn: Conn) -> Conn {
-    match belief::ready(state) {
+    match state.ready() {
         Ok(()) => conn.ok("ready\n"),
         Err(reason) => conn
             .with_status(Status::ServiceUnavailable)
--- a/fulmarreel-node/src/state/documents.rs
+++ b/fulmarreel-node/src/state/documents.rs
@@ -1,6 +1,7 @@
 //! Distributed entries, verdicts and what they put in force.
 
 use super::{Entry, Published, State, Verdict};
+use crate::telemetry::{Decision, decision::Kind};
 use fulmarreel_distribution::{
     Log,
     catalog::{self, Held},
@@ -80,12 +81,12 @@
             self.apply(entry);
         }
         for verdict in &news.verdicts {
-            log::warn!(
-                "verdict service={} version={} revision={} taken back",
-                verdict.service,
-                verdict.version,
-                verdict.revision
-            );
+            Decision {
+                version: Some(&verdict.version),
+                revision: Some(verdict.revision),
+                ..Decision::new(Kind::Shift, &verdict.service, "the version is taken back")
+            }
+            .log();
         }
         if !news.is_empty() {
             self.rebuild();
@@ -239,17 +240,17 @@
             let mut documents = self.documents.lock().expect("documents lock");
             match documents.offer(service, revision, entry.value.as_deref()) {
                 catalog::Outcome::Taken => {
-                    log::info!("document service={service} revision={revision} heard");
+                    log::info!(service, revision; "document heard");
                 }
                 catalog::Outcome::Older => {}
                 catalog::Outcome::Malformed(error) => {
-                    log::error!("document service={service} revision={revision}: {error}");
+                    log::error!(service, revision; "document refused: {error}");
                 }
             }
         } else if let Some(service) = entry.key.strip_prefix(keys::MOVES) {
             let mut moves = self.moves.lock().expect("moves lock");
             if !moves.take(service, entry) {
-                log::error!("move service={service} revision={revision}: malformed");
+                log::error!(service, revision; "state of a move refused: malformed");
             }
         }
     }
--- a/fulmarreel-node/src/state/members.rs
+++ b/fulmarreel-node/src/state/members.rs
@@ -79,6 +79,11 @@
         })
     }
 
+    /// Every node that is not gone, and what is believed of it.
+    pub fn members(&self) -> Vec<Claim> {
+        self.with_members(|members| members.table().present().cloned().collect())
+    }
+
     /// Takes a datagram in.
     pub(crate) fn receive(&self, from: SocketAddr, kind: Kind, claims: &[Claim], digest: &Digest) {
         if let Some(age) = digest.contact_ms {
--- a/fulmarreel-node/src/state/mod.rs
+++ b/fulmarreel-node/src/state/mod.rs
@@ -6,7 +6,10 @@
 pub mod traffic;
 mod view;
 
-use crate::Settings;
+use crate::{
+    Settings,
+    telemetry::{Decision, decision::Kind},
+};
 use fastrand::Rng;
 use fulmarreel_distribution::{
     Catalog, Entry, Log, Verdict, Verdicts, freshness::Freshness, pace::Pace, readiness::Readiness,
@@ -110,13 +113,15 @@
             view::Targets::collect(members.table())
         };
         for change in documents.settle(&targets.known()) {
-            match change.revision {
-                Some(revision) => log::info!(
-                    "document service={} revision={revision} in force",
-                    change.service
-                ),
-                None => log::info!("document service={} deleted", change.service),
+            let reason = match change.revision {
+                Some(_) => "in force: every service and version that it names has a target",
+                None => "deleted",
+            };
+            Decision {
+                revision: change.revision,
+                ..Decision::new(Kind::Document, &change.service, reason)
             }
+            .log();
         }
         let moves = self.moves.lock().expect("moves lock");
         let verdicts = self.verdicts.lock().expect("verdicts lock");
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -4,6 +4,7 @@
 
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use metrics_util::MetricKindMask;
 use smol::Timer;
 use std::{sync::OnceLock, time::Duration};
 
@@ -15,6 +16,9 @@
 /// How often recorded latencies are folded into their buckets.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
+/// A gauge that was not set for that long, such as of a version that left, is no longer shown.
+const GAUGE_LIFETIME: Duration = Duration::from_secs(60);
+
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 
 /// How a call ended, from its caller's side.
@@ -47,6 +51,7 @@
 pub fn init() -> Result<(), BuildError> {
     let recorder = PrometheusBuilder::new()
         .set_buckets(&LATENCY_BOUNDS)?
+        .idle_timeout(MetricKindMask::GAUGE, Some(GAUGE_LIFETIME))
         .build_recorder();
     let handle = recorder.handle();
     // A second start in one process, as in tests, goes on with the first recorder.
@@ -119,3 +124,22 @@
 pub fn ready(ready: bool) {
     gauge!("fulmarreel_ready").set(if ready { 1.0 } else { 0.0 });
 }
+
+/// Sets how many services' newest documents are not in force.
+pub fn held(count: usize) {
+    gauge!("fulmarreel_documents_held").set(count as f64);
+}
+
+/// Sets how long ago a watcher of the region was in contact with the store.
+pub fn store_contact_age(age: Duration) {
+    gauge!("fulmarreel_store_contact_age_seconds").set(age.as_secs_f64());
+}
+
+/// Sets the published share of a version that takes over, from 0 to 1.
+pub fn share(service: &str, version: &str, share: f64) {
+    let labels = [
+        ("service", service.to_owned()),
+        ("version", version.to_owned()),
+    ];
+    gauge!("fulmarreel_share", &labels).set(share);
+}
--- a/fulmarreel/src/stored/mod.rs
+++ b/fulmarreel/src/stored/mod.rs
@@ -7,7 +7,7 @@
 
 use fulmarreel_document::{Document, Service, parse};
 use fulmarreel_platform::Revision;
-use fulmarreel_rollout::State;
+use fulmarreel_rollout::{State, publication};
 use std::collections::BTreeMap;
 
 /// A document in the store.
@@ -43,7 +43,8 @@
 pub struct Move {
     /// The service.
     pub service: String,
-    /// The number of a kept outcome; `None` for the state of the present move.
+    /// The number of a kept outcome, which is the revision of the document that declared the move;
+    /// `None` for the state of the present move.
     pub number: Option<u64>,
     /// The state, or what the value is instead.
     pub state: Result<State, Malformed>,
@@ -51,10 +52,10 @@
 
 /// A value that is no state of a move.
 #[derive(Debug, thiserror::Error)]
-#[error("{key}: not a state of a move: {reason}")]
+#[error("{key}: {source}")]
 pub struct Malformed {
     /// The store's key.
     pub key: String,
     /// What is wrong with the value.
-    pub reason: String,
+    pub source: publication::Error,
 }
--- a/fulmarreel/src/stored/read.rs
+++ b/fulmarreel/src/stored/read.rs
@@ -6,7 +6,7 @@
     Entry, Error, Store,
     keys::{self, Key},
 };
-use fulmarreel_rollout::{State, state::Wire};
+use fulmarreel_rollout::Publication;
 
 /// Reads every document.
 pub async fn documents(store: &impl Store) -> Result<Documents, Error> {
@@ -51,15 +51,13 @@
     Some(Move {
         service: service.to_owned(),
         number,
-        state: decode(entry),
+        state: decode(entry).map(|publication| publication.state),
     })
 }
 
-pub(crate) fn decode(entry: &Entry) -> Result<State, Malformed> {
-    let malformed = |reason: String| Malformed {
+pub(crate) fn decode(entry: &Entry) -> Result<Publication, Malformed> {
+    Publication::decode(&entry.value).map_err(|source| Malformed {
         key: entry.key.clone(),
-        reason,
-    };
-    let wire: Wire = serde_json::from_slice(&entry.value).map_err(|e| malformed(e.to_string()))?;
-    State::try_from(wire).map_err(|e| malformed(e.to_string()))
+        source,
+    })
 }
--- a/fulmarreel/src/wait.rs
+++ b/fulmarreel/src/wait.rs
@@ -184,7 +184,7 @@
     revision: Revision,
     progress: &mut Progress,
 ) -> Result<Option<State>, Error> {
-    let state = stored::decode(entry)?;
+    let state = stored::decode(entry)?.state;
     if state.revision > revision.0 {
         return Err(replaced(service, revision, Revision(state.revision)));
     }
--- a/fulmarreel/tests/cli/status.rs
+++ b/fulmarreel/tests/cli/status.rs
@@ -2,8 +2,8 @@
 use fulmarreel::cli::Exit;
 use fulmarreel_document::shift::Timestamp;
 use fulmarreel_rollout::{
-    Share, State,
-    state::{Phase, Reason, Wire},
+    Publication, Share, State,
+    state::{Phase, Reason},
 };
 
 const RESERVAS: &str = "fulmarreel/documents/reservas";
@@ -16,7 +16,9 @@
         reason,
         ..State::waiting(revision, Timestamp(0))
     };
-    serde_json::to_string(&Wire::from(&state)).unwrap()
+    let owner = "127.0.0.1:7001".parse().unwrap();
+    let publication = Publication { owner, state };
+    String::from_utf8(publication.encode().unwrap()).unwrap()
 }
 
 /// Fails where the state of an earlier revision's move is shown as that of the present one.
