--- a/fulmarreel-call/src/ledger.rs
+++ b/fulmarreel-call/src/ledger.rs
@@ -97,10 +97,18 @@
 impl<A> Ledger<A> {
     /// Notes a connection of the opener; calls of lower generations are no longer opened. False
     /// where a later connection is known.
-    pub fn connect(&mut self, generation: u64) -> bool {
-        let newer = generation > self.generation;
-        self.generation = self.generation.max(generation);
-        newer
+    ///
+    /// `resumed` says that the opener opened calls here before. Where this ledger knows nothing of
+    /// that, it was forgotten, and no call that is asked for is said to be not run.
+    pub fn connect(&mut self, generation: u64, resumed: bool) -> bool {
+        if generation <= self.generation {
+            return false;
+        }
+        if resumed && self.generation == 0 {
+            self.forgotten = u64::MAX;
+        }
+        self.generation = generation;
+        true
     }
 
     /// Queues a call that arrived whole; sequences start at 1.
--- a/fulmarreel-call/tests/call/ledger.rs
+++ b/fulmarreel-call/tests/call/ledger.rs
@@ -27,7 +27,7 @@
 fn after(steps: &[Step]) -> Ledger<&'static str> {
     let mut ledger = Ledger::default();
     let mut now = Instant::now();
-    ledger.connect(1);
+    ledger.connect(1, false);
     for step in steps {
         match step {
             Step::Open => ledger.open(1, CALL).expect("a new call"),
@@ -77,8 +77,8 @@
 #[test]
 fn a_copy_that_arrives_after_the_query_is_not_run() {
     let mut ledger = Ledger::<()>::default();
-    ledger.connect(1);
-    ledger.connect(2);
+    ledger.connect(1, false);
+    ledger.connect(2, true);
     assert_eq!(ledger.query(CALL, Instant::now()), Fate::NotRun);
     let late = ledger.open(1, CALL);
     let replaced = Error::Replaced {
@@ -89,6 +89,15 @@
     assert!(!ledger.hand_over(CALL));
 }
 
+/// Seen to fail with `connect` ignoring `resumed`.
+#[test]
+fn a_forgotten_opener_is_never_told_not_run() {
+    let mut ledger = Ledger::<()>::default();
+    ledger.connect(2, true);
+    assert_eq!(ledger.query(CALL, Instant::now()), Fate::Unknown);
+    assert_eq!(ledger.cancel(CALL, Instant::now()), Cancellation::TooLate);
+}
+
 /// Seen to fail with `refuse`, `cancel` and `query` that leave no fence.
 #[rstest]
 #[case::refused(&[Step::Open, Step::Refuse])]
--- /dev/null
+++ b/fulmarreel-node/src/ingress/exchange.rs
@@ -0,0 +1,349 @@
+//! One attempt of a call at one target.
+
+use super::{answer::Stream, load::Loads, request::Request, route::Destination};
+use crate::{
+    peer::{Connection, Event, Pool},
+    state::State,
+};
+use fulmarreel_call::retry::End;
+use fulmarreel_wire::call::{
+    self, Failure, Frame, Head, MAX_WHOLE_BYTES, Open, Refusal, WINDOW_BYTES, chunks,
+};
+use smol::{Timer, channel::Receiver, future::or};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Time between two tries to reach a peer that does not refuse and does not answer.
+const RECONNECT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long the answer to a cancellation at the deadline is waited for.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// What became of a call.
+#[derive(Debug)]
+pub(super) enum Answer {
+    /// The target answered, and the whole answer is here.
+    Whole { head: Head, body: Vec<u8> },
+    /// The target answers, and the body follows.
+    Streamed { head: Head, body: Stream },
+    /// It was not run, and never will be.
+    NotRun { end: End, reason: &'static str },
+    /// It may have run.
+    Unknown { reason: &'static str },
+}
+
+/// A call whose connection was lost after it was written.
+#[derive(Debug)]
+pub(super) struct Lost {
+    peer_boot: u64,
+}
+
+/// What was sent on the present connection.
+#[derive(Debug, Clone, Copy)]
+enum Sent {
+    Call,
+    Query,
+}
+
+/// One attempt of a call at one target.
+#[derive(Debug)]
+pub(super) struct Exchange<'a> {
+    pub state: &'a State,
+    pub pool: &'a Pool,
+    pub loads: &'a Arc<Loads>,
+    pub target: SocketAddr,
+    pub sequence: u64,
+    pub destination: &'a Destination<'a>,
+    pub request: &'a Request,
+    pub attempt: u8,
+}
+
+/// A call that waits on a connection; cancelled when dropped before its end.
+#[derive(Debug)]
+pub(super) struct Pending {
+    pub connection: Arc<Connection>,
+    pub sequence: u64,
+    pub ended: bool,
+    loads: Arc<Loads>,
+    target: SocketAddr,
+}
+
+impl Answer {
+    pub fn not_run(reason: &'static str) -> Self {
+        let end = End::Unsent;
+        Self::NotRun { end, reason }
+    }
+
+    pub fn unknown(reason: &'static str) -> Self {
+        Self::Unknown { reason }
+    }
+
+    /// Why there is no answer.
+    pub fn reason(&self) -> Option<&'static str> {
+        match self {
+            Self::Whole { .. } | Self::Streamed { .. } => None,
+            Self::NotRun { reason, .. } | Self::Unknown { reason } => Some(reason),
+        }
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        self.loads.end(self.target);
+        self.connection.forget(self.sequence);
+        if !self.ended {
+            self.cancel();
+        }
+    }
+}
+
+impl Pending {
+    fn cancel(&self) {
+        let (connection, sequence) = (Arc::clone(&self.connection), self.sequence);
+        crate::runtime::spawn(async move {
+            connection.send(Frame::Cancel { sequence }).await;
+        });
+    }
+}
+
+impl Exchange<'_> {
+    /// Sends the call and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// The connection was lost after the call was written.
+    pub async fn run(&self) -> Result<Answer, Lost> {
+        let connected = or(self.pool.get(self.target), async {
+            Timer::at(self.request.deadline).await;
+            Err(io::ErrorKind::TimedOut.into())
+        });
+        let connection = match connected.await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::info!("connect to {}: {error}", self.target);
+                self.loads.avoid(self.target);
+                self.state.doubt(self.target);
+                return Ok(Answer::not_run("the target's node cannot be reached"));
+            }
+        };
+        let events = connection.register(self.sequence);
+        let pending = self.pending(&connection);
+        // Where the connection ends meanwhile, the events say whether the call was written.
+        or(
+            async {
+                self.send(&connection).await;
+            },
+            async {
+                Timer::at(self.request.deadline).await;
+            },
+        )
+        .await;
+        self.receive(pending, events, Sent::Call).await
+    }
+
+    /// Asks the same process over a new connection what became of a call.
+    pub async fn settle(&self, lost: Lost) -> Answer {
+        let mut lost = lost;
+        loop {
+            let connection = match self.reconnect().await {
+                Ok(connection) => connection,
+                Err(answer) => return answer,
+            };
+            if connection.peer_boot() != lost.peer_boot {
+                return Answer::unknown("the target's node was restarted");
+            }
+            let sequence = self.sequence;
+            let events = connection.register(sequence);
+            let pending = self.pending(&connection);
+            connection.send(Frame::Query { sequence }).await;
+            match self.receive(pending, events, Sent::Query).await {
+                Ok(answer) => return answer,
+                Err(again) => lost = again,
+            }
+        }
+    }
+
+    async fn reconnect(&self) -> Result<Arc<Connection>, Answer> {
+        loop {
+            let connected = or(async { Some(self.pool.get(self.target).await) }, async {
+                Timer::at(self.request.deadline).await;
+                None
+            });
+            match connected.await {
+                None => return Err(Answer::unknown("the target's node is silent")),
+                Some(Ok(connection)) => return Ok(connection),
+                Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                    return Err(Answer::unknown("the target's node is gone"));
+                }
+                Some(Err(_)) => Timer::after(RECONNECT_INTERVAL).await,
+            };
+        }
+    }
+
+    fn pending(&self, connection: &Arc<Connection>) -> Pending {
+        self.loads.begin(self.target);
+        Pending {
+            connection: Arc::clone(connection),
+            sequence: self.sequence,
+            ended: false,
+            loads: Arc::clone(self.loads),
+            target: self.target,
+        }
+    }
+
+    async fn send(&self, connection: &Connection) -> bool {
+        if !connection.send(Frame::Open(self.open())).await {
+            return false;
+        }
+        for chunk in chunks(self.sequence, &self.request.body) {
+            if !connection.send(Frame::Chunk(chunk)).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn open(&self) -> Open {
+        let request = self.request;
+        let remaining = request.deadline.saturating_duration_since(Instant::now());
+        Open {
+            sequence: self.sequence,
+            remaining_ms: remaining.as_millis() as u32,
+            attempt: request.attempt.saturating_add(self.attempt),
+            depth: request.depth,
+            idempotent: self.destination.route.idempotent(),
+            service: self.destination.service.document.service().to_string(),
+            version: self.destination.version.to_owned(),
+            method: request.method.to_owned(),
+            path: request.path.clone(),
+            headers: request.headers.clone(),
+            length: request.body.len() as u64,
+        }
+    }
+
+    async fn receive(
+        &self,
+        mut pending: Pending,
+        events: Receiver<Event>,
+        sent: Sent,
+    ) -> Result<Answer, Lost> {
+        let mut deadline = self.request.deadline;
+        let mut cancelled = false;
+        let mut partial: Option<(Head, Vec<u8>)> = None;
+        loop {
+            let Some(event) = next(&events, deadline).await else {
+                if cancelled {
+                    return Ok(Answer::unknown("the deadline passed"));
+                }
+                // Where the call still waits for a slot, it is not run and that can be said.
+                cancelled = true;
+                deadline = Instant::now() + CANCEL_TIMEOUT;
+                pending.ended = true;
+                pending.cancel();
+                continue;
+            };
+            match event {
+                Event::State(call::State::NotRun) => {
+                    pending.ended = true;
+                    return Ok(Answer::not_run("the call did not arrive"));
+                }
+                Event::State(call::State::Unknown) => {
+                    pending.ended = true;
+                    return Ok(Answer::unknown("the answer is no longer kept"));
+                }
+                Event::State(call::State::Running | call::State::Answered) if cancelled => {
+                    return Ok(Answer::unknown("the deadline passed"));
+                }
+                Event::State(call::State::Running | call::State::Answered) => {}
+                Event::Refused(refused) => {
+                    pending.ended = true;
+                    return Ok(self.refused(refused.reason));
+                }
+                Event::Failed(failed) => {
+                    pending.ended = true;
+                    return Ok(Answer::unknown(failure(failed.reason)));
+                }
+                Event::Lost { written } => {
+                    pending.ended = true;
+                    if !written && matches!(sent, Sent::Call) {
+                        return Ok(Answer::not_run("the connection was lost before"));
+                    }
+                    self.loads.avoid(self.target);
+                    self.state.doubt(self.target);
+                    let peer_boot = pending.connection.peer_boot();
+                    return Err(Lost { peer_boot });
+                }
+                Event::Head(head) if partial.is_none() => {
+                    self.loads.report(self.target, &head);
+                    if head.length.is_some_and(|length| length <= MAX_WHOLE_BYTES) {
+                        partial = Some((head, Vec::new()));
+                    } else {
+                        let body = Stream::new(pending, events, head.length, WINDOW_BYTES);
+                        return Ok(Answer::Streamed { head, body });
+                    }
+                }
+                // A second copy, sent for a query that crossed the answer.
+                Event::Head(_) => {}
+                Event::Chunk(chunk) => {
+                    let Some((head, body)) = &mut partial else {
+                        continue;
+                    };
+                    // Copies of a kept answer are equal: what is here already is skipped.
+                    let have = body.len() as u64;
+                    if chunk.offset > have {
+                        return Ok(Answer::unknown("the answer has a gap"));
+                    }
+                    if chunk.offset == have {
+                        body.extend_from_slice(&chunk.bytes);
+                    }
+                    if head.length == Some(body.len() as u64) {
+                        pending.ended = true;
+                        let (head, body) = (head.clone(), std::mem::take(body));
+                        return Ok(Answer::Whole { head, body });
+                    }
+                    if chunk.last && chunk.offset >= have {
+                        return Ok(Answer::unknown("the answer was cut"));
+                    }
+                }
+            }
+        }
+    }
+
+    fn refused(&self, refusal: Refusal) -> Answer {
+        if matches!(refusal, Refusal::Overloaded | Refusal::Unreachable) {
+            self.loads.avoid(self.target);
+        }
+        let (end, reason) = match refusal {
+            Refusal::Overloaded => (End::Overloaded, "the target has too much to do"),
+            Refusal::Leaving => (End::Unsent, "the target is leaving"),
+            Refusal::NoTarget => (End::Unsent, "no target of that version is there"),
+            Refusal::Cancelled | Refusal::Deadline => (End::Overloaded, "the deadline passed"),
+            Refusal::Unreachable => (End::Unsent, "the target cannot be reached"),
+            Refusal::Incomplete => (End::Unsent, "the request did not arrive whole"),
+        };
+        Answer::NotRun { end, reason }
+    }
+}
+
+async fn next(events: &Receiver<Event>, deadline: Instant) -> Option<Event> {
+    if let Ok(event) = events.try_recv() {
+        return Some(event);
+    }
+    or(async { events.recv().await.ok() }, async {
+        Timer::at(deadline).await;
+        None
+    })
+    .await
+}
+
+fn failure(failure: Failure) -> &'static str {
+    match failure {
+        Failure::TargetLost => "the target was lost while it ran the call",
+        Failure::Deadline => "the deadline passed while the target ran the call",
+        Failure::Forgotten => "the answer is no longer kept",
+    }
+}
--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -1,169 +1,306 @@
 //! Calls from callers, over HTTP.
 
-mod forward;
+mod answer;
+mod exchange;
+mod listen;
+mod load;
+mod request;
+mod respond;
+mod route;
+
+pub use listen::listen;
+pub use request::{
+    ATTEMPT_HEADER, DEADLINE_HEADER, DEPTH_HEADER, IDEMPOTENCY_HEADER, MAX_REQUEST_BYTES,
+};
+pub use respond::OUTCOME_HEADER;
+
+pub(crate) use request::is_hop;
 
 use crate::{
-    peer::Pool,
-    state::{State, View},
+    peer::{Identity, Pool},
+    state::State,
+    telemetry::{
+        Decision,
+        decision::Kind,
+        metrics::{self, Outcome},
+    },
 };
-use forward::{Answer, Request};
-use fulmarreel_document::Route;
-use fulmarreel_wire::call::Header;
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use exchange::{Answer, Exchange};
+use fulmarreel_balance::Budget;
+use fulmarreel_call::retry::{self, End, Next};
+use load::Loads;
+use request::Request;
+use route::{Destination, Observation};
+use smol::channel::{Receiver, Sender, bounded};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
 };
-use trillium::{Conn, Status};
+use trillium::{Conn, KnownHeaderName, Status};
+use trillium_http::HttpContext;
 
 /// Names the service that a call is for; the host's first label where it is missing.
 pub const SERVICE_HEADER: &str = "x-fulmarreel-service";
 
-/// Says whether a call was `answered`, was `not-run`, or has an `unknown` outcome.
-pub const OUTCOME_HEADER: &str = "x-fulmarreel-outcome";
-
-/// The largest request body in bytes.
-const MAX_REQUEST_BYTES: u64 = 8 * 1_048_576;
-
-/// Headers that belong to one connection and do not travel on.
-const HOP_HEADERS: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-];
-
 /// What the handler of callers' requests works with.
 #[derive(Debug)]
 pub struct Ingress {
     state: Arc<State>,
-    pool: Pool,
+    pool: Arc<Pool>,
+    loads: Arc<Loads>,
+    budgets: Mutex<HashMap<String, Budget>>,
     next_sequence: AtomicU64,
+    http: Arc<HttpContext>,
+    /// Closed when callers are no longer accepted.
+    accepting: (Sender<()>, Receiver<()>),
+    in_flight: AtomicUsize,
+}
+
+/// A call that is counted as in flight until dropped.
+struct Counted<'a>(&'a AtomicUsize);
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl Ingress {
     /// A handler for calls that are routed by `state`.
     pub fn new(state: Arc<State>) -> Self {
+        let own = Identity {
+            address: state.settings.advertise,
+            boot: state.boot,
+        };
+        let pool = Arc::new(Pool::new(own));
+        let watched = Arc::clone(&pool);
+        crate::runtime::spawn(async move { watched.watch().await });
         Self {
             state,
-            pool: Pool::default(),
+            pool,
+            loads: Arc::default(),
+            budgets: Mutex::default(),
             next_sequence: AtomicU64::new(1),
+            http: Arc::default(),
+            accepting: bounded(1),
+            in_flight: AtomicUsize::new(0),
         }
     }
 
+    /// Calls whose answer's head has not been sent.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Accepts no further callers, and lets those that are connected go after their next answer.
+    pub fn close(&self) {
+        self.accepting.0.close();
+    }
+
+    /// Closes the connections on which no call runs.
+    pub fn close_idle(&self) {
+        self.http.swansong().shut_down();
+    }
+
+    async fn closing(&self) {
+        let _ = self.accepting.1.recv().await;
+    }
+
     /// Serves one request.
-    pub async fn handle(&self, mut conn: Conn) -> Conn {
-        let Some(service) = service_name(&conn) else {
-            return refuse(conn, Status::BadRequest, "the call names no service");
+    pub async fn handle(&self, conn: Conn) -> Conn {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        let _counted = Counted(&self.in_flight);
+        let conn = self.serve(conn).await;
+        if self.accepting.0.is_closed() {
+            return conn.with_response_header(KnownHeaderName::Connection, "close");
+        }
+        conn
+    }
+
+    async fn serve(&self, mut conn: Conn) -> Conn {
+        let request = match Request::read(&mut conn).await {
+            Ok(request) => request,
+            Err(error) => return respond::refuse(conn, Status::BadRequest, &error.to_string()),
         };
         let view = self.state.view();
-        let Some((service, route)) = resolve(&view, &service, conn.path()) else {
-            return refuse(
-                conn,
-                Status::NotFound,
-                "no document in force has this route",
-            );
-        };
-        let body = conn.request_body().with_max_len(MAX_REQUEST_BYTES);
-        let Ok(body) = body.read_bytes().await else {
-            return refuse(conn, Status::BadRequest, "the request body is incomplete");
-        };
-        let request = Request {
-            sequence: self.next_sequence.fetch_add(1, Ordering::Relaxed),
-            service: service.document.service().as_str(),
-            version: service.document.version().as_str(),
-            idempotent: route.idempotent(),
-            timeout: route.timeout(),
-            method: conn.method().as_str(),
-            path: conn.path_and_query(),
-            headers: headers(conn.request_headers()),
-            body,
-        };
-        let candidates = service.candidates.get(request.version);
-        let Some(target) = candidates.and_then(fastrand::choice) else {
-            return refuse(conn, Status::ServiceUnavailable, "no target is known");
+        let Some(destination) = route::resolve(&view, &request) else {
+            let reason = "no document in force has this route";
+            return respond::refuse(conn, Status::NotFound, reason);
         };
-        log::info!(
-            "route call={} service={} version={} target={} revision={}",
-            request.sequence,
-            request.service,
-            request.version,
-            target.address,
-            service.revision,
-        );
-        let answer = forward::forward(&self.pool, &self.state, target.address, request).await;
-        respond(conn, answer)
+        let request = request.with_timeout(destination.route.timeout());
+        // A caller that hangs up drops this future, and with it the call.
+        let answer = self.answer(&destination, &request);
+        match conn.cancel_on_disconnect(answer).await {
+            Some(answer) => {
+                self.log_end(&destination, &request, &answer);
+                respond::respond(conn, answer)
+            }
+            None => conn.halt(),
+        }
     }
-}
 
-fn resolve<'a>(
-    view: &'a View,
-    service: &str,
-    path: &str,
-) -> Option<(&'a crate::state::Service, &'a Route)> {
-    let asked = view.service(service)?;
-    let route = asked.document.route(path)?;
-    match route.destination() {
-        None => Some((asked, route)),
-        Some(destination) => Some((view.service(destination.as_str())?, route)),
+    /// Sends a call to one target after the other, as the rules of [`retry`] allow.
+    async fn answer(&self, destination: &Destination<'_>, request: &Request) -> Answer {
+        let mut tried = Vec::new();
+        let mut last = Answer::not_run("no target is known");
+        self.budget(destination, Budget::earn);
+        loop {
+            let Some(target) = self.choose(destination, &tried) else {
+                return last;
+            };
+            let sequence = self.next_sequence.fetch_add(1, Ordering::Relaxed);
+            self.log_route(destination, sequence, target, tried.len());
+            let exchange = Exchange {
+                state: &self.state,
+                pool: &self.pool,
+                loads: &self.loads,
+                target,
+                sequence,
+                destination,
+                request,
+                attempt: tried.len() as u8,
+            };
+            let answer = exchange.run().await;
+            tried.push(target);
+            let (end, lost) = match answer {
+                Ok(answer @ (Answer::Whole { .. } | Answer::Streamed { .. })) => {
+                    self.observe(destination, &answer);
+                    return answer;
+                }
+                Ok(Answer::NotRun { end, reason }) => {
+                    last = Answer::NotRun { end, reason };
+                    (end, None)
+                }
+                Ok(answer @ Answer::Unknown { .. }) => {
+                    last = answer;
+                    (End::Unknown, None)
+                }
+                Err(lost) => (End::Unknown, Some(lost)),
+            };
+            let again = !request.is_late() && self.may_retry(destination, request, &tried, end);
+            match lost {
+                Some(lost) if !again => match exchange.settle(lost).await {
+                    Answer::NotRun { end, reason } => {
+                        last = Answer::NotRun { end, reason };
+                        if !self.may_retry(destination, request, &tried, end) {
+                            return last;
+                        }
+                    }
+                    settled => {
+                        self.observe(destination, &settled);
+                        return settled;
+                    }
+                },
+                Some(_) => last = Answer::unknown("the connection to the target's node was lost"),
+                None if again => {}
+                None => {
+                    self.observe(destination, &last);
+                    return last;
+                }
+            }
+        }
     }
-}
 
-fn service_name(conn: &Conn) -> Option<String> {
-    let named = conn.request_headers().get_str(SERVICE_HEADER);
-    let host = conn.host().and_then(|host| host.split(['.', ':']).next());
-    named.or(host).map(str::to_owned)
-}
+    fn choose(&self, destination: &Destination<'_>, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        let candidates = destination.candidates();
+        let usable = candidates.filter(|candidate| {
+            !tried.contains(&candidate.address) && !self.pool.is_leaving(candidate.address)
+        });
+        self.loads.choose(usable, &self.state.settings)
+    }
 
-fn headers(headers: &trillium::Headers) -> Vec<Header> {
-    headers
-        .iter()
-        .filter(|(name, _)| !is_hop(name.as_ref()))
-        .flat_map(|(name, values)| {
-            values.iter().map(move |value| Header {
-                name: name.to_string(),
-                value: AsRef::<[u8]>::as_ref(value).to_vec(),
-            })
-        })
-        .collect()
-}
+    fn may_retry(
+        &self,
+        destination: &Destination<'_>,
+        request: &Request,
+        tried: &[SocketAddr],
+        end: End,
+    ) -> bool {
+        let call = retry::Call {
+            idempotent: destination.route.idempotent(),
+            retried_above: request.attempt > 0,
+            attempts: tried.len() as u8,
+        };
+        match retry::decide(call, end) {
+            Next::Stop => false,
+            _ if self.choose(destination, tried).is_none() => false,
+            Next::Retry => true,
+            Next::RetryOnBudget => self.budget(destination, Budget::spend),
+        }
+    }
 
-fn is_hop(name: &str) -> bool {
-    HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
-}
+    fn budget<T>(&self, destination: &Destination<'_>, change: impl Fn(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.lock().expect("budgets lock");
+        let service = destination.service.document.service().as_str();
+        if let Some(budget) = budgets.get_mut(service) {
+            return change(budget);
+        }
+        change(budgets.entry(service.to_owned()).or_default())
+    }
 
-fn refuse(conn: Conn, status: Status, reason: &'static str) -> Conn {
-    conn.with_status(status)
-        .with_response_header(OUTCOME_HEADER, "not-run")
-        .with_body(reason)
-        .halt()
-}
+    /// Hands an end to whoever compares versions.
+    fn observe(&self, destination: &Destination<'_>, answer: &Answer) {
+        let observation = match answer {
+            Answer::Whole { head, .. } | Answer::Streamed { head, .. } => Observation {
+                failed: head.status >= 500,
+                target_micros: Some(head.target_micros),
+            },
+            Answer::Unknown { .. } => Observation {
+                failed: true,
+                target_micros: None,
+            },
+            Answer::NotRun { .. } => return,
+        };
+        route::observe(&self.state, destination, observation);
+    }
 
-fn respond(conn: Conn, answer: Answer) -> Conn {
-    match answer {
-        Answer::Whole { head, body } => {
-            let mut conn = conn
-                .with_status(head.status)
-                .with_response_header(OUTCOME_HEADER, "answered")
-                .with_body(body);
-            for header in head
-                .headers
-                .into_iter()
-                .filter(|header| !is_hop(&header.name))
-            {
-                conn.response_headers_mut()
-                    .append(header.name, header.value);
+    fn log_route(
+        &self,
+        destination: &Destination<'_>,
+        sequence: u64,
+        target: SocketAddr,
+        attempt: usize,
+    ) {
+        let (kind, reason) = match attempt {
+            0 => (
+                Kind::Route,
+                "less loaded of two in the nearest tier with room",
+            ),
+            _ => (Kind::Retry, "the call may be sent again"),
+        };
+        let service = destination.service.document.service().as_str();
+        if attempt > 0 {
+            metrics::call_retried(service);
+        }
+        Decision {
+            call: Some(sequence),
+            version: Some(destination.version),
+            revision: Some(destination.service.revision),
+            target: Some(target),
+            ..Decision::new(kind, service, reason)
+        }
+        .log();
+    }
+
+    fn log_end(&self, destination: &Destination<'_>, request: &Request, answer: &Answer) {
+        let service = destination.service.document.service().as_str();
+        let (outcome, kind) = match answer {
+            Answer::Whole { .. } | Answer::Streamed { .. } => (Outcome::Answered, None),
+            Answer::NotRun { .. } => (Outcome::NotRun, Some(Kind::Refuse)),
+            Answer::Unknown { .. } => (Outcome::Unknown, Some(Kind::GiveUp)),
+        };
+        metrics::call_ended(service, destination.version, outcome, request.elapsed());
+        if let (Some(kind), Some(reason)) = (kind, answer.reason()) {
+            Decision {
+                version: Some(destination.version),
+                revision: Some(destination.service.revision),
+                ..Decision::new(kind, service, reason)
             }
-            conn.halt()
+            .log();
         }
-        Answer::NotRun => refuse(conn, Status::ServiceUnavailable, "the call was not run"),
-        Answer::Unknown => conn
-            .with_status(Status::BadGateway)
-            .with_response_header(OUTCOME_HEADER, "unknown")
-            .with_body("the outcome of the call is unknown")
-            .halt(),
     }
 }
--- a/fulmarreel-node/src/peer/connection.rs
+++ b/fulmarreel-node/src/peer/connection.rs
@@ -1,13 +1,16 @@
 //! One multiplexed connection.
 
-use super::stream;
+use super::{Identity, stream};
 use fulmarreel_wire::{
     Hello, PROTOCOL, Purpose,
-    call::{Chunk, Failed, Frame, Head, Refused},
+    call::{Chunk, Failed, Frame, Head, Refused, State},
 };
 use smol::{
+    Timer,
     channel::{Receiver, Sender, bounded, unbounded},
-    net::TcpStream,
+    future::or,
+    io::BufReader,
+    net::{Shutdown, TcpStream},
 };
 use std::{
     collections::HashMap,
@@ -17,10 +20,20 @@
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
+    time::{Duration, Instant},
 };
 
 /// Frames that may wait to be written before their senders wait.
-const QUEUED_FRAMES: usize = 256;
+const QUEUED_FRAMES: usize = 64;
+
+/// How long a connection may take to open, the peer's greeting included.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Silence, while calls wait, after which the peer is asked for a sign of life.
+const PING_AFTER: Duration = Duration::from_millis(200);
+
+/// Silence, while calls wait, after which the connection is given up.
+const SILENCE_LIMIT: Duration = Duration::from_millis(700);
 
 /// What happened to a call on a connection.
 #[derive(Debug)]
@@ -33,61 +46,144 @@
     Refused(Refused),
     /// The call may have run, and its answer cannot be had.
     Failed(Failed),
+    /// The answer to a query or to a cancellation.
+    State(State),
+    /// The connection ended.
+    Lost {
+        /// Whether any byte of the call may have been written.
+        written: bool,
+    },
 }
 
 /// One multiplexed connection to a peer.
 #[derive(Debug)]
 pub struct Connection {
+    peer: SocketAddr,
+    peer_boot: u64,
+    tcp: TcpStream,
     outgoing: Sender<Frame>,
-    calls: Mutex<HashMap<u64, Sender<Event>>>,
+    calls: Mutex<Calls>,
+    heard: Mutex<Instant>,
     open: AtomicBool,
+    leaving: AtomicBool,
+}
+
+#[derive(Debug)]
+struct Calls {
+    waiting: HashMap<u64, Waiting>,
+    /// Since when at least one call waits.
+    since: Instant,
+    closed: bool,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    events: Sender<Event>,
+    written: bool,
 }
 
 impl Connection {
-    /// Opens a connection and starts its reader and writer.
+    /// Opens a connection and starts its reader and writer; `last_boot` is that of the process
+    /// that the peer's address led to before.
     ///
     /// # Errors
     ///
-    /// The peer cannot be reached or speaks another protocol.
-    pub async fn connect(peer: SocketAddr, own: SocketAddr, boot: u64) -> io::Result<Arc<Self>> {
+    /// The peer cannot be reached in time or speaks another protocol.
+    pub async fn connect(
+        peer: SocketAddr,
+        own: Identity,
+        generation: u64,
+        last_boot: Option<u64>,
+    ) -> io::Result<Arc<Self>> {
+        or(Self::greet(peer, own, generation, last_boot), async {
+            Timer::after(CONNECT_TIMEOUT).await;
+            Err(io::ErrorKind::TimedOut.into())
+        })
+        .await
+    }
+
+    async fn greet(
+        peer: SocketAddr,
+        own: Identity,
+        generation: u64,
+        last_boot: Option<u64>,
+    ) -> io::Result<Arc<Self>> {
         let mut tcp = TcpStream::connect(peer).await?;
         tcp.set_nodelay(true)?;
         let hello = Hello {
             protocol: PROTOCOL,
-            address: own,
-            boot,
+            address: own.address,
+            boot: own.boot,
             purpose: Purpose::Calls,
         };
         stream::write(&mut tcp, &hello).await?;
+        let greeting: Hello = stream::read(&mut tcp).await?;
+        if greeting.protocol != PROTOCOL {
+            return Err(io::ErrorKind::Unsupported.into());
+        }
+        let begin = Frame::Begin {
+            generation,
+            resumed: last_boot == Some(greeting.boot),
+        };
+        stream::write(&mut tcp, &begin).await?;
         let (outgoing, frames) = bounded(QUEUED_FRAMES);
+        let now = Instant::now();
         let connection = Arc::new(Self {
+            peer,
+            peer_boot: greeting.boot,
+            tcp: tcp.clone(),
             outgoing,
-            calls: Mutex::default(),
+            calls: Mutex::new(Calls {
+                waiting: HashMap::new(),
+                since: now,
+                closed: false,
+            }),
+            heard: Mutex::new(now),
             open: AtomicBool::new(true),
+            leaving: AtomicBool::new(false),
         });
-        let writing = tcp.clone();
-        crate::runtime::spawn(async move { write_frames(writing, &frames).await });
+        let writing = Arc::clone(&connection);
+        crate::runtime::spawn(async move { writing.write_frames(&frames).await });
         let reading = Arc::clone(&connection);
-        crate::runtime::spawn(async move { reading.read_frames(tcp, peer).await });
+        crate::runtime::spawn(async move { reading.read_frames(tcp).await });
         Ok(connection)
     }
 
+    /// When the peer's process started; tells it from a later one at the same address.
+    pub fn peer_boot(&self) -> u64 {
+        self.peer_boot
+    }
+
     /// Whether the connection was open when last looked at.
     pub fn is_open(&self) -> bool {
         self.open.load(Ordering::Acquire)
     }
 
-    /// Registers a call; its events arrive until the receiver is dropped or the connection ends.
+    /// Whether the peer said that its target takes no calls.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Registers a call; its events arrive until it is forgotten or the connection ends.
     pub fn register(&self, sequence: u64) -> Receiver<Event> {
         let (events, receiver) = unbounded();
         let mut calls = self.calls.lock().expect("calls lock");
-        calls.insert(sequence, events);
+        if calls.closed {
+            let _ = events.try_send(Event::Lost { written: false });
+            return receiver;
+        }
+        if calls.waiting.is_empty() {
+            calls.since = Instant::now();
+        }
+        let written = false;
+        calls.waiting.insert(sequence, Waiting { events, written });
         receiver
     }
 
     /// Forgets a call; what still arrives for it is dropped.
     pub fn forget(&self, sequence: u64) {
-        self.calls.lock().expect("calls lock").remove(&sequence);
+        let mut calls = self.calls.lock().expect("calls lock");
+        calls.waiting.remove(&sequence);
     }
 
     /// Queues a frame; false where the connection is closed.
@@ -95,19 +191,53 @@
         self.outgoing.send(frame).await.is_ok()
     }
 
-    async fn read_frames(&self, mut tcp: TcpStream, peer: SocketAddr) {
+    /// Closes the connection where calls wait and nothing was heard for too long, and asks for a
+    /// sign of life before that.
+    pub fn check(&self, now: Instant) {
+        let since = {
+            let calls = self.calls.lock().expect("calls lock");
+            if calls.waiting.is_empty() {
+                return;
+            }
+            calls.since
+        };
+        let heard = *self.heard.lock().expect("heard lock");
+        let silent = now.saturating_duration_since(heard.max(since));
+        if silent >= SILENCE_LIMIT {
+            log::info!("connection to {}: silent, closed", self.peer);
+            self.close();
+        } else if silent >= PING_AFTER {
+            let _ = self.outgoing.try_send(Frame::Ping { token: 0 });
+        }
+    }
+
+    fn close(&self) {
+        let _ = self.tcp.shutdown(Shutdown::Both);
+        self.open.store(false, Ordering::Release);
+        self.outgoing.close();
+        let mut calls = self.calls.lock().expect("calls lock");
+        calls.closed = true;
+        for (_, call) in calls.waiting.drain() {
+            let written = call.written;
+            let _ = call.events.try_send(Event::Lost { written });
+        }
+    }
+
+    async fn read_frames(&self, tcp: TcpStream) {
+        let mut tcp = BufReader::new(tcp);
         loop {
             match stream::read::<Frame, _>(&mut tcp).await {
-                Ok(frame) => self.dispatch(frame),
+                Ok(frame) => {
+                    *self.heard.lock().expect("heard lock") = Instant::now();
+                    self.dispatch(frame);
+                }
                 Err(error) => {
-                    log::debug!("connection to {peer}: {error}");
+                    log::debug!("connection to {}: {error}", self.peer);
                     break;
                 }
             }
         }
-        self.open.store(false, Ordering::Release);
-        self.outgoing.close();
-        self.calls.lock().expect("calls lock").clear();
+        self.close();
     }
 
     fn dispatch(&self, frame: Frame) {
@@ -116,25 +246,37 @@
             Frame::Chunk(chunk) => (chunk.sequence, Event::Chunk(chunk)),
             Frame::Refused(refused) => (refused.sequence, Event::Refused(refused)),
             Frame::Failed(failed) => (failed.sequence, Event::Failed(failed)),
+            Frame::State { sequence, state } => (sequence, Event::State(state)),
+            Frame::Leaving => return self.leaving.store(true, Ordering::Release),
+            Frame::Accepting => return self.leaving.store(false, Ordering::Release),
+            Frame::Pong { .. } => return,
             other => {
-                log::debug!("unexpected frame {other:?}");
+                log::debug!("connection to {}: unexpected frame {other:?}", self.peer);
                 return;
             }
         };
         let calls = self.calls.lock().expect("calls lock");
-        if let Some(call) = calls.get(&sequence) {
+        if let Some(call) = calls.waiting.get(&sequence) {
             // The receiver may be gone: its caller hung up.
-            let _ = call.try_send(event);
+            let _ = call.events.try_send(event);
         }
     }
-}
 
-async fn write_frames(mut tcp: TcpStream, frames: &Receiver<Frame>) {
-    while let Ok(frame) = frames.recv().await {
-        if let Err(error) = stream::write(&mut tcp, &frame).await {
-            log::debug!("connection: {error}");
-            break;
+    async fn write_frames(&self, frames: &Receiver<Frame>) {
+        let mut tcp = self.tcp.clone();
+        let written = stream::pump(&mut tcp, frames, |frame| self.mark_written(frame)).await;
+        if let Err(error) = written {
+            log::debug!("connection to {}: {error}", self.peer);
+        }
+        self.close();
+    }
+
+    fn mark_written(&self, frame: &Frame) {
+        if let Frame::Open(open) = frame {
+            let mut calls = self.calls.lock().expect("calls lock");
+            if let Some(call) = calls.waiting.get_mut(&open.sequence) {
+                call.written = true;
+            }
         }
     }
-    frames.close();
 }
--- a/fulmarreel-node/src/peer/stream.rs
+++ b/fulmarreel-node/src/peer/stream.rs
@@ -3,7 +3,14 @@
 use fulmarreel_wire::framing;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use serde::{Serialize, de::DeserializeOwned};
-use std::io;
+use smol::{Timer, channel::Receiver, future::or};
+use std::{io, time::Duration};
+
+/// Bytes of frames that are written at once.
+const BATCH_BYTES: usize = 65_536;
+
+/// How long one batch may take to write before the connection is given up.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Reads one frame.
 ///
@@ -38,6 +45,41 @@
     stream.write_all(&bytes).await
 }
 
+/// Writes frames as they come, those that wait together at once, until the channel is closed;
+/// `before` sees each frame before any of its bytes are written.
+///
+/// # Errors
+///
+/// The stream failed or took no bytes for too long, or a frame is too long.
+pub async fn pump<T, W>(
+    stream: &mut W,
+    frames: &Receiver<T>,
+    mut before: impl FnMut(&T),
+) -> io::Result<()>
+where
+    T: Serialize,
+    W: AsyncWrite + Unpin,
+{
+    let mut batch = Vec::new();
+    while let Ok(first) = frames.recv().await {
+        batch.clear();
+        let mut next = Some(first);
+        while let Some(frame) = next {
+            before(&frame);
+            framing::encode(&frame, &mut batch).map_err(invalid)?;
+            next = (batch.len() < BATCH_BYTES)
+                .then(|| frames.try_recv().ok())
+                .flatten();
+        }
+        or(stream.write_all(&batch), async {
+            Timer::after(WRITE_TIMEOUT).await;
+            Err(io::ErrorKind::TimedOut.into())
+        })
+        .await?;
+    }
+    Ok(())
+}
+
 fn invalid(error: framing::Error) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, error)
 }
--- a/fulmarreel-node/src/run.rs
+++ b/fulmarreel-node/src/run.rs
@@ -1,13 +1,21 @@
 //! Starts every part of a node and keeps it running.
 
 use crate::{
-    admin, gossip, ingress::Ingress, runtime, serve, settings::Settings, state::State, sync,
-    target::Client, telemetry,
+    admin, gossip,
+    ingress::{self, Ingress},
+    leave, runtime,
+    serve::Server,
+    settings::Settings,
+    state::State,
+    sync,
+    target::Client,
+    telemetry,
 };
+use smol::future::or;
 use std::{io, net::SocketAddr, sync::Arc};
 use trillium::{Conn, Handler};
 
-/// Runs a node until the process ends.
+/// Runs a node until it is told to leave.
 ///
 /// # Errors
 ///
@@ -19,8 +27,8 @@
 }
 
 async fn start(settings: Settings) -> io::Result<()> {
-    let (callers, admin) = (settings.callers, settings.admin);
-    let client = Arc::new(Client::new(settings.target));
+    let admin = settings.admin;
+    let client = Client::new(settings.target);
     let state = Arc::new(State::new(settings));
     let believing = Arc::clone(&state);
     listen(admin, move |conn: Conn| {
@@ -28,9 +36,11 @@
         async move { admin::handle(&state, conn).await }
     });
     let ingress = Arc::new(Ingress::new(Arc::clone(&state)));
-    listen(callers, move |conn: Conn| {
-        let ingress = Arc::clone(&ingress);
-        async move { ingress.handle(conn).await }
+    let accepting = Arc::clone(&ingress);
+    runtime::spawn(async move {
+        if let Err(error) = ingress::listen(accepting).await {
+            log::error!("callers: {error}");
+        }
     });
     let syncing = Arc::clone(&state);
     runtime::spawn(async move { sync::run(syncing).await });
@@ -40,7 +50,10 @@
             log::error!("gossip: {error}");
         }
     });
-    serve::run(state, client).await
+    let server = Arc::new(Server::new(Arc::clone(&state), client));
+    let serving = Arc::clone(&server);
+    let leaving = leave::run(state, server, ingress);
+    or(serving.run(), leaving).await
 }
 
 fn listen(address: SocketAddr, handler: impl Handler) {
--- /dev/null
+++ b/fulmarreel-node/src/serve/call.rs
@@ -0,0 +1,275 @@
+//! One call on its way to the target and back.
+
+use super::{
+    Server,
+    gate::Permit,
+    opener::{Kept, Session},
+};
+use crate::target::{self, Answer};
+use fulmarreel_wire::call::{
+    Chunk, Failed, Failure, Frame, Head, MAX_CHUNK_BYTES, MAX_WHOLE_BYTES, Open, Refusal, Refused,
+    WINDOW_BYTES,
+};
+use futures_lite::{AsyncRead, AsyncReadExt, io::Cursor};
+use smol::{
+    Timer,
+    channel::{Receiver, Sender, unbounded},
+    future::or,
+};
+use std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use trillium_client::ResponseBody;
+
+/// How long after its deadline the target may still hold the slot of a call.
+const ABANDON_AFTER: Duration = Duration::from_secs(10);
+
+/// How long the target may pause within an answer, and a caller within taking it.
+const STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// One call.
+pub(super) struct Call {
+    pub server: Arc<Server>,
+    pub session: Arc<Session>,
+    /// The writer of the connection that it arrived on.
+    pub outgoing: Sender<Frame>,
+    pub sequence: u64,
+}
+
+impl Call {
+    /// Serves the call to its end.
+    pub async fn run(self, open: Open, body: Vec<u8>) {
+        let deadline = Instant::now() + Duration::from_millis(u64::from(open.remaining_ms));
+        if let Some(refusal) = self.server.refusal(&open.service, &open.version) {
+            return self.session.refuse(self.sequence, refusal).await;
+        }
+        let permit = match self.server.gate.enter(deadline).await {
+            Ok(permit) => permit,
+            Err(refusal) => return self.session.refuse(self.sequence, refusal).await,
+        };
+        if !self.hand_over() {
+            // Cancelled while it waited; that was said already.
+            return;
+        }
+        let called = or(self.server.client.call(open, body, deadline), async {
+            Timer::at(deadline + ABANDON_AFTER).await;
+            Err(target::Error::Abandoned)
+        });
+        match called.await {
+            Ok(answer) => self.answer(answer, permit).await,
+            Err(error) => self.fail(error, permit).await,
+        }
+    }
+
+    fn hand_over(&self) -> bool {
+        let mut ledger = self.session.ledger.lock().expect("ledger lock");
+        ledger.hand_over(self.sequence)
+    }
+
+    async fn fail(&self, error: target::Error, permit: Permit) {
+        drop(permit);
+        log::info!("call {}: {error}", self.sequence);
+        let failure = match error {
+            target::Error::Malformed(_) => return self.withdraw(Refusal::Incomplete).await,
+            target::Error::Connect { .. } => return self.withdraw(Refusal::Unreachable).await,
+            target::Error::Exchange { .. } => Failure::TargetLost,
+            target::Error::Abandoned => Failure::Deadline,
+        };
+        self.lose(failure).await;
+    }
+
+    /// Says that the call was not run: no byte of it reached the target.
+    async fn withdraw(&self, reason: Refusal) {
+        let sequence = self.sequence;
+        let withdrawn = {
+            let mut ledger = self.session.ledger.lock().expect("ledger lock");
+            ledger.withdraw(sequence, Instant::now())
+        };
+        if withdrawn {
+            let refused = Frame::Refused(Refused { sequence, reason });
+            self.session.reply(refused).await;
+        }
+    }
+
+    async fn lose(&self, reason: Failure) {
+        let sequence = self.sequence;
+        self.session
+            .ledger
+            .lock()
+            .expect("ledger lock")
+            .lose(sequence, Instant::now());
+        self.session
+            .reply(Frame::Failed(Failed { sequence, reason }))
+            .await;
+    }
+
+    async fn answer(&self, mut answer: Answer, permit: Permit) {
+        let Some(mut body) = answer.body.take() else {
+            return self.finish(&answer, Vec::new(), permit).await;
+        };
+        let mut start = Vec::new();
+        if answer.length.is_none_or(|length| length <= MAX_WHOLE_BYTES) {
+            match read_start(&mut body, &mut start).await {
+                Ok(true)
+                    if answer
+                        .length
+                        .is_none_or(|length| length == start.len() as u64) =>
+                {
+                    return self.finish(&answer, start, permit).await;
+                }
+                Ok(true) => {
+                    log::info!("call {}: the answer is shorter than stated", self.sequence);
+                    drop(permit);
+                    return self.lose(Failure::TargetLost).await;
+                }
+                Ok(false) => {}
+                Err(error) => {
+                    log::info!("call {}: answer: {error}", self.sequence);
+                    drop(permit);
+                    return self.lose(Failure::TargetLost).await;
+                }
+            }
+        }
+        let head = self.head(&answer, answer.length);
+        let credits = self.credits();
+        let streamed = self.stream(head, start, body, &credits).await;
+        drop(permit);
+        self.session
+            .credits
+            .lock()
+            .expect("credits lock")
+            .remove(&self.sequence);
+        let sequence = self.sequence;
+        self.session
+            .ledger
+            .lock()
+            .expect("ledger lock")
+            .lose(sequence, Instant::now());
+        if let Err(error) = streamed {
+            log::info!("call {sequence}: answer: {error}");
+            let reason = Failure::TargetLost;
+            let failed = Frame::Failed(Failed { sequence, reason });
+            let _ = self.outgoing.send(failed).await;
+        }
+    }
+
+    /// Keeps and sends a whole answer.
+    async fn finish(&self, answer: &Answer, body: Vec<u8>, permit: Permit) {
+        let head = self.head(answer, Some(body.len() as u64));
+        drop(permit);
+        let kept = Arc::new(Kept { head, body });
+        let bytes = kept.body.len() + size_of::<Kept>();
+        {
+            let mut ledger = self.session.ledger.lock().expect("ledger lock");
+            ledger.answer(self.sequence, Arc::clone(&kept), bytes, Instant::now());
+        }
+        self.session.send(&kept).await;
+    }
+
+    fn head(&self, answer: &Answer, length: Option<u64>) -> Head {
+        let (in_flight, slots) = self.server.gate.load();
+        Head {
+            sequence: self.sequence,
+            status: answer.status,
+            headers: answer.headers.clone(),
+            length,
+            target_micros: u32::try_from(answer.elapsed.as_micros()).unwrap_or(u32::MAX),
+            in_flight,
+            slots,
+        }
+    }
+
+    fn credits(&self) -> Receiver<u32> {
+        let (sender, receiver) = unbounded();
+        let mut credits = self.session.credits.lock().expect("credits lock");
+        credits.insert(self.sequence, sender);
+        receiver
+    }
+
+    /// Sends a long answer as its reader takes it; it is not kept.
+    async fn stream(
+        &self,
+        head: Head,
+        start: Vec<u8>,
+        body: ResponseBody<'static>,
+        credits: &Receiver<u32>,
+    ) -> io::Result<()> {
+        let length = head.length;
+        self.send(Frame::Head(head)).await?;
+        let mut body = Cursor::new(start).chain(body);
+        let mut credit = u64::from(WINDOW_BYTES);
+        let mut offset = 0;
+        loop {
+            let mut bytes = vec![0; MAX_CHUNK_BYTES];
+            let filled = fill(&mut body, &mut bytes).await?;
+            bytes.truncate(filled);
+            let end = offset + filled as u64;
+            let last = filled == 0 || length == Some(end);
+            if last && length.is_some_and(|length| length != end) {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            while credit < filled as u64 {
+                credit += u64::from(timely(recv(credits)).await?);
+            }
+            credit -= filled as u64;
+            let sequence = self.sequence;
+            self.send(Frame::Chunk(Chunk {
+                sequence,
+                offset,
+                bytes,
+                last,
+            }))
+            .await?;
+            if last {
+                return Ok(());
+            }
+            offset = end;
+        }
+    }
+
+    async fn send(&self, frame: Frame) -> io::Result<()> {
+        let sent = self.outgoing.send(frame).await;
+        sent.map_err(|_| io::ErrorKind::ConnectionAborted.into())
+    }
+}
+
+/// Reads the start of a body; true where that is all of it.
+async fn read_start(body: &mut ResponseBody<'static>, start: &mut Vec<u8>) -> io::Result<bool> {
+    let mut bytes = vec![0; MAX_CHUNK_BYTES];
+    while start.len() as u64 <= MAX_WHOLE_BYTES {
+        let read = timely(body.read(&mut bytes)).await?;
+        if read == 0 {
+            return Ok(true);
+        }
+        start.extend_from_slice(&bytes[..read]);
+    }
+    Ok(false)
+}
+
+/// Reads until the buffer is full or the body ends.
+async fn fill(body: &mut (impl AsyncRead + Unpin), bytes: &mut [u8]) -> io::Result<usize> {
+    let mut filled = 0;
+    while filled < bytes.len() {
+        let read = timely(body.read(&mut bytes[filled..])).await?;
+        if read == 0 {
+            break;
+        }
+        filled += read;
+    }
+    Ok(filled)
+}
+
+async fn recv(credits: &Receiver<u32>) -> io::Result<u32> {
+    let credit = credits.recv().await;
+    credit.map_err(|_| io::ErrorKind::ConnectionAborted.into())
+}
+
+async fn timely<T>(step: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    or(step, async {
+        Timer::after(STALL_TIMEOUT).await;
+        Err(io::ErrorKind::TimedOut.into())
+    })
+    .await
+}
--- /dev/null
+++ b/fulmarreel-node/src/serve/gate.rs
@@ -0,0 +1,106 @@
+//! The slots of the own target, as tasks wait for them.
+
+use fulmarreel_balance::admission::{Admission, Arrival, Release};
+use fulmarreel_wire::call::Refusal;
+use smol::channel::{Sender, bounded};
+use std::{
+    sync::{Arc, Mutex},
+    time::Instant,
+};
+
+/// The slots of the own target.
+#[derive(Debug)]
+pub(super) struct Gate {
+    admission: Mutex<Admission<Sender<Permit>>>,
+}
+
+/// A slot; free again when dropped.
+#[derive(Debug)]
+pub(super) struct Permit {
+    gate: Arc<Gate>,
+    since: Instant,
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self {
+            admission: Mutex::new(Admission::new(0)),
+        }
+    }
+}
+
+impl Gate {
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// The queue is full, or the deadline cannot be met or has passed.
+    pub async fn enter(self: &Arc<Self>, deadline: Instant) -> Result<Permit, Refusal> {
+        let (sender, receiver) = bounded(1);
+        let now = Instant::now();
+        let arrival = {
+            let mut admission = self.admission.lock().expect("admission lock");
+            admission.arrive(now, deadline, sender)
+        };
+        match arrival {
+            Arrival::Admitted(_) => Ok(self.permit(now)),
+            Arrival::Refused(_) => Err(Refusal::Overloaded),
+            // A sender that is dropped stands for a deadline that passed.
+            Arrival::Queued => receiver.recv().await.map_err(|_| Refusal::Deadline),
+        }
+    }
+
+    /// Takes over the number of slots.
+    pub fn resize(self: &Arc<Self>, slots: u16) {
+        let now = Instant::now();
+        let released = {
+            let mut admission = self.admission.lock().expect("admission lock");
+            if admission.slots() == usize::from(slots) {
+                return;
+            }
+            admission.resize(now, slots)
+        };
+        self.release(released, now);
+    }
+
+    /// Calls in slots and waiting.
+    pub fn in_flight(&self) -> usize {
+        self.admission.lock().expect("admission lock").in_flight()
+    }
+
+    /// Calls in slots and waiting, and slots, as answers report them.
+    pub fn load(&self) -> (u16, u16) {
+        let admission = self.admission.lock().expect("admission lock");
+        let report = |count: usize| u16::try_from(count).unwrap_or(u16::MAX);
+        (report(admission.in_flight()), report(admission.slots()))
+    }
+
+    fn permit(self: &Arc<Self>, since: Instant) -> Permit {
+        Permit {
+            gate: Arc::clone(self),
+            since,
+        }
+    }
+
+    fn release(self: &Arc<Self>, released: Vec<Release<Sender<Permit>>>, now: Instant) {
+        for release in released {
+            match release {
+                // Where nobody waits any more, the permit comes back and frees its slot.
+                Release::Admitted(waiting) => _ = waiting.try_send(self.permit(now)),
+                Release::Expired(waiting) => drop(waiting),
+            }
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let held = now.saturating_duration_since(self.since);
+        let released = {
+            let mut admission = self.gate.admission.lock().expect("admission lock");
+            admission.finish(now, held)
+        };
+        self.gate.release(released, now);
+    }
+}
--- a/fulmarreel-node/src/serve/mod.rs
+++ b/fulmarreel-node/src/serve/mod.rs
@@ -1,148 +1,155 @@
 //! Calls from peers, handed over to the node's own target.
 
-use crate::{peer::stream, state::State, sync, target::Client};
-use fulmarreel_wire::{
-    Hello, PROTOCOL, Purpose,
-    call::{Chunk, Failed, Failure, Frame, MAX_CHUNK_BYTES, Open, Refusal, Refused},
-};
-use smol::{
-    channel::{Receiver, Sender, bounded},
-    net::{TcpListener, TcpStream},
-    stream::StreamExt,
+mod call;
+mod connection;
+mod gate;
+mod opener;
+
+use crate::{state::State, target::Client};
+use fulmarreel_call::Opener;
+use fulmarreel_membership::Target;
+use fulmarreel_wire::call::{Frame, Refusal};
+use gate::Gate;
+use opener::Session;
+use smol::{Timer, net::TcpListener, stream::StreamExt};
+use std::{
+    collections::HashMap,
+    io,
+    sync::{
+        Arc, Mutex, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
-use std::{collections::HashMap, io, sync::Arc};
 
-/// Frames that may wait to be written before their senders wait.
-const QUEUED_FRAMES: usize = 256;
+/// How often the own target's announcement is looked at.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Accepts peers until the process ends.
-///
-/// # Errors
-///
-/// The address cannot be bound.
-pub async fn run(state: Arc<State>, client: Arc<Client>) -> io::Result<()> {
-    let listener = TcpListener::bind(state.settings.peers).await?;
-    let mut incoming = listener.incoming();
-    while let Some(accepted) = incoming.next().await {
-        let (state, client) = (Arc::clone(&state), Arc::clone(&client));
-        match accepted {
-            Ok(tcp) => crate::runtime::spawn(async move {
-                if let Err(error) = connection(&state, &client, tcp).await {
-                    log::debug!("peer connection: {error}");
-                }
-            }),
-            Err(error) => log::warn!("accept: {error}"),
-        }
-    }
-    Ok(())
+/// Looks at the announcement between two removals of idle sessions.
+const PRUNE_ROUNDS: u64 = 600;
+
+/// The node in front of its target, towards peers.
+#[derive(Debug)]
+pub struct Server {
+    state: Arc<State>,
+    client: Client,
+    gate: Arc<Gate>,
+    sessions: Mutex<HashMap<Opener, Arc<Session>>>,
+    target: RwLock<Option<Target>>,
+    /// Whether this process is about to end.
+    ending: AtomicBool,
 }
 
-async fn connection(
-    state: &Arc<State>,
-    client: &Arc<Client>,
-    mut tcp: TcpStream,
-) -> io::Result<()> {
-    tcp.set_nodelay(true)?;
-    let hello: Hello = stream::read(&mut tcp).await?;
-    if hello.protocol != PROTOCOL {
-        log::warn!("peer {}: refused {hello:?}", hello.address);
-        return Ok(());
-    }
-    if hello.purpose == Purpose::Sync {
-        return sync::accept(state, tcp, &hello).await;
+impl Server {
+    /// A server of calls to the target behind `client`.
+    pub fn new(state: Arc<State>, client: Client) -> Self {
+        Self {
+            state,
+            client,
+            gate: Arc::default(),
+            sessions: Mutex::default(),
+            target: RwLock::default(),
+            ending: AtomicBool::new(false),
+        }
     }
-    let (outgoing, frames) = bounded(QUEUED_FRAMES);
-    let writing = tcp.clone();
-    crate::runtime::spawn(async move { write_frames(writing, &frames).await });
-    let mut arriving = HashMap::new();
-    loop {
-        match stream::read(&mut tcp).await? {
-            Frame::Open(open) => {
-                arriving.insert(open.sequence, (open, Vec::new()));
-            }
-            Frame::Chunk(chunk) => {
-                let sequence = chunk.sequence;
-                let last = chunk.last;
-                append(&mut arriving, &chunk);
-                if last && let Some((open, body)) = arriving.remove(&sequence) {
-                    start(state, client, &outgoing, open, body);
-                }
+
+    /// Accepts peers until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn run(self: Arc<Self>) -> io::Result<()> {
+        let listener = TcpListener::bind(self.state.settings.peers).await?;
+        let watching = Arc::clone(&self);
+        crate::runtime::spawn(async move { watching.watch_target().await });
+        let mut incoming = listener.incoming();
+        while let Some(accepted) = incoming.next().await {
+            let server = Arc::clone(&self);
+            match accepted {
+                Ok(tcp) => crate::runtime::spawn(async move {
+                    if let Err(error) = server.connection(tcp).await {
+                        log::debug!("peer connection: {error}");
+                    }
+                }),
+                Err(error) => log::warn!("accept: {error}"),
             }
-            other => log::debug!("unexpected frame {other:?}"),
         }
+        Ok(())
     }
-}
 
-fn append(arriving: &mut HashMap<u64, (Open, Vec<u8>)>, chunk: &Chunk) {
-    if let Some((_, body)) = arriving.get_mut(&chunk.sequence)
-        && chunk.offset == body.len() as u64
-    {
-        body.extend_from_slice(&chunk.bytes);
+    /// Calls that are queued or running.
+    pub fn in_flight(&self) -> usize {
+        self.gate.in_flight()
     }
-}
 
-fn start(
-    state: &Arc<State>,
-    client: &Arc<Client>,
-    outgoing: &Sender<Frame>,
-    open: Open,
-    body: Vec<u8>,
-) {
-    let (state, client, outgoing) = (Arc::clone(state), Arc::clone(client), outgoing.clone());
-    crate::runtime::spawn(async move {
-        for frame in serve(&state, &client, open, body).await {
-            if outgoing.send(frame).await.is_err() {
-                return;
+    /// Takes over what the target announces, and tells peers when it is leaving.
+    async fn watch_target(&self) {
+        for round in 0_u64.. {
+            self.refresh();
+            if round.is_multiple_of(PRUNE_ROUNDS) {
+                let mut sessions = self.sessions.lock().expect("sessions lock");
+                sessions.retain(|_, session| !session.is_idle());
             }
+            Timer::after(ANNOUNCEMENT_INTERVAL).await;
         }
-    });
-}
-
-async fn serve(state: &State, client: &Client, open: Open, body: Vec<u8>) -> Vec<Frame> {
-    let sequence = open.sequence;
-    if body.len() as u64 != open.length {
-        return refused(sequence, Refusal::Incomplete);
     }
-    if !state.has_target(&open.service, &open.version) {
-        return refused(sequence, Refusal::NoTarget);
+
+    /// Tells peers that no new calls are taken, and takes none, until the process ends.
+    pub fn leave(&self) {
+        self.ending.store(true, Ordering::Release);
+        self.broadcast(&Frame::Leaving);
     }
-    match client.call(open, body).await {
-        Ok((head, body)) => {
-            let mut frames = vec![Frame::Head(head)];
-            frames.extend(chunks(sequence, &body));
-            frames
+
+    /// Takes over what the target announced last.
+    fn refresh(&self) {
+        let announced = self.state.own_target();
+        let was_leaving = self.is_leaving();
+        if let Some(target) = &announced {
+            self.gate.resize(target.slots);
         }
-        Err(error) => {
-            log::info!("call {sequence}: {error}");
-            let reason = Failure::TargetLost;
-            vec![Frame::Failed(Failed { sequence, reason })]
+        *self.target.write().expect("target lock") = announced;
+        let leaving = self.is_leaving();
+        if leaving != was_leaving {
+            log::info!("target leaving={leaving}");
+            self.broadcast(if leaving {
+                &Frame::Leaving
+            } else {
+                &Frame::Accepting
+            });
         }
     }
-}
 
-fn refused(sequence: u64, reason: Refusal) -> Vec<Frame> {
-    vec![Frame::Refused(Refused { sequence, reason })]
-}
+    fn broadcast(&self, frame: &Frame) {
+        let sessions: Vec<Arc<Session>> = {
+            let sessions = self.sessions.lock().expect("sessions lock");
+            sessions.values().map(Arc::clone).collect()
+        };
+        for session in sessions {
+            let frame = frame.clone();
+            crate::runtime::spawn(async move { session.reply(frame).await });
+        }
+    }
 
-fn chunks(sequence: u64, body: &[u8]) -> impl Iterator<Item = Frame> {
-    let total = body.len();
-    let starts = (0..total.max(1)).step_by(MAX_CHUNK_BYTES);
-    starts.map(move |start| {
-        let end = (start + MAX_CHUNK_BYTES).min(total);
-        Frame::Chunk(Chunk {
-            sequence,
-            offset: start as u64,
-            bytes: body[start..end].to_vec(),
-            last: end == total,
-        })
-    })
-}
+    fn is_leaving(&self) -> bool {
+        let target = self.target.read().expect("target lock");
+        let leaving = target.as_ref().is_some_and(|target| target.leaving);
+        leaving || self.ending.load(Ordering::Acquire)
+    }
 
-async fn write_frames(mut tcp: TcpStream, frames: &Receiver<Frame>) {
-    while let Ok(frame) = frames.recv().await {
-        if stream::write(&mut tcp, &frame).await.is_err() {
-            break;
+    /// Why a call of that service and version is refused, if it is.
+    fn refusal(&self, service: &str, version: &str) -> Option<Refusal> {
+        if self.is_leaving() {
+            return Some(Refusal::Leaving);
         }
+        let target = self.target.read().expect("target lock");
+        match &*target {
+            Some(target) if target.service == service && target.version == version => None,
+            _ => Some(Refusal::NoTarget),
+        }
+    }
+
+    fn session(&self, opener: Opener) -> Arc<Session> {
+        let mut sessions = self.sessions.lock().expect("sessions lock");
+        Arc::clone(sessions.entry(opener).or_default())
     }
-    frames.close();
 }
--- a/fulmarreel-node/src/state/members.rs
+++ b/fulmarreel-node/src/state/members.rs
@@ -63,12 +63,9 @@
         self.finish(outcome);
     }
 
-    /// Whether the node's own target is of that service and version, and takes calls.
-    pub fn has_target(&self, service: &str, version: &str) -> bool {
-        self.with_members(|members| {
-            let own = members.own().target.as_ref();
-            own.is_some_and(|own| own.service == service && own.version == version && !own.leaving)
-        })
+    /// What the node's own target announced last.
+    pub fn own_target(&self) -> Option<Target> {
+        self.with_members(|members| members.own().target.clone())
     }
 
     /// Every record of a node that is not gone.
--- /dev/null
+++ b/fulmarreel-node/src/target/dialer.rs
@@ -0,0 +1,60 @@
+//! Opens connections to the target, and marks the errors that prove that nothing was sent.
+
+use smol::{Timer, future::or};
+use std::{io, net::SocketAddr, time::Duration};
+use trillium_client::{Connector, Error, Url};
+use trillium_smol::ClientConfig;
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// The library's connector, with a timeout and errors that can be told apart.
+#[derive(Debug)]
+pub(super) struct Dialer {
+    tcp: ClientConfig,
+}
+
+/// The inner error of a connection that was not opened.
+#[derive(Debug, thiserror::Error)]
+#[error("not connected: {0}")]
+struct NotConnected(io::Error);
+
+impl Default for Dialer {
+    fn default() -> Self {
+        let tcp = ClientConfig::new().with_nodelay(true);
+        Self { tcp }
+    }
+}
+
+impl Connector for Dialer {
+    type Transport = <ClientConfig as Connector>::Transport;
+    type Runtime = <ClientConfig as Connector>::Runtime;
+    type Udp = <ClientConfig as Connector>::Udp;
+
+    async fn connect(&self, url: &Url) -> io::Result<Self::Transport> {
+        or(self.tcp.connect(url), async {
+            Timer::after(CONNECT_TIMEOUT).await;
+            Err(io::ErrorKind::TimedOut.into())
+        })
+        .await
+        .map_err(|error| io::Error::new(error.kind(), NotConnected(error)))
+    }
+
+    async fn resolve(&self, host: &str, port: u16) -> io::Result<Vec<SocketAddr>> {
+        self.tcp.resolve(host, port).await
+    }
+
+    fn runtime(&self) -> Self::Runtime {
+        self.tcp.runtime()
+    }
+}
+
+/// Whether an error proves that no byte was sent.
+pub(super) fn is_unsent(error: &Error) -> bool {
+    let Error::Io(error) = error else {
+        return false;
+    };
+    error
+        .get_ref()
+        .is_some_and(|inner| inner.is::<NotConnected>())
+}
--- a/fulmarreel-wire/src/call.rs
+++ b/fulmarreel-wire/src/call.rs
@@ -8,6 +8,12 @@
 /// The most body bytes in one [`Chunk`].
 pub const MAX_CHUNK_BYTES: usize = 32_768;
 
+/// The longest answer that is sent as a whole and kept for a query; longer ones are streamed.
+pub const MAX_WHOLE_BYTES: u64 = 65_536;
+
+/// Bytes of a streamed answer that may be sent before any [`Frame::Credit`].
+pub const WINDOW_BYTES: u32 = 262_144;
+
 /// One message about one call, or about the connection itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -57,6 +63,16 @@
     },
     /// The sender's target takes no new calls from now on.
     Leaving,
+    /// The sender's target takes new calls again.
+    Accepting,
+    /// The opening node's first frame; orders its connections to this peer.
+    Begin {
+        /// Higher than those of its earlier connections. Nothing that still arrives on one of
+        /// these opens a call.
+        generation: u64,
+        /// Whether it opened calls on an earlier connection to this process.
+        resumed: bool,
+    },
 }
 
 /// Opens a call.
@@ -86,6 +102,21 @@
     pub length: u64,
 }
 
+/// Cuts a body into the [`Chunk`]s of a call; an empty body is one empty chunk.
+pub fn chunks(sequence: u64, body: &[u8]) -> impl Iterator<Item = Chunk> {
+    let total = body.len();
+    let starts = (0..total.max(1)).step_by(MAX_CHUNK_BYTES);
+    starts.map(move |start| {
+        let end = (start + MAX_CHUNK_BYTES).min(total);
+        Chunk {
+            sequence,
+            offset: start as u64,
+            bytes: body[start..end].to_vec(),
+            last: end == total,
+        }
+    })
+}
+
 /// One HTTP header.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Header {
