--- /dev/null
+++ b/fulmarreel-membership/tests/membership/faults.rs
@@ -0,0 +1,165 @@
+//! Deaths, pauses, cuts and leaving.
+
+use super::driver::{Driver, address};
+use fulmarreel_membership::Status;
+use rstest::rstest;
+use std::time::Duration;
+
+fn settled(seed: u64, zones: &[usize]) -> Driver {
+    let mut driver = Driver::new(seed, zones);
+    let patience = Duration::from_secs(30);
+    for _ in 0..30 {
+        driver.run(Duration::from_secs(1));
+        driver.compare_all();
+    }
+    assert!(driver.until(patience, Driver::agree).is_some());
+    driver
+}
+
+/// Fails with `SUSPICION` at 4 s.
+#[rstest]
+fn a_dead_node_is_gone_in_its_zone_in_seconds(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let mut driver = settled(seed, &[12]);
+    driver.kill(7);
+    let everywhere = driver.until(Duration::from_secs(10), |driver| {
+        let others = (0..12).filter(|index| *index != 7);
+        others
+            .into_iter()
+            .all(|index| driver.status(7, index) == Some(Status::Gone))
+    });
+    assert!(
+        everywhere.unwrap() <= Duration::from_millis(3_500),
+        "{everywhere:?}"
+    );
+}
+
+/// Fails without the call of `Prober::start` in `Group::doubt`: only the usual probe would ask.
+#[rstest]
+fn a_node_that_a_call_could_not_reach_is_gone_in_two_seconds(#[values(1, 2, 3)] seed: u64) {
+    let mut driver = settled(seed, &[12]);
+    driver.kill(7);
+    let now = driver.now;
+    driver
+        .groups
+        .get_mut(&address(3))
+        .unwrap()
+        .doubt(address(7), now);
+    assert_eq!(driver.status(7, 3), Some(Status::Suspect));
+    let gone = driver.until(Duration::from_secs(10), |driver| {
+        driver.status(7, 3) == Some(Status::Gone)
+    });
+    assert!(gone.unwrap() <= Duration::from_secs(2), "{gone:?}");
+}
+
+/// Fails with `Doubt::admit` always true.
+#[rstest]
+fn a_node_that_is_cut_off_keeps_most_of_its_zone(#[values(1, 2, 3)] seed: u64) {
+    let mut driver = settled(seed, &[10]);
+    let others: Vec<usize> = (1..10).collect();
+    driver.cut(&[0], &others);
+    driver.run(Duration::from_secs(20));
+    let kept = driver.groups[&address(0)].neighbours().len();
+    assert!(kept >= 4, "{kept} of 9 kept");
+    driver.heal();
+    let met = driver.until(Duration::from_secs(6), |driver| {
+        let others = others.iter();
+        others
+            .into_iter()
+            .all(|index| driver.status(*index, 0) == Some(Status::Alive))
+            && (1..10).all(|index| driver.status(0, index) == Some(Status::Alive))
+    });
+    assert!(met.is_some());
+}
+
+/// Fails without `PAUSE` in `Group::tick`: the suspicion from before the pause would end in it.
+#[rstest]
+fn a_node_paused_for_long_is_back_in_seconds(#[values(1, 2, 3)] seed: u64) {
+    let mut driver = settled(seed, &[8]);
+    driver.announce(5, false);
+    driver.run(Duration::from_secs(2));
+    let now = driver.now;
+    driver
+        .groups
+        .get_mut(&address(5))
+        .unwrap()
+        .doubt(address(6), now);
+    driver.pause(5);
+    driver.run(Duration::from_secs(90));
+    assert_eq!(driver.status(5, 0), Some(Status::Gone));
+    driver.resume(5);
+    let mut lost = driver.status(6, 5) == Some(Status::Gone);
+    for _ in 0..100 {
+        driver.run(Duration::from_millis(50));
+        lost |= (0..8).any(|index| driver.status(index, 5) == Some(Status::Gone));
+    }
+    assert!(driver.agree(), "views differ 5 s after the pause");
+    assert!(!lost, "the paused node dropped a member that answers");
+}
+
+/// Fails without the datagrams of `Group::tell_all`.
+#[rstest]
+fn a_leaving_target_is_known_at_once(#[values(1, 2, 3)] seed: u64) {
+    let mut driver = settled(seed, &[16, 8, 8]);
+    driver.announce(9, false);
+    driver.run(Duration::from_secs(3));
+    driver.announce(9, true);
+    let leaving = |driver: &Driver, index: usize| {
+        let claims = driver.groups[&address(index)].claims(&[address(9)]);
+        claims[0].record.target.as_ref().unwrap().leaving
+    };
+    driver.run(Duration::from_millis(50));
+    assert!(
+        (0..16).all(|index| leaving(&driver, index)),
+        "not at once in its zone"
+    );
+    let everywhere = driver.until(Duration::from_secs(5), |driver| {
+        (0..32).all(|index| leaving(driver, index))
+    });
+    assert!(
+        everywhere.unwrap() <= Duration::from_secs(1),
+        "{everywhere:?}"
+    );
+}
+
+/// Fails without `Group::gone_neighbour`: neither side would ask for the other again.
+#[rstest]
+fn halves_of_a_zone_meet_after_a_cut(#[values(1, 2, 3)] seed: u64) {
+    let mut driver = settled(seed, &[12]);
+    // The seeds are gone as well.
+    driver.kill(0);
+    driver.kill(1);
+    driver.run(Duration::from_secs(40));
+    driver.cut(&[2, 3, 4, 5, 6], &[7, 8, 9, 10, 11]);
+    driver.run(Duration::from_secs(60));
+    assert_eq!(driver.status(7, 2), Some(Status::Gone));
+    driver.heal();
+    let met = driver.until(Duration::from_secs(6), Driver::agree);
+    assert!(met.is_some(), "views differ 6 s after the cut");
+}
+
+/// Fails with zones judged by others, without the check of the zone in `end_suspicions`.
+#[test]
+fn a_zone_cut_off_keeps_every_record_of_the_others() {
+    let mut driver = settled(7, &[4, 4]);
+    driver.cut(&[0, 1, 2, 3], &[4, 5, 6, 7]);
+    let now = driver.now;
+    driver
+        .groups
+        .get_mut(&address(0))
+        .unwrap()
+        .doubt(address(5), now);
+    driver.run(Duration::from_secs(30));
+    for other in 4..8 {
+        let status = driver.status(other, 0);
+        assert!(
+            matches!(status, Some(Status::Alive | Status::Suspect)),
+            "{status:?}"
+        );
+    }
+    driver.heal();
+    assert!(
+        driver
+            .until(Duration::from_secs(6), Driver::agree)
+            .is_some()
+    );
+}
--- /dev/null
+++ b/fulmarreel-membership/tests/membership/incarnation.rs
@@ -0,0 +1,87 @@
+//! Late messages of earlier incarnations, and objections.
+
+use super::driver::{Driver, address};
+use fulmarreel_membership::{Claim, Incarnation, Status};
+use rstest::rstest;
+use std::time::Duration;
+
+/// A claim about node 2 of the driver's zone, relative to what is known of it.
+fn claim(driver: &Driver, boot: i64, sequence: i64, status: Status) -> Claim {
+    let known = driver.groups[&address(0)].table().get(address(2)).unwrap();
+    let mut record = known.claim.record.clone();
+    let incarnation = record.incarnation;
+    record.incarnation = Incarnation {
+        boot: incarnation.boot.saturating_add_signed(boot),
+        sequence: incarnation.sequence.saturating_add_signed(sequence as i32),
+    };
+    Claim { record, status }
+}
+
+/// Fails with a `Table::merge` that always replaces, and with the boot left out of `Claim::rank`.
+#[rstest]
+#[case::earlier_process_alive(-1, 5, Status::Alive)]
+#[case::earlier_process_gone(-1, 5, Status::Gone)]
+#[case::earlier_record_gone(0, -1, Status::Gone)]
+#[case::earlier_record_suspect(0, -1, Status::Suspect)]
+fn a_late_claim_changes_nothing(#[case] boot: i64, #[case] sequence: i64, #[case] status: Status) {
+    let mut driver = Driver::new(3, &[4]);
+    driver.announce(2, false);
+    driver.run(Duration::from_secs(5));
+    let before = driver.groups[&address(0)].claims(&[address(2)]);
+    let late = claim(&driver, boot, sequence, status);
+    driver.deliver(0, late);
+    assert_eq!(driver.groups[&address(0)].claims(&[address(2)]), before);
+}
+
+/// Fails with a `MEMORY` of zero, and with the status left out of `Claim::rank`.
+#[rstest]
+#[case(0, 0)]
+#[case(-1, 9)]
+fn a_late_claim_does_not_revive(#[case] boot: i64, #[case] sequence: i64) {
+    let mut driver = Driver::new(4, &[4]);
+    driver.announce(2, false);
+    driver.run(Duration::from_secs(5));
+    driver.kill(2);
+    let gone = |driver: &Driver| driver.status(2, 0) == Some(Status::Gone);
+    assert!(driver.until(Duration::from_secs(5), gone).is_some());
+    let late = claim(&driver, boot, sequence, Status::Alive);
+    driver.deliver(0, late);
+    driver.run(Duration::from_secs(2));
+    assert!(gone(&driver));
+}
+
+/// Fails without the call of `refute` in `Group::accept_own`.
+#[rstest]
+#[case(Status::Suspect)]
+#[case(Status::Gone)]
+fn a_node_that_lives_objects(#[case] status: Status) {
+    let mut driver = Driver::new(5, &[4]);
+    driver.run(Duration::from_secs(5));
+    let wrong = claim(&driver, 0, 0, status);
+    driver.deliver(0, wrong);
+    assert_eq!(driver.status(2, 0), Some(status));
+    let back = driver.until(Duration::from_secs(3), |driver| {
+        (0..4).all(|index| driver.status(2, index) == Some(Status::Alive)) && driver.agree()
+    });
+    assert!(back.is_some());
+}
+
+/// Fails with `claimed > own` left out of `Group::accept_own`.
+#[test]
+fn a_restart_with_a_clock_set_back_is_known() {
+    let mut driver = Driver::new(6, &[4]);
+    driver.run(Duration::from_secs(5));
+    let mut later = claim(&driver, 1_000, 0, Status::Alive);
+    later.record.target = None;
+    for index in [0, 1, 3] {
+        driver.deliver(index, later.clone());
+    }
+    driver.kill(2);
+    driver.start(2, 0);
+    driver.announce(2, false);
+    let known = driver.until(Duration::from_secs(5), |driver| {
+        let claims = driver.groups[&address(0)].claims(&[address(2)]);
+        claims[0].record.target.is_some() && claims[0].status == Status::Alive
+    });
+    assert!(known.is_some());
+}
