test(distribution): fault tables and seeded schedules

One fault was found this way: after a calm spell the first differing digest started a comparison at once, though the news was still under way; the longest wait now counts from the first difference.

--- a/fulmarreel-distribution/src/pace.rs
+++ b/fulmarreel-distribution/src/pace.rs
@@ -40,6 +40,8 @@
     members: u64,
     entries: u64,
     changed: Instant,
+    /// Since when peers' digests differ without a comparison.
+    differs: Option<Instant>,
     started: Option<Instant>,
 }
 
@@ -50,6 +52,7 @@
             members: 0,
             entries: 0,
             changed: now,
+            differs: None,
             started: None,
         }
     }
@@ -67,19 +70,22 @@
             (self.members, self.entries) = (own.members, own.entries);
             self.changed = now;
         }
+        if (own.members, own.entries) == (theirs.members, theirs.entries) {
+            self.differs = None;
+        } else {
+            self.differs.get_or_insert(now);
+        }
         let since = |at: Instant| now.saturating_duration_since(at);
-        let last = self.started.map(since);
         let interval = if joining { JOIN_INTERVAL } else { INTERVAL };
-        if last.is_some_and(|last| last < interval) {
+        if self.started.is_some_and(|last| since(last) < interval) {
             return false;
         }
-        let differs = own.members != theirs.members || own.entries != theirs.entries;
-        let quiet =
-            since(self.changed) >= distance.quiet() || last.is_none_or(|last| last >= LONGEST_WAIT);
-        let wanted = joining || (differs && quiet);
-        if !wanted {
+        let quiet = since(self.changed) >= distance.quiet();
+        let differs = |at: Instant| quiet || since(at) >= LONGEST_WAIT;
+        if !joining && !self.differs.is_some_and(differs) {
             return false;
         }
+        self.differs = None;
         self.started = Some(now);
         true
     }
--- /dev/null
+++ b/fulmarreel-distribution/tests/distribution.rs
@@ -0,0 +1,11 @@
+//! Decisions of the distribution, by fault tables and seeded schedules.
+
+mod distribution {
+    mod catalog;
+    mod duty;
+    mod fanout;
+    mod log;
+    mod pace;
+    mod readiness;
+    mod schedule;
+}
--- /dev/null
+++ b/fulmarreel-distribution/tests/distribution/catalog.rs
@@ -0,0 +1,149 @@
+//! Which document is in force.
+
+use fulmarreel_distribution::{
+    Catalog,
+    catalog::{Held, Missing, Outcome, Targets},
+};
+use rstest::rstest;
+
+fn document(version: &str, extra: &str) -> String {
+    format!(
+        r#"{{ "service": "reservas", "version": "{version}", "routes": [{{ "path": "/" }}{extra}] }}"#
+    )
+}
+
+fn targets(known: &[(&str, &str)]) -> Targets {
+    let mut targets = Targets::default();
+    for (service, version) in known {
+        targets.add(service, version);
+    }
+    targets
+}
+
+fn in_force(catalog: &Catalog) -> Option<(u64, String)> {
+    let (_, revised) = catalog.in_force().next()?;
+    Some((
+        revised.revision,
+        revised.document.version().as_str().to_owned(),
+    ))
+}
+
+fn offer(catalog: &mut Catalog, revision: u64, text: Option<&str>) -> Outcome {
+    catalog.offer("reservas", revision, text.map(str::as_bytes))
+}
+
+/// Fails with `>` for `>=`, or no check at all, where `Catalog::offer` compares revisions.
+#[rstest]
+#[case::older(4, Some("v0"))]
+#[case::same(5, Some("v0"))]
+#[case::older_deletion(4, None)]
+fn an_older_revision_changes_nothing(#[case] revision: u64, #[case] version: Option<&str>) {
+    let known = targets(&[("reservas", "v0"), ("reservas", "v1")]);
+    let mut catalog = Catalog::default();
+    offer(&mut catalog, 5, Some(&document("v1", "")));
+    catalog.settle(&known);
+    let text = version.map(|version| document(version, ""));
+    let outcome = offer(&mut catalog, revision, text.as_deref());
+    assert!(matches!(outcome, Outcome::Older));
+    assert!(catalog.settle(&known).is_empty());
+    assert_eq!(in_force(&catalog), Some((5, "v1".to_owned())));
+}
+
+/// Fails with a malformed value put in the place of the one in force.
+#[rstest]
+#[case::no_text("\u{0}{")]
+#[case::cut(r#"{ "service": "reservas", "version": "v2""#)]
+#[case::no_routes(r#"{ "service": "reservas", "version": "v2", "routes": [] }"#)]
+#[case::of_another_service(
+    r#"{ "service": "parcelas", "version": "v2", "routes": [{ "path": "/" }] }"#
+)]
+fn a_malformed_document_leaves_the_earlier_one_in_force(#[case] text: &str) {
+    let known = targets(&[("reservas", "v1"), ("reservas", "v2"), ("parcelas", "v2")]);
+    let mut catalog = Catalog::default();
+    offer(&mut catalog, 5, Some(&document("v1", "")));
+    catalog.settle(&known);
+    assert!(matches!(
+        offer(&mut catalog, 6, Some(text)),
+        Outcome::Malformed(_)
+    ));
+    catalog.settle(&known);
+    assert_eq!(in_force(&catalog), Some((5, "v1".to_owned())));
+    let held: Vec<_> = catalog.held().collect();
+    assert!(matches!(
+        held[..],
+        [("reservas", Held::Malformed { revision: 6, .. })]
+    ));
+    offer(&mut catalog, 7, Some(&document("v2", "")));
+    catalog.settle(&known);
+    assert_eq!(in_force(&catalog), Some((7, "v2".to_owned())));
+    assert_eq!(catalog.held().count(), 0);
+}
+
+/// Fails with `missing.is_empty()` taken as true, or without dependencies in `Targets::missing`.
+#[rstest]
+#[case::no_target_of_the_version("v2", "", &[("reservas", "v1")], "reservas v2")]
+#[case::no_target_of_a_destination(
+    "v1", r#", { "path": "/suelo", "service": "agronomia" }"#, &[("reservas", "v1")], "agronomia"
+)]
+fn a_document_waits_for_the_targets_that_it_names(
+    #[case] version: &str,
+    #[case] extra: &str,
+    #[case] known: &[(&str, &str)],
+    #[case] named: &str,
+) {
+    let mut catalog = Catalog::default();
+    offer(&mut catalog, 5, Some(&document("v1", "")));
+    catalog.settle(&targets(known));
+    offer(&mut catalog, 6, Some(&document(version, extra)));
+    assert!(catalog.settle(&targets(known)).is_empty());
+    assert_eq!(in_force(&catalog), Some((5, "v1".to_owned())));
+    let (_, held) = catalog.held().next().unwrap();
+    let Held::Waiting {
+        revision: 6,
+        missing,
+    } = held
+    else {
+        panic!("{held:?}");
+    };
+    let [missing] = &missing[..] else {
+        panic!("{missing:?}")
+    };
+    assert!(missing.to_string().contains(named), "{missing}");
+    let mut all = targets(known);
+    match missing {
+        Missing::Version { service, version } => all.add(service, version),
+        Missing::Service { service } => all.add(service, "v9"),
+    }
+    assert_eq!(catalog.settle(&all).len(), 1);
+    assert_eq!(in_force(&catalog).unwrap().0, 6);
+    assert_eq!(catalog.held().count(), 0);
+}
+
+/// Fails with a document dropped where its targets vanish later.
+#[test]
+fn a_document_stays_in_force_when_its_targets_vanish() {
+    let mut catalog = Catalog::default();
+    offer(&mut catalog, 5, Some(&document("v1", "")));
+    catalog.settle(&targets(&[("reservas", "v1")]));
+    assert!(catalog.settle(&targets(&[])).is_empty());
+    assert_eq!(in_force(&catalog), Some((5, "v1".to_owned())));
+}
+
+/// Fails with `newest` left as it was by a deletion.
+#[test]
+fn a_document_deleted_and_created_again_is_never_the_earlier_one() {
+    let known = targets(&[("reservas", "v1"), ("reservas", "v2")]);
+    let mut catalog = Catalog::default();
+    offer(&mut catalog, 5, Some(&document("v1", "")));
+    catalog.settle(&known);
+    offer(&mut catalog, 8, None);
+    catalog.settle(&known);
+    assert_eq!(in_force(&catalog), None);
+    offer(&mut catalog, 5, Some(&document("v1", "")));
+    offer(&mut catalog, 7, Some(&document("v1", "")));
+    catalog.settle(&known);
+    assert_eq!(in_force(&catalog), None);
+    offer(&mut catalog, 9, Some(&document("v2", "")));
+    catalog.settle(&known);
+    assert_eq!(in_force(&catalog), Some((9, "v2".to_owned())));
+}
--- /dev/null
+++ b/fulmarreel-distribution/tests/distribution/duty.rs
@@ -0,0 +1,72 @@
+//! Who watches the store, and how attempts are spaced.
+
+use fastrand::Rng;
+use fulmarreel_distribution::{
+    backoff::Backoff,
+    duty::{Scope, Situation, relieved, wanted},
+    freshness::Freshness,
+};
+use rstest::rstest;
+use std::time::{Duration, Instant};
+
+const LAST: usize = usize::MAX;
+
+/// Fails with `WATCHERS` of one, without the check of `region_rank`, and without `ZONE_PATIENCE`.
+#[rstest]
+#[case::region_has_none(0, 0, LAST, Some(0), Some(Scope::Region))]
+#[case::region_has_one(1, 2, LAST, Some(0), Some(Scope::Region))]
+#[case::not_its_turn(0, LAST, LAST, Some(0), None)]
+#[case::region_has_two(2, 0, 0, Some(0), None)]
+#[case::contact_is_old(2, 0, 0, Some(9_000), Some(Scope::Zone))]
+#[case::contact_is_old_but_not_its_turn(2, 0, LAST, Some(9_000), None)]
+#[case::never_heard_of_a_contact(2, 0, 0, None, Some(Scope::Zone))]
+fn few_nodes_try_to_watch(
+    #[case] region_watchers: usize,
+    #[case] region_rank: usize,
+    #[case] zone_rank: usize,
+    #[case] contact_ms: Option<u64>,
+    #[case] expected: Option<Scope>,
+) {
+    let situation = Situation {
+        region_watchers,
+        region_rank,
+        zone_rank,
+        contact: contact_ms.map(Duration::from_millis),
+        waited: Duration::from_secs(60),
+    };
+    assert_eq!(wanted(&situation), expected);
+    assert_eq!(relieved(&situation), contact_ms == Some(0));
+}
+
+/// Fails with `max` for `min` in `Backoff::next`, and without the doubling.
+#[test]
+fn pauses_grow_up_to_a_limit_and_are_spread() {
+    let (least, most) = (Duration::from_millis(100), Duration::from_secs(2));
+    let mut rng = Rng::with_seed(5);
+    let mut sums = [Duration::ZERO; 40];
+    for _ in 0..200 {
+        let mut backoff = Backoff::new(least, most);
+        for sum in &mut sums {
+            let pause = backoff.next(&mut rng);
+            assert!(pause <= most);
+            *sum += pause;
+        }
+    }
+    let mean = |index: usize| sums[index] / 200;
+    assert!(mean(0) < least, "{:?}", mean(0));
+    assert!(mean(39) > Duration::from_millis(800), "{:?}", mean(39));
+    assert!(mean(39) < Duration::from_millis(1_200), "{:?}", mean(39));
+}
+
+/// Fails with the last word taken in place of the latest contact in `Freshness::hear`.
+#[test]
+fn the_latest_contact_counts() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let mut freshness = Freshness::default();
+    assert_eq!(freshness.age(now), None);
+    freshness.hear(Duration::from_secs(2), now);
+    freshness.hear(Duration::from_secs(9), now);
+    assert_eq!(freshness.age(now), Some(Duration::from_secs(2)));
+    freshness.touch(now);
+    assert_eq!(freshness.age(now), Some(Duration::ZERO));
+}
--- /dev/null
+++ b/fulmarreel-distribution/tests/distribution/log.rs
@@ -0,0 +1,129 @@
+//! Entries at their highest revision, and their comparison.
+
+use fulmarreel_distribution::{Entry, Log, Verdict, Verdicts};
+use rstest::rstest;
+
+pub fn entry(key: &str, revision: u64, value: Option<&str>) -> Entry {
+    Entry {
+        key: key.to_owned(),
+        revision,
+        value: value.map(|value| value.as_bytes().into()),
+    }
+}
+
+/// One comparison, with the steps that the nodes take over TCP; what the second learns comes first.
+pub fn compare(one: &mut Log, other: &mut Log) {
+    let buckets = other.differing(&one.buckets());
+    let summary = other.summary(&buckets).into_iter();
+    let summary = summary
+        .map(|(key, revision)| (key.to_owned(), revision))
+        .collect();
+    let difference = one.compare(&buckets, &summary);
+    for key in &difference.want {
+        one.offer(&other.get(key).unwrap().clone());
+    }
+    for entry in &difference.send {
+        other.offer(entry);
+    }
+}
+
+/// Fails with `>` for `>=` in `Log::offer`, and with the comparison left out.
+#[rstest]
+#[case::older(3, Some("old"), false)]
+#[case::repeated(5, Some("other"), false)]
+#[case::older_deletion(4, None, false)]
+#[case::newer(6, Some("new"), true)]
+#[case::newer_deletion(6, None, true)]
+fn the_highest_revision_stays(
+    #[case] revision: u64,
+    #[case] value: Option<&str>,
+    #[case] taken: bool,
+) {
+    let mut log = Log::default();
+    assert!(log.offer(&entry("a", 5, Some("known"))));
+    assert_eq!(log.offer(&entry("a", revision, value)), taken);
+    let expected = if taken {
+        entry("a", revision, value)
+    } else {
+        entry("a", 5, Some("known"))
+    };
+    assert_eq!(log.get("a"), Some(&expected));
+}
+
+/// Fails without `entry.revision <= revision` in `Log::deletions`: a listing that is older than
+/// what is known would delete it.
+#[rstest]
+#[case::listing_is_newer(9, &["p/b"])]
+#[case::listing_is_older(4, &[])]
+fn a_listing_reveals_deletions(#[case] revision: u64, #[case] deleted: &[&str]) {
+    let mut log = Log::default();
+    log.offer(&entry("p/a", 2, Some("1")));
+    log.offer(&entry("p/b", 5, Some("2")));
+    log.offer(&entry("p/c", 3, None));
+    log.offer(&entry("q/a", 1, Some("3")));
+    let listed = [entry("p/a", 2, Some("1"))];
+    let deletions = log.deletions("p/", revision, &listed);
+    let keys: Vec<&str> = deletions.iter().map(|entry| entry.key.as_str()).collect();
+    assert_eq!(keys, deleted);
+    assert!(
+        deletions
+            .iter()
+            .all(|entry| entry.revision == revision && entry.value.is_none())
+    );
+}
+
+/// Fails without the removal of the earlier revision's part in `Log::offer`.
+#[test]
+fn the_hash_says_what_is_held_and_not_how_it_came() {
+    let (mut one, mut other) = (Log::default(), Log::default());
+    for revision in [1, 2, 3] {
+        one.offer(&entry("a", revision, Some("x")));
+    }
+    one.offer(&entry("b", 4, None));
+    other.offer(&entry("b", 4, None));
+    other.offer(&entry("a", 3, Some("x")));
+    assert_eq!(one.hash(), other.hash());
+    other.offer(&entry("a", 5, Some("x")));
+    assert_ne!(one.hash(), other.hash());
+}
+
+/// Fails without the entries that only one side knows in `Log::compare`.
+#[test]
+fn one_comparison_brings_both_sides_to_the_same_entries() {
+    let (mut one, mut other) = (Log::default(), Log::default());
+    for number in 0..100u64 {
+        let key = format!("k{number}");
+        one.offer(&entry(&key, 1, Some("1")));
+        if number % 7 != 0 {
+            let revision = 1 + number % 3;
+            other.offer(&entry(&key, revision, Some(&revision.to_string())));
+        }
+    }
+    other.offer(&entry("only-other", 9, None));
+    compare(&mut one, &mut other);
+    assert_eq!(one.hash(), other.hash());
+    assert!(one.entries().eq(other.entries()));
+}
+
+/// Fails with the revision left out of `Verdicts::hash`.
+#[test]
+fn verdicts_are_a_set_whatever_their_order() {
+    let verdict = |revision| Verdict {
+        service: "reservas".to_owned(),
+        revision,
+        version: "v2".to_owned(),
+    };
+    let (mut one, mut other) = (Verdicts::default(), Verdicts::default());
+    for revision in [4, 7, 4] {
+        one.offer(&verdict(revision));
+    }
+    other.offer(&verdict(7));
+    assert_ne!(one.hash(), other.hash());
+    assert!(other.offer(&verdict(4)));
+    assert!(!other.offer(&verdict(4)));
+    assert_eq!(one.hash(), other.hash());
+    assert!(!one.contains(&verdict(5)));
+    one.offer(&verdict(5));
+    other.offer(&verdict(6));
+    assert_ne!(one.hash(), other.hash());
+}
--- /dev/null
+++ b/fulmarreel-distribution/tests/distribution/schedule.rs
@@ -0,0 +1,137 @@
+//! Seeded random schedules: a store's history reaches nodes lossy, doubled and out of order.
+
+use super::log::{compare, entry};
+use fastrand::Rng;
+use fulmarreel_distribution::{
+    Catalog, Entry, Log,
+    catalog::{Outcome, Targets},
+};
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+const SERVICES: [&str; 3] = ["parcelas", "reservas", "agronomia"];
+
+struct Node {
+    log: Log,
+    catalog: Catalog,
+    targets: Targets,
+    /// The revision in force last, by service.
+    seen: BTreeMap<String, u64>,
+}
+
+impl Node {
+    fn new() -> Self {
+        let mut targets = Targets::default();
+        for service in SERVICES {
+            targets.add(service, "v1");
+        }
+        Self {
+            log: Log::default(),
+            catalog: Catalog::default(),
+            targets,
+            seen: BTreeMap::new(),
+        }
+    }
+
+    fn take(&mut self, entry: &Entry, history: &[Entry]) {
+        if self.log.offer(entry) {
+            let value = entry.value.as_deref();
+            let outcome = self.catalog.offer(&entry.key, entry.revision, value);
+            assert!(!matches!(outcome, Outcome::Older));
+        }
+        self.check(history);
+    }
+
+    /// Revisions in force only rise, and each is the whole document of its revision.
+    fn check(&mut self, history: &[Entry]) {
+        self.catalog.settle(&self.targets);
+        for (service, revised) in self.catalog.in_force() {
+            let before = self.seen.insert(service.to_owned(), revised.revision);
+            assert!(
+                before.unwrap_or(0) <= revised.revision,
+                "{service} fell back"
+            );
+            let accepted = history
+                .iter()
+                .find(|entry| entry.revision == revised.revision);
+            let text = accepted.and_then(|entry| entry.value.as_deref()).unwrap();
+            let document = fulmarreel_document::parse(std::str::from_utf8(text).unwrap()).unwrap();
+            assert_eq!(*revised.document, document);
+        }
+    }
+}
+
+fn value(service: &str, revision: u64, rng: &mut Rng) -> Option<String> {
+    match rng.u32(..10) {
+        0 => None,
+        1 => Some("{ malformed".to_owned()),
+        2 => Some(format!(
+            r#"{{ "service": "{service}", "version": "v9", "routes": [{{ "path": "/" }}] }}"#
+        )),
+        _ => Some(format!(
+            r#"{{ "service": "{service}", "version": "v1", "routes": [{{ "path": "/r{revision}" }}] }}"#
+        )),
+    }
+}
+
+/// Fails without the comparison of revisions in `Log::offer`, and with deletions left out of
+/// `Log::summary`.
+#[rstest]
+fn no_node_falls_back_and_all_agree(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut rng = Rng::with_seed(seed);
+    let mut nodes: Vec<Node> = (0..5).map(|_| Node::new()).collect();
+    let mut history: Vec<Entry> = Vec::new();
+    let mut under_way: Vec<(usize, Entry)> = Vec::new();
+    for revision in 1..200u64 {
+        let service = *rng.choice(&SERVICES).unwrap();
+        let value = value(service, revision, &mut rng);
+        history.push(entry(service, revision, value.as_deref()));
+        for index in 0..nodes.len() {
+            // Three in ten are lost, the others may come twice.
+            for _ in 0..rng.usize(..3) {
+                under_way.push((index, history[history.len() - 1].clone()));
+            }
+        }
+        rng.shuffle(&mut under_way);
+        let kept = under_way.len().saturating_sub(rng.usize(..12));
+        for (index, entry) in under_way.split_off(kept) {
+            nodes[index].take(&entry, &history);
+        }
+        if rng.u32(..10) == 0 {
+            // A restart: the process knows nothing, and starts from a peer.
+            let index = rng.usize(..nodes.len());
+            nodes[index] = Node::new();
+        }
+        meet(&mut nodes, &history, &mut rng);
+    }
+    // The last deletion reaches one node alone.
+    history.push(entry(SERVICES[0], 200, None));
+    nodes[0].take(&history[history.len() - 1], &history);
+    for _ in 0..60 {
+        meet(&mut nodes, &history, &mut rng);
+    }
+    let hashes: Vec<u64> = nodes.iter().map(|node| node.log.hash()).collect();
+    assert!(hashes.iter().all(|hash| *hash == hashes[0]), "{hashes:?}");
+}
+
+/// Two random nodes compare what they hold.
+fn meet(nodes: &mut [Node], history: &[Entry], rng: &mut Rng) {
+    let (one, other) = (rng.usize(..nodes.len()), rng.usize(..nodes.len()));
+    if one == other {
+        return;
+    }
+    let mut logs = [one, other].map(|index| std::mem::take(&mut nodes[index].log));
+    let (left, right) = logs.split_at_mut(1);
+    compare(&mut left[0], &mut right[0]);
+    for (index, log) in [one, other].into_iter().zip(logs) {
+        let entries: Vec<Entry> = log.entries().cloned().collect();
+        nodes[index].log = log;
+        for entry in &entries {
+            let value = entry.value.as_deref();
+            nodes[index]
+                .catalog
+                .offer(&entry.key, entry.revision, value);
+        }
+        nodes[index].check(history);
+    }
+}
