--- a/fulmarreel-distribution/tests/distribution/schedule.rs
+++ b/fulmarreel-distribution/tests/distribution/schedule.rs
@@ -74,8 +74,7 @@
     }
 }
 
-/// Fails without the comparison of revisions in `Log::offer`, and with deletions left out of
-/// `Log::summary`.
+/// Fails without the comparison of revisions in `Log::offer`, and with deletions refused there.
 #[rstest]
 fn no_node_falls_back_and_all_agree(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
     let mut rng = Rng::with_seed(seed);
