--- a/fulmarreel-distribution/tests/distribution/schedule.rs
+++ b/fulmarreel-distribution/tests/distribution/schedule.rs
@@ -111,6 +111,8 @@
     }
     let hashes: Vec<u64> = nodes.iter().map(|node| node.log.hash()).collect();
     assert!(hashes.iter().all(|hash| *hash == hashes[0]), "{hashes:?}");
+    let still = |node: &Node| node.catalog.in_force().any(|(name, _)| name == SERVICES[0]);
+    assert!(!nodes.iter().any(still), "the last deletion did not spread");
 }
 
 /// Two random nodes compare what they hold.
