--- a/fulmarreel-node/tests/node/settings.rs
+++ b/fulmarreel-node/tests/node/settings.rs
@@ -90,3 +90,12 @@
     let error = parse(&WHOLE.replacen(part, by, 1)).unwrap_err();
     assert_eq!(error.to_string(), expected);
 }
+
+#[test]
+fn the_example_settings_are_accepted() {
+    let path = concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../examples/settings/node.jsonc"
+    );
+    fulmarreel_node::settings::load(path.as_ref()).unwrap();
+}
--- a/fulmarreel/tests/cli.rs
+++ b/fulmarreel/tests/cli.rs
@@ -2,6 +2,8 @@
 
 #[path = "cli/apply.rs"]
 mod apply;
+#[path = "cli/examples.rs"]
+mod examples;
 #[path = "cli/refuse.rs"]
 mod refuse;
 #[path = "cli/status.rs"]
