--- /dev/null
+++ b/fulmarreel-testing/examples/quickstart/deployment.rs
@@ -0,0 +1,192 @@
+//! A small part of the Tlaxcala deployment: two availability zones, two services.
+
+use super::{
+    moves::{Shift, VERSION},
+    watch,
+};
+use anyhow::{Context, ensure};
+use fulmarreel_testing::{
+    load::{Caller, Options, Outcome},
+    process::{Mesh, eventually},
+    target::Control,
+};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+/// The availability zones with their regions.
+const ZONES: [(&str, &str); 2] = [("altiplano", "alt-apizaco"), ("golfo", "gol-xalapa")];
+
+/// The services that are started; bookings are the non-idempotent ones.
+const SERVICES: [&str; 2] = ["parcelas", "reservas"];
+
+/// One answer in that many of the bad version is an error.
+const BAD_ERROR_EVERY: u64 = 2;
+
+/// How often each named call ran, by service and version.
+#[derive(Debug, Default)]
+pub struct Executions {
+    /// Bookings, over all versions.
+    pub bookings: BTreeMap<String, u64>,
+    /// Calls that ran at the bad version.
+    pub bad: u64,
+}
+
+/// The processes and their places.
+#[derive(Debug)]
+pub struct Deployment {
+    pub mesh: Mesh,
+    /// Service and version of each place.
+    targets: Vec<(&'static str, &'static str)>,
+    /// Places that callers are sent to.
+    entrances: usize,
+}
+
+impl Deployment {
+    /// Starts the store, and a node with a target of each service in each availability zone.
+    pub fn start() -> anyhow::Result<Self> {
+        let mut deployment = Self {
+            mesh: Mesh::start()?,
+            targets: Vec::new(),
+            entrances: 0,
+        };
+        for service in SERVICES {
+            deployment.add(service, "v1")?;
+        }
+        deployment.entrances = deployment.targets.len();
+        Ok(deployment)
+    }
+
+    fn add(&mut self, service: &'static str, version: &'static str) -> anyhow::Result<()> {
+        for (region, zone) in ZONES {
+            self.mesh.add(region, zone, service, version)?;
+            self.targets.push((service, version));
+        }
+        Ok(())
+    }
+
+    /// Writes the documents of both services into a folder.
+    pub fn documents(&self) -> anyhow::Result<PathBuf> {
+        let folder = self.mesh.folder().join("documents");
+        std::fs::create_dir_all(&folder)?;
+        for service in SERVICES {
+            let path = folder.join(format!("{service}.jsonc"));
+            std::fs::write(path, document(service, ""))?;
+        }
+        Ok(folder)
+    }
+
+    /// Writes a document that declares a move.
+    pub fn write_move(&self, shift: &Shift) -> anyhow::Result<PathBuf> {
+        let path = self
+            .mesh
+            .folder()
+            .join(format!("move-{}.jsonc", shift.service));
+        std::fs::write(&path, document(shift.service, &shift.declaration()))?;
+        Ok(path)
+    }
+
+    /// Starts the new versions beside the old ones, the one of `reservas` with a fault.
+    pub async fn start_new_versions(&mut self) -> anyhow::Result<()> {
+        for service in SERVICES {
+            self.add(service, VERSION)?;
+        }
+        let fault = Control {
+            error_every: BAD_ERROR_EVERY,
+            ..Control::default()
+        };
+        let body = serde_json::to_string(&fault)?;
+        for (index, place) in self.mesh.places.iter().enumerate() {
+            if self.targets[index] == ("reservas", VERSION) {
+                let url = format!("http://{}/control", place.target_address);
+                eventually(|| watch::post(&url, &body)).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Where callers are sent.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let places = self.mesh.places.iter().take(self.entrances);
+        places.map(|place| place.callers).collect()
+    }
+
+    /// Where operators are served.
+    pub fn admins(&self) -> Vec<SocketAddr> {
+        self.mesh.places.iter().map(|place| place.admin).collect()
+    }
+
+    /// Waits until every node answers calls to every service.
+    pub async fn serving(&self) -> anyhow::Result<()> {
+        for node in self.callers() {
+            for service in SERVICES {
+                let caller = Caller::new(&Options {
+                    nodes: vec![node],
+                    service: service.to_owned(),
+                    path: format!("/{service}"),
+                    rate: 1.0,
+                    duration: Duration::ZERO,
+                    sizes: Vec::new(),
+                    prefix: String::new(),
+                    timeout: Duration::from_secs(2),
+                });
+                eventually(|| async {
+                    let call = caller.call(0, "first", 16, Instant::now()).await;
+                    ensure!(call.outcome == Outcome::Answered, "{service}: {call:?}");
+                    Ok(())
+                })
+                .await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells a node to leave, waits for its end, starts it again, and waits until it is ready.
+    pub async fn restart(&mut self, index: usize, patience: Duration) -> anyhow::Result<Duration> {
+        let start = Instant::now();
+        let place = &mut self.mesh.places[index];
+        place.node.signal("TERM")?;
+        place.node.wait(patience).context("the old process")?;
+        place.restart_node()?;
+        let url = format!("http://{}/ready", place.admin);
+        eventually(|| watch::get(&url)).await?;
+        Ok(start.elapsed())
+    }
+
+    /// How often each call ran.
+    pub async fn executions(&self) -> anyhow::Result<Executions> {
+        let mut executions = Executions::default();
+        for (place, (service, version)) in self.mesh.places.iter().zip(&self.targets) {
+            if *service != "reservas" {
+                continue;
+            }
+            let text = watch::get(&format!("http://{}/executions", place.target_address)).await?;
+            let by_name: BTreeMap<String, u64> = serde_json::from_str(&text)?;
+            for (name, count) in by_name {
+                if *version == VERSION {
+                    executions.bad += count;
+                }
+                *executions.bookings.entry(name).or_default() += count;
+            }
+        }
+        // The calls that were sent until every node answered are not counted.
+        executions.bookings.remove("first");
+        Ok(executions)
+    }
+}
+
+fn document(service: &str, shift: &str) -> String {
+    let idempotent = service != "reservas";
+    format!(
+        r#"{{
+  "service": "{service}",
+  "version": "v1",
+  "routes": [{{ "path": "/{service}", "idempotent": {idempotent}, "timeout_ms": 5000 }}],
+  {shift}
+}}
+"#
+    )
+}
