fix(node): open to callers only once documents and their targets are known

The stand-in of a target names its version on error answers too, so that a run can tell whose errors they are. Ruled out: answering 503, which callers without retries would feel just the same.

--- a/fulmarreel-node/src/admin/belief.rs
+++ b/fulmarreel-node/src/admin/belief.rs
@@ -1,13 +1,14 @@
 //! What this node believes, as operators read it.
 
 use crate::{
+    opening,
     state::{Published, Service, State},
     telemetry::metrics,
 };
 use fulmarreel_membership::{Claim, Status};
 use fulmarreel_rollout::Publication;
 use serde::Serialize;
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
 
 /// What this node believes.
 #[derive(Debug, Serialize)]
@@ -68,12 +69,13 @@
             .map(|(name, service)| (name.to_owned(), Document::from(service)));
         let held = state.held().into_iter();
         let age = state.contact_age();
+        let ready = opening::check(state, Instant::now());
         Self {
             address: state.settings.advertise,
             zone: state.settings.zone.clone(),
             region: state.settings.region.clone(),
-            ready: state.ready().is_ok(),
-            waiting: state.ready().err().map(|reason| reason.to_string()),
+            ready: ready.is_ok(),
+            waiting: ready.err().map(|reason| reason.to_string()),
             store_contact_age_ms: age.map(|age| age.as_millis() as u64),
             documents: documents.collect(),
             held: held
@@ -154,7 +156,7 @@
 
 /// Sets the metrics that show beliefs.
 pub(super) fn record(state: &State) {
-    metrics::ready(state.ready().is_ok());
+    metrics::ready(opening::check(state, Instant::now()).is_ok());
     metrics::held(state.held().len());
     if let Some(age) = state.contact_age() {
         metrics::store_contact_age(age);
--- a/fulmarreel-node/src/admin/mod.rs
+++ b/fulmarreel-node/src/admin/mod.rs
@@ -3,9 +3,9 @@
 mod announce;
 mod belief;
 
-use crate::{state::State, telemetry::metrics};
+use crate::{opening, state::State, telemetry::metrics};
 use belief::Belief;
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 use trillium::{Conn, KnownHeaderName, Method, Status};
 
 /// The content type of the Prometheus text format.
@@ -32,7 +32,7 @@
 
 /// Says whether callers may be sent here, and if not, why.
 fn readiness(state: &State, conn: Conn) -> Conn {
-    match state.ready() {
+    match opening::check(state, Instant::now()) {
         Ok(()) => conn.ok("ready\n"),
         Err(reason) => conn
             .with_status(Status::ServiceUnavailable)
--- a/fulmarreel-node/src/lib.rs
+++ b/fulmarreel-node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gossip;
 pub mod ingress;
 pub mod leave;
+pub mod opening;
 pub mod peer;
 pub mod run;
 pub mod runtime;
--- a/fulmarreel-node/src/run.rs
+++ b/fulmarreel-node/src/run.rs
@@ -3,7 +3,7 @@
 use crate::{
     admin, gossip,
     ingress::{self, Ingress},
-    leave, runtime,
+    leave, opening, runtime,
     serve::Server,
     settings::Settings,
     state::State,
@@ -36,12 +36,7 @@
         async move { admin::handle(&state, conn).await }
     });
     let ingress = Arc::new(Ingress::new(Arc::clone(&state)));
-    let accepting = Arc::clone(&ingress);
-    runtime::spawn(async move {
-        if let Err(error) = ingress::listen(accepting).await {
-            log::error!("callers: {error}");
-        }
-    });
+    let callers = accept_callers(Arc::clone(&state), Arc::clone(&ingress));
     let syncing = Arc::clone(&state);
     runtime::spawn(async move { sync::run(syncing).await });
     let gossiping = Arc::clone(&state);
@@ -53,7 +48,15 @@
     let server = Arc::new(Server::new(Arc::clone(&state), client));
     let serving = Arc::clone(&server);
     let leaving = leave::run(state, server, ingress);
-    or(serving.run(), leaving).await
+    or(serving.run(), or(callers, leaving)).await
+}
+
+/// Accepts callers once the node knows enough; ends only where it cannot.
+async fn accept_callers(state: Arc<State>, ingress: Arc<Ingress>) -> io::Result<()> {
+    opening::wait(&state).await;
+    log::info!(address:% = state.settings.callers; "open to callers");
+    ingress::listen(ingress).await?;
+    std::future::pending().await
 }
 
 fn listen(address: SocketAddr, handler: impl Handler) {
--- a/fulmarreel-node/tests/node/program.rs
+++ b/fulmarreel-node/tests/node/program.rs
@@ -1,6 +1,6 @@
 use anyhow::{Context, ensure};
 use fulmarreel_testing::process::{Mesh, eventually};
-use std::{net::SocketAddr, process::Command};
+use std::{net::SocketAddr, process::Command, time::Duration};
 
 async fn read(address: SocketAddr, path: &str) -> anyhow::Result<(u16, String)> {
     let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
@@ -66,3 +66,38 @@
     assert!(shown.starts_with(error), "{shown}");
     assert!(shown.lines().count() <= 1, "{shown}");
 }
+
+/// Fails where a node accepts callers before it knows documents and their targets: seen with
+/// `opening::wait` left out of `run`, which answers 404.
+#[test]
+fn the_first_call_that_a_restarted_node_takes_is_answered() -> anyhow::Result<()> {
+    let mut mesh = Mesh::start()?;
+    mesh.add("altiplano", "alt-apizaco", "reservas", "v1")?;
+    let other = mesh.add("altiplano", "alt-huamantla", "parcelas", "v1")?;
+    let document = r#"{ "service": "reservas", "version": "v1", "routes": [{ "path": "/" }] }"#;
+    mesh.apply("reservas.jsonc", document)?;
+    let callers = mesh.places[other].callers;
+    let call = || async {
+        let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
+        let conn = client
+            .post(format!("http://{callers}/"))
+            .with_request_header("x-fulmarreel-service", "reservas")
+            .with_body("x")
+            .await?;
+        Ok(conn.status().context("no status")? as u16)
+    };
+    smol::block_on(async {
+        eventually(|| async {
+            ensure!(call().await? == 200);
+            Ok(())
+        })
+        .await?;
+        mesh.places[other].node.signal("TERM")?;
+        mesh.places[other].node.wait(Duration::from_secs(60))?;
+        mesh.places[other].restart_node()?;
+        // A refused connection is an error, which is tried again; any answer ends the tries.
+        let first = eventually(call).await?;
+        ensure!(first == 200, "{first}");
+        Ok(())
+    })
+}
--- a/fulmarreel-testing/examples/quickstart/main.rs
+++ b/fulmarreel-testing/examples/quickstart/main.rs
@@ -17,6 +17,7 @@
 use moves::{BAD, Ends, GOOD};
 use std::{
     net::SocketAddr,
+    process::ExitCode,
     time::{Duration, Instant},
 };
 use verdict::{Verdict, Watched};
@@ -39,8 +40,14 @@
 /// How long a node may take to leave in order.
 const LEAVE_TIME: Duration = Duration::from_secs(40);
 
-fn main() -> anyhow::Result<()> {
-    smol::block_on(run())
+fn main() -> ExitCode {
+    match smol::block_on(run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("quickstart: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
 
 async fn run() -> anyhow::Result<()> {
--- a/fulmarreel-testing/src/target/mod.rs
+++ b/fulmarreel-testing/src/target/mod.rs
@@ -121,12 +121,12 @@
     if control.delay_ms > 0 {
         Timer::after(Duration::from_millis(control.delay_ms)).await;
     }
+    let mut conn = conn.with_response_header("x-version", stand.options.version.clone());
     if control.error_every > 0 && number.is_multiple_of(control.error_every) {
         return conn
             .with_status(Status::InternalServerError)
             .with_body("fault");
     }
-    let mut conn = conn.with_response_header("x-version", stand.options.version.clone());
     if let Some(name) = name {
         conn.response_headers_mut().insert(CALL_HEADER, name);
     }
