--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -9,9 +9,7 @@
 mod route;
 
 pub use listen::listen;
-pub use request::{
-    ATTEMPT_HEADER, DEADLINE_HEADER, DEPTH_HEADER, IDEMPOTENCY_HEADER, MAX_REQUEST_BYTES,
-};
+pub use request::{ATTEMPT_HEADER, DEADLINE_HEADER, DEPTH_HEADER, IDEMPOTENCY_HEADER};
 pub use respond::OUTCOME_HEADER;
 
 pub(crate) use request::is_hop;
@@ -122,7 +120,8 @@
     }
 
     async fn serve(&self, mut conn: Conn) -> Conn {
-        let request = match Request::read(&mut conn).await {
+        let limit = self.state.settings.limits.request_bytes;
+        let request = match Request::read(&mut conn, limit).await {
             Ok(request) => request,
             Err(error) => return respond::refuse(conn, Status::BadRequest, &error.to_string()),
         };
--- a/fulmarreel-node/src/ingress/request.rs
+++ b/fulmarreel-node/src/ingress/request.rs
@@ -21,9 +21,6 @@
 /// Names a call that its caller may repeat, and that is to run once.
 pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 
-/// The largest request body in bytes.
-pub const MAX_REQUEST_BYTES: u64 = 8 * 1_048_576;
-
 /// The longest chain of calls; a longer one is a loop.
 const MAX_DEPTH: u8 = 32;
 
@@ -53,8 +50,11 @@
     #[error("the call names no service")]
     NoService,
     /// The caller stopped sending, or sent too much.
-    #[error("the request body is incomplete or longer than {MAX_REQUEST_BYTES} bytes")]
-    Body,
+    #[error("the request body is incomplete or longer than {limit} bytes")]
+    Body {
+        /// The largest body that is accepted.
+        limit: u64,
+    },
     /// A number is none.
     #[error("header {name}: a number is expected")]
     Number {
@@ -87,8 +87,8 @@
 }
 
 impl Request {
-    /// Reads a request to its end.
-    pub async fn read(conn: &mut Conn) -> Result<Self, Error> {
+    /// Reads a request to its end; its body may have `limit` bytes.
+    pub async fn read(conn: &mut Conn, limit: u64) -> Result<Self, Error> {
         let arrived = Instant::now();
         let headers = conn.request_headers();
         let service = service(conn).ok_or(Error::NoService)?;
@@ -104,8 +104,8 @@
             None => fastrand::u64(..),
         };
         let headers = end_to_end(headers);
-        let body = conn.request_body().with_max_len(MAX_REQUEST_BYTES);
-        let body = body.read_bytes().await.map_err(|_| Error::Body)?;
+        let body = conn.request_body().with_max_len(limit);
+        let body = body.read_bytes().await.map_err(|_| Error::Body { limit })?;
         Ok(Self {
             service,
             method: conn.method().as_str(),
--- a/fulmarreel-node/src/serve/connection.rs
+++ b/fulmarreel-node/src/serve/connection.rs
@@ -4,7 +4,7 @@
     Server, call,
     opener::{Kept, Session},
 };
-use crate::{ingress::MAX_REQUEST_BYTES, peer::stream, sync};
+use crate::{peer::stream, sync};
 use fulmarreel_call::{Fate, Opener, ledger::Cancellation};
 use fulmarreel_wire::{
     Hello, PROTOCOL, Purpose,
@@ -90,10 +90,11 @@
 
 impl Connection {
     async fn read_frames(mut self, tcp: TcpStream) -> io::Result<()> {
+        let limit = self.server.state.settings.limits.request_bytes;
         let mut tcp = BufReader::new(tcp);
         loop {
             match stream::read(&mut tcp).await? {
-                Frame::Open(open) if open.length > MAX_REQUEST_BYTES => {
+                Frame::Open(open) if open.length > limit => {
                     self.refuse_arriving(open.sequence, Refusal::Incomplete)
                         .await;
                 }
--- a/fulmarreel-node/tests/node/program.rs
+++ b/fulmarreel-node/tests/node/program.rs
@@ -67,6 +67,43 @@
     assert!(shown.lines().count() <= 1, "{shown}");
 }
 
+/// Fails where the limit of the settings is not the one that requests are held to.
+#[test]
+fn a_request_over_the_limit_of_the_settings_is_refused() -> anyhow::Result<()> {
+    let mut mesh = Mesh::start()?;
+    let index = mesh.add("altiplano", "alt-apizaco", "reservas", "v1")?;
+    let place = &mut mesh.places[index];
+    let mut settings: serde_json::Value =
+        serde_json::from_str(&std::fs::read_to_string(&place.settings)?)?;
+    settings["limits"] = serde_json::json!({ "request_bytes": 10 });
+    std::fs::write(&place.settings, settings.to_string())?;
+    let ready = || async {
+        ensure!(read(place.admin, "/ready").await?.0 == 200);
+        Ok(())
+    };
+    smol::block_on(eventually(ready))?;
+    place.node.signal("TERM")?;
+    place.node.wait(Duration::from_secs(60))?;
+    place.restart_node()?;
+    let callers = place.callers;
+    let send = |bytes: usize| async move {
+        let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
+        let url = format!("http://{callers}/");
+        let conn = client
+            .post(url)
+            .with_request_header("x-fulmarreel-service", "reservas")
+            .with_body("x".repeat(bytes))
+            .await?;
+        Ok(conn.status().context("no status")? as u16)
+    };
+    smol::block_on(async {
+        let (within, over) = (eventually(|| send(10)).await?, send(11).await?);
+        // No document is known, so a request that is read whole has no route.
+        ensure!((within, over) == (404, 400), "{within} {over}");
+        Ok(())
+    })
+}
+
 /// Fails where a node accepts callers before it knows documents and their targets: seen with
 /// `opening::wait` left out of `run`, which answers 404.
 #[test]
