--- /dev/null
+++ b/fulmarreel-testing/examples/slopes.rs
@@ -0,0 +1,333 @@
+//! Runs fleets of several sizes and prints, for each, what one node and the store spend.
+//!
+//! `slopes [--sizes 10,20,40] [--services 20] [--idle-seconds 20] [--busy-seconds 30]
+//! [--changes 20] [--restarts 4]`; the output is CSV.
+
+use anyhow::{Context, ensure};
+use fulmarreel_testing::process::{
+    Fleet,
+    fleet::{Zone, history::Recorder},
+};
+use smol::Timer;
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// Zones and regions of both users' sizes of today.
+const ZONES: [Zone; 4] = [
+    Zone {
+        region: "altiplano",
+        zone: "alt-apizaco",
+    },
+    Zone {
+        region: "golfo",
+        zone: "gol-xalapa",
+    },
+    Zone {
+        region: "altiplano",
+        zone: "alt-huamantla",
+    },
+    Zone {
+        region: "golfo",
+        zone: "gol-cordoba",
+    },
+];
+
+/// How long a fleet may take to become ready.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Routes of each document, which set its size.
+const ROUTES: usize = 12;
+
+/// Ticks of the clock that the kernel counts processor time by, in a second.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+struct Options {
+    sizes: Vec<usize>,
+    services: usize,
+    idle: Duration,
+    busy: Duration,
+    changes: u32,
+    restarts: u32,
+}
+
+/// What has been spent up to one moment.
+struct Spent {
+    at: Instant,
+    /// Processor seconds of each node that runs since before.
+    processor: BTreeMap<u32, f64>,
+    /// Control bytes sent, by kind and distance.
+    bytes: BTreeMap<(String, String), f64>,
+    store: BTreeMap<String, u64>,
+}
+
+fn main() -> anyhow::Result<()> {
+    let mut arguments = pico_args::Arguments::from_env();
+    let sizes: Option<String> = arguments.opt_value_from_str("--sizes")?;
+    let seconds = |given: Option<u64>, default| Duration::from_secs(given.unwrap_or(default));
+    let options = Options {
+        sizes: sizes
+            .unwrap_or_else(|| "10,20,40,80".to_owned())
+            .split(',')
+            .map(str::parse)
+            .collect::<Result<_, _>>()?,
+        services: arguments.opt_value_from_str("--services")?.unwrap_or(20),
+        idle: seconds(arguments.opt_value_from_str("--idle-seconds")?, 20),
+        busy: seconds(arguments.opt_value_from_str("--busy-seconds")?, 30),
+        changes: arguments.opt_value_from_str("--changes")?.unwrap_or(20),
+        restarts: arguments.opt_value_from_str("--restarts")?.unwrap_or(4),
+    };
+    let rest = arguments.finish();
+    ensure!(rest.is_empty(), "unknown arguments: {rest:?}");
+    println!("nodes,load,measure,value");
+    for size in &options.sizes {
+        smol::block_on(run(*size, &options)).with_context(|| format!("{size} nodes"))?;
+    }
+    Ok(())
+}
+
+async fn run(size: usize, options: &Options) -> anyhow::Result<()> {
+    let mut fleet = Fleet::start(&ZONES, size)?;
+    for index in 0..size {
+        fleet.announce(index, &service(index % options.services), "v1");
+    }
+    let services = options.services.min(size);
+    let mut revisions = Vec::new();
+    for number in 0..services {
+        let key = format!("fulmarreel/documents/{}", service(number));
+        revisions.push(fleet.put(&key, &document(number, 0)).await?);
+    }
+    let started = Instant::now();
+    await_ready(&fleet, services).await?;
+    row(
+        size,
+        "start",
+        "ready_seconds",
+        started.elapsed().as_secs_f64(),
+    );
+    Timer::after(Duration::from_secs(5)).await;
+    let before = spent(&fleet).await?;
+    Timer::after(options.idle).await;
+    report(size, "idle", &before, &spent(&fleet).await?);
+    memory(&fleet, size, "idle")?;
+    let before = spent(&fleet).await?;
+    let latencies = disturb(&mut fleet, services, options).await?;
+    report(size, "busy", &before, &spent(&fleet).await?);
+    memory(&fleet, size, "busy")?;
+    row(size, "busy", "changes_per_second", {
+        f64::from(options.changes) / options.busy.as_secs_f64()
+    });
+    row(size, "busy", "restarts_per_second", {
+        f64::from(options.restarts) / options.busy.as_secs_f64()
+    });
+    converged(size, latencies);
+    Ok(())
+}
+
+/// Changes documents and restarts nodes; returns how long each change took on each node.
+async fn disturb(
+    fleet: &mut Fleet,
+    services: usize,
+    options: &Options,
+) -> anyhow::Result<Vec<Duration>> {
+    let recorder = Recorder::start(fleet.nodes.iter().map(|node| node.admin));
+    let pause = options.busy / options.changes.max(1);
+    let mut written = Vec::new();
+    for change in 0..options.changes {
+        let number = change as usize % services;
+        let key = format!("fulmarreel/documents/{}", service(number));
+        let at = Instant::now();
+        let revision = fleet.put(&key, &document(number, change + 1)).await?;
+        written.push((service(number), revision, at));
+        if options.restarts > 0 && change % (options.changes / options.restarts).max(1) == 0 {
+            let index = fastrand::usize(3..fleet.nodes.len());
+            fleet.kill_node(index);
+            fleet.start_node(index)?;
+        }
+        Timer::after(pause).await;
+    }
+    Timer::after(Duration::from_secs(3)).await;
+    let mut latencies = Vec::new();
+    for (service, revision, at) in written {
+        let seen = recorder.first_seen(&service, revision);
+        ensure!(
+            seen.len() == fleet.nodes.len(),
+            "revision {revision} of {service} reached {} of {} nodes",
+            seen.len(),
+            fleet.nodes.len()
+        );
+        latencies.extend(seen.values().map(|seen| seen.duration_since(at)));
+    }
+    Ok(latencies)
+}
+
+async fn await_ready(fleet: &Fleet, services: usize) -> anyhow::Result<()> {
+    let deadline = Instant::now() + PATIENCE;
+    for index in 0..fleet.nodes.len() {
+        loop {
+            let view = fleet.view(index).await;
+            let ready = view.as_ref().is_ok_and(|view| {
+                let documents = view["documents"].as_object();
+                let members = view["members"].as_array();
+                view["ready"] == true
+                    && documents.is_some_and(|documents| documents.len() == services)
+                    && members.is_some_and(|members| members.len() == fleet.nodes.len())
+            });
+            if ready {
+                break;
+            }
+            ensure!(
+                Instant::now() < deadline,
+                "node {index} is not ready: {view:?}"
+            );
+            Timer::after(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
+async fn spent(fleet: &Fleet) -> anyhow::Result<Spent> {
+    let mut spent = Spent {
+        at: Instant::now(),
+        processor: BTreeMap::new(),
+        bytes: BTreeMap::new(),
+        store: fleet.store_counts().await?,
+    };
+    for (index, node) in fleet.nodes.iter().enumerate() {
+        let id = node.process.as_ref().context("a node is down")?.id();
+        spent.processor.insert(id, processor_seconds(id)?);
+        let metrics = fleet.metrics(index).await?;
+        for line in metrics.lines() {
+            if let Some((kind, distance, bytes)) = sent_bytes(line) {
+                *spent.bytes.entry((kind, distance)).or_default() += bytes;
+            }
+        }
+    }
+    Ok(spent)
+}
+
+/// The kind, distance and value of a counter of bytes sent.
+fn sent_bytes(line: &str) -> Option<(String, String, f64)> {
+    let labels = line.strip_prefix("fulmarreel_control_bytes_total{")?;
+    let (labels, value) = labels.split_once("} ")?;
+    let label = |name: &str| {
+        let start = labels.find(&format!("{name}=\""))? + name.len() + 2;
+        labels[start..].split('"').next().map(str::to_owned)
+    };
+    if label("direction")? != "sent" {
+        return None;
+    }
+    Some((label("kind")?, label("distance")?, value.parse().ok()?))
+}
+
+fn processor_seconds(id: u32) -> anyhow::Result<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
+    let fields = text.rsplit(") ").next().context("stat")?;
+    let ticks = fields.split(' ').skip(11).take(2).map(str::parse::<f64>);
+    let ticks: Result<Vec<f64>, _> = ticks.collect();
+    Ok(ticks?.iter().sum::<f64>() / TICKS_PER_SECOND)
+}
+
+fn report(size: usize, load: &str, before: &Spent, after: &Spent) {
+    let seconds = after.at.duration_since(before.at).as_secs_f64();
+    let per_node = |total: f64| total / seconds / size as f64;
+    let mut shares: Vec<f64> = after
+        .processor
+        .iter()
+        .filter_map(|(id, spent)| Some((spent - before.processor.get(id)?) / seconds * 100.0))
+        .collect();
+    shares.sort_by(f64::total_cmp);
+    row(
+        size,
+        load,
+        "processor_percent_median",
+        shares[shares.len() / 2],
+    );
+    row(
+        size,
+        load,
+        "processor_percent_worst",
+        shares[shares.len() - 1],
+    );
+    let mut all = 0.0;
+    for (label, bytes) in &after.bytes {
+        // A restarted node counts from zero.
+        let spent = (bytes - before.bytes.get(label).unwrap_or(&0.0)).max(0.0);
+        let (kind, distance) = label;
+        let name = format!("bytes_per_second.{kind}.{distance}");
+        row(size, load, &name, per_node(spent));
+        all += spent;
+    }
+    row(size, load, "bytes_per_second", per_node(all));
+    let mut calls = 0;
+    for (kind, count) in &after.store {
+        if kind == "open_watches" {
+            row(size, load, "store_open_watches", *count as f64);
+            continue;
+        }
+        calls += count - before.store.get(kind).unwrap_or(&0);
+    }
+    row(size, load, "store_calls_per_second", calls as f64 / seconds);
+}
+
+fn memory(fleet: &Fleet, size: usize, load: &str) -> anyhow::Result<()> {
+    let mut resident = Vec::new();
+    for node in &fleet.nodes {
+        let id = node.process.as_ref().context("a node is down")?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.split_whitespace().next());
+        resident.push(kib.context("VmRSS")?.parse::<f64>()? / 1_024.0);
+    }
+    resident.sort_by(f64::total_cmp);
+    row(
+        size,
+        load,
+        "resident_mib_median",
+        resident[resident.len() / 2],
+    );
+    row(
+        size,
+        load,
+        "resident_mib_worst",
+        resident[resident.len() - 1],
+    );
+    Ok(())
+}
+
+fn converged(size: usize, mut latencies: Vec<Duration>) {
+    latencies.sort();
+    let millis = |at: usize| latencies[at].as_secs_f64() * 1_000.0;
+    row(
+        size,
+        "busy",
+        "convergence_ms_median",
+        millis(latencies.len() / 2),
+    );
+    row(
+        size,
+        "busy",
+        "convergence_ms_worst",
+        millis(latencies.len() - 1),
+    );
+}
+
+fn row(size: usize, load: &str, measure: &str, value: f64) {
+    println!("{size},{load},{measure},{value:.2}");
+}
+
+fn service(number: usize) -> String {
+    format!("service-{number}")
+}
+
+fn document(number: usize, change: u32) -> String {
+    let routes: Vec<String> = (0..ROUTES)
+        .map(|route| format!(r#"{{ "path": "/route-{route}/{change}", "idempotent": true }}"#))
+        .collect();
+    format!(
+        "{{\n  // Change {change}.\n  \"service\": \"{}\",\n  \"version\": \"v1\",\n  \"routes\": [\n    {}\n  ]\n}}",
+        service(number),
+        routes.join(",\n    ")
+    )
+}
--- /dev/null
+++ b/fulmarreel-testing/src/process/fleet/mod.rs
@@ -0,0 +1,193 @@
+//! Many nodes as processes, with one stand-in that announces targets for all of them.
+
+mod announce;
+pub mod history;
+mod http;
+mod node;
+mod store;
+
+pub use http::request;
+pub use node::{Node, Zone};
+
+use super::{Process, free_address, mesh::await_listener};
+use announce::Announcer;
+use node::Settings;
+use serde_json::Value;
+use std::{net::SocketAddr, path::PathBuf};
+
+/// Nodes whose addresses the settings of all nodes name.
+const SEEDS: usize = 3;
+
+/// Many nodes, and a store.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The store; none while it is down for good.
+    pub store: Option<Process>,
+    /// Where the store is reached.
+    pub store_address: SocketAddr,
+    /// The nodes.
+    pub nodes: Vec<Node>,
+    announcer: Announcer,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    /// Starts a store and, spread evenly over the zones, so many nodes without targets.
+    ///
+    /// # Errors
+    ///
+    /// A process cannot be started.
+    pub fn start(zones: &[Zone], count: usize) -> anyhow::Result<Self> {
+        let mut fleet = Self::prepare(zones, count)?;
+        for index in 0..count {
+            fleet.start_node(index)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts a store alone, and prepares the nodes.
+    ///
+    /// # Errors
+    ///
+    /// The store cannot be started.
+    pub fn prepare(zones: &[Zone], count: usize) -> anyhow::Result<Self> {
+        let store_address = free_address()?;
+        let store = Process::start("store", &["--listen", &store_address.to_string()])?;
+        await_listener(store_address)?;
+        let name = format!(
+            "fulmarreel-fleet-{}-{}",
+            std::process::id(),
+            store_address.port()
+        );
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder)?;
+        let mut nodes = Vec::new();
+        for index in 0..count {
+            nodes.push(Node::reserve(zones[index % zones.len()])?);
+        }
+        let fleet = Self {
+            store: Some(store),
+            store_address,
+            nodes,
+            announcer: Announcer::start(),
+            folder,
+        };
+        fleet.write_settings()?;
+        Ok(fleet)
+    }
+
+    fn write_settings(&self) -> anyhow::Result<()> {
+        let seeds: Vec<SocketAddr> = self
+            .nodes
+            .iter()
+            .take(SEEDS)
+            .map(|node| node.peers)
+            .collect();
+        for node in &self.nodes {
+            let settings = Settings {
+                node,
+                store: self.store_address,
+                seeds: &seeds,
+            };
+            std::fs::write(self.settings_path(node), settings.text())?;
+        }
+        Ok(())
+    }
+
+    fn settings_path(&self, node: &Node) -> PathBuf {
+        self.folder
+            .join(format!("node-{}.jsonc", node.peers.port()))
+    }
+
+    /// Starts a node, or starts it again.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be started.
+    pub fn start_node(&mut self, index: usize) -> anyhow::Result<()> {
+        let path = self.settings_path(&self.nodes[index]);
+        let path = path.display().to_string();
+        let process = Process::start("fulmarreel-node", &["--settings", &path])?;
+        self.nodes[index].process = Some(process);
+        Ok(())
+    }
+
+    /// Kills a node without a word.
+    pub fn kill_node(&mut self, index: usize) {
+        self.nodes[index].process = None;
+    }
+
+    /// Announces a target to a node from now on, also after the node's restart.
+    pub fn announce(&self, index: usize, service: &str, version: &str) {
+        self.announcer
+            .add(self.nodes[index].admin, service, version);
+    }
+
+    /// Stops the announcements to a node.
+    pub fn silence(&self, index: usize) {
+        self.announcer.remove(self.nodes[index].admin);
+    }
+
+    /// What a node believes.
+    ///
+    /// # Errors
+    ///
+    /// It does not answer.
+    pub async fn view(&self, index: usize) -> anyhow::Result<Value> {
+        http::json(self.nodes[index].admin, "/view").await
+    }
+
+    /// A node's metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// It does not answer.
+    pub async fn metrics(&self, index: usize) -> anyhow::Result<String> {
+        let (_, body) = http::request(self.nodes[index].admin, "/metrics", None).await?;
+        Ok(String::from_utf8(body)?)
+    }
+
+    /// Calls that the store has counted, by kind.
+    ///
+    /// # Errors
+    ///
+    /// It does not answer.
+    pub async fn store_counts(&self) -> anyhow::Result<store::Counts> {
+        store::counts(self.store_address).await
+    }
+
+    /// Switches the store's faults.
+    ///
+    /// # Errors
+    ///
+    /// It does not answer, or does not know them.
+    pub async fn set_faults(&self, faults: &Value) -> anyhow::Result<()> {
+        let body = Some(faults.to_string());
+        http::request(self.store_address, "/faults", body).await?;
+        Ok(())
+    }
+
+    /// Writes a key; returns its revision.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer.
+    pub async fn put(&self, key: &str, value: &str) -> anyhow::Result<u64> {
+        store::put(self.store_address, key, value).await
+    }
+
+    /// Deletes a key; returns the revision of that.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer.
+    pub async fn delete(&self, key: &str) -> anyhow::Result<u64> {
+        store::delete(self.store_address, key).await
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- a/fulmarreel-testing/src/process/mesh.rs
+++ b/fulmarreel-testing/src/process/mesh.rs
@@ -140,7 +140,7 @@
 }
 
 /// Waits until something listens.
-fn await_listener(address: SocketAddr) -> anyhow::Result<()> {
+pub(super) fn await_listener(address: SocketAddr) -> anyhow::Result<()> {
     let deadline = Instant::now() + PATIENCE;
     while let Err(error) = TcpStream::connect(address) {
         if Instant::now() >= deadline {
--- a/fulmarreel-testing/src/process/mod.rs
+++ b/fulmarreel-testing/src/process/mod.rs
@@ -1,8 +1,10 @@
 //! Programs of this workspace as processes, ended by their ids.
 
+pub mod fleet;
 mod mesh;
 mod port;
 
+pub use fleet::Fleet;
 pub use mesh::{Mesh, Place, eventually};
 pub use port::free_address;
 
