fix(membership): a zone that does not answer is suspect elsewhere, and clear again in seconds

Found by a process test: the only node of a zone was frozen, and stayed in use everywhere, since only its own zone could doubt it. Pings to other zones now wait for their answer. After a cut the zone's nodes hear what is said of them with the first pings (30 of 30 alive after 8 s in the driver; without that not). Only relays still ping the seeds once others are known: 1,400 nodes would be 140 pings/s.

--- a/fulmarreel-membership/src/group/mod.rs
+++ b/fulmarreel-membership/src/group/mod.rs
@@ -41,6 +41,9 @@
 /// Records from one exchange that are still passed on as news.
 const MAX_EXCHANGED_NEWS: usize = 64;
 
+/// Suspects of its zone that a node of another zone is told of at once.
+const MAX_DOUBTS: usize = 5;
+
 /// Random members that news is passed on to at each tick.
 const FAN_OUT: usize = 3;
 
--- a/fulmarreel-membership/src/group/receive.rs
+++ b/fulmarreel-membership/src/group/receive.rs
@@ -1,6 +1,6 @@
 //! What a node makes of datagrams and of records that came in an exchange.
 
-use super::{Group, MAX_EXCHANGED_NEWS, Outcome, Outgoing, RECORDS_PER_DATAGRAM};
+use super::{Group, MAX_DOUBTS, MAX_EXCHANGED_NEWS, Outcome, Outgoing, RECORDS_PER_DATAGRAM};
 use crate::{Claim, Status, table::Merged};
 use fulmarreel_wire::gossip::Kind;
 use std::{net::SocketAddr, time::Instant};
@@ -138,17 +138,32 @@
     }
 
     fn answer(&mut self, to: SocketAddr, sequence: u32, mut claims: Vec<Claim>) -> Outgoing {
-        // A node that is doubted must hear of it to object.
-        let doubted = self.claims(&[to]);
-        claims.extend(
-            doubted
-                .into_iter()
-                .filter(|claim| claim.status != Status::Alive),
-        );
+        claims.extend(self.doubts_for(to));
         claims.truncate(RECORDS_PER_DATAGRAM);
         let room = RECORDS_PER_DATAGRAM - claims.len();
         claims.extend(self.take_news(room));
         let kind = Kind::Ack { sequence };
         Outgoing { to, kind, claims }
     }
+
+    /// What a node must hear so that it, or in another zone its neighbours, can object: after a cut
+    /// between zones, most of a zone may be suspect elsewhere without knowing it.
+    pub(super) fn doubts_for(&mut self, to: SocketAddr) -> Vec<Claim> {
+        let Some(receiver) = self.table.get(to).map(|member| &member.claim) else {
+            return Vec::new();
+        };
+        let mut doubts = Vec::new();
+        if receiver.status != Status::Alive {
+            doubts.push(receiver.clone());
+        }
+        if receiver.record.zone != self.zone {
+            let zone = self.table.zone(&receiver.record.zone);
+            let suspects = zone
+                .filter(|claim| claim.status == Status::Suspect)
+                .filter(|claim| claim.record.address != to)
+                .cloned();
+            doubts.extend(self.rng.choose_multiple(suspects, MAX_DOUBTS));
+        }
+        doubts
+    }
 }
--- a/fulmarreel-membership/src/group/tick.rs
+++ b/fulmarreel-membership/src/group/tick.rs
@@ -130,9 +130,8 @@
 
     fn ping_as(&mut self, to: SocketAddr, sequence: u32) -> Outgoing {
         let mut claims = self.claims(&[self.address]);
-        // A node that is doubted must hear of it to object.
-        let doubted = self.claims(&[to]).into_iter();
-        claims.extend(doubted.filter(|claim| claim.status != Status::Alive));
+        claims.extend(self.doubts_for(to));
+        claims.truncate(RECORDS_PER_DATAGRAM);
         let room = RECORDS_PER_DATAGRAM - claims.len();
         claims.extend(self.take_news(room));
         let kind = Kind::Ping { sequence };
@@ -158,8 +157,8 @@
         if self.is_relay()
             && let Some(stranger) = self.stranger()
         {
-            let sequence = self.prober.sequence();
-            outgoing.push(self.ping_as(stranger, sequence));
+            // Without an answer it is suspect: less preferred, and gone only by its zone's word.
+            outgoing.extend(self.ping(stranger, now));
         }
     }
 
@@ -169,7 +168,10 @@
         }
         let alone = self.table.present().count() == 1;
         self.next_seed = now + if alone { PROBE_INTERVAL } else { SEED_INTERVAL };
-        if let Some(seed) = self.rng.choice(self.seeds.clone()) {
+        // All nodes of a large group together would be too much for the few seeds.
+        if (alone || self.is_relay())
+            && let Some(seed) = self.rng.choice(self.seeds.clone())
+        {
             let sequence = self.prober.sequence();
             outgoing.push(self.ping_as(seed, sequence));
         }
--- a/fulmarreel-membership/tests/membership/faults.rs
+++ b/fulmarreel-membership/tests/membership/faults.rs
@@ -163,3 +163,38 @@
             .is_some()
     );
 }
+
+/// Fails with pings to other zones that wait for no answer, and without `Group::doubts_for`: most of
+/// the zone would stay suspect for long after the cut.
+#[rstest]
+fn a_zone_that_does_not_answer_is_suspect_until_it_does(#[values(1, 2, 3)] seed: u64) {
+    let mut driver = settled(seed, &[4, 30, 4]);
+    let zone: Vec<usize> = (4..34).collect();
+    let others: Vec<usize> = (0..4).chain(34..38).collect();
+    driver.cut(&zone, &others);
+    driver.run(Duration::from_secs(90));
+    let at = |driver: &Driver, status| {
+        let zone = zone.iter();
+        let with_status = zone.filter(|node| driver.status(**node, 0) == Some(status));
+        with_status.count()
+    };
+    assert_eq!(at(&driver, Status::Suspect), zone.len());
+    driver.heal();
+    for _ in 0..8 {
+        driver.run(Duration::from_secs(1));
+        driver.compare_all();
+    }
+    assert_eq!(at(&driver, Status::Alive), zone.len());
+    assert!(driver.agree(), "views differ 8 s after the cut");
+}
+
+/// Fails with pings to other zones that wait for no answer.
+#[test]
+fn the_only_node_of_a_zone_is_suspect_once_it_is_dead() {
+    let mut driver = settled(9, &[4, 1]);
+    driver.kill(4);
+    let suspect = driver.until(Duration::from_secs(10), |driver| {
+        (0..4).all(|index| driver.status(4, index) == Some(Status::Suspect))
+    });
+    assert!(suspect.is_some());
+}
--- a/fulmarreel-testing/examples/slopes.rs
+++ b/fulmarreel-testing/examples/slopes.rs
@@ -37,6 +37,9 @@
 /// How long a fleet may take to become ready.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// How long a node that was started again is not counted for changes made meanwhile.
+const START: Duration = Duration::from_secs(3);
+
 /// Routes of each document, which set its size.
 const ROUTES: usize = 12;
 
@@ -125,7 +128,8 @@
     Ok(())
 }
 
-/// Changes documents and restarts nodes; returns how long each change took on each node.
+/// Changes documents and restarts nodes; returns how long each change took on each node that was
+/// not just starting.
 async fn disturb(
     fleet: &mut Fleet,
     services: usize,
@@ -134,6 +138,7 @@
     let recorder = Recorder::start(fleet.nodes.iter().map(|node| node.admin));
     let pause = options.busy / options.changes.max(1);
     let mut written = Vec::new();
+    let mut restarted = Vec::new();
     for change in 0..options.changes {
         let number = change as usize % services;
         let key = format!("fulmarreel/documents/{}", service(number));
@@ -144,6 +149,7 @@
             let index = fastrand::usize(3..fleet.nodes.len());
             fleet.kill_node(index);
             fleet.start_node(index)?;
+            restarted.push((fleet.nodes[index].admin, Instant::now()));
         }
         Timer::after(pause).await;
     }
@@ -157,7 +163,14 @@
             seen.len(),
             fleet.nodes.len()
         );
-        latencies.extend(seen.values().map(|seen| seen.duration_since(at)));
+        for (node, seen) in seen {
+            let starting = restarted
+                .iter()
+                .any(|(restarted, when)| *restarted == node && *when + START > at && *when < seen);
+            if !starting {
+                latencies.extend(seen.checked_duration_since(at));
+            }
+        }
     }
     Ok(latencies)
 }
--- a/fulmarreel-testing/src/process/mod.rs
+++ b/fulmarreel-testing/src/process/mod.rs
@@ -11,7 +11,7 @@
 use anyhow::{Context, ensure};
 use std::{
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
     time::{Duration, Instant},
 };
 
@@ -71,11 +71,21 @@
     ///
     /// It did not end in time, or not successfully.
     pub fn wait(&mut self, patience: Duration) -> anyhow::Result<()> {
+        let status = self.status(patience)?;
+        ensure!(status.success(), "process {}: {status}", self.id());
+        Ok(())
+    }
+
+    /// Waits for the process to end by itself; returns how it ended.
+    ///
+    /// # Errors
+    ///
+    /// It did not end in time.
+    pub fn status(&mut self, patience: Duration) -> anyhow::Result<ExitStatus> {
         let deadline = Instant::now() + patience;
         loop {
             if let Some(status) = self.child.try_wait()? {
-                ensure!(status.success(), "process {}: {status}", self.id());
-                return Ok(());
+                return Ok(status);
             }
             ensure!(
                 Instant::now() < deadline,
