--- /dev/null
+++ b/fulmarreel-rollout/examples/policy/random.rs
@@ -0,0 +1,55 @@
+//! Draws of counts.
+
+use fastrand::Rng;
+
+/// Mean from which on a draw uses the normal distribution.
+const NORMAL_FROM: f64 = 40.0;
+
+/// How many of `n` independent calls meet an event of probability `p`.
+pub fn binomial(rng: &mut Rng, n: u64, p: f64) -> u64 {
+    if n == 0 || p <= 0.0 {
+        return 0;
+    }
+    if p >= 1.0 {
+        return n;
+    }
+    if p > 0.5 {
+        return n - binomial(rng, n, 1.0 - p);
+    }
+    if n as f64 * p >= NORMAL_FROM {
+        return normal_count(rng, n as f64 * p, (n as f64 * p * (1.0 - p)).sqrt()).min(n);
+    }
+    let mut hits = 0;
+    let mut position = geometric(rng, p);
+    while position < n {
+        hits += 1;
+        position += 1 + geometric(rng, p);
+    }
+    hits
+}
+
+/// Calls in a time in which `mean` are expected.
+pub fn poisson(rng: &mut Rng, mean: f64) -> u64 {
+    if mean >= NORMAL_FROM {
+        return normal_count(rng, mean, mean.sqrt());
+    }
+    let limit = (-mean).exp();
+    let mut count = 0;
+    let mut product = rng.f64();
+    while product > limit {
+        count += 1;
+        product *= rng.f64();
+    }
+    count
+}
+
+/// Misses before the next hit.
+fn geometric(rng: &mut Rng, p: f64) -> u64 {
+    ((1.0 - rng.f64()).ln() / (1.0 - p).ln()) as u64
+}
+
+fn normal_count(rng: &mut Rng, mean: f64, deviation: f64) -> u64 {
+    let radius = (-2.0 * (1.0 - rng.f64()).ln()).sqrt();
+    let normal = radius * (std::f64::consts::TAU * rng.f64()).cos();
+    (mean + deviation * normal).round().max(0.0) as u64
+}
