fix(rollout): keep the loudest reporters apart, end the soak after the hour

Cause of the good versions taken back where a report misleads: batching several ticks kept only the loudest single report, so most of a misleading node's part counted as everyone's. Each sum now names up to four reporters per measure, and the owner takes sums in one by one. Slow versions went unfound because of the experiment alone: a bucket of probability below 1e-16 took every call (ln(1-p) was 0), ruled out for the crate by feeding it slow calls directly.

--- a/fulmarreel-rollout/examples/policy/driver/mod.rs
+++ b/fulmarreel-rollout/examples/policy/driver/mod.rs
@@ -32,7 +32,7 @@
     /// Seconds since the declaration.
     pub second: u64,
     /// Evidence that came during this second.
-    pub evidence: &'a Evidence,
+    pub evidence: &'a [Evidence],
     /// End of the latest window that has come, in seconds since the declaration.
     pub evidence_until: u64,
     /// Whether the store can be reached.
--- a/fulmarreel-rollout/examples/policy/driver/threshold.rs
+++ b/fulmarreel-rollout/examples/policy/driver/threshold.rs
@@ -32,8 +32,10 @@
     }
 
     fn decide(&mut self, tick: &Tick<'_>) -> Published {
-        let total = tick.evidence.total();
-        self.window.push_back((total.new.calls, total.new.errors));
+        let totals = tick.evidence.iter().map(Evidence::total);
+        let counts = totals.map(|total| (total.new.calls, total.new.errors));
+        let sum = counts.fold((0, 0), |sum, counts| (sum.0 + counts.0, sum.1 + counts.1));
+        self.window.push_back(sum);
         if self.window.len() > WINDOW_S {
             self.window.pop_front();
         }
--- a/fulmarreel-rollout/examples/policy/fleet.rs
+++ b/fulmarreel-rollout/examples/policy/fleet.rs
@@ -182,47 +182,45 @@
     Pair {
         new: made.tally.clone(),
         reporters: rng.u64(..) | u64::from(nodes > 1),
-        failing: Some(loudest(failing, rng)),
-        slowest: Some(loudest(slowest, rng)),
+        failing: vec![loudest(failing, rng)],
+        slowest: vec![loudest(slowest, rng)],
         ..Pair::default()
     }
 }
 
 fn mislead(rng: &mut Rng, pair: &mut Pair, misleading: &Misleading, nodes: u32) {
-    let part = f64::from(misleading.nodes) / f64::from(nodes);
-    let calls = binomial(rng, pair.new.calls, part);
-    if misleading.report == Report::Well {
-        pair.new.errors -= binomial(rng, pair.new.errors, part);
-        return;
-    }
-    let own = calls.div_ceil(u64::from(misleading.nodes.max(1)));
-    let mut tally = Tally {
-        calls: own,
-        ..Tally::default()
-    };
-    match misleading.report {
-        Report::Failed => {
-            pair.new.errors = (pair.new.errors + calls).min(pair.new.calls);
-            tally.errors = own;
-        }
-        Report::Slow => {
-            take(&mut pair.new.latency, calls);
-            pair.new.latency[BUCKETS - 1] += calls;
-            tally.latency[BUCKETS - 1] = own;
+    for liar in 0..misleading.nodes {
+        let calls = binomial(rng, pair.new.calls, 1.0 / f64::from(nodes));
+        let mut tally = Tally {
+            calls,
+            ..Tally::default()
+        };
+        match misleading.report {
+            Report::Failed => {
+                pair.new.errors = (pair.new.errors + calls).min(pair.new.calls);
+                tally.errors = calls;
+            }
+            Report::Slow => {
+                take(&mut pair.new.latency, calls);
+                pair.new.latency[BUCKETS - 1] += calls;
+                tally.latency[BUCKETS - 1] = calls;
+            }
+            Report::Well => {
+                let part = 1.0 / f64::from(nodes);
+                pair.new.errors -= binomial(rng, pair.new.errors, part);
+                continue;
+            }
         }
-        Report::Well => {}
+        pair.merge(&loud(nodes + liar, tally));
     }
-    if own > 0 {
-        let liar = Pair {
-            reporters: 1,
-            failing: Some(Loudest {
-                reporter: nodes + rng.u32(0..misleading.nodes),
-                new: tally,
-            }),
-            ..Pair::default()
-        };
-        let slowest = liar.failing.clone();
-        pair.merge(&Pair { slowest, ..liar });
+}
+
+/// One loud reporter, without its calls.
+fn loud(reporter: u32, tally: Tally) -> Pair {
+    Pair {
+        old: Tally::default(),
+        new: Tally::default(),
+        ..Pair::report(reporter, Tally::default(), tally)
     }
 }
 
--- a/fulmarreel-rollout/examples/policy/random.rs
+++ b/fulmarreel-rollout/examples/policy/random.rs
@@ -45,7 +45,7 @@
 
 /// Misses before the next hit.
 fn geometric(rng: &mut Rng, p: f64) -> u64 {
-    ((1.0 - rng.f64()).ln() / (1.0 - p).ln()) as u64
+    ((1.0 - rng.f64()).ln() / (-p).ln_1p()) as u64
 }
 
 fn normal_count(rng: &mut Rng, mean: f64, deviation: f64) -> u64 {
--- a/fulmarreel-rollout/examples/policy/run.rs
+++ b/fulmarreel-rollout/examples/policy/run.rs
@@ -108,10 +108,10 @@
         reports
             .0
             .push_back((end + case.evidence.delay_seconds, what.evidence));
-        let mut evidence = Evidence::default();
+        let mut evidence = Vec::new();
         while let Some((due, report)) = reports.arrived(end) {
             evidence_until = due - case.evidence.delay_seconds;
-            evidence.merge(&report);
+            evidence.push(report);
         }
         let published = driver.decide(&Tick {
             second: end,
--- a/fulmarreel-rollout/src/compare/absorb.rs
+++ b/fulmarreel-rollout/src/compare/absorb.rs
@@ -9,8 +9,9 @@
 const RATE_WEIGHT: f64 = 0.2;
 
 impl Comparison {
-    /// Takes in all evidence that has come since the last tick; the step is the one in force.
-    pub fn absorb(&mut self, evidence: &Evidence, step: u64, now: Timestamp) {
+    /// Takes in all evidence that has come since the last tick, one item for each sum that a zone
+    /// has sent; the step is the one in force.
+    pub fn absorb(&mut self, evidence: &[Evidence], step: u64, now: Timestamp) {
         let elapsed = self.tick(now);
         if self.step.step != step {
             self.step = Watched {
@@ -18,19 +19,28 @@
                 ..Watched::default()
             };
         }
-        if evidence.reports == 0 {
+        let reports = evidence.iter().map(|sum| sum.reports).sum();
+        if reports == 0 {
             return;
         }
-        let total = evidence.total();
-        self.reports = evidence.reports;
+        self.reports = reports;
+        let calls = evidence.iter().map(|sum| self.absorb_sum(sum)).sum();
         self.step.time += elapsed.min(MAX_TICK);
+        self.note_rate(calls, elapsed);
+        for track in self.routes.values_mut().chain([&mut self.total]) {
+            track.tick(self.fault, reports);
+        }
+    }
+
+    /// Takes in one zone's sum and returns its calls.
+    fn absorb_sum(&mut self, evidence: &Evidence) -> u64 {
+        let total = evidence.total();
         self.step.new_calls += total.new.calls;
-        self.note_rate(total.old.calls + total.new.calls, elapsed);
         for (route, pair) in &evidence.routes {
-            let track = self.routes.entry(*route).or_default();
-            track.absorb(pair, self.fault, evidence.reports);
+            self.routes.entry(*route).or_default().absorb(pair);
         }
-        self.total.absorb(&total, self.fault, evidence.reports);
+        self.total.absorb(&total);
+        total.old.calls + total.new.calls
     }
 
     /// Notes the time and returns what has passed since the last tick, zero after a jump.
--- a/fulmarreel-rollout/src/compare/channel.rs
+++ b/fulmarreel-rollout/src/compare/channel.rs
@@ -32,7 +32,7 @@
     pub new_bad: f64,
 }
 
-/// What the loudest reporter counted among the new version's calls.
+/// What a loud reporter counted among the new version's calls.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Part {
     pub reporter: u32,
@@ -80,16 +80,15 @@
 
 impl Channel {
     /// Takes in one batch; `left_out` of the loudest reporters are done without.
-    pub fn absorb(&mut self, counts: Counts, part: Option<Part>, bound: f64, left_out: usize) {
-        let part = part.filter(|part| part.bad > 0.0);
+    pub fn absorb(&mut self, counts: Counts, parts: &[Part], bound: f64, left_out: usize) {
         let base = self.base.rate();
         let excesses = std::iter::once(EXCESS_OVER_BOUND * bound).chain(EXCESS_RATES);
         for (test, excess) in self.tests.iter_mut().zip(excesses) {
-            test.absorb(counts, part, base, excess);
+            test.absorb(counts, parts, base, excess);
         }
         let excess = PROOF_OVER_BOUND * bound;
-        self.absorb_proof(counts, part, excess, left_out);
-        self.absorb_history(counts, part, excess, left_out);
+        self.absorb_proof(counts, parts, excess, left_out);
+        self.absorb_history(counts, parts, excess, left_out);
         self.base.absorb(counts);
     }
 
@@ -111,16 +110,16 @@
         self.history.without(left_out)
     }
 
-    fn absorb_proof(&mut self, counts: Counts, part: Option<Part>, excess: f64, left_out: usize) {
+    fn absorb_proof(&mut self, counts: Counts, parts: &[Part], excess: f64, left_out: usize) {
         let rate = old_rate(counts, self.base.rate());
-        add_rate_evidence(&mut self.against, counts, part, rate, excess);
+        add_rate_evidence(&mut self.against, counts, parts, rate, excess);
         if self.against.without(left_out) > MAX_AGAINST_PROOF {
             self.against.restart(MAX_AGAINST_PROOF);
         }
     }
 
-    fn absorb_history(&mut self, counts: Counts, part: Option<Part>, excess: f64, left_out: usize) {
-        add_rate_evidence(&mut self.history, counts, part, self.base.rate(), excess);
+    fn absorb_history(&mut self, counts: Counts, parts: &[Part], excess: f64, left_out: usize) {
+        add_rate_evidence(&mut self.history, counts, parts, self.base.rate(), excess);
         if self.history.without(left_out) < 0.0 {
             self.history.restart(0.0);
         }
@@ -143,11 +142,11 @@
 }
 
 impl Test {
-    fn absorb(&mut self, counts: Counts, part: Option<Part>, base: f64, excess: f64) {
+    fn absorb(&mut self, counts: Counts, parts: &[Part], base: f64, excess: f64) {
         let rate = old_rate(counts, base);
         self.rate = (self.rate + rate_evidence(counts, rate, excess)).max(0.0);
         if counts.old_calls > 0.0 && counts.new_calls > 0.0 {
-            self.absorb_split(counts, part, base, excess);
+            self.absorb_split(counts, parts, base, excess);
         }
         if self.split.value() <= 0.0 || self.rate <= 0.0 {
             self.split.restart(0.0);
@@ -157,7 +156,7 @@
 
     /// The pooled rate depends on the sum of bad calls alone and not on their split, so that the
     /// ratio's expectation is one while the versions are alike.
-    fn absorb_split(&mut self, counts: Counts, part: Option<Part>, base: f64, excess: f64) {
+    fn absorb_split(&mut self, counts: Counts, parts: &[Part], base: f64, excess: f64) {
         let rate = pooled_rate(counts, base);
         let weighted = counts.new_calls * (rate + excess) / rate;
         let alike = counts.new_calls / (counts.new_calls + counts.old_calls);
@@ -166,7 +165,7 @@
         let per_old = ((1.0 - worse) / (1.0 - alike)).ln();
         self.split
             .add(counts.new_bad * per_new + counts.old_bad * per_old);
-        if let Some(part) = part {
+        for part in parts {
             self.split.attribute(part.reporter, part.bad * per_new);
         }
         self.counts.add(counts);
@@ -213,9 +212,9 @@
     counts.new_bad * (1.0 + excess / rate).ln() - counts.new_calls * excess
 }
 
-fn add_rate_evidence(sum: &mut Sum, counts: Counts, part: Option<Part>, rate: f64, excess: f64) {
+fn add_rate_evidence(sum: &mut Sum, counts: Counts, parts: &[Part], rate: f64, excess: f64) {
     sum.add(rate_evidence(counts, rate, excess));
-    if let Some(part) = part {
+    for part in parts {
         sum.attribute(part.reporter, part.bad * (1.0 + excess / rate).ln());
     }
 }
--- a/fulmarreel-rollout/src/compare/track.rs
+++ b/fulmarreel-rollout/src/compare/track.rs
@@ -1,7 +1,7 @@
 //! One route's measures.
 
 use super::channel::{Channel, Counts, Part};
-use crate::evidence::{BUCKETS, Pair, Tally};
+use crate::evidence::{BUCKETS, Loudest, Pair, Tally};
 use fulmarreel_document::shift::Fault;
 
 /// Calls to the old version that make a batch.
@@ -37,50 +37,53 @@
     pub errors: Channel,
     pub latency: Channel,
     /// A bit for each reporter that has called the new version.
-    pub reporters: u64,
-    batch: Pair,
-    ticks: u32,
+    reporters: u64,
+    batch: Batch,
     old_latency: [f64; BUCKETS],
 }
 
+/// Evidence that is too little yet, with the loud reporters of each sum in it.
+#[derive(Debug, Clone, Default)]
+struct Batch {
+    old: Tally,
+    new: Tally,
+    failing: Vec<Loudest>,
+    slowest: Vec<Loudest>,
+    ticks: u32,
+}
+
 impl Track {
-    /// Takes in one tick's sum.
-    pub fn absorb(&mut self, pair: &Pair, fault: Fault, reports: u32) {
+    /// Takes in one sum.
+    pub fn absorb(&mut self, pair: &Pair) {
         self.reporters |= pair.reporters;
-        self.batch.merge(pair);
-        self.ticks += 1;
-        if self.batch.old.calls < BATCH_OLD_CALLS && self.ticks < BATCH_TICKS {
+        self.batch.old.merge(&pair.old);
+        self.batch.new.merge(&pair.new);
+        self.batch.failing.extend_from_slice(&pair.failing);
+        self.batch.slowest.extend_from_slice(&pair.slowest);
+    }
+
+    /// Ends a tick and tests what has come if it is enough.
+    pub fn tick(&mut self, fault: Fault, reports: u32) {
+        self.batch.ticks += 1;
+        if self.batch.old.calls < BATCH_OLD_CALLS && self.batch.ticks < BATCH_TICKS {
             return;
         }
         let batch = std::mem::take(&mut self.batch);
-        self.ticks = 0;
-        self.absorb_batch(&batch, fault, reports);
+        self.test(&batch, fault, reports);
     }
 
-    fn absorb_batch(&mut self, batch: &Pair, fault: Fault, reports: u32) {
+    fn test(&mut self, batch: &Batch, fault: Fault, reports: u32) {
         let left_out = self.left_out(reports);
         let bound = fault.error_percent / 100.0;
         let errors = |tally: &Tally| tally.errors as f64;
-        self.errors.absorb(
-            counts(batch, errors),
-            batch.failing.as_ref().map(|loudest| Part {
-                reporter: loudest.reporter,
-                bad: errors(&loudest.new),
-            }),
-            bound,
-            left_out,
-        );
+        let parts = parts(&batch.failing, errors);
+        self.errors
+            .absorb(batch.counts(errors), &parts, bound, left_out);
         if let Some(edge) = self.slow_edge(fault.latency_ratio) {
             let slow = |tally: &Tally| tally.latency[edge..].iter().sum::<u64>() as f64;
-            self.latency.absorb(
-                counts(batch, slow),
-                batch.slowest.as_ref().map(|loudest| Part {
-                    reporter: loudest.reporter,
-                    bad: slow(&loudest.new),
-                }),
-                bound,
-                left_out,
-            );
+            let parts = self::parts(&batch.slowest, slow);
+            self.latency
+                .absorb(batch.counts(slow), &parts, bound, left_out);
         }
         for (kept, count) in self.old_latency.iter_mut().zip(batch.old.latency) {
             *kept = *kept * LATENCY_KEPT + count as f64;
@@ -111,11 +114,22 @@
     }
 }
 
-fn counts(pair: &Pair, bad: impl Fn(&Tally) -> f64) -> Counts {
-    Counts {
-        old_calls: pair.old.calls as f64,
-        old_bad: bad(&pair.old),
-        new_calls: pair.new.calls as f64,
-        new_bad: bad(&pair.new),
+impl Batch {
+    fn counts(&self, bad: impl Fn(&Tally) -> f64) -> Counts {
+        Counts {
+            old_calls: self.old.calls as f64,
+            old_bad: bad(&self.old),
+            new_calls: self.new.calls as f64,
+            new_bad: bad(&self.new),
+        }
     }
 }
+
+/// What loud reporters counted, for those that counted any.
+fn parts(loudest: &[Loudest], bad: impl Fn(&Tally) -> f64) -> Vec<Part> {
+    let parts = loudest.iter().map(|loudest| Part {
+        reporter: loudest.reporter,
+        bad: bad(&loudest.new),
+    });
+    parts.filter(|part| part.bad > 0.0).collect()
+}
--- a/fulmarreel-rollout/src/evidence/merge.rs
+++ b/fulmarreel-rollout/src/evidence/merge.rs
@@ -1,6 +1,7 @@
 //! Sums of reports, the same in any order.
 
-use super::{Evidence, Loudest, Pair, Tally, bucket_floor_us};
+use super::{Evidence, Loudest, MAX_LOUDEST, Pair, Tally, bucket_floor_us};
+use std::cmp::Reverse;
 
 impl Evidence {
     /// Adds another sum to this one.
@@ -26,8 +27,8 @@
         self.old.merge(&other.old);
         self.new.merge(&other.new);
         self.reporters |= other.reporters;
-        keep_louder(&mut self.failing, &other.failing, |tally| tally.errors);
-        keep_louder(&mut self.slowest, &other.slowest, Tally::time_us);
+        keep_loudest(&mut self.failing, &other.failing, |tally| tally.errors);
+        keep_loudest(&mut self.slowest, &other.slowest, Tally::time_us);
     }
 }
 
@@ -50,20 +51,19 @@
     }
 }
 
-/// Keeps the reporter of the larger score; the reporter's hash and its tally break ties.
-fn keep_louder(kept: &mut Option<Loudest>, other: &Option<Loudest>, score: fn(&Tally) -> u64) {
-    let Some(other) = other else { return };
+/// Keeps the reporters of the largest scores; the reporter's hash and its tally break ties.
+fn keep_loudest(kept: &mut Vec<Loudest>, others: &[Loudest], score: fn(&Tally) -> u64) {
     let key = |loudest: &Loudest| {
         let new = &loudest.new;
-        (
+        Reverse((
             score(new),
             new.calls,
             loudest.reporter,
             new.errors,
             new.latency,
-        )
+        ))
     };
-    if kept.as_ref().is_none_or(|kept| key(other) > key(kept)) {
-        *kept = Some(other.clone());
-    }
+    kept.extend_from_slice(others);
+    kept.sort_by_key(key);
+    kept.truncate(MAX_LOUDEST);
 }
--- a/fulmarreel-rollout/src/evidence/mod.rs
+++ b/fulmarreel-rollout/src/evidence/mod.rs
@@ -14,6 +14,9 @@
 
 use std::collections::BTreeMap;
 
+/// Reporters that a sum names for each measure.
+pub const MAX_LOUDEST: usize = 4;
+
 /// Index of a route in its document, longest path first.
 pub type Route = u16;
 
@@ -56,10 +59,10 @@
     pub new: Tally,
     /// A bit for each reporter with calls to the new version, by its hash.
     pub reporters: u64,
-    /// The reporter with the most failed calls to the new version.
-    pub failing: Option<Loudest>,
-    /// The reporter with the most time in calls to the new version.
-    pub slowest: Option<Loudest>,
+    /// The reporters with the most failed calls to the new version, most first.
+    pub failing: Vec<Loudest>,
+    /// The reporters with the most time in calls to the new version, most first.
+    pub slowest: Vec<Loudest>,
 }
 
 /// A sum of reports.
--- a/fulmarreel-rollout/src/evidence/record.rs
+++ b/fulmarreel-rollout/src/evidence/record.rs
@@ -18,14 +18,17 @@
 impl Pair {
     /// One node's own tallies.
     pub fn report(reporter: u32, old: Tally, new: Tally) -> Self {
-        let loudest = (new.calls > 0).then(|| Loudest {
-            reporter,
-            new: new.clone(),
-        });
+        let loudest = |loud: bool| {
+            let own = loud.then(|| Loudest {
+                reporter,
+                new: new.clone(),
+            });
+            own.into_iter().collect()
+        };
         Self {
             reporters: u64::from(new.calls > 0) << (reporter % u64::BITS),
-            failing: loudest.clone(),
-            slowest: loudest,
+            failing: loudest(new.errors > 0),
+            slowest: loudest(new.calls > 0),
             old,
             new,
         }
--- a/fulmarreel-rollout/src/evidence/wire.rs
+++ b/fulmarreel-rollout/src/evidence/wire.rs
@@ -1,6 +1,6 @@
 //! Evidence as it travels: only the buckets that hold calls.
 
-use super::{BUCKETS, Evidence, Loudest, Pair, Route, Tally};
+use super::{BUCKETS, Evidence, Loudest, MAX_LOUDEST, Pair, Route, Tally};
 use serde::{Deserialize, Serialize};
 
 /// Evidence as it travels between nodes.
@@ -25,8 +25,8 @@
     Own(u32),
     Sum {
         reporters: u64,
-        failing: Option<(u32, WireTally)>,
-        slowest: Option<(u32, WireTally)>,
+        failing: Vec<(u32, WireTally)>,
+        slowest: Vec<(u32, WireTally)>,
     },
 }
 
@@ -119,15 +119,13 @@
 impl From<&Pair> for WireLoudest {
     fn from(pair: &Pair) -> Self {
         let wire = |loudest: &Loudest| (loudest.reporter, (&loudest.new).into());
-        match (&pair.failing, &pair.slowest) {
-            (None, None) => Self::None,
-            (Some(one), Some(other)) if one == other && one.new == pair.new => {
-                Self::Own(one.reporter)
-            }
+        match (pair.failing.as_slice(), pair.slowest.as_slice()) {
+            ([], []) => Self::None,
+            (_, [one]) if one.new == pair.new => Self::Own(one.reporter),
             (failing, slowest) => Self::Sum {
                 reporters: pair.reporters,
-                failing: failing.as_ref().map(wire),
-                slowest: slowest.as_ref().map(wire),
+                failing: failing.iter().map(wire).collect(),
+                slowest: slowest.iter().map(wire).collect(),
             },
         }
     }
@@ -140,12 +138,13 @@
         let route = wire.route;
         let old = wire.old.checked(route)?;
         let new = wire.new.checked(route)?;
-        let checked = |loudest: Option<(u32, WireTally)>| {
-            let checked = loudest.map(|(reporter, tally)| {
+        let checked = |loudest: Vec<(u32, WireTally)>| {
+            let most = loudest.into_iter().take(MAX_LOUDEST);
+            let checked = most.map(|(reporter, tally)| {
                 let new = tally.checked(route)?;
                 Ok(Loudest { reporter, new })
             });
-            checked.transpose()
+            checked.collect::<Result<Vec<_>, Error>>()
         };
         match wire.loudest {
             WireLoudest::None => Ok(Self {
--- a/fulmarreel-rollout/src/step/decide.rs
+++ b/fulmarreel-rollout/src/step/decide.rs
@@ -17,7 +17,10 @@
 /// Calls to the new version that a step waits for beyond its time.
 const STEP_CALLS: u64 = 100;
 
-/// Decides on the next step. The comparison has taken in what came until `now`.
+/// Decides on the next step. All traffic moves by the plan's hour; the end of the move comes when
+/// the soak has passed since the hour and since the move.
+///
+///  The comparison has taken in what came until `now`.
 pub fn step(
     state: &State,
     plan: &Plan,
@@ -125,7 +128,8 @@
             return Outcome::Hold(Hold::Doubted);
         }
         let dwell = ramp::dwell(self.state.share, self.left);
-        let seen = self.comparison.new_calls() >= STEP_CALLS || self.watched_for(dwell * 2);
+        let enough = self.comparison.new_calls() >= STEP_CALLS || self.watched_for(dwell * 2);
+        let seen = enough || self.hour_presses();
         if seen && self.watched_for(dwell) {
             return self.grow(Reason::Scheduled);
         }
@@ -138,7 +142,7 @@
             let state = self.next(share, Phase::Checking, Reason::Suspected);
             return Outcome::Lower(state);
         }
-        if self.watched_for(self.plan.soak) {
+        if self.watched_for(self.plan.soak) && self.since_hour() >= self.plan.soak {
             let reason = if self.moved_late() {
                 Reason::SoakedLate
             } else {
@@ -186,6 +190,11 @@
         self.left <= ramp::least(self.state.share)
     }
 
+    /// Time since the hour.
+    fn since_hour(&self) -> Duration {
+        contact::since(self.plan.complete_by, self.now)
+    }
+
     fn moved_late(&self) -> bool {
         self.state
             .moved_at
--- a/fulmarreel-rollout/src/step/ramp.rs
+++ b/fulmarreel-rollout/src/step/ramp.rs
@@ -18,6 +18,9 @@
 /// Longest time between two steps.
 const MAX_DWELL: Duration = Duration::from_secs(300);
 
+/// Time that a hasty growth is given, as a multiple of the least.
+const HASTE: f64 = 1.5;
+
 /// Part of the remaining time that the remaining steps may take.
 const USABLE: f64 = 0.8;
 
@@ -67,7 +70,7 @@
 
 /// The least time in which a share can grow to all traffic.
 pub(super) fn least(share: Share) -> Duration {
-    MIN_DWELL.mul_f64(steps_left(share) + 1.0)
+    MIN_DWELL.mul_f64(HASTE * (steps_left(share) + 1.0))
 }
 
 fn steps_left(share: Share) -> f64 {
