feat(rollout): fewer first calls and a verdict on less evidence

Cause of the hard faults over 20 calls: in a large fleet a verdict left out 14 reporters even when ten calls were all the evidence, and the first share took 3 calls a second.

--- a/fulmarreel-rollout/examples/policy/driver/mod.rs
+++ b/fulmarreel-rollout/examples/policy/driver/mod.rs
@@ -16,6 +16,9 @@
     /// Whether nodes have guards.
     const GUARDED: bool;
 
+    /// Whether the driver looks at latency.
+    const LATENCY: bool;
+
     /// The driver of a case.
     fn new(case: &Case) -> Self;
 
--- a/fulmarreel-rollout/examples/policy/driver/policy.rs
+++ b/fulmarreel-rollout/examples/policy/driver/policy.rs
@@ -27,6 +27,7 @@
 
 impl Driver for Policy {
     const GUARDED: bool = true;
+    const LATENCY: bool = true;
 
     fn new(case: &Case) -> Self {
         let plan = case.plan();
--- a/fulmarreel-rollout/examples/policy/driver/ramp.rs
+++ b/fulmarreel-rollout/examples/policy/driver/ramp.rs
@@ -18,6 +18,7 @@
 
 impl Driver for Ramp {
     const GUARDED: bool = false;
+    const LATENCY: bool = false;
 
     fn new(case: &Case) -> Self {
         Self {
--- a/fulmarreel-rollout/examples/policy/driver/threshold.rs
+++ b/fulmarreel-rollout/examples/policy/driver/threshold.rs
@@ -21,6 +21,7 @@
 
 impl Driver for Threshold {
     const GUARDED: bool = false;
+    const LATENCY: bool = false;
 
     fn new(case: &Case) -> Self {
         Self {
--- a/fulmarreel-rollout/examples/policy/fleet.rs
+++ b/fulmarreel-rollout/examples/policy/fleet.rs
@@ -15,7 +15,7 @@
 };
 
 /// Calls to the new version on one route in one second that are drawn one by one.
-const MAX_SINGLE: u64 = 300;
+const MAX_SINGLE: u64 = 30;
 
 /// The same while guards matter.
 const MAX_SINGLE_GUARDED: u64 = 2_000;
@@ -46,8 +46,8 @@
     pub share: f64,
     /// Phase of the move.
     pub phase: Phase,
-    /// Whether the new version's fault shows.
-    pub fault_shows: bool,
+    /// Whether the new version's fault or another one shows.
+    pub disturbed: bool,
     /// The time.
     pub now: Timestamp,
 }
@@ -76,7 +76,9 @@
             second.new_calls += made.tally.calls;
             second.harmed += made.harmed;
             pair.old = conditions.to_old(rng, old + new - made.tally.calls);
-            self.tell_old(rng, &pair.old, conditions, force.now);
+            if force.disturbed {
+                self.tell_old(rng, &pair.old, conditions, force.now);
+            }
             self.report(rng, &mut pair);
             second.evidence.routes.insert(route as u16, pair);
         }
@@ -90,8 +92,7 @@
         conditions: &Conditions,
         force: Force,
     ) -> (Made, Pair) {
-        let small = self.case.nodes as usize <= SAMPLE;
-        let guards_matter = self.guards.is_some() && (small || force.fault_shows);
+        let guards_matter = self.guards.is_some() && force.disturbed;
         let most = if guards_matter {
             MAX_SINGLE_GUARDED
         } else {
--- a/fulmarreel-rollout/examples/policy/latency.rs
+++ b/fulmarreel-rollout/examples/policy/latency.rs
@@ -11,8 +11,16 @@
     /// Weight and median in microseconds of each part.
     parts: Vec<(f64, f64)>,
     buckets: [f64; BUCKETS],
+    /// Probability of each bucket and those before it.
+    up_to: [f64; BUCKETS],
 }
 
+/// Calls that are drawn one by one.
+const MAX_SINGLE: u64 = 12;
+
+/// Probability of a bucket below which it stays empty.
+const LEAST: f64 = 1e-9;
+
 impl Mixture {
     /// One lognormal distribution.
     pub fn new(median_ms: f64, sigma: f64) -> Self {
@@ -35,15 +43,35 @@
         Self::of(self.sigma, fast.chain(slow).collect())
     }
 
+    /// The fastest bucket for every call, for drivers that do not look at latency.
+    pub fn none() -> Self {
+        let mut buckets = [0.0; BUCKETS];
+        buckets[0] = 1.0;
+        Self {
+            sigma: 1.0,
+            parts: Vec::new(),
+            buckets,
+            up_to: [1.0; BUCKETS],
+        }
+    }
+
     /// Counts per bucket of so many calls.
     pub fn draw(&self, rng: &mut Rng, calls: u64) -> [u64; BUCKETS] {
         let mut counts = [0; BUCKETS];
+        if calls <= MAX_SINGLE {
+            for _ in 0..calls {
+                let point = rng.f64();
+                let bucket = self.up_to.partition_point(|&up_to| up_to <= point);
+                counts[bucket.min(BUCKETS - 1)] += 1;
+            }
+            return counts;
+        }
         let (mut left, mut mass) = (calls, 1.0);
         for (count, &probability) in counts.iter_mut().zip(&self.buckets) {
             if left == 0 {
                 break;
             }
-            if probability > 0.0 {
+            if probability > LEAST {
                 *count = binomial(rng, left, (probability / mass).min(1.0));
             }
             left -= *count;
@@ -71,10 +99,16 @@
         for (index, probability) in buckets.iter_mut().enumerate() {
             *probability = (below(index + 1) - below(index)).max(0.0);
         }
+        let mut sum = 0.0;
+        let up_to = buckets.map(|probability| {
+            sum += probability;
+            sum
+        });
         Self {
             sigma,
             parts,
             buckets,
+            up_to,
         }
     }
 }
--- a/fulmarreel-rollout/examples/policy/main.rs
+++ b/fulmarreel-rollout/examples/policy/main.rs
@@ -23,9 +23,6 @@
     thread,
 };
 
-/// Threads where none are asked for.
-const DEFAULT_THREADS: usize = 4;
-
 struct Options {
     cases: PathBuf,
     seeds: u64,
@@ -70,7 +67,7 @@
         seed_base: arguments.value_from_str("--seed-base")?,
         threads: arguments
             .opt_value_from_str("--threads")?
-            .unwrap_or(DEFAULT_THREADS),
+            .unwrap_or_else(half_of_cores),
     };
     let rest = arguments.finish();
     ensure!(rest.is_empty(), "unknown arguments: {rest:?}");
@@ -79,6 +76,11 @@
     Ok(options)
 }
 
+/// Threads where none are asked for.
+fn half_of_cores() -> usize {
+    thread::available_parallelism().map_or(1, |cores| cores.get().div_ceil(2))
+}
+
 /// Runs every case with every seed. A run's seed is the same under every driver.
 fn measure<'a, D: Driver>(cases: &'a [Case], options: &Options) -> Vec<Runs<'a>> {
     let seeds = options.seeds as usize;
--- a/fulmarreel-rollout/examples/policy/run.rs
+++ b/fulmarreel-rollout/examples/policy/run.rs
@@ -68,7 +68,11 @@
         }
         let key = key(case, second, force.share);
         if cached.as_ref().is_none_or(|(cached, _)| *cached != key) {
-            cached = Some((key.clone(), conditions(case, second, force.share)));
+            let mut current = conditions(case, second, force.share);
+            if !D::LATENCY {
+                current.iter_mut().for_each(Conditions::forget_latency);
+            }
+            cached = Some((key.clone(), current));
         }
         let now = Timestamp(START_MS + second * 1_000);
         let current = cached
@@ -80,7 +84,7 @@
             Force {
                 share: force.share,
                 phase: force.phase,
-                fault_shows: key.shows,
+                disturbed: key.shows || key.disturbed.contains(&true),
                 now,
             },
         );
--- a/fulmarreel-rollout/examples/policy/world.rs
+++ b/fulmarreel-rollout/examples/policy/world.rs
@@ -114,6 +114,12 @@
         touching.fold(self.shared_errors, |sum, (_, errors)| either(sum, *errors))
     }
 
+    /// Leaves latency out of what is drawn.
+    pub fn forget_latency(&mut self) {
+        self.old_latency = Mixture::none();
+        self.new_latency = Mixture::none();
+    }
+
     /// Calls of one second, split by share into those to the old and to the new version.
     pub fn split(&self, rng: &mut Rng, share: f64) -> (u64, u64) {
         let calls = poisson(rng, self.calls);
--- a/fulmarreel-rollout/src/compare/channel.rs
+++ b/fulmarreel-rollout/src/compare/channel.rs
@@ -20,6 +20,10 @@
 /// Weight of what was known before, in calls.
 const PRIOR_CALLS: f64 = 50.0;
 
+/// Calls to the new version for each further reporter that is left out: few calls come from few
+/// of the nodes that may mislead.
+const CALLS_PER_LEFT_OUT: f64 = 100.0;
+
 /// Calls after which older calls lose their weight in the base rate.
 const MEMORY_CALLS: f64 = 20_000.0;
 
@@ -172,6 +176,8 @@
     }
 
     fn strength(&self, left_out: usize) -> Strength {
+        let taking_part = (self.counts.new_calls / CALLS_PER_LEFT_OUT) as usize;
+        let left_out = left_out.min(1 + taking_part);
         Strength {
             split: self.split.without(left_out),
             rate: self.rate,
--- a/fulmarreel-rollout/src/compare/judge.rs
+++ b/fulmarreel-rollout/src/compare/judge.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// Log-likelihood ratio by the split of bad calls at which a version is bad.
-const BAD: f64 = 12.0;
+const BAD: f64 = 14.0;
 
 /// Log-likelihood ratio by the rate that a verdict needs besides.
 const BAD_RATE: f64 = 3.0;
--- a/fulmarreel-rollout/src/step/ramp.rs
+++ b/fulmarreel-rollout/src/step/ramp.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 /// Calls per second over the fleet at first, for services with non-idempotent routes.
-const FIRST_CALLS_PER_S: f64 = 3.0;
+const FIRST_CALLS_PER_S: f64 = 2.0;
 
 /// Calls per second over the fleet at first, where every route is idempotent.
 const FIRST_CALLS_PER_S_IDEMPOTENT: f64 = 20.0;
@@ -21,14 +21,17 @@
 /// Time that a hasty growth is given, as a multiple of the least.
 const HASTE: f64 = 1.5;
 
+/// Longest time that a proved version stays at its first share.
+const MAX_PROVING: Duration = Duration::from_secs(900);
+
 /// Part of the remaining time that the remaining steps may take.
 const USABLE: f64 = 0.8;
 
 /// Part of the remaining time that a proved version stays at its first share.
-const PROVING: f64 = 0.1;
+const PROVING: f64 = 0.3;
 
 /// Part of the remaining time in which the proof is to be complete.
-const PROOF_BY: f64 = 0.4;
+const PROOF_BY: f64 = 0.3;
 
 /// Calls that prove a version without errors.
 const PROOF_CALLS: f64 = 160.0;
@@ -59,7 +62,7 @@
 
 /// How long a proved version stays at its first share.
 pub(super) fn proving_dwell(left: Duration) -> Duration {
-    left.mul_f64(PROVING).clamp(MIN_DWELL, MAX_DWELL)
+    left.mul_f64(PROVING).clamp(MIN_DWELL, MAX_PROVING)
 }
 
 /// How long a share is kept while it grows.
