--- a/fulmarreel-rollout/examples/policy/driver/policy.rs
+++ b/fulmarreel-rollout/examples/policy/driver/policy.rs
@@ -19,6 +19,7 @@
     plan: Plan,
     state: State,
     comparison: Comparison,
+    nodes: u32,
     lost_at: Vec<u64>,
     clock_ahead_s: i64,
     idle_until: u64,
@@ -36,6 +37,7 @@
             state: State::waiting(1, now),
             comparison: Comparison::new(plan.fault, now),
             plan,
+            nodes: case.nodes,
             lost_at: case.owner_lost_at.clone(),
             clock_ahead_s: case.clock_ahead_seconds,
             idle_until: 0,
@@ -72,6 +74,7 @@
             lease_until: self.at(self.lease_until),
             evidence_until: self.at(tick.evidence_until),
             clock_ahead_ms: Some(self.clock_ahead_s * 1_000),
+            nodes: self.nodes,
             new_targets: 4,
         };
         let outcome = step(&self.state, &self.plan, &self.comparison, &contact, now);
--- a/fulmarreel-rollout/src/compare/absorb.rs
+++ b/fulmarreel-rollout/src/compare/absorb.rs
@@ -24,9 +24,9 @@
             return;
         }
         self.reports = reports;
-        let calls = evidence.iter().map(|sum| self.absorb_sum(sum)).sum();
+        let calls: u64 = evidence.iter().map(|sum| self.absorb_sum(sum)).sum();
         self.step.time += elapsed.min(MAX_TICK);
-        self.note_rate(calls, elapsed);
+        self.note_rate(calls as f64 / f64::from(reports));
         for track in self.routes.values_mut().chain([&mut self.total]) {
             track.tick(self.fault, reports);
         }
@@ -36,6 +36,7 @@
     fn absorb_sum(&mut self, evidence: &Evidence) -> u64 {
         let total = evidence.total();
         self.step.new_calls += total.new.calls;
+        self.new_calls += total.new.calls;
         for (route, pair) in &evidence.routes {
             self.routes.entry(*route).or_default().absorb(pair);
         }
@@ -56,14 +57,11 @@
         }
     }
 
-    fn note_rate(&mut self, calls: u64, elapsed: Duration) {
-        if elapsed.is_zero() {
-            return;
-        }
-        let rate = calls as f64 / elapsed.as_secs_f64();
-        self.calls_per_s = Some(match self.calls_per_s {
-            None => rate,
-            Some(mean) => mean + RATE_WEIGHT * (rate - mean),
+    /// Notes the mean calls of one report; reports are sent once a second.
+    fn note_rate(&mut self, calls: f64) {
+        self.calls_per_report_s = Some(match self.calls_per_report_s {
+            None => calls,
+            Some(mean) => mean + RATE_WEIGHT * (calls - mean),
         });
     }
 }
--- a/fulmarreel-rollout/src/compare/mod.rs
+++ b/fulmarreel-rollout/src/compare/mod.rs
@@ -30,9 +30,10 @@
     total: Track,
     routes: BTreeMap<Route, Track>,
     reports: u32,
+    new_calls: u64,
     clock: Clock,
     step: Watched,
-    calls_per_s: Option<f64>,
+    calls_per_report_s: Option<f64>,
 }
 
 /// The owner's clock over its ticks.
@@ -58,12 +59,13 @@
             total: Track::default(),
             routes: BTreeMap::new(),
             reports: 0,
+            new_calls: 0,
             clock: Clock {
                 last: now,
                 steady_since: now,
             },
             step: Watched::default(),
-            calls_per_s: None,
+            calls_per_report_s: None,
         }
     }
 }
--- a/fulmarreel-rollout/src/compare/track.rs
+++ b/fulmarreel-rollout/src/compare/track.rs
@@ -110,7 +110,7 @@
             below >= QUANTILE * calls
         })?;
         let edge = quantile + (BUCKETS_PER_OCTAVE * ratio.log2()).round() as usize;
-        (edge < BUCKETS).then_some(edge)
+        Some(edge.min(BUCKETS - 1))
     }
 }
 
--- a/fulmarreel-rollout/src/evidence/latency.rs
+++ b/fulmarreel-rollout/src/evidence/latency.rs
@@ -4,26 +4,35 @@
 pub const BUCKETS: usize = 32;
 
 /// Upper end of the first bucket in microseconds.
-pub const FIRST_BUCKET_US: u64 = 250;
+pub const FIRST_BUCKET_US: u64 = 100;
+
+/// The square root of two, in parts per million.
+const HALF_OCTAVE_PPM: u64 = 1_414_214;
+
+/// The least latency of each bucket in microseconds.
+const FLOORS_US: [u64; BUCKETS] = floors_us();
 
 /// The bucket of a latency in microseconds.
 pub fn bucket(latency_us: u64) -> usize {
-    (1..BUCKETS)
-        .rev()
-        .find(|&index| latency_us >= bucket_floor_us(index))
-        .unwrap_or(0)
+    FLOORS_US.partition_point(|&floor| floor <= latency_us) - 1
 }
 
 /// The least latency of a bucket in microseconds.
 pub fn bucket_floor_us(index: usize) -> u64 {
-    if index == 0 {
-        return 0;
-    }
-    let octaves = (index - 1) / 2;
-    let floor = FIRST_BUCKET_US << octaves;
-    if (index - 1).is_multiple_of(2) {
-        floor
-    } else {
-        floor * 1_414_214 / 1_000_000
+    FLOORS_US[index]
+}
+
+const fn floors_us() -> [u64; BUCKETS] {
+    let mut floors = [0; BUCKETS];
+    let mut index = 1;
+    while index < BUCKETS {
+        let octave = FIRST_BUCKET_US << ((index - 1) / 2);
+        floors[index] = if (index - 1).is_multiple_of(2) {
+            octave
+        } else {
+            octave * HALF_OCTAVE_PPM / 1_000_000
+        };
+        index += 1;
     }
+    floors
 }
--- a/fulmarreel-rollout/src/evidence/merge.rs
+++ b/fulmarreel-rollout/src/evidence/merge.rs
@@ -1,7 +1,6 @@
 //! Sums of reports, the same in any order.
 
 use super::{Evidence, Loudest, MAX_LOUDEST, Pair, Tally, bucket_floor_us};
-use std::cmp::Reverse;
 
 impl Evidence {
     /// Adds another sum to this one.
@@ -53,17 +52,18 @@
 
 /// Keeps the reporters of the largest scores; the reporter's hash and its tally break ties.
 fn keep_loudest(kept: &mut Vec<Loudest>, others: &[Loudest], score: fn(&Tally) -> u64) {
-    let key = |loudest: &Loudest| {
-        let new = &loudest.new;
-        Reverse((
-            score(new),
-            new.calls,
-            loudest.reporter,
-            new.errors,
-            new.latency,
-        ))
-    };
+    if others.is_empty() {
+        return;
+    }
     kept.extend_from_slice(others);
-    kept.sort_by_key(key);
+    kept.sort_by(|one, other| {
+        let scores = score(&other.new).cmp(&score(&one.new));
+        scores.then_with(|| rank(other).cmp(&rank(one)))
+    });
     kept.truncate(MAX_LOUDEST);
 }
+
+fn rank(loudest: &Loudest) -> (u64, u32, u64, &[u64]) {
+    let new = &loudest.new;
+    (new.calls, loudest.reporter, new.errors, &new.latency)
+}
--- a/fulmarreel-rollout/src/state/reason.rs
+++ b/fulmarreel-rollout/src/state/reason.rs
@@ -40,6 +40,8 @@
     NeedsCalls,
     /// The version is proved.
     Proved,
+    /// The version is proved as far as its hour allows.
+    ProvedInHaste,
     /// The share follows the schedule.
     Scheduled,
     /// The document lets an unproven version pass at its hour.
@@ -67,6 +69,7 @@
             Self::Started => "the first calls go to the new version",
             Self::NeedsCalls => "more calls are needed to prove the version in time",
             Self::Proved => "the version is proved",
+            Self::ProvedInHaste => "the hour presses and fewer calls than usual prove the version",
             Self::Scheduled => "the schedule allows a larger share",
             Self::HourUnproven => "the document lets the unproven version pass at its hour",
             Self::HourHeld => "the hour came before the version was proved",
--- a/fulmarreel-rollout/src/step/contact.rs
+++ b/fulmarreel-rollout/src/step/contact.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// Age of the latest evidence from which on it is stale.
-pub const MAX_EVIDENCE_AGE: Duration = Duration::from_secs(5);
+pub const MAX_EVIDENCE_AGE: Duration = Duration::from_secs(30);
 
 /// Difference between the owner's clock and the store's that is borne.
 pub const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(5);
@@ -23,6 +23,8 @@
     pub evidence_until: Timestamp,
     /// How far the owner's clock is ahead of the store's in milliseconds, if known.
     pub clock_ahead_ms: Option<i64>,
+    /// Nodes of the fleet that would report.
+    pub nodes: u32,
     /// Ready targets of the new version.
     pub new_targets: u32,
 }
--- a/fulmarreel-rollout/src/step/decide.rs
+++ b/fulmarreel-rollout/src/step/decide.rs
@@ -1,6 +1,6 @@
 //! One decision.
 
-use super::{Contact, Hold, Outcome, contact, ramp};
+use super::{Contact, Hold, Outcome, contact, ramp::Ramp};
 use crate::{
     Comparison, Plan, Share, State,
     state::{Phase, Reason},
@@ -31,7 +31,8 @@
     if state.is_final() {
         return Outcome::Hold(Hold::Over);
     }
-    if let Some(figures) = comparison.verdict() {
+    let unproven = matches!(state.phase, Phase::Proving | Phase::Held);
+    if let Some(figures) = comparison.verdict(unproven && now >= plan.complete_by) {
         let verdict = state.next(Share::NONE, Phase::TakenBack, Reason::Bad(figures), now);
         return Outcome::TakeBack(verdict);
     }
@@ -42,8 +43,14 @@
         state,
         plan,
         comparison,
+        nodes: contact.nodes,
         now,
-        left: contact::ahead(plan.complete_by, now),
+        ramp: Ramp {
+            plan,
+            share: state.share,
+            left: contact::ahead(plan.complete_by, now),
+            evidence_age: contact::since(contact.evidence_until, now),
+        },
     };
     match state.phase {
         _ if contact.new_targets == 0 && state.phase != Phase::Completed => {
@@ -63,20 +70,18 @@
     state: &'a State,
     plan: &'a Plan,
     comparison: &'a Comparison,
+    nodes: u32,
     now: Timestamp,
-    left: Duration,
+    ramp: Ramp<'a>,
 }
 
 impl Decision<'_> {
     fn start(&self) -> Outcome {
-        match self.comparison.calls_per_s() {
-            Some(rate) if rate > 0.0 => self.to(
-                ramp::first(self.plan, rate),
-                Phase::Proving,
-                Reason::Started,
-            ),
-            _ if self.hour_presses() => self.hour(),
-            _ => Outcome::Hold(Hold::NoCalls),
+        let rate = self.comparison.calls_per_s(self.nodes);
+        match rate.filter(|rate| *rate > 0.0) {
+            Some(rate) => self.to(self.ramp.first(rate), Phase::Proving, Reason::Started),
+            None if self.ramp.hour_presses() => self.hour(),
+            None => Outcome::Hold(Hold::NoCalls),
         }
     }
 
@@ -84,10 +89,13 @@
         if self.comparison.doubts() {
             return Outcome::Hold(Hold::Doubted);
         }
-        if self.comparison.proves() && self.watched_for(ramp::proving_dwell(self.left)) {
+        if self.comparison.proves() && self.watched_for(self.ramp.proving_dwell()) {
             return self.grow(Reason::Proved);
         }
-        if self.hour_presses() {
+        if self.ramp.hour_presses() && self.comparison.proves_in_haste() {
+            return self.grow(Reason::ProvedInHaste);
+        }
+        if self.ramp.hour_presses() {
             return self.hour();
         }
         self.gather()
@@ -97,7 +105,7 @@
         if self.comparison.doubts() {
             return Outcome::Hold(Hold::Doubted);
         }
-        if self.comparison.proves() && self.watched_for(ramp::MIN_DWELL) {
+        if self.comparison.proves() && self.watched_for(self.ramp.min_dwell()) {
             return self.grow(Reason::Proved);
         }
         self.gather()
@@ -105,8 +113,10 @@
 
     /// Raises an unproven share as far as the proof needs it.
     fn gather(&self) -> Outcome {
-        let share = ramp::proving(self.plan, self.comparison, self.state.share, self.left);
-        if share > self.state.share && self.watched_for(ramp::MIN_DWELL) {
+        let missing = self.comparison.missing_proof();
+        let rate = self.comparison.calls_per_s(self.nodes).unwrap_or(0.0);
+        let share = self.ramp.proving(missing, rate);
+        if share > self.state.share && self.watched_for(self.ramp.min_dwell()) {
             return self.to(share, self.state.phase, Reason::NeedsCalls);
         }
         Outcome::Hold(Hold::Unproven)
@@ -116,7 +126,7 @@
     fn hour(&self) -> Outcome {
         match self.plan.fallback {
             Fallback::Complete => self.grow(Reason::HourUnproven),
-            Fallback::Hold if self.left.is_zero() => {
+            Fallback::Hold if self.ramp.left.is_zero() => {
                 self.to(self.state.share, Phase::Held, Reason::HourHeld)
             }
             Fallback::Hold => self.gather(),
@@ -127,9 +137,9 @@
         if self.comparison.doubts() {
             return Outcome::Hold(Hold::Doubted);
         }
-        let dwell = ramp::dwell(self.state.share, self.left);
+        let dwell = self.ramp.dwell();
         let enough = self.comparison.new_calls() >= STEP_CALLS || self.watched_for(dwell * 2);
-        let seen = enough || self.hour_presses();
+        let seen = enough || self.ramp.hour_presses();
         if seen && self.watched_for(dwell) {
             return self.grow(Reason::Scheduled);
         }
@@ -164,7 +174,7 @@
     }
 
     fn grow(&self, reason: Reason) -> Outcome {
-        let share = ramp::next(self.state.share);
+        let share = self.ramp.next();
         let phase = if share == Share::ALL {
             Phase::Soaking
         } else {
@@ -185,11 +195,6 @@
         self.comparison.watched() >= time
     }
 
-    /// Whether an unproven version would have to grow from now on to be on time.
-    fn hour_presses(&self) -> bool {
-        self.left <= ramp::least(self.state.share)
-    }
-
     /// Time since the hour.
     fn since_hour(&self) -> Duration {
         contact::since(self.plan.complete_by, self.now)
--- a/fulmarreel-rollout/src/step/ramp.rs
+++ b/fulmarreel-rollout/src/step/ramp.rs
@@ -1,6 +1,6 @@
 //! Shares and their times, worked back from the hour.
 
-use crate::{Comparison, Plan, Share};
+use crate::{Plan, Share};
 use std::time::Duration;
 
 /// Calls per second over the fleet at first, for services with non-idempotent routes.
@@ -12,8 +12,8 @@
 /// Factor by which one step raises the share at most.
 const GROWTH: f64 = 2.0;
 
-/// Shortest time between two steps: evidence of the last step has to come in.
-pub(super) const MIN_DWELL: Duration = Duration::from_secs(4);
+/// Shortest time between two steps besides the age of the evidence.
+const MIN_DWELL: Duration = Duration::from_secs(3);
 
 /// Longest time between two steps.
 const MAX_DWELL: Duration = Duration::from_secs(300);
@@ -36,49 +36,76 @@
 /// Calls that prove a version without errors.
 const PROOF_CALLS: f64 = 160.0;
 
-/// The first share: few calls, and no more than the unproven share.
-pub(super) fn first(plan: &Plan, calls_per_s: f64) -> Share {
-    let first = if plan.idempotent {
-        FIRST_CALLS_PER_S_IDEMPOTENT
-    } else {
-        FIRST_CALLS_PER_S
-    };
-    at_least_some(first / calls_per_s.max(f64::MIN_POSITIVE)).min(plan.unproven)
+/// What the times are worked out from.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Ramp<'a> {
+    pub plan: &'a Plan,
+    /// The present share.
+    pub share: Share,
+    /// Time left until the hour.
+    pub left: Duration,
+    /// Age of the latest evidence.
+    pub evidence_age: Duration,
 }
 
-/// The share at which the missing proof comes in time, at most the unproven one.
-pub(super) fn proving(plan: &Plan, comparison: &Comparison, share: Share, left: Duration) -> Share {
-    let calls_per_s = comparison.calls_per_s().unwrap_or(0.0);
-    let time = (left.as_secs_f64() * PROOF_BY).max(MIN_DWELL.as_secs_f64());
-    let needed = comparison.missing_proof() * PROOF_CALLS / time;
-    let wanted = at_least_some(needed / calls_per_s.max(f64::MIN_POSITIVE));
-    wanted.min(next(share)).min(plan.unproven).max(share)
+impl Ramp<'_> {
+    /// The first share: few calls, and no more than the unproven share.
+    pub fn first(&self, calls_per_s: f64) -> Share {
+        let first = if self.plan.idempotent {
+            FIRST_CALLS_PER_S_IDEMPOTENT
+        } else {
+            FIRST_CALLS_PER_S
+        };
+        part_of(first, calls_per_s).min(self.plan.unproven)
+    }
+
+    /// The share at which the missing proof, from 0 to 1, comes in time; at most the unproven one.
+    pub fn proving(&self, missing: f64, calls_per_s: f64) -> Share {
+        let time = self.left.mul_f64(PROOF_BY).max(self.min_dwell());
+        let needed = missing * PROOF_CALLS / time.as_secs_f64();
+        let most = self.next().min(self.plan.unproven);
+        part_of(needed, calls_per_s).min(most).max(self.share)
+    }
+
+    /// The share after this one.
+    pub fn next(&self) -> Share {
+        at_least_some(self.share.fraction() * GROWTH)
+    }
+
+    /// How long a proved version stays at its first share.
+    pub fn proving_dwell(&self) -> Duration {
+        self.left
+            .mul_f64(PROVING)
+            .min(MAX_PROVING)
+            .max(self.min_dwell())
+    }
+
+    /// How long a share is kept while it grows.
+    pub fn dwell(&self) -> Duration {
+        let steps = self.steps_left().max(1.0);
+        let dwell = self.left.mul_f64(USABLE / steps);
+        dwell.min(MAX_DWELL).max(self.min_dwell())
+    }
+
+    /// Shortest time between two steps: evidence of the last step has to come in.
+    pub fn min_dwell(&self) -> Duration {
+        MIN_DWELL + self.evidence_age
+    }
+
+    /// Whether the share has to grow from now on to be on time.
+    pub fn hour_presses(&self) -> bool {
+        let least = self.min_dwell().mul_f64(HASTE * (self.steps_left() + 1.0));
+        self.left <= least
+    }
+
+    fn steps_left(&self) -> f64 {
+        let share = self.share.max(Share::SMALLEST).fraction();
+        (1.0 / share).log(GROWTH).ceil()
+    }
 }
 
-/// The share after this one.
-pub(super) fn next(share: Share) -> Share {
-    at_least_some(share.fraction() * GROWTH)
-}
-
-/// How long a proved version stays at its first share.
-pub(super) fn proving_dwell(left: Duration) -> Duration {
-    left.mul_f64(PROVING).clamp(MIN_DWELL, MAX_PROVING)
-}
-
-/// How long a share is kept while it grows.
-pub(super) fn dwell(share: Share, left: Duration) -> Duration {
-    let steps = steps_left(share).max(1.0);
-    left.mul_f64(USABLE / steps).clamp(MIN_DWELL, MAX_DWELL)
-}
-
-/// The least time in which a share can grow to all traffic.
-pub(super) fn least(share: Share) -> Duration {
-    MIN_DWELL.mul_f64(HASTE * (steps_left(share) + 1.0))
-}
-
-fn steps_left(share: Share) -> f64 {
-    let parts = share.fraction().max(Share::SMALLEST.fraction());
-    (1.0 / parts).log(GROWTH).ceil()
+fn part_of(wanted: f64, calls_per_s: f64) -> Share {
+    at_least_some(wanted / calls_per_s.max(f64::MIN_POSITIVE))
 }
 
 fn at_least_some(fraction: f64) -> Share {
