feat(node): moves to a new version end to end

Cause: decisions on moves existed, but no node drove them. Now each call asks for its version and reports its end by a ticket, that releases its place when dropped; nodes send tallies to one of their availability zone (rendezvous hash of the service), which sends the sum to the owner every 500 ms; three nodes stand by for the owner's lease; a step counts once the store has it, a verdict at once.

Ruled out: counting a lost path as the version's fault (a dead instance would take back a good version); owner by membership alone (two owners in a partition); sending samples.

--- a/fulmarreel-node/src/ingress/exchange.rs
+++ b/fulmarreel-node/src/ingress/exchange.rs
@@ -32,8 +32,12 @@
     Streamed { head: Head, body: Stream },
     /// It was not run, and never will be.
     NotRun { end: End, reason: &'static str },
-    /// It may have run.
-    Unknown { reason: &'static str },
+    /// It may have run. `at_target` says that its node knows the target to have failed it, as
+    /// opposed to something on the way there.
+    Unknown {
+        reason: &'static str,
+        at_target: bool,
+    },
 }
 
 /// A call whose connection was lost after it was written.
@@ -79,14 +83,20 @@
     }
 
     pub fn unknown(reason: &'static str) -> Self {
-        Self::Unknown { reason }
+        let at_target = false;
+        Self::Unknown { reason, at_target }
+    }
+
+    pub fn failed_at_target(reason: &'static str) -> Self {
+        let at_target = true;
+        Self::Unknown { reason, at_target }
     }
 
     /// Why there is no answer.
     pub fn reason(&self) -> Option<&'static str> {
         match self {
             Self::Whole { .. } | Self::Streamed { .. } => None,
-            Self::NotRun { reason, .. } | Self::Unknown { reason } => Some(reason),
+            Self::NotRun { reason, .. } | Self::Unknown { reason, .. } => Some(reason),
         }
     }
 }
@@ -217,7 +227,7 @@
             depth: request.depth,
             idempotent: self.destination.route.idempotent(),
             service: self.destination.service.document.service().to_string(),
-            version: self.destination.version.to_owned(),
+            version: self.destination.version.to_string(),
             method: request.method.to_owned(),
             path: request.path.clone(),
             headers: request.headers.clone(),
@@ -256,7 +266,7 @@
                     return Ok(Answer::unknown("the answer is no longer kept"));
                 }
                 Event::State(call::State::Running | call::State::Answered) if cancelled => {
-                    return Ok(Answer::unknown("the deadline passed"));
+                    return Ok(Answer::failed_at_target("the deadline passed"));
                 }
                 Event::State(call::State::Running | call::State::Answered) => {}
                 Event::Refused(refused) => {
@@ -265,7 +275,7 @@
                 }
                 Event::Failed(failed) => {
                     pending.ended = true;
-                    return Ok(Answer::unknown(failure(failed.reason)));
+                    return Ok(failure(failed.reason));
                 }
                 Event::Lost { written } => {
                     pending.ended = true;
@@ -340,10 +350,14 @@
     .await
 }
 
-fn failure(failure: Failure) -> &'static str {
+fn failure(failure: Failure) -> Answer {
     match failure {
-        Failure::TargetLost => "the target was lost while it ran the call",
-        Failure::Deadline => "the deadline passed while the target ran the call",
-        Failure::Forgotten => "the answer is no longer kept",
+        Failure::TargetLost => {
+            Answer::failed_at_target("the target was lost while it ran the call")
+        }
+        Failure::Deadline => {
+            Answer::failed_at_target("the deadline passed while the target ran the call")
+        }
+        Failure::Forgotten => Answer::unknown("the answer is no longer kept"),
     }
 }
--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     peer::{Identity, Pool},
+    rollout::{self, Moves},
     state::State,
     telemetry::{
         Decision,
@@ -28,7 +29,7 @@
 use fulmarreel_call::retry::{self, End, Next};
 use load::Loads;
 use request::Request;
-use route::{Destination, Observation};
+use route::Destination;
 use smol::{
     Timer,
     channel::{Receiver, Sender, bounded},
@@ -51,10 +52,14 @@
 /// Pause before a call that was never sent goes to a target that was tried before.
 const SAME_TARGET_PAUSE: Duration = Duration::from_millis(50);
 
+/// The lowest HTTP status that says the target failed.
+const FIRST_SERVER_ERROR: u16 = 500;
+
 /// What the handler of callers' requests works with.
 #[derive(Debug)]
 pub struct Ingress {
     state: Arc<State>,
+    moves: Arc<Moves>,
     pool: Arc<Pool>,
     loads: Arc<Loads>,
     budgets: Mutex<HashMap<String, Budget>>,
@@ -76,7 +81,7 @@
 
 impl Ingress {
     /// A handler for calls that are routed by `state`.
-    pub fn new(state: Arc<State>) -> Self {
+    pub fn new(state: Arc<State>, moves: Arc<Moves>) -> Self {
         let own = Identity {
             address: state.settings.advertise,
             boot: state.boot,
@@ -86,6 +91,7 @@
         crate::runtime::spawn(async move { watched.watch().await });
         Self {
             state,
+            moves,
             pool,
             loads: Arc::default(),
             budgets: Mutex::default(),
@@ -133,7 +139,7 @@
             Err(error) => return respond::refuse(conn, Status::BadRequest, &error.to_string()),
         };
         let view = self.state.view();
-        let Some(destination) = route::resolve(&view, &request) else {
+        let Some(destination) = route::resolve(&view, &self.moves, &request) else {
             let reason = "no document in force has this route";
             return respond::refuse(conn, Status::NotFound, reason);
         };
@@ -174,7 +180,7 @@
             tried.push(target);
             let (end, lost) = match answer {
                 Ok(answer @ (Answer::Whole { .. } | Answer::Streamed { .. })) => {
-                    self.observe(destination, &answer);
+                    Self::observe(destination, request, &answer);
                     return answer;
                 }
                 Ok(Answer::NotRun { end, reason }) => {
@@ -197,14 +203,14 @@
                         }
                     }
                     settled => {
-                        self.observe(destination, &settled);
+                        Self::observe(destination, request, &settled);
                         return settled;
                     }
                 },
                 Some(_) => last = Answer::unknown("the connection to the target's node was lost"),
                 None if again => {}
                 None => {
-                    self.observe(destination, &last);
+                    Self::observe(destination, request, &last);
                     return last;
                 }
             }
@@ -263,19 +269,21 @@
     }
 
     /// Hands an end to whoever compares versions.
-    fn observe(&self, destination: &Destination<'_>, answer: &Answer) {
-        let observation = match answer {
-            Answer::Whole { head, .. } | Answer::Streamed { head, .. } => Observation {
-                failed: head.status >= 500,
-                target_micros: Some(head.target_micros),
+    fn observe(destination: &Destination<'_>, request: &Request, answer: &Answer) {
+        let end = match answer {
+            Answer::Whole { head, .. } | Answer::Streamed { head, .. } => rollout::End {
+                failed: head.status >= FIRST_SERVER_ERROR,
+                target_micros: head.target_micros.into(),
             },
-            Answer::Unknown { .. } => Observation {
+            Answer::Unknown {
+                at_target: true, ..
+            } => rollout::End {
                 failed: true,
-                target_micros: None,
+                target_micros: request.elapsed().as_micros() as u64,
             },
-            Answer::NotRun { .. } => return,
+            Answer::Unknown { .. } | Answer::NotRun { .. } => return,
         };
-        route::observe(&self.state, destination, observation);
+        destination.finish(end);
     }
 
     fn log_route(
@@ -298,7 +306,7 @@
         }
         Decision {
             call: Some(sequence),
-            version: Some(destination.version),
+            version: Some(destination.version.as_str()),
             revision: Some(destination.service.revision),
             target: Some(target),
             ..Decision::new(kind, service, reason)
@@ -313,10 +321,15 @@
             Answer::NotRun { .. } => (Outcome::NotRun, Some(Kind::Refuse)),
             Answer::Unknown { .. } => (Outcome::Unknown, Some(Kind::GiveUp)),
         };
-        metrics::call_ended(service, destination.version, outcome, request.elapsed());
+        metrics::call_ended(
+            service,
+            destination.version.as_str(),
+            outcome,
+            request.elapsed(),
+        );
         if let (Some(kind), Some(reason)) = (kind, answer.reason()) {
             Decision {
-                version: Some(destination.version),
+                version: Some(destination.version.as_str()),
                 revision: Some(destination.service.revision),
                 ..Decision::new(kind, service, reason)
             }
--- a/fulmarreel-node/src/ingress/respond.rs
+++ b/fulmarreel-node/src/ingress/respond.rs
@@ -24,7 +24,7 @@
             answered(conn, head, Body::new_streaming(body, length))
         }
         Answer::NotRun { reason, .. } => refuse(conn, Status::ServiceUnavailable, reason),
-        Answer::Unknown { reason } => conn
+        Answer::Unknown { reason, .. } => conn
             .with_status(Status::BadGateway)
             .with_response_header(OUTCOME_HEADER, "unknown")
             .with_body(reason)
--- a/fulmarreel-node/src/ingress/route.rs
+++ b/fulmarreel-node/src/ingress/route.rs
@@ -1,8 +1,12 @@
 //! Where a call goes: document, route and version.
 
 use super::request::Request;
-use crate::state::{Candidate, Service, State, View};
-use fulmarreel_document::Route;
+use crate::{
+    rollout::{End, Moves, Ticket},
+    state::{Candidate, Service, View, unix_millis},
+};
+use fulmarreel_document::{Route, Version, shift::Timestamp};
+use std::sync::Mutex;
 
 /// Where a call goes.
 #[derive(Debug)]
@@ -14,28 +18,33 @@
     /// The route's place in its document.
     pub route_index: usize,
     /// The version that takes it.
-    pub version: &'a str,
-}
-
-/// How a call that may have run ended.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Observation {
-    /// Whether the answer was a server error, or is not to be had.
-    pub failed: bool,
-    /// The target's own time to the answer's head in microseconds, if there was one.
-    pub target_micros: Option<u32>,
+    pub version: Version,
+    ticket: Mutex<Option<Ticket>>,
 }
 
 impl Destination<'_> {
     /// The targets of the version.
     pub fn candidates(&self) -> impl Iterator<Item = &Candidate> {
-        let candidates = self.service.candidates.get(self.version);
+        let candidates = self.service.candidates.get(self.version.as_str());
         candidates.into_iter().flatten()
     }
+
+    /// Reports how the target dealt with the call, where versions are compared.
+    pub fn finish(&self, end: End) {
+        let ticket = self.ticket.lock().expect("ticket lock").take();
+        if let Some(ticket) = ticket {
+            let route = u16::try_from(self.route_index).unwrap_or(u16::MAX);
+            ticket.finish(route, end);
+        }
+    }
 }
 
 /// Finds where a request goes by the documents in force.
-pub(super) fn resolve<'a>(view: &'a View, request: &Request) -> Option<Destination<'a>> {
+pub(super) fn resolve<'a>(
+    view: &'a View,
+    moves: &Moves,
+    request: &Request,
+) -> Option<Destination<'a>> {
     let asked = view.service(&request.service)?;
     let routes = asked.document.routes();
     let route_index = routes
@@ -46,27 +55,12 @@
         None => asked,
         Some(destination) => view.service(destination.as_str())?,
     };
+    let choice = moves.choose(service, request.hash, Timestamp(unix_millis()));
     Some(Destination {
         service,
         route,
         route_index,
-        version: choose_version(service, request.hash),
+        version: choice.version,
+        ticket: Mutex::new(choice.ticket),
     })
 }
-
-/// The version for a call; calls of one hash go to one version.
-fn choose_version(service: &Service, _hash: u64) -> &str {
-    service.document.version().as_str()
-}
-
-/// Notes the end of a call that may have run.
-pub(super) fn observe(_state: &State, destination: &Destination<'_>, observation: Observation) {
-    log::debug!(
-        "observe service={} version={} route={} failed={} target_micros={:?}",
-        destination.service.document.service(),
-        destination.version,
-        destination.route_index,
-        observation.failed,
-        observation.target_micros,
-    );
-}
--- a/fulmarreel-node/src/lib.rs
+++ b/fulmarreel-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod leave;
 pub mod opening;
 pub mod peer;
+pub mod rollout;
 pub mod run;
 pub mod runtime;
 pub mod serve;
--- /dev/null
+++ b/fulmarreel-node/src/rollout/owner/mod.rs
@@ -0,0 +1,116 @@
+//! Owning a move: one node decides, by a lease in the store.
+//!
+//! The owner's key is created under a lease. Each step is written on condition that the key still
+//! has the revision at which this owner created it, so an owner that was paused past its lease
+//! writes nothing, and on condition that the move's key is as it was last seen.
+
+mod acquire;
+mod publish;
+mod tick;
+
+use super::{Moves, fleet::Fleet};
+use crate::state::{State, unix_millis};
+use fulmarreel_document::shift::Timestamp;
+use fulmarreel_platform::{Lease, Revision, Store};
+use fulmarreel_rollout::Comparison;
+use smol::Timer;
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+/// Time between two decisions of an owner.
+const TICK: Duration = Duration::from_secs(1);
+
+/// How many nodes stand by for the ownership of one move.
+const STANDBYS: usize = 3;
+
+/// How long a lease lasts after its owner was last heard.
+const LEASE_TTL: Duration = Duration::from_secs(5);
+
+/// Age of a lease's last renewal at which it is renewed.
+const RENEWAL_AGE: Duration = Duration::from_millis(1_500);
+
+/// Time between two looks of a standby at the owner's key.
+const STANDBY_INTERVAL: Duration = Duration::from_secs(2);
+
+/// An ownership that this node holds.
+#[derive(Debug)]
+struct Ownership {
+    revision: u64,
+    lease: Lease,
+    /// The revision at which the owner's key was created.
+    created: Revision,
+    /// The move's key as last seen.
+    seen: Revision,
+    renewed_at: Timestamp,
+    lease_until: Timestamp,
+    comparison: Comparison,
+    /// Whether the step in force is still to be written.
+    unpublished: bool,
+}
+
+/// What this node owns and stands by for, by service.
+#[derive(Debug, Default)]
+struct Duties {
+    owned: HashMap<String, Ownership>,
+    next_look: HashMap<String, Timestamp>,
+}
+
+/// Takes part in the ownership of moves until the process ends.
+pub async fn run(state: Arc<State>, moves: Arc<Moves>, store: impl Store) {
+    let mut duties = Duties::default();
+    loop {
+        Timer::after(TICK).await;
+        let running = moves.all();
+        duties.forget(&running);
+        if running.is_empty() {
+            continue;
+        }
+        let fleet = Fleet::of(&state);
+        for entry in &running {
+            let now = Timestamp(unix_millis());
+            if let Some(mut ownership) = duties.owned.remove(entry.service()) {
+                if tick::tick(&state, &fleet, &store, entry, &mut ownership).await {
+                    duties.owned.insert(entry.service().to_owned(), ownership);
+                }
+            } else if duties.is_standby(&fleet, entry, now)
+                && let Some(ownership) = acquire::acquire(&state, &store, entry).await
+            {
+                duties.owned.insert(entry.service().to_owned(), ownership);
+            }
+        }
+    }
+}
+
+impl Duties {
+    /// Gives up what no document in force declares any more; the leases lapse by themselves.
+    fn forget(&mut self, running: &[Arc<super::Move>]) {
+        let declared = |service: &String, revision: Option<u64>| {
+            running.iter().any(|entry| {
+                entry.service() == service && revision.is_none_or(|known| known == entry.revision)
+            })
+        };
+        self.owned
+            .retain(|service, ownership| declared(service, Some(ownership.revision)));
+        self.next_look.retain(|service, _| declared(service, None));
+    }
+
+    /// Whether this node is to look at the owner's key now.
+    fn is_standby(&mut self, fleet: &Fleet, entry: &super::Move, now: Timestamp) -> bool {
+        if entry.is_settled() || fleet.rank(entry.service()) >= STANDBYS {
+            return false;
+        }
+        let next = self
+            .next_look
+            .entry(entry.service().to_owned())
+            .or_insert(now);
+        if now < *next {
+            return false;
+        }
+        *next = later(now, STANDBY_INTERVAL);
+        true
+    }
+}
+
+/// A point in time that lies further on.
+fn later(point: Timestamp, by: Duration) -> Timestamp {
+    Timestamp(point.0.saturating_add(by.as_millis() as u64))
+}
--- /dev/null
+++ b/fulmarreel-node/src/rollout/owner/tick.rs
@@ -0,0 +1,99 @@
+//! One decision of an owner.
+
+use super::{Ownership, RENEWAL_AGE, later, publish};
+use crate::{
+    rollout::{Move, fleet::Fleet},
+    state::{State, unix_millis},
+};
+use fulmarreel_distribution::Verdict;
+use fulmarreel_document::shift::Timestamp;
+use fulmarreel_platform::{Error, Store};
+use fulmarreel_rollout::step::{self, Contact, Outcome};
+
+/// Renews the lease, decides, and publishes; returns whether this node still owns the move.
+pub(super) async fn tick<S: Store>(
+    state: &State,
+    fleet: &Fleet,
+    store: &S,
+    entry: &Move,
+    ownership: &mut Ownership,
+) -> bool {
+    if !renew(store, entry, ownership).await {
+        return false;
+    }
+    let now = Timestamp(unix_millis());
+    let evidence = entry.take_fleet();
+    let current = entry.state();
+    ownership.comparison.absorb(&evidence, current.step, now);
+    let contact = contact(state, fleet, entry, ownership);
+    let outcome = step::step(&current, &entry.plan, &ownership.comparison, &contact, now);
+    if let Outcome::Hold(reason) = &outcome {
+        log::debug!("move of {}: held: {reason}", entry.service());
+    }
+    match (&outcome, outcome.state()) {
+        // A verdict counts at once and everywhere; the store takes it when it can.
+        (Outcome::TakeBack(_), Some(verdict)) => {
+            entry.join(verdict);
+            spread(state, entry);
+            ownership.unpublished = true;
+        }
+        // Any other step counts once the store has it; else it is decided anew.
+        (_, Some(next)) => return publish::publish(state, store, entry, ownership, next).await,
+        (_, None) => {}
+    }
+    if ownership.unpublished {
+        let current = entry.state();
+        return publish::publish(state, store, entry, ownership, &current).await;
+    }
+    !entry.is_settled()
+}
+
+fn spread(state: &State, entry: &Move) {
+    let Some(shift) = entry.document.shift() else {
+        return;
+    };
+    state.take_back(&Verdict {
+        service: entry.service().to_owned(),
+        revision: entry.revision,
+        version: shift.to().to_string(),
+    });
+}
+
+fn contact(state: &State, fleet: &Fleet, entry: &Move, ownership: &Ownership) -> Contact {
+    let view = state.view();
+    let to = entry.document.shift().map(|shift| shift.to().as_str());
+    let new_targets = view
+        .service(entry.service())
+        .zip(to)
+        .and_then(|(service, to)| service.candidates.get(to))
+        .map_or(0, Vec::len);
+    Contact {
+        lease_until: ownership.lease_until,
+        evidence_until: entry.heard_until(&fleet.zones()),
+        clock_ahead_ms: None,
+        new_targets: u32::try_from(new_targets).unwrap_or(u32::MAX),
+    }
+}
+
+/// Renews the lease when it is due; returns whether it may still hold.
+async fn renew<S: Store>(store: &S, entry: &Move, ownership: &mut Ownership) -> bool {
+    let asked_at = Timestamp(unix_millis());
+    if asked_at < later(ownership.renewed_at, RENEWAL_AGE) {
+        return true;
+    }
+    match store.keep_alive(ownership.lease).await {
+        Ok(ttl) => {
+            ownership.renewed_at = asked_at;
+            ownership.lease_until = later(asked_at, ttl);
+            true
+        }
+        Err(Error::Expired { .. }) => {
+            log::info!("move of {}: the owner's lease has lapsed", entry.service());
+            false
+        }
+        Err(error) => {
+            log::warn!("move of {}: lease not renewed: {error}", entry.service());
+            true
+        }
+    }
+}
--- /dev/null
+++ b/fulmarreel-node/src/rollout/report/mod.rs
@@ -0,0 +1,124 @@
+//! Reports on the versions of a service: from each node to one of its availability zone, and from
+//! there, added up, to the move's owner.
+
+mod link;
+
+use super::{Move, Moves, fleet::Fleet};
+use crate::{
+    peer::stream,
+    state::{State, unix_millis},
+};
+use fulmarreel_document::shift::Timestamp;
+use fulmarreel_rollout::{Evidence, evidence};
+use fulmarreel_wire::evidence::{Report, Stage};
+use link::Links;
+use smol::{Timer, net::TcpStream};
+use std::{io, sync::Arc, time::Duration};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time between two reports of a node, and between two sums of an availability zone.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Sends reports until the process ends.
+pub async fn run(state: Arc<State>, moves: Arc<Moves>) {
+    let mut links = Links::new(state.settings.advertise, state.boot);
+    let reporter = xxh3_64(state.settings.advertise.to_string().as_bytes()) as u32;
+    loop {
+        Timer::after(INTERVAL).await;
+        let running: Vec<_> = moves
+            .all()
+            .into_iter()
+            .filter(|m| !m.state().is_final())
+            .collect();
+        if running.is_empty() {
+            continue;
+        }
+        let fleet = Fleet::of(&state);
+        for entry in running {
+            report_own(&state, &fleet, &mut links, &entry, reporter);
+            report_zone(&state, &fleet, &mut links, &entry);
+        }
+    }
+}
+
+/// Takes in the reports that a peer sends until it closes the connection.
+///
+/// # Errors
+///
+/// The connection ended or failed.
+pub async fn accept(moves: &Moves, mut tcp: TcpStream) -> io::Result<()> {
+    loop {
+        receive(moves, stream::read(&mut tcp).await?);
+    }
+}
+
+/// Takes in a report of another node.
+fn receive(moves: &Moves, report: Report) {
+    let Some(entry) = moves.get(&report.service) else {
+        return;
+    };
+    if entry.revision != report.revision {
+        return;
+    }
+    let Some(evidence) = decode(&report) else {
+        return;
+    };
+    match report.stage {
+        Stage::Node => entry.add_node(&evidence),
+        Stage::Zone { zone } => entry.add_zone(&zone, &evidence, Timestamp(unix_millis())),
+    }
+}
+
+fn decode(report: &Report) -> Option<Evidence> {
+    let wire: evidence::Wire = fulmarreel_wire::framing::decode(&report.evidence)
+        .inspect_err(|error| log::warn!("report on {}: {error}", report.service))
+        .ok()?;
+    wire.try_into()
+        .inspect_err(|error| log::warn!("report on {}: {error}", report.service))
+        .ok()
+}
+
+fn report_own(state: &State, fleet: &Fleet, links: &mut Links, entry: &Move, reporter: u32) {
+    let Some(own) = entry.take_own(reporter) else {
+        return;
+    };
+    let aggregator = fleet.aggregator(entry.service());
+    if aggregator == state.settings.advertise {
+        entry.add_node(&own);
+    } else if let Some(report) = encode(entry, &own, Stage::Node) {
+        links.send(aggregator, report);
+    }
+}
+
+/// The sum is sent even where there is nothing in it: the owner learns that the zone is heard.
+fn report_zone(state: &State, fleet: &Fleet, links: &mut Links, entry: &Move) {
+    let settings = &state.settings;
+    if fleet.aggregator(entry.service()) != settings.advertise {
+        return;
+    }
+    let Some(owner) = entry.owner() else {
+        return;
+    };
+    let sum = entry.take_zone();
+    if owner == settings.advertise {
+        entry.add_zone(&settings.zone, &sum, Timestamp(unix_millis()));
+        return;
+    }
+    let zone = settings.zone.clone();
+    if let Some(report) = encode(entry, &sum, Stage::Zone { zone }) {
+        links.send(owner, report);
+    }
+}
+
+fn encode(entry: &Move, evidence: &Evidence, stage: Stage) -> Option<Report> {
+    let wire = evidence::Wire::from(evidence);
+    let evidence = fulmarreel_wire::framing::encode_bare(&wire)
+        .inspect_err(|error| log::error!("report on {}: {error}", entry.service()))
+        .ok()?;
+    Some(Report {
+        service: entry.service().to_owned(),
+        revision: entry.revision,
+        stage,
+        evidence,
+    })
+}
--- a/fulmarreel-node/src/run.rs
+++ b/fulmarreel-node/src/run.rs
@@ -3,7 +3,9 @@
 use crate::{
     admin, gossip,
     ingress::{self, Ingress},
-    leave, opening, runtime,
+    leave, opening,
+    rollout::{self, Moves},
+    runtime,
     serve::Server,
     settings::Settings,
     state::State,
@@ -35,7 +37,9 @@
         let state = Arc::clone(&believing);
         async move { admin::handle(&state, conn).await }
     });
-    let ingress = Arc::new(Ingress::new(Arc::clone(&state)));
+    let moves = Arc::new(Moves::default());
+    rollout::start(&state, &moves);
+    let ingress = Arc::new(Ingress::new(Arc::clone(&state), Arc::clone(&moves)));
     let callers = accept_callers(Arc::clone(&state), Arc::clone(&ingress));
     let syncing = Arc::clone(&state);
     runtime::spawn(async move { sync::run(syncing).await });
@@ -45,7 +49,7 @@
             log::error!("gossip: {error}");
         }
     });
-    let server = Arc::new(Server::new(Arc::clone(&state), client));
+    let server = Arc::new(Server::new(Arc::clone(&state), client, moves));
     let serving = Arc::clone(&server);
     let leaving = leave::run(state, server, ingress);
     or(serving.run(), or(callers, leaving)).await
--- a/fulmarreel-node/src/serve/connection.rs
+++ b/fulmarreel-node/src/serve/connection.rs
@@ -4,7 +4,7 @@
     Server, call,
     opener::{Kept, Session},
 };
-use crate::{peer::stream, sync};
+use crate::{peer::stream, rollout::report, sync};
 use fulmarreel_call::{Fate, Opener, ledger::Cancellation};
 use fulmarreel_wire::{
     Hello, PROTOCOL, Purpose,
@@ -39,8 +39,10 @@
             log::warn!("peer {}: refused {hello:?}", hello.address);
             return Ok(());
         }
-        if hello.purpose == Purpose::Sync {
-            return sync::accept(&self.state, tcp, &hello).await;
+        match hello.purpose {
+            Purpose::Sync => return sync::accept(&self.state, tcp, &hello).await,
+            Purpose::Evidence => return report::accept(&self.moves, tcp).await,
+            Purpose::Calls => {}
         }
         let greeting = Hello {
             protocol: PROTOCOL,
--- a/fulmarreel-node/src/serve/mod.rs
+++ b/fulmarreel-node/src/serve/mod.rs
@@ -5,7 +5,7 @@
 mod gate;
 mod opener;
 
-use crate::{state::State, target::Client};
+use crate::{rollout::Moves, state::State, target::Client};
 use fulmarreel_call::Opener;
 use fulmarreel_membership::Target;
 use fulmarreel_wire::call::{Frame, Refusal};
@@ -32,6 +32,7 @@
 #[derive(Debug)]
 pub struct Server {
     state: Arc<State>,
+    moves: Arc<Moves>,
     client: Client,
     gate: Arc<Gate>,
     sessions: Mutex<HashMap<Opener, Arc<Session>>>,
@@ -42,9 +43,10 @@
 
 impl Server {
     /// A server of calls to the target behind `client`.
-    pub fn new(state: Arc<State>, client: Client) -> Self {
+    pub fn new(state: Arc<State>, client: Client, moves: Arc<Moves>) -> Self {
         Self {
             state,
+            moves,
             client,
             gate: Arc::default(),
             sessions: Mutex::default(),
--- a/fulmarreel-node/src/state/view.rs
+++ b/fulmarreel-node/src/state/view.rs
@@ -83,6 +83,15 @@
     }
 }
 
+impl Service {
+    /// Whether a target of that version is known.
+    pub fn has_target(&self, version: &str) -> bool {
+        self.candidates
+            .get(version)
+            .is_some_and(|candidates| !candidates.is_empty())
+    }
+}
+
 impl View {
     pub(super) fn build(
         documents: &Catalog,
--- /dev/null
+++ b/fulmarreel-node/tests/moves/duties.rs
@@ -0,0 +1,110 @@
+//! Which node adds up reports, and since when an owner has heard of most availability zones.
+
+use fulmarreel_document::{parse, shift::Timestamp};
+use fulmarreel_node::rollout::{
+    Move,
+    fleet::{Fleet, Member},
+};
+use fulmarreel_rollout::{Evidence, Plan};
+use rstest::rstest;
+use std::{collections::BTreeSet, error::Error, net::SocketAddr, sync::Arc};
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn fleet(own: u16, gone: Option<u16>) -> Fleet {
+    let ports = (1..=9).filter(|port| Some(*port) != gone);
+    let members = ports.map(|port| Member {
+        address: address(port),
+        zone: format!("zone-{}", port % 3),
+    });
+    Fleet::new(
+        address(own),
+        &format!("zone-{}", own % 3),
+        members.collect(),
+    )
+}
+
+/// Fails where the choice depends on the own address.
+#[test]
+fn members_of_a_zone_agree_on_its_aggregator() {
+    let chosen: BTreeSet<_> = [1, 4, 7]
+        .map(|own| fleet(own, None).aggregator("reservas"))
+        .into();
+    assert_eq!(chosen.len(), 1);
+}
+
+/// Fails where services are not spread: one node then adds up everything.
+#[test]
+fn services_have_different_aggregators() {
+    let names = (0..30).map(|n| format!("service-{n}"));
+    let chosen: BTreeSet<_> = names.map(|name| fleet(1, None).aggregator(&name)).collect();
+    assert_eq!(chosen.len(), 3);
+}
+
+/// Fails where ranks are shared: then two nodes stand by at once, or none.
+#[test]
+fn ranks_are_a_permutation() {
+    let ranks: BTreeSet<_> = (1..=9)
+        .map(|own| fleet(own, None).rank("reservas"))
+        .collect();
+    assert_eq!(ranks, (0..9).collect());
+}
+
+/// Fails where the loss of one member moves the duties of others.
+#[test]
+fn the_loss_of_a_member_moves_its_duties_alone() {
+    for service in (0..30).map(|n| format!("service-{n}")) {
+        let before = fleet(1, None).aggregator(&service);
+        let after = fleet(1, Some(4)).aggregator(&service);
+        assert!(before == after || before == address(4));
+    }
+}
+
+const DOCUMENT: &str = r#"{
+    "service": "reservas",
+    "version": "v1",
+    "routes": [{ "path": "/" }],
+    "move": { "to": "v2", "complete_by": "2030-01-01T00:00:00Z" }
+}"#;
+
+fn declared() -> Result<Move, Box<dyn Error>> {
+    let document = Arc::new(parse(DOCUMENT)?);
+    let plan = Plan::of(&document).ok_or("no move")?;
+    Ok(Move::new(&document, 5, plan, 9, Timestamp(0)))
+}
+
+/// Fails where one zone's silence, or one zone's word, decides.
+#[rstest]
+#[case::nobody(&[], 0)]
+#[case::one_of_three(&[("a", 10)], 0)]
+#[case::two_of_three(&[("a", 10), ("b", 20)], 10)]
+#[case::all(&[("a", 10), ("b", 20), ("c", 30)], 20)]
+#[case::a_stranger(&[("a", 10), ("x", 20)], 0)]
+fn most_zones_decide_how_fresh_evidence_is(
+    #[case] heard: &[(&str, u64)],
+    #[case] expected: u64,
+) -> Result<(), Box<dyn Error>> {
+    let entry = declared()?;
+    for (zone, at) in heard {
+        entry.add_zone(zone, &Evidence::default(), Timestamp(*at));
+    }
+    let zones = ["a", "b", "c"].map(str::to_owned);
+    assert_eq!(entry.heard_until(&zones), Timestamp(expected));
+    Ok(())
+}
+
+/// Fails where a verdict without figures is dropped, or a later step undoes it.
+#[test]
+fn a_verdict_is_never_undone() -> Result<(), Box<dyn Error>> {
+    let entry = declared()?;
+    let earlier = entry.state();
+    entry.take_back(Timestamp(7));
+    let verdict = entry.state();
+    assert!(verdict.is_final());
+    assert!(!entry.join(&earlier));
+    entry.take_back(Timestamp(9));
+    assert_eq!(entry.state(), verdict);
+    Ok(())
+}
--- /dev/null
+++ b/fulmarreel-node/tests/moves/faults.rs
@@ -0,0 +1,121 @@
+//! Moves while their owner or the store fails.
+
+use super::support::{call_for, document, owner, published, ready, start, store, wait_for};
+use anyhow::{Context, ensure};
+use fulmarreel_rollout::{Share, state::Phase};
+use fulmarreel_testing::process::{Mesh, eventually};
+use rstest::rstest;
+use smol::Timer;
+use std::{net::SocketAddr, time::Duration};
+
+async fn post(address: SocketAddr, path: &str, body: &'static str) -> anyhow::Result<()> {
+    let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
+    let conn = client
+        .post(format!("http://{address}{path}"))
+        .with_body(body)
+        .await?;
+    ensure!(
+        conn.status() == Some(trillium::Status::Ok),
+        "{path} refused"
+    );
+    Ok(())
+}
+
+fn place_of(mesh: &Mesh, owner: SocketAddr) -> anyhow::Result<usize> {
+    let mut places = mesh.places.iter();
+    places
+        .position(|place| place.peers == owner)
+        .context("owner is no place")
+}
+
+/// A killed owner is followed by another, and so is one that is frozen past its lease; the thawed
+/// one writes nothing, and no step is lost.
+///
+/// Fails without the guard on the owner's key: the thawed owner's step then replaces a later one.
+#[rstest]
+#[case::killed("KILL")]
+#[case::frozen("STOP")]
+fn a_move_goes_on_under_another_owner(#[case] signal: &str) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let mesh = start()?;
+        ready(&mesh).await?;
+        mesh.apply("reservas.jsonc", &document(300, 3)?)?;
+        let calls = call_for(&mesh, Duration::from_secs(30));
+        let store = store(&mesh);
+        let patience = Duration::from_secs(25);
+        let before = wait_for(&store, patience, |state| state.share > Share::NONE).await?;
+        let first = owner(&store).await?;
+        let place = &mesh.places[place_of(&mesh, first)?];
+        place.node.signal(signal)?;
+        let second = eventually(|| async {
+            let now = owner(&store).await?;
+            ensure!(now != first, "still {now}");
+            Ok(now)
+        })
+        .await?;
+        if signal == "STOP" {
+            place.node.signal("CONT")?;
+        }
+        let mut last = published(&store).await?;
+        for _ in 0..20 {
+            Timer::after(Duration::from_millis(200)).await;
+            let next = published(&store).await?;
+            ensure!(
+                next.state.step >= last.state.step,
+                "{next:?} after {last:?}"
+            );
+            ensure!(next.owner == second, "{next:?} by {second}");
+            last = next;
+        }
+        ensure!(last.state.step >= before.step, "{last:?} after {before:?}");
+        drop(calls);
+        Ok(())
+    })
+}
+
+/// No share rises while the store is gone, and the move goes on afterwards.
+///
+/// Fails where a step counts before the store has it.
+#[test]
+fn no_share_rises_without_the_store() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let mesh = start()?;
+        ready(&mesh).await?;
+        mesh.apply("reservas.jsonc", &document(45, 3)?)?;
+        let calls = call_for(&mesh, Duration::from_secs(60));
+        let store = store(&mesh);
+        let patience = Duration::from_secs(25);
+        let before = wait_for(&store, patience, |state| state.phase == Phase::Raising).await?;
+        post(mesh.store_address, "/faults", r#"{ "down": true }"#).await?;
+        let shares = shares_for(&mesh, Duration::from_secs(10)).await?;
+        let highest = shares.iter().copied().fold(0.0, f64::max);
+        post(mesh.store_address, "/faults", "{}").await?;
+        // A step that was on its way when the store went down may be in force.
+        let allowed = before.share.fraction() * 100.0 * 2.0 + 0.001;
+        ensure!(
+            highest <= allowed,
+            "{highest} percent, at most {allowed} are allowed"
+        );
+        wait_for(&store, patience, |state| state.step > before.step + 1).await?;
+        drop(calls);
+        Ok(())
+    })
+}
+
+/// The shares in percent that nodes say are in force, over some time.
+async fn shares_for(mesh: &Mesh, time: Duration) -> anyhow::Result<Vec<f64>> {
+    let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
+    let deadline = std::time::Instant::now() + time;
+    let mut shares = Vec::new();
+    while std::time::Instant::now() < deadline {
+        for place in &mesh.places {
+            let mut conn = client.get(format!("http://{}/view", place.admin)).await?;
+            let text = conn.response_body().read_string().await?;
+            let view: serde_json::Value = serde_json::from_str(&text)?;
+            let share = &view["documents"]["reservas"]["shift"]["share_percent"];
+            shares.push(share.as_f64().context("no share in the view")?);
+        }
+        Timer::after(Duration::from_millis(250)).await;
+    }
+    Ok(shares)
+}
--- /dev/null
+++ b/fulmarreel-node/tests/moves/main.rs
@@ -0,0 +1,6 @@
+//! Moves to a new version: duties, and whole moves through separate processes.
+
+mod duties;
+mod end_to_end;
+mod faults;
+mod support;
--- /dev/null
+++ b/fulmarreel-node/tests/moves/support.rs
@@ -0,0 +1,161 @@
+//! A small mesh with a move under way, and calls that run meanwhile.
+
+use anyhow::{Context, ensure};
+use fulmarreel_document::shift::Timestamp;
+use fulmarreel_node::state::unix_millis;
+use fulmarreel_platform::{
+    Entry, Store,
+    etcd::{Client, Options},
+    keys::Key,
+};
+use fulmarreel_rollout::{Publication, State};
+use fulmarreel_testing::{
+    load::{self, Report},
+    process::{Mesh, eventually},
+};
+use smol::Timer;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+pub const SERVICE: &str = "reservas";
+
+/// Calls a second over the mesh.
+const RATE: f64 = 150.0;
+
+/// How long one call of a caller may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How long one call to the store may take.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A mesh with targets of two versions in two availability zones.
+pub fn start() -> anyhow::Result<Mesh> {
+    let mut mesh = Mesh::start()?;
+    mesh.add("altiplano", "alt-apizaco", SERVICE, "v1")?;
+    mesh.add("altiplano", "alt-huamantla", SERVICE, "v1")?;
+    mesh.add("altiplano", "alt-apizaco", SERVICE, "v2")?;
+    mesh.add("altiplano", "alt-huamantla", SERVICE, "v2")?;
+    Ok(mesh)
+}
+
+/// A document that moves the service to `v2` within some seconds.
+pub fn document(seconds: u64, soak_seconds: u64) -> anyhow::Result<String> {
+    let hour = unix_millis() / 1_000 + seconds;
+    let hour = jiff::Timestamp::from_second(i64::try_from(hour)?)?;
+    Ok(format!(
+        r#"{{
+            "service": "{SERVICE}",
+            "version": "v1",
+            "routes": [{{ "path": "/reservas" }}],
+            "move": {{
+                "to": "v2",
+                "complete_by": "{hour}",
+                "unproven_percent": 10,
+                "soak_seconds": {soak_seconds}
+            }}
+        }}"#
+    ))
+}
+
+/// Starts calls over every node for some time.
+pub fn call_for(mesh: &Mesh, duration: Duration) -> smol::Task<Report> {
+    let nodes = mesh.places.iter().map(|place| place.callers).collect();
+    smol::spawn(load::run(load::Options {
+        nodes,
+        service: SERVICE.to_owned(),
+        path: "/reservas".to_owned(),
+        rate: RATE,
+        duration,
+        sizes: vec![20],
+        prefix: "booking".to_owned(),
+        timeout: CALL_TIMEOUT,
+    }))
+}
+
+/// Waits until every node answers a call.
+pub async fn ready(mesh: &Mesh) -> anyhow::Result<()> {
+    for place in &mesh.places {
+        let admin = place.admin;
+        eventually(|| async move {
+            let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
+            let conn = client.get(format!("http://{admin}/ready")).await?;
+            ensure!(conn.status() == Some(trillium::Status::Ok), "not ready");
+            Ok(())
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+pub fn store(mesh: &Mesh) -> Client {
+    Client::new(Options {
+        peers: vec![mesh.store_address.to_string()],
+        timeout: STORE_TIMEOUT,
+    })
+}
+
+/// What the store holds of the move.
+pub async fn published(store: &Client) -> anyhow::Result<Publication> {
+    let entry = read(store, Key::Move { service: SERVICE }).await?;
+    Ok(Publication::decode(&entry.value)?)
+}
+
+/// The node that holds the owner's lease.
+pub async fn owner(store: &Client) -> anyhow::Result<SocketAddr> {
+    let entry = read(store, Key::Owner { service: SERVICE }).await?;
+    let value = String::from_utf8(entry.value)?;
+    let address = value.split(' ').next().context("empty owner")?;
+    Ok(address.parse()?)
+}
+
+async fn read(store: &Client, key: Key<'_>) -> anyhow::Result<Entry> {
+    let key = key.checked()?;
+    let found = store.get(&key).await?;
+    found.with_context(|| format!("{key} is absent"))
+}
+
+/// Waits until the store holds a state of the move that is asked for.
+pub async fn wait_for(
+    store: &Client,
+    patience: Duration,
+    wanted: impl Fn(&State) -> bool,
+) -> anyhow::Result<State> {
+    let deadline = Instant::now() + patience;
+    loop {
+        let found = published(store).await;
+        match found {
+            Ok(publication) if wanted(&publication.state) => return Ok(publication.state),
+            found => ensure!(Instant::now() < deadline, "still {found:?}"),
+        }
+        Timer::after(Duration::from_millis(100)).await;
+    }
+}
+
+/// Makes each target of a version fail every call.
+pub async fn fail_targets(mesh: &Mesh, places: &[usize]) -> anyhow::Result<()> {
+    let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
+    for place in places {
+        let target = mesh.places[*place].target_address;
+        let conn = client
+            .post(format!("http://{target}/control"))
+            .with_body(r#"{ "error_every": 1 }"#)
+            .await?;
+        ensure!(
+            conn.status() == Some(trillium::Status::Ok),
+            "control refused"
+        );
+    }
+    Ok(())
+}
+
+/// How many calls a version answered, well or with an error.
+pub fn answered_by(report: &Report, version: &str) -> usize {
+    let records = report.records.iter();
+    records.filter(|record| record.version == version).count()
+}
+
+pub fn now() -> Timestamp {
+    Timestamp(unix_millis())
+}
