feat(node): evidence by windows of one second, and the number of reporters

Cause: the policy now takes each zone's sum on its own and works the call rate out from calls per report, which holds for windows of a second; the node sent two reports a second. Conclusion: nodes report once a second, zones pass sums on every 500 ms where there are any; the owner counts who has reported lately.

--- a/fulmarreel-node/src/rollout/gather.rs
+++ b/fulmarreel-node/src/rollout/gather.rs
@@ -5,13 +5,17 @@
 use fulmarreel_rollout::{Evidence, evidence::Tally};
 use std::collections::BTreeMap;
 
+/// Sums that wait for the owner's next decision; more are dropped, as where a former owner is
+/// still sent them.
+const MAX_SUMS: usize = 1_024;
+
 /// What a node has been sent of a move.
 #[derive(Debug, Default)]
 pub struct Gathered {
     /// Reports of nodes in this availability zone, not yet passed on.
     zone: Evidence,
     /// Sums of availability zones, for the owner to decide upon.
-    fleet: Evidence,
+    fleet: Vec<Evidence>,
     /// When each availability zone's latest sum arrived.
     heard: BTreeMap<String, Timestamp>,
 }
@@ -44,14 +48,16 @@
     }
 
     /// Adds the sum of an availability zone.
-    pub fn add_zone(&self, zone: &str, evidence: &Evidence, now: Timestamp) {
+    pub fn add_zone(&self, zone: &str, evidence: Evidence, now: Timestamp) {
         let mut gathered = self.gathered.lock().expect("gathered lock");
-        gathered.fleet.merge(evidence);
+        if evidence.reports > 0 && gathered.fleet.len() < MAX_SUMS {
+            gathered.fleet.push(evidence);
+        }
         gathered.heard.insert(zone.to_owned(), now);
     }
 
-    /// Takes the sum of all availability zones since the last time.
-    pub fn take_fleet(&self) -> Evidence {
+    /// Takes the sums of all availability zones since the last time.
+    pub fn take_fleet(&self) -> Vec<Evidence> {
         let mut gathered = self.gathered.lock().expect("gathered lock");
         std::mem::take(&mut gathered.fleet)
     }
--- a/fulmarreel-node/src/rollout/owner/acquire.rs
+++ b/fulmarreel-node/src/rollout/owner/acquire.rs
@@ -56,6 +56,7 @@
         renewed_at: asked_at,
         lease_until: later(asked_at, LEASE_TTL),
         comparison: Comparison::new(entry.plan.fault, Timestamp(unix_millis())),
+        reporters: 0,
         unpublished: true,
     };
     log::info!("move of {}: this node is its owner", entry.service());
--- a/fulmarreel-node/src/rollout/owner/mod.rs
+++ b/fulmarreel-node/src/rollout/owner/mod.rs
@@ -46,6 +46,8 @@
     renewed_at: Timestamp,
     lease_until: Timestamp,
     comparison: Comparison,
+    /// Nodes that have reported within a second lately.
+    reporters: u32,
     /// Whether the step in force is still to be written.
     unpublished: bool,
 }
--- a/fulmarreel-node/src/rollout/owner/tick.rs
+++ b/fulmarreel-node/src/rollout/owner/tick.rs
@@ -8,7 +8,13 @@
 use fulmarreel_distribution::Verdict;
 use fulmarreel_document::shift::Timestamp;
 use fulmarreel_platform::{Error, Store};
-use fulmarreel_rollout::step::{self, Contact, Outcome};
+use fulmarreel_rollout::{
+    Evidence,
+    step::{self, Contact, Outcome},
+};
+
+/// The number of reporters falls by one part in that many a tick.
+const REPORTERS_FALL: u32 = 10;
 
 /// Renews the lease, decides, and publishes; returns whether this node still owns the move.
 pub(super) async fn tick<S: Store>(
@@ -23,6 +29,7 @@
     }
     let now = Timestamp(unix_millis());
     let evidence = entry.take_fleet();
+    ownership.note_reporters(&evidence);
     let current = entry.state();
     ownership.comparison.absorb(&evidence, current.step, now);
     let contact = contact(state, fleet, entry, ownership);
@@ -71,10 +78,19 @@
         lease_until: ownership.lease_until,
         evidence_until: entry.heard_until(&fleet.zones()),
         clock_ahead_ms: None,
+        nodes: ownership.reporters,
         new_targets: u32::try_from(new_targets).unwrap_or(u32::MAX),
     }
 }
 
+impl Ownership {
+    /// Follows a rise of the reports in one tick at once, and a fall slowly.
+    fn note_reporters(&mut self, evidence: &[Evidence]) {
+        let reports: u32 = evidence.iter().map(|sum| sum.reports).sum();
+        self.reporters = reports.max(self.reporters - self.reporters.div_ceil(REPORTERS_FALL));
+    }
+}
+
 /// Renews the lease when it is due; returns whether it may still hold.
 async fn renew<S: Store>(store: &S, entry: &Move, ownership: &mut Ownership) -> bool {
     let asked_at = Timestamp(unix_millis());
--- a/fulmarreel-node/src/rollout/report/mod.rs
+++ b/fulmarreel-node/src/rollout/report/mod.rs
@@ -16,15 +16,19 @@
 use std::{io, sync::Arc, time::Duration};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Time between two reports of a node, and between two sums of an availability zone.
+/// Time between two sums of an availability zone, where there is something to add up.
 const INTERVAL: Duration = Duration::from_millis(500);
 
+/// A node reports once in that many intervals: its tallies are those of one second.
+const INTERVALS_PER_REPORT: u64 = 2;
+
 /// Sends reports until the process ends.
 pub async fn run(state: Arc<State>, moves: Arc<Moves>) {
     let mut links = Links::new(state.settings.advertise, state.boot);
     let reporter = xxh3_64(state.settings.advertise.to_string().as_bytes()) as u32;
-    loop {
+    for round in 0_u64.. {
         Timer::after(INTERVAL).await;
+        let full = round.is_multiple_of(INTERVALS_PER_REPORT);
         let running: Vec<_> = moves
             .all()
             .into_iter()
@@ -35,8 +39,10 @@
         }
         let fleet = Fleet::of(&state);
         for entry in running {
-            report_own(&state, &fleet, &mut links, &entry, reporter);
-            report_zone(&state, &fleet, &mut links, &entry);
+            if full {
+                report_own(&state, &fleet, &mut links, &entry, reporter);
+            }
+            report_zone(&state, &fleet, &mut links, &entry, full);
         }
     }
 }
@@ -65,7 +71,7 @@
     };
     match report.stage {
         Stage::Node => entry.add_node(&evidence),
-        Stage::Zone { zone } => entry.add_zone(&zone, &evidence, Timestamp(unix_millis())),
+        Stage::Zone { zone } => entry.add_zone(&zone, evidence, Timestamp(unix_millis())),
     }
 }
 
@@ -90,8 +96,8 @@
     }
 }
 
-/// The sum is sent even where there is nothing in it: the owner learns that the zone is heard.
-fn report_zone(state: &State, fleet: &Fleet, links: &mut Links, entry: &Move) {
+/// An empty sum is sent with each full round: the owner learns that the zone is heard.
+fn report_zone(state: &State, fleet: &Fleet, links: &mut Links, entry: &Move, full: bool) {
     let settings = &state.settings;
     if fleet.aggregator(entry.service()) != settings.advertise {
         return;
@@ -100,8 +106,11 @@
         return;
     };
     let sum = entry.take_zone();
+    if sum.reports == 0 && !full {
+        return;
+    }
     if owner == settings.advertise {
-        entry.add_zone(&settings.zone, &sum, Timestamp(unix_millis()));
+        entry.add_zone(&settings.zone, sum, Timestamp(unix_millis()));
         return;
     }
     let zone = settings.zone.clone();
--- a/fulmarreel-node/tests/moves/duties.rs
+++ b/fulmarreel-node/tests/moves/duties.rs
@@ -88,7 +88,7 @@
 ) -> Result<(), Box<dyn Error>> {
     let entry = declared()?;
     for (zone, at) in heard {
-        entry.add_zone(zone, &Evidence::default(), Timestamp(*at));
+        entry.add_zone(zone, Evidence::default(), Timestamp(*at));
     }
     let zones = ["a", "b", "c"].map(str::to_owned);
     assert_eq!(entry.heard_until(&zones), Timestamp(expected));
