feat(node): a keyed booking runs once, by a claim in the store

Weighed: a home by rendezvous hash (its memory dies with the node, so a repeat after a replacement runs twice), refusing every repeat (needs the same memory), a claim by compare-and-swap. The claim costs one write for a keyed non-idempotent call and holds over restarts; without the store such a call is refused as not run.

--- a/fulmarreel-node/src/ingress/exchange.rs
+++ b/fulmarreel-node/src/ingress/exchange.rs
@@ -38,6 +38,8 @@
         reason: &'static str,
         at_target: bool,
     },
+    /// A call of the same idempotency key was sent before, and this one was not run.
+    Repeated,
 }
 
 /// A call whose connection was lost after it was written.
@@ -97,6 +99,7 @@
         match self {
             Self::Whole { .. } | Self::Streamed { .. } => None,
             Self::NotRun { reason, .. } | Self::Unknown { reason, .. } => Some(reason),
+            Self::Repeated => Some("the idempotency key was used before"),
         }
     }
 }
--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -1,6 +1,7 @@
 //! Calls from callers, over HTTP.
 
 mod answer;
+mod claim;
 mod exchange;
 mod listen;
 mod load;
@@ -24,6 +25,7 @@
         metrics::{self, Outcome},
     },
 };
+use claim::{Claims, Refusal};
 use exchange::{Answer, Exchange};
 use fulmarreel_balance::Budget;
 use fulmarreel_call::retry::{self, End, Next};
@@ -62,6 +64,7 @@
     moves: Arc<Moves>,
     pool: Arc<Pool>,
     loads: Arc<Loads>,
+    claims: Arc<Claims>,
     budgets: Mutex<HashMap<String, Budget>>,
     next_sequence: AtomicU64,
     http: Arc<HttpContext>,
@@ -90,6 +93,7 @@
         let watched = Arc::clone(&pool);
         crate::runtime::spawn(async move { watched.watch().await });
         Self {
+            claims: Arc::new(Claims::new(&state.settings, state.boot)),
             state,
             moves,
             pool,
@@ -144,6 +148,13 @@
             return respond::refuse(conn, Status::NotFound, reason);
         };
         let request = request.with_timeout(destination.route.timeout());
+        if let Some(key) = &request.idempotency_key
+            && !destination.route.idempotent()
+        {
+            let answer = self.answer_once(&destination, &request, key).await;
+            self.log_end(&destination, &request, &answer);
+            return respond::respond(conn, answer);
+        }
         // A caller that hangs up drops this future, and with it the call.
         let answer = self.answer(&destination, &request);
         match conn.cancel_on_disconnect(answer).await {
@@ -155,6 +166,29 @@
         }
     }
 
+    /// Sends a call whose key was not claimed before. It goes on if its caller hangs up, since the
+    /// claim has to be released where the call is not run.
+    async fn answer_once(
+        &self,
+        destination: &Destination<'_>,
+        request: &Request,
+        key: &str,
+    ) -> Answer {
+        let service = destination.service.document.service().as_str();
+        let claim = match self.claims.take(service, key).await {
+            Ok(claim) => claim,
+            Err(Refusal::Repeated) => return Answer::Repeated,
+            Err(Refusal::Unavailable) => {
+                return Answer::not_run("the store cannot say whether the key was used before");
+            }
+        };
+        let answer = self.answer(destination, request).await;
+        if matches!(answer, Answer::NotRun { .. }) {
+            self.claims.release_now(claim).await;
+        }
+        answer
+    }
+
     /// Sends a call to one target after the other, as the rules of [`retry`] allow.
     async fn answer(&self, destination: &Destination<'_>, request: &Request) -> Answer {
         let mut tried = Vec::new();
@@ -187,7 +221,7 @@
                     last = Answer::NotRun { end, reason };
                     (end, None)
                 }
-                Ok(answer @ Answer::Unknown { .. }) => {
+                Ok(answer @ (Answer::Unknown { .. } | Answer::Repeated)) => {
                     last = answer;
                     (End::Unknown, None)
                 }
@@ -281,7 +315,7 @@
                 failed: true,
                 target_micros: request.elapsed().as_micros() as u64,
             },
-            Answer::Unknown { .. } | Answer::NotRun { .. } => return,
+            Answer::Unknown { .. } | Answer::NotRun { .. } | Answer::Repeated => return,
         };
         destination.finish(end);
     }
@@ -318,7 +352,7 @@
         let service = destination.service.document.service().as_str();
         let (outcome, kind) = match answer {
             Answer::Whole { .. } | Answer::Streamed { .. } => (Outcome::Answered, None),
-            Answer::NotRun { .. } => (Outcome::NotRun, Some(Kind::Refuse)),
+            Answer::NotRun { .. } | Answer::Repeated => (Outcome::NotRun, Some(Kind::Refuse)),
             Answer::Unknown { .. } => (Outcome::Unknown, Some(Kind::GiveUp)),
         };
         metrics::call_ended(
--- a/fulmarreel-node/src/ingress/request.rs
+++ b/fulmarreel-node/src/ingress/request.rs
@@ -79,6 +79,7 @@
     pub body: Vec<u8>,
     pub attempt: u8,
     pub depth: u8,
+    pub idempotency_key: Option<String>,
     pub deadline: Instant,
     /// Spreads calls over versions; equal for calls of one idempotency key.
     pub hash: u64,
@@ -99,7 +100,8 @@
         if depth > MAX_DEPTH {
             return Err(Error::Depth { depth });
         }
-        let hash = match headers.get_str(IDEMPOTENCY_HEADER) {
+        let idempotency_key = headers.get_str(IDEMPOTENCY_HEADER).map(str::to_owned);
+        let hash = match &idempotency_key {
             Some(key) => xxh3_64(key.as_bytes()),
             None => fastrand::u64(..),
         };
@@ -114,6 +116,7 @@
             body,
             attempt: u8::try_from(attempt).unwrap_or(u8::MAX),
             depth,
+            idempotency_key,
             deadline: arrived,
             hash,
             arrived,
--- a/fulmarreel-node/src/ingress/respond.rs
+++ b/fulmarreel-node/src/ingress/respond.rs
@@ -4,7 +4,8 @@
 use fulmarreel_wire::call::Head;
 use trillium::{Body, Conn, Status};
 
-/// Says whether a call was `answered`, was `not-run`, or has an `unknown` outcome.
+/// Says whether a call was `answered`, was `not-run`, has an `unknown` outcome, or was `repeated`:
+/// one of its idempotency key was sent before, which may have run.
 pub const OUTCOME_HEADER: &str = "x-fulmarreel-outcome";
 
 /// Says that the call was not run, and never will be.
@@ -24,6 +25,11 @@
             answered(conn, head, Body::new_streaming(body, length))
         }
         Answer::NotRun { reason, .. } => refuse(conn, Status::ServiceUnavailable, reason),
+        Answer::Repeated => conn
+            .with_status(Status::Conflict)
+            .with_response_header(OUTCOME_HEADER, "repeated")
+            .with_body("a call of this idempotency key was sent before; this one was not run")
+            .halt(),
         Answer::Unknown { reason, .. } => conn
             .with_status(Status::BadGateway)
             .with_response_header(OUTCOME_HEADER, "unknown")
--- a/fulmarreel-node/tests/calls.rs
+++ b/fulmarreel-node/tests/calls.rs
@@ -2,6 +2,8 @@
 
 #[path = "calls/body.rs"]
 mod body;
+#[path = "calls/key.rs"]
+mod key;
 #[path = "calls/kill.rs"]
 mod kill;
 #[path = "calls/leave.rs"]
--- /dev/null
+++ b/fulmarreel-node/tests/calls/key.rs
@@ -0,0 +1,86 @@
+//! Callers that repeat an idempotency key.
+
+use super::support::{BOOKINGS, RESERVAS, mesh};
+use anyhow::{Context, ensure};
+use fulmarreel_testing::target::CALL_HEADER;
+use std::net::SocketAddr;
+
+/// Sends a booking with a key and returns the outcome.
+async fn book(node: SocketAddr, name: &str, key: &str) -> anyhow::Result<String> {
+    let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
+    let conn = client
+        .post(format!("http://{node}{BOOKINGS}"))
+        .with_request_header("x-fulmarreel-service", "reservas")
+        .with_request_header(CALL_HEADER, name.to_owned())
+        .with_request_header("idempotency-key", key.to_owned())
+        .await?;
+    let outcome = conn.response_headers().get_str("x-fulmarreel-outcome");
+    outcome.map(str::to_owned).context("no outcome")
+}
+
+/// Seen to fail with `Claims::take` that always succeeds.
+#[test]
+fn a_repeated_key_runs_once_by_whichever_node_and_after_a_restart() -> anyhow::Result<()> {
+    let mut mesh = mesh(&[RESERVAS; 2])?;
+    let nodes: Vec<SocketAddr> = mesh.places.iter().map(|place| place.callers).collect();
+    smol::block_on(async {
+        let at_once: Vec<_> = (0..9)
+            .map(|turn| smol::spawn(book(nodes[turn % 3], "first", "key-1")))
+            .collect();
+        let mut answered = 0;
+        for call in at_once {
+            let outcome = call.await?;
+            ensure!(
+                ["answered", "repeated"].contains(&outcome.as_str()),
+                "{outcome}"
+            );
+            answered += usize::from(outcome == "answered");
+        }
+        ensure!(answered == 1, "{answered} answered");
+        mesh.places[0].node.signal("KILL")?;
+        mesh.places[0].restart_node()?;
+        super::support::await_targets(&mesh, 2).await?;
+        let later = book(nodes[0], "first", "key-1").await?;
+        ensure!(later == "repeated", "{later}");
+        let other = book(nodes[0], "other", "key-2").await?;
+        ensure!(other == "answered", "{other}");
+        ensure!(mesh.executions()?.get("first") == Some(&1));
+        Ok(())
+    })
+}
+
+/// Seen to fail without the release of a claim whose call was not run.
+#[test]
+fn a_key_is_free_again_where_its_call_was_not_run() -> anyhow::Result<()> {
+    let mut mesh = mesh(&[RESERVAS])?;
+    smol::block_on(async {
+        let node = mesh.places[0].callers;
+        mesh.places[1].target.signal("KILL")?;
+        let refused = book(node, "first", "key-1").await?;
+        ensure!(refused == "not-run", "{refused}");
+        mesh.places[1].restart_target()?;
+        super::support::await_targets(&mesh, 1).await?;
+        let repeated = fulmarreel_testing::process::eventually(|| async {
+            let outcome = book(node, "first", "key-1").await?;
+            ensure!(outcome != "not-run");
+            Ok(outcome)
+        })
+        .await?;
+        ensure!(repeated == "answered", "{repeated}");
+        ensure!(mesh.executions()?.get("first") == Some(&1));
+        Ok(())
+    })
+}
+
+/// Seen to fail with `Claims::take` that succeeds where the store does not answer.
+#[test]
+fn without_the_store_a_keyed_call_is_not_run() -> anyhow::Result<()> {
+    let mesh = mesh(&[RESERVAS])?;
+    smol::block_on(async {
+        mesh.store.signal("KILL")?;
+        let outcome = book(mesh.places[0].callers, "first", "key-1").await?;
+        ensure!(outcome == "not-run", "{outcome}");
+        ensure!(!mesh.executions()?.contains_key("first"));
+        Ok(())
+    })
+}
