fix(rollout): an idle service meets its hour

Cause: nodes of the first driver report only calls, and time was watched only in ticks with reports, so a service without calls neither completed nor held at its hour. Ruled out: counting every tick, which let a share rise in an outage of the reports. Now silence is stale only where 20 calls or more should have come.

--- a/fulmarreel-rollout/src/compare/absorb.rs
+++ b/fulmarreel-rollout/src/compare/absorb.rs
@@ -18,13 +18,15 @@
         }
         let reports = evidence.iter().map(|sum| sum.reports).sum();
         if reports == 0 {
+            if !self.is_silent() {
+                self.step.time += elapsed.min(MAX_TICK);
+            }
             return;
         }
         self.reports = reports;
-        self.clock.heard = now;
         let calls: u64 = evidence.iter().map(|sum| self.absorb_sum(sum)).sum();
         self.step.time += elapsed.min(MAX_TICK);
-        self.note_rate(calls as f64 / f64::from(reports));
+        self.note_rates(calls as f64, reports);
         for track in self.routes.values_mut().chain([&mut self.total]) {
             track.tick(self.fault, reports);
         }
@@ -65,11 +67,13 @@
         }
     }
 
-    /// Notes the mean calls of one report; reports are sent once a second.
-    fn note_rate(&mut self, calls: f64) {
-        self.calls_per_report_s = Some(match self.calls_per_report_s {
-            None => calls,
-            Some(mean) => mean + RATE_WEIGHT * (calls - mean),
-        });
+    /// Notes how many calls one report holds, sent once a second, and how many come in a second.
+    fn note_rates(&mut self, calls: f64, reports: u32) {
+        let per_report = calls / f64::from(reports);
+        let mean = self.calls_per_report_s.unwrap_or(per_report);
+        self.calls_per_report_s = Some(mean + RATE_WEIGHT * (per_report - mean));
+        let since_last = self.silence().as_secs_f64().max(1.0);
+        self.reported_per_s += RATE_WEIGHT * (calls / since_last - self.reported_per_s);
+        self.clock.heard = self.clock.last;
     }
 }
--- a/fulmarreel-rollout/src/compare/judge.rs
+++ b/fulmarreel-rollout/src/compare/judge.rs
@@ -1,7 +1,7 @@
 //! What the comparison says about the new version.
 
 use super::{
-    Comparison, Track,
+    Clock, Comparison, Track,
     channel::{Channel, Counts, Strength},
 };
 use crate::{
@@ -30,6 +30,12 @@
 /// Log-likelihood ratio against the old version's earlier rate that calls for a check.
 const SUSPICION: f64 = 8.0;
 
+/// Time without any report that is borne in any case.
+const MAX_SILENCE: Duration = Duration::from_secs(3);
+
+/// Calls that should have been reported where nothing was, from which on that is no chance.
+const MISSING_CALLS: f64 = 20.0;
+
 /// Log-likelihood ratio that proves a version.
 const PROOF: f64 = 3.0;
 
@@ -107,9 +113,17 @@
         self.clock.last
     }
 
-    /// The last tick that brought evidence.
-    pub fn last_heard(&self) -> Timestamp {
-        self.clock.heard
+    /// Whether nothing has come for longer than the service's calls explain.
+    pub fn is_silent(&self) -> bool {
+        let silence = self.silence();
+        let missing = self.reported_per_s * silence.as_secs_f64();
+        silence > MAX_SILENCE && missing >= MISSING_CALLS
+    }
+
+    /// Time from the last evidence to the last tick.
+    pub(super) fn silence(&self) -> Duration {
+        let Clock { heard, last, .. } = self.clock;
+        Duration::from_millis(last.0.saturating_sub(heard.0))
     }
 
     /// Since when the ticks came without a jump of the clock or a pause.
--- a/fulmarreel-rollout/src/compare/mod.rs
+++ b/fulmarreel-rollout/src/compare/mod.rs
@@ -34,6 +34,8 @@
     clock: Clock,
     step: Watched,
     calls_per_report_s: Option<f64>,
+    /// Calls per second that are reported, as a running mean.
+    reported_per_s: f64,
 }
 
 /// The owner's clock over its ticks.
@@ -69,6 +71,7 @@
             },
             step: Watched::default(),
             calls_per_report_s: None,
+            reported_per_s: 0.0,
         }
     }
 }
--- a/fulmarreel-rollout/src/step/contact.rs
+++ b/fulmarreel-rollout/src/step/contact.rs
@@ -8,9 +8,6 @@
 /// Age of the latest evidence from which on it is stale.
 pub const MAX_EVIDENCE_AGE: Duration = Duration::from_secs(30);
 
-/// Time without any new evidence from which on the latest is stale.
-pub const MAX_SILENCE: Duration = Duration::from_secs(3);
-
 /// Difference between the owner's clock and the store's that is borne.
 pub const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(5);
 
@@ -22,7 +19,7 @@
 pub struct Contact {
     /// When the owner's lease ends, by the owner's clock and counted from before its renewal.
     pub lease_until: Timestamp,
-    /// The end of the latest window for which most zones have reported.
+    /// The end of the latest window for which most zones have reported, be it no calls.
     pub evidence_until: Timestamp,
     /// How far the owner's clock is ahead of the store's in milliseconds, if known.
     pub clock_ahead_ms: Option<i64>,
@@ -49,8 +46,7 @@
         if comparison.last_tick() != now || since(comparison.steady_since(), now) < SETTLE {
             return Some(Hold::ClockJumped);
         }
-        let silence = since(comparison.last_heard(), now);
-        if silence > MAX_SILENCE || since(self.evidence_until, now) > MAX_EVIDENCE_AGE {
+        if comparison.is_silent() || since(self.evidence_until, now) > MAX_EVIDENCE_AGE {
             return Some(Hold::StaleEvidence);
         }
         None
--- a/fulmarreel-rollout/tests/step.rs
+++ b/fulmarreel-rollout/tests/step.rs
@@ -118,6 +118,31 @@
     }
 }
 
+/// A service without a single call, its zones reporting just that. Fails if time is watched only
+/// while calls come (seen with the first driver, whose nodes report calls alone), or a held
+/// version grows past the unproven share.
+#[rstest]
+#[case::completes(Fallback::Complete, Phase::Soaking, Share::ALL)]
+#[case::holds(Fallback::Hold, Phase::Held, Share::from_fraction(0.02))]
+fn an_idle_service_meets_its_hour(
+    #[case] fallback: Fallback,
+    #[case] phase: Phase,
+    #[case] share: Share,
+) {
+    let plan = plan(600, fallback);
+    let (mut comparison, mut state) = (
+        Comparison::new(common::FAULT, at(0)),
+        State::waiting(7, at(0)),
+    );
+    for second in 1..=601 {
+        comparison.absorb(&[], state.step, at(second));
+        let outcome = step(&state, &plan, &comparison, &contact(second), at(second));
+        state = outcome.state().cloned().unwrap_or(state);
+    }
+    assert_eq!((state.phase, state.share), (phase, share));
+    assert!(state.moved_at.is_none_or(|moved| moved <= at(600)));
+}
+
 /// Fails if the last step's time is not compared with the owner's.
 #[test]
 fn an_owner_whose_clock_is_behind_the_last_step_holds() {
