style(platform): one use statement a crate

Cause: the house style wants nested imports, one statement a crate; this crate and the store stand-in put all crates into one statement. No behaviour changes; their tests pass.

--- a/fulmarreel-platform/src/error.rs
+++ b/fulmarreel-platform/src/error.rs
@@ -1,9 +1,7 @@
 //! What can go wrong between a caller and the store.
 
-use {
-    crate::Revision,
-    std::{fmt, time::Duration},
-};
+use crate::Revision;
+use std::{fmt, time::Duration};
 
 /// The operation that failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/fulmarreel-platform/src/etcd/client.rs
+++ b/fulmarreel-platform/src/etcd/client.rs
@@ -1,27 +1,25 @@
 //! The client and its operations.
 
-use {
-    super::{
-        json::{
-            self, GrantRequest, LeaseRequest, LeaseResponse, Message, RangeRequest, RangeResponse,
-            RequestOp, TxnRequest, TxnResponse, entries,
-        },
-        request::{Repeat, Subject, call, whole_seconds},
-        watch::Watch,
+use super::{
+    json::{
+        self, GrantRequest, LeaseRequest, LeaseResponse, Message, RangeRequest, RangeResponse,
+        RequestOp, TxnRequest, TxnResponse, entries,
     },
-    crate::{
-        Entry, Error, Lease, Listing, Outcome, Revision, Store, Transaction,
-        commit::{Condition, Write},
-        error::Step,
-        store::MAX_VALUE,
-    },
-    std::{
-        collections::BTreeSet,
-        sync::atomic::{AtomicUsize, Ordering},
-        time::Duration,
-    },
-    trillium_smol::ClientConfig,
+    request::{Repeat, Subject, call, whole_seconds},
+    watch::Watch,
+};
+use crate::{
+    Entry, Error, Lease, Listing, Outcome, Revision, Store, Transaction,
+    commit::{Condition, Write},
+    error::Step,
+    store::MAX_VALUE,
+};
+use std::{
+    collections::BTreeSet,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
 };
+use trillium_smol::ClientConfig;
 
 /// A client's settings.
 #[derive(Debug, Clone)]
--- a/fulmarreel-platform/src/etcd/json.rs
+++ b/fulmarreel-platform/src/etcd/json.rs
@@ -1,14 +1,12 @@
 //! The gateway's own types.
 
-use {
-    crate::{
-        Entry, Event, Lease, Revision,
-        commit::{Condition, Write},
-    },
-    base64::{DecodeError, Engine, prelude::BASE64_STANDARD},
-    serde::{Deserialize, Deserializer, Serialize, de::Error as _},
-    std::string::FromUtf8Error,
+use crate::{
+    Entry, Event, Lease, Revision,
+    commit::{Condition, Write},
 };
+use base64::{DecodeError, Engine, prelude::BASE64_STANDARD};
+use serde::{Deserialize, Deserializer, Serialize, de::Error as _};
+use std::string::FromUtf8Error;
 
 /// A 64-bit integer, which the gateway writes as a string; absent means 0.
 #[derive(Debug, Clone, Copy, Default)]
--- a/fulmarreel-platform/src/etcd/mod.rs
+++ b/fulmarreel-platform/src/etcd/mod.rs
@@ -8,7 +8,5 @@
 mod request;
 mod watch;
 
-pub use {
-    client::{Client, Options},
-    watch::Watch,
-};
+pub use client::{Client, Options};
+pub use watch::Watch;
--- a/fulmarreel-platform/src/etcd/request.rs
+++ b/fulmarreel-platform/src/etcd/request.rs
@@ -1,18 +1,16 @@
 //! One unary call: addresses, deadlines and what a failure means.
 
-use {
-    super::{client::Client, json::Failure},
-    crate::{
-        Error, Revision,
-        error::{Site, Step},
-    },
-    serde::{Serialize, de::DeserializeOwned},
-    smol::{Timer, future::FutureExt},
-    std::{
-        io::ErrorKind,
-        sync::atomic::Ordering,
-        time::{Duration, Instant},
-    },
+use super::{client::Client, json::Failure};
+use crate::{
+    Error, Revision,
+    error::{Site, Step},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use smol::{Timer, future::FutureExt};
+use std::{
+    io::ErrorKind,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
 };
 
 /// The longest answer that is read, in bytes: a listing of some hundred values of full size.
--- a/fulmarreel-platform/src/etcd/watch.rs
+++ b/fulmarreel-platform/src/etcd/watch.rs
@@ -1,23 +1,21 @@
 //! A watch over its own connection.
 
-use {
-    super::{
-        client::Client,
-        json::{Message, WatchRequest, WatchResponse},
-        request::{share, until, url},
-    },
-    crate::{
-        Batch, Error, Event, Revision,
-        error::{Site, Step},
-    },
-    futures_lite::AsyncReadExt,
-    std::{
-        fmt,
-        sync::atomic::Ordering,
-        time::{Duration, Instant},
-    },
-    trillium_client::ResponseBody,
+use super::{
+    client::Client,
+    json::{Message, WatchRequest, WatchResponse},
+    request::{share, until, url},
 };
+use crate::{
+    Batch, Error, Event, Revision,
+    error::{Site, Step},
+};
+use futures_lite::AsyncReadExt;
+use std::{
+    fmt,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+use trillium_client::ResponseBody;
 
 /// The bytes read at once.
 const READ_SIZE: usize = 64 * 1024;
--- a/fulmarreel-platform/src/lib.rs
+++ b/fulmarreel-platform/src/lib.rs
@@ -13,10 +13,8 @@
 pub mod store;
 pub mod watch;
 
-pub use {
-    commit::{Outcome, Transaction},
-    entry::{Entry, Lease, Listing, Revision},
-    error::Error,
-    store::Store,
-    watch::{Batch, Event},
-};
+pub use commit::{Outcome, Transaction};
+pub use entry::{Entry, Lease, Listing, Revision};
+pub use error::Error;
+pub use store::Store;
+pub use watch::{Batch, Event};
--- a/fulmarreel-platform/src/store.rs
+++ b/fulmarreel-platform/src/store.rs
@@ -1,9 +1,7 @@
 //! What the system asks of the platform's key-value store.
 
-use {
-    crate::{Entry, Error, Lease, Listing, Outcome, Revision, Transaction, watch::Watch},
-    std::{future::Future, time::Duration},
-};
+use crate::{Entry, Error, Lease, Listing, Outcome, Revision, Transaction, watch::Watch};
+use std::{future::Future, time::Duration};
 
 /// The largest value that the platform holds, in bytes.
 pub const MAX_VALUE: usize = 1_048_576;
--- a/fulmarreel-platform/src/watch.rs
+++ b/fulmarreel-platform/src/watch.rs
@@ -1,9 +1,7 @@
 //! Changes as a watch delivers them.
 
-use {
-    crate::{Entry, Error, Revision},
-    std::future::Future,
-};
+use crate::{Entry, Error, Revision};
+use std::future::Future;
 
 /// One change of one key.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/fulmarreel-platform/tests/platform/commit.rs
+++ b/fulmarreel-platform/tests/platform/commit.rs
@@ -1,11 +1,9 @@
 //! Compare-and-swap, guards and the value limit.
 
-use {
-    super::support::{put, value, with_store, written},
-    fulmarreel_platform::{Error, Outcome, Revision, Store, Transaction, store::MAX_VALUE},
-    futures_lite::{StreamExt, stream},
-    rstest::rstest,
-};
+use super::support::{put, value, with_store, written};
+use fulmarreel_platform::{Error, Outcome, Revision, Store, Transaction, store::MAX_VALUE};
+use futures_lite::{StreamExt, stream};
+use rstest::rstest;
 
 #[rstest]
 #[case::create(None, 0, true)]
--- a/fulmarreel-platform/tests/platform/faults.rs
+++ b/fulmarreel-platform/tests/platform/faults.rs
@@ -1,15 +1,13 @@
 //! Outages, slowness and lost replies.
 
-use {
-    super::support::{TIMEOUT, client, put, start, value, with_store, written},
-    fulmarreel_platform::{
-        Error, Outcome, Revision, Store, Transaction,
-        error::{Site, Step},
-    },
-    fulmarreel_testing::store::Faults,
-    rstest::rstest,
-    std::time::{Duration, Instant},
+use super::support::{TIMEOUT, client, put, start, value, with_store, written};
+use fulmarreel_platform::{
+    Error, Outcome, Revision, Store, Transaction,
+    error::{Site, Step},
 };
+use fulmarreel_testing::store::Faults;
+use rstest::rstest;
+use std::time::{Duration, Instant};
 
 const SHORT: Duration = Duration::from_millis(200);
 
@@ -78,11 +76,9 @@
 
 /// A store that wraps another: its first commits end unknown, after something else happened.
 mod unknown {
-    use {
-        super::{Error, Outcome, Revision, Site, Step, Store, Transaction},
-        fulmarreel_platform::{Entry, Lease, Listing, etcd},
-        std::{sync::Mutex, time::Duration},
-    };
+    use super::{Error, Outcome, Revision, Site, Step, Store, Transaction};
+    use fulmarreel_platform::{Entry, Lease, Listing, etcd};
+    use std::{sync::Mutex, time::Duration};
 
     /// The transactions that happen in place of the first commit, whose reply is lost.
     pub struct Lossy<'a> {
--- a/fulmarreel-platform/tests/platform/gateway.rs
+++ b/fulmarreel-platform/tests/platform/gateway.rs
@@ -1,13 +1,11 @@
 //! Answers of the gateway that the stand-in never gives, from a server that sends fixed bytes.
 
-use {
-    super::support::{IDLE, TIMEOUT, client},
-    fulmarreel_platform::{Error, Event, Revision, Store, Transaction, etcd::Client, watch::Watch},
-    futures_lite::{AsyncReadExt, AsyncWriteExt},
-    rstest::rstest,
-    smol::{Task, Timer, net::TcpListener},
-    std::time::Duration,
-};
+use super::support::{IDLE, TIMEOUT, client};
+use fulmarreel_platform::{Error, Event, Revision, Store, Transaction, etcd::Client, watch::Watch};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use rstest::rstest;
+use smol::{Task, Timer, net::TcpListener};
+use std::time::Duration;
 
 /// Serves `pieces`, with a pause after each, as the answer on every connection, and closes it.
 async fn fixed(pieces: Vec<String>) -> (Client, Task<()>) {
--- a/fulmarreel-platform/tests/platform/keys.rs
+++ b/fulmarreel-platform/tests/platform/keys.rs
@@ -1,9 +1,7 @@
 //! The key layout.
 
-use {
-    fulmarreel_platform::keys::{self, Error, Key},
-    rstest::rstest,
-};
+use fulmarreel_platform::keys::{self, Error, Key};
+use rstest::rstest;
 
 #[rstest]
 #[case("fulmarreel/documents/parcelas", Key::Document { service: "parcelas" })]
--- a/fulmarreel-platform/tests/platform/lease.rs
+++ b/fulmarreel-platform/tests/platform/lease.rs
@@ -1,12 +1,10 @@
 //! Leases: their keys, renewal, expiry and end.
 
-use {
-    super::support::{IDLE, events, put, value, with_store, written},
-    fulmarreel_platform::{Error, Event, Lease, Outcome, Store, Transaction, watch::Watch},
-    rstest::rstest,
-    smol::Timer,
-    std::time::Duration,
-};
+use super::support::{IDLE, events, put, value, with_store, written};
+use fulmarreel_platform::{Error, Event, Lease, Outcome, Store, Transaction, watch::Watch};
+use rstest::rstest;
+use smol::Timer;
+use std::time::Duration;
 
 /// The shortest lease.
 const TTL: Duration = Duration::from_secs(1);
--- a/fulmarreel-platform/tests/platform/read.rs
+++ b/fulmarreel-platform/tests/platform/read.rs
@@ -1,10 +1,8 @@
 //! Reading keys and prefixes.
 
-use {
-    super::support::{put, with_store},
-    fulmarreel_platform::{Revision, Store, Transaction},
-    rstest::rstest,
-};
+use super::support::{put, with_store};
+use fulmarreel_platform::{Revision, Store, Transaction};
+use rstest::rstest;
 
 #[test]
 fn absent_key() {
--- a/fulmarreel-platform/tests/platform/support.rs
+++ b/fulmarreel-platform/tests/platform/support.rs
@@ -1,14 +1,12 @@
 //! What the contract tests share.
 
-use {
-    fulmarreel_platform::{
-        Batch, Event, Outcome, Revision, Store, Transaction,
-        etcd::{Client, Options},
-        watch::Watch,
-    },
-    fulmarreel_testing::store::Stand,
-    std::time::Duration,
+use fulmarreel_platform::{
+    Batch, Event, Outcome, Revision, Store, Transaction,
+    etcd::{Client, Options},
+    watch::Watch,
 };
+use fulmarreel_testing::store::Stand;
+use std::time::Duration;
 
 /// Long enough for a busy machine; only calls that fail for want of an answer wait for it.
 pub const TIMEOUT: Duration = Duration::from_secs(10);
--- a/fulmarreel-platform/tests/platform/watch.rs
+++ b/fulmarreel-platform/tests/platform/watch.rs
@@ -1,14 +1,12 @@
 //! Watches: replay, order, deletions, compaction, silence.
 
-use {
-    super::support::{IDLE, TIMEOUT, client, events, put, start, with_store},
-    fulmarreel_platform::{Error, Event, Revision, Store, Transaction, watch::Watch},
-    fulmarreel_testing::store::Faults,
-    rstest::rstest,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+use super::support::{IDLE, TIMEOUT, client, events, put, start, with_store};
+use fulmarreel_platform::{Error, Event, Revision, Store, Transaction, watch::Watch};
+use fulmarreel_testing::store::Faults;
+use rstest::rstest;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
 };
 
 const WRITES: u64 = 50;
--- a/fulmarreel-testing/examples/store.rs
+++ b/fulmarreel-testing/examples/store.rs
@@ -1,6 +1,8 @@
 //! Runs the store stand-in: `store --listen ADDR`.
 
-use {anyhow::Context, fulmarreel_testing::store::Stand, std::net::SocketAddr};
+use anyhow::Context;
+use fulmarreel_testing::store::Stand;
+use std::net::SocketAddr;
 
 fn main() -> anyhow::Result<()> {
     let addr: SocketAddr = pico_args::Arguments::from_env()
--- a/fulmarreel-testing/src/store/api.rs
+++ b/fulmarreel-testing/src/store/api.rs
@@ -1,13 +1,11 @@
 //! The unary calls of the gateway: JSON in, JSON out.
 
-use {
-    super::{
-        Shared,
-        data::{Data, Pair},
-    },
-    base64::{Engine, prelude::BASE64_STANDARD},
-    serde_json::{Value, json},
+use super::{
+    Shared,
+    data::{Data, Pair},
 };
+use base64::{Engine, prelude::BASE64_STANDARD};
+use serde_json::{Value, json};
 
 /// A refusal in the gateway's form.
 #[derive(Debug)]
--- a/fulmarreel-testing/src/store/mod.rs
+++ b/fulmarreel-testing/src/store/mod.rs
@@ -7,16 +7,14 @@
 
 pub use fault::Faults;
 
-use {
-    data::Data,
-    smol::{Task, Timer, channel::Sender, net::TcpListener},
-    std::{
-        collections::BTreeMap,
-        io,
-        net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard},
-        time::{Duration, Instant},
-    },
+use data::Data;
+use smol::{Task, Timer, channel::Sender, net::TcpListener};
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
 };
 
 /// How often lapsed leases are looked for.
--- a/fulmarreel-testing/src/store/serve.rs
+++ b/fulmarreel-testing/src/store/serve.rs
@@ -1,18 +1,16 @@
 //! HTTP/1.1 by hand on `smol`: faults need the control of each byte and each connection.
 
-use {
-    super::{PROGRESS_INTERVAL, Shared, api, data::in_range, lock},
-    futures_lite::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, FutureExt, io::BufReader},
-    serde_json::{Value, json},
-    smol::{
-        Executor, Timer, channel,
-        net::{TcpListener, TcpStream},
-    },
-    std::{
-        io,
-        sync::{Arc, Mutex},
-        time::Duration,
-    },
+use super::{PROGRESS_INTERVAL, Shared, api, data::in_range, lock};
+use futures_lite::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, FutureExt, io::BufReader};
+use serde_json::{Value, json};
+use smol::{
+    Executor, Timer, channel,
+    net::{TcpListener, TcpStream},
+};
+use std::{
+    io,
+    sync::{Arc, Mutex},
+    time::Duration,
 };
 
 struct Request {
--- a/fulmarreel-testing/tests/store.rs
+++ b/fulmarreel-testing/tests/store.rs
@@ -1,12 +1,10 @@
 //! The store stand-in's own switches over HTTP.
 
-use {
-    fulmarreel_testing::store::Stand,
-    rstest::rstest,
-    serde_json::{Value, json},
-    trillium_client::{Client, Error},
-    trillium_smol::ClientConfig,
-};
+use fulmarreel_testing::store::Stand;
+use rstest::rstest;
+use serde_json::{Value, json};
+use trillium_client::{Client, Error};
+use trillium_smol::ClientConfig;
 
 async fn post(stand: &Stand, path: &str, body: &Value) -> Result<(u16, Value), Error> {
     let url = format!("http://{}{path}", stand.address());
