--- a/fulmarreel-node/tests/moves/end_to_end.rs
+++ b/fulmarreel-node/tests/moves/end_to_end.rs
@@ -7,7 +7,7 @@
 use fulmarreel_rollout::state::Phase;
 use std::time::Duration;
 
-/// Fails where evidence is not sent to the owner: the move then never starts.
+/// Fails where evidence is not sent to the owner: seen with `report_zone` sending nothing.
 #[test]
 fn a_good_version_has_all_traffic_by_its_hour() -> anyhow::Result<()> {
     smol::block_on(async {
@@ -30,7 +30,8 @@
     })
 }
 
-/// Fails where the share is not bound while the version is unproven, or no verdict is reached.
+/// Fails where no verdict is reached: seen with the verdict of `owner::tick` neither joined nor
+/// spread.
 #[test]
 fn a_bad_version_is_taken_back_with_few_calls_harmed() -> anyhow::Result<()> {
     smol::block_on(async {
