--- a/fulmarreel-testing/examples/quickstart/deployment.rs
+++ b/fulmarreel-testing/examples/quickstart/deployment.rs
@@ -1,7 +1,7 @@
 //! A small part of the Tlaxcala deployment: two availability zones, two services.
 
 use super::{
-    moves::{Shift, VERSION},
+    moves::{BAD, Shift, VERSION},
     watch,
 };
 use anyhow::{Context, ensure};
@@ -23,6 +23,10 @@
 /// The services that are started; bookings are the non-idempotent ones.
 const SERVICES: [&str; 2] = ["parcelas", "reservas"];
 
+/// How long each target takes for a call, in milliseconds; without it, the noise of a busy machine
+/// would be larger than any difference between two versions.
+const WORK_MILLIS: u64 = 10;
+
 /// One answer in that many of the bad version is an error.
 const BAD_ERROR_EVERY: u64 = 2;
 
@@ -94,16 +98,21 @@
         for service in SERVICES {
             self.add(service, VERSION)?;
         }
-        let fault = Control {
-            error_every: BAD_ERROR_EVERY,
-            ..Control::default()
-        };
-        let body = serde_json::to_string(&fault)?;
-        for (index, place) in self.mesh.places.iter().enumerate() {
-            if self.targets[index] == ("reservas", VERSION) {
-                let url = format!("http://{}/control", place.target_address);
-                eventually(|| watch::post(&url, &body)).await?;
-            }
+        self.control().await
+    }
+
+    /// Tells every target how long its calls take, and the bad ones to fail.
+    async fn control(&self) -> anyhow::Result<()> {
+        for (place, target) in self.mesh.places.iter().zip(&self.targets) {
+            let bad = *target == (BAD.service, VERSION);
+            let control = Control {
+                delay_ms: WORK_MILLIS,
+                error_every: if bad { BAD_ERROR_EVERY } else { 0 },
+                ..Control::default()
+            };
+            let url = format!("http://{}/control", place.target_address);
+            let body = serde_json::to_string(&control)?;
+            eventually(|| watch::post(&url, &body)).await?;
         }
         Ok(())
     }
@@ -121,6 +130,7 @@
 
     /// Waits until every node answers calls to every service.
     pub async fn serving(&self) -> anyhow::Result<()> {
+        self.control().await?;
         for node in self.callers() {
             for service in SERVICES {
                 let caller = Caller::new(&Options {
