--- a/fulmarreel-testing/examples/quickstart/main.rs
+++ b/fulmarreel-testing/examples/quickstart/main.rs
@@ -102,6 +102,9 @@
     let (bookings, lookups) = (bookings.await, lookups.await);
     say(&format!("bookings: {}", bookings.summary()));
     say(&format!("lookups:  {}", lookups.summary()));
+    for line in verdict::failures([&bookings, &lookups]) {
+        say(&line);
+    }
     let executions = deployment.executions().await?;
     drop(deployment);
     let verdict = Verdict::new(&bookings, &lookups, &executions, &ends, &watched);
--- a/fulmarreel-testing/examples/quickstart/verdict.rs
+++ b/fulmarreel-testing/examples/quickstart/verdict.rs
@@ -6,11 +6,17 @@
 };
 use fulmarreel_testing::load::{Outcome, Record, Report};
 use serde::Serialize;
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// The largest part of the bookings that a bad version may get, in percent.
 const MAX_BAD_PERCENT: f64 = 5.0;
 
+/// Calls that are named for each kind of failure.
+const FAILURES_SHOWN: usize = 4;
+
 /// What was watched beside the calls.
 #[derive(Debug)]
 pub struct Watched {
@@ -131,6 +137,21 @@
     }
 }
 
+/// One line for each kind of failure: how often, and the first calls' names, whose numbers tell when.
+pub fn failures(reports: [&Report; 2]) -> Vec<String> {
+    let mut kinds: BTreeMap<String, Vec<&str>> = BTreeMap::new();
+    let calls = reports.iter().flat_map(|report| &report.records);
+    for call in calls.filter(|call| failed(call)) {
+        let kind = format!("{:?} {} {}", call.outcome, call.status, call.detail);
+        kinds.entry(kind).or_default().push(&call.name);
+    }
+    let lines = kinds.into_iter().map(|(kind, names)| {
+        let first = &names[..names.len().min(FAILURES_SHOWN)];
+        format!("failed: {} x {kind}: {first:?}", names.len())
+    });
+    lines.collect()
+}
+
 /// Whether a call got no good answer, through no fault of the bad version.
 fn failed(call: &Record) -> bool {
     let by_bad_version = call.version == VERSION && call.name.starts_with(BAD.service);
