fix(node): a call's further attempts go to the old version

Cause: a call was tried at targets of the version chosen first only, so it was refused when the new version's targets died although the old one's had room; and a failed attempt was not evidence where a retry was allowed. Ruled out: choosing among both versions' targets at once (shares would no longer hold). The test was seen to fail with prefer_old doing nothing.

--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -143,7 +143,7 @@
             Err(error) => return respond::refuse(conn, Status::BadRequest, &error.to_string()),
         };
         let view = self.state.view();
-        let Some(destination) = route::resolve(&view, &self.moves, &request) else {
+        let Some(mut destination) = route::resolve(&view, &self.moves, &request) else {
             let reason = "no document in force has this route";
             return respond::refuse(conn, Status::NotFound, reason);
         };
@@ -151,12 +151,12 @@
         if let Some(key) = &request.idempotency_key
             && !destination.route.idempotent()
         {
-            let answer = self.answer_once(&destination, &request, key).await;
+            let answer = self.answer_once(&mut destination, &request, key).await;
             self.log_end(&destination, &request, &answer);
             return respond::respond(conn, answer);
         }
         // A caller that hangs up drops this future, and with it the call.
-        let answer = self.answer(&destination, &request);
+        let answer = self.answer(&mut destination, &request);
         match conn.cancel_on_disconnect(answer).await {
             Some(answer) => {
                 self.log_end(&destination, &request, &answer);
@@ -170,7 +170,7 @@
     /// claim has to be released where the call is not run.
     async fn answer_once(
         &self,
-        destination: &Destination<'_>,
+        destination: &mut Destination<'_>,
         request: &Request,
         key: &str,
     ) -> Answer {
@@ -189,8 +189,9 @@
         answer
     }
 
-    /// Sends a call to one target after the other, as the rules of [`retry`] allow.
-    async fn answer(&self, destination: &Destination<'_>, request: &Request) -> Answer {
+    /// Sends a call to one target after the other, as the rules of [`retry`] allow; only the first
+    /// may be of a version that traffic moves to.
+    async fn answer(&self, destination: &mut Destination<'_>, request: &Request) -> Answer {
         let mut tried = Vec::new();
         let mut last = Answer::not_run("no target is known");
         self.budget(destination, Budget::earn);
@@ -242,12 +243,14 @@
                     }
                 },
                 Some(_) => last = Answer::unknown("the connection to the target's node was lost"),
-                None if again => {}
                 None => {
                     Self::observe(destination, request, &last);
-                    return last;
+                    if !again {
+                        return last;
+                    }
                 }
             }
+            destination.prefer_old();
         }
     }
 
--- a/fulmarreel-node/src/ingress/route.rs
+++ b/fulmarreel-node/src/ingress/route.rs
@@ -29,6 +29,16 @@
         candidates.into_iter().flatten()
     }
 
+    /// Sends what is left of the call's attempts to the version that traffic moves away from, as
+    /// long as that has targets.
+    pub fn prefer_old(&mut self) {
+        let old = self.service.document.version();
+        if self.service.has_target(old.as_str()) {
+            self.version = old.clone();
+            *self.ticket.get_mut().expect("ticket lock") = None;
+        }
+    }
+
     /// Reports how the target dealt with the call, where versions are compared.
     pub fn finish(&self, end: End) {
         let ticket = self.ticket.lock().expect("ticket lock").take();
--- a/fulmarreel-node/tests/moves/faults.rs
+++ b/fulmarreel-node/tests/moves/faults.rs
@@ -3,7 +3,10 @@
 use super::support::{call_for, document, owner, published, ready, start, store, wait_for};
 use anyhow::{Context, ensure};
 use fulmarreel_rollout::Share;
-use fulmarreel_testing::process::{Mesh, eventually};
+use fulmarreel_testing::{
+    load::Outcome,
+    process::{Mesh, eventually},
+};
 use rstest::rstest;
 use smol::Timer;
 use std::{net::SocketAddr, time::Duration};
@@ -105,6 +108,29 @@
     })
 }
 
+/// Calls that the new version's targets cannot take go to the old version's.
+///
+/// Fails where a call stays with the version chosen first: seen with `prefer_old` doing nothing.
+#[test]
+fn no_call_is_refused_when_the_new_version_dies() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let mesh = start()?;
+        ready(&mesh).await?;
+        mesh.apply("reservas.jsonc", &document(60, 3)?)?;
+        let calls = call_for(&mesh, Duration::from_secs(30));
+        let store = store(&mesh);
+        let patience = Duration::from_secs(25);
+        wait_for(&store, patience, |state| state.share > Share::NONE).await?;
+        for place in &mesh.places[2..] {
+            place.target.signal("KILL")?;
+        }
+        let report = calls.await;
+        ensure!(report.count(Outcome::NotRun) == 0, "{}", report.summary());
+        ensure!(report.count(Outcome::Failed) == 0, "{}", report.summary());
+        Ok(())
+    })
+}
+
 /// The shares in percent that nodes say are in force, over some time.
 async fn shares_for(mesh: &Mesh, time: Duration) -> anyhow::Result<Vec<f64>> {
     let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
