test(node): the store stand-in of the fencing tests takes a free port from the system

Cause: 'Address already in use' once, when another checkout's tests took the port between its choice and its use. Ruled out: a fault of the node.

--- a/fulmarreel-node/tests/moves/fencing.rs
+++ b/fulmarreel-node/tests/moves/fencing.rs
@@ -17,7 +17,11 @@
     process::free_address,
     store::{Faults, Stand},
 };
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 const DOCUMENT: &str = r#"{
     "service": "reservas",
@@ -77,7 +81,7 @@
 #[test]
 fn a_step_counts_once_the_store_has_it() -> anyhow::Result<()> {
     smol::block_on(async {
-        let stand = Stand::start(free_address()?).await?;
+        let stand = Stand::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await?;
         let store = client(&stand);
         let node = node(stand.address())?;
         let entry = declared()?;
@@ -113,7 +117,7 @@
 #[test]
 fn a_former_owner_writes_nothing() -> anyhow::Result<()> {
     smol::block_on(async {
-        let stand = Stand::start(free_address()?).await?;
+        let stand = Stand::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await?;
         let store = client(&stand);
         let (first, second) = (node(stand.address())?, node(stand.address())?);
         let entry = declared()?;
