perf(node): one worker thread; docs of the decisions on calls

Cause: perf at 1000 calls/s through both nodes shows the switching of threads as the largest single part (14% of samples). Ruled out: bodies inside the first frame with one timer for all deadlines, 498 to 491 us of cpu a call and p50 464 to 596 us, within the noise; reverted. The process tests name the mutation with which each was seen to fail; a cut answer is now long enough that its head was sent.

--- a/fulmarreel-node/src/runtime.rs
+++ b/fulmarreel-node/src/runtime.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 
 /// Worker threads; a node's instance belongs to its target.
-const WORKER_THREADS: usize = 2;
+const WORKER_THREADS: usize = 1;
 
 /// Starts the worker threads; to be called once, before any task.
 pub fn init() {
--- a/fulmarreel-node/tests/calls/body.rs
+++ b/fulmarreel-node/tests/calls/body.rs
@@ -14,6 +14,7 @@
 
 const MEGABYTE: usize = 1_048_576;
 
+/// Seen to fail with chunks of a streamed answer whose offsets overlap by a byte.
 #[test]
 fn answers_of_any_size_are_whole_and_reach_their_own_caller() -> anyhow::Result<()> {
     let mesh = mesh(&[RESERVAS; 2])?;
@@ -39,8 +40,10 @@
     })
 }
 
+/// Seen to fail with a short answer that is taken for a whole one: kept, by `Call::answer`; streamed,
+/// by `Call::stream`, `Stream` and a head without its length, since each of the three stops it alone.
 #[rstest]
-#[case::kept_whole(10_000)]
+#[case::kept_whole(60_000)]
 #[case::streamed(MEGABYTE)]
 fn a_cut_answer_is_never_a_short_answer(#[case] size: usize) -> anyhow::Result<()> {
     let mesh = mesh(&[RESERVAS])?;
@@ -64,6 +67,7 @@
     })
 }
 
+/// Seen to fail, by never ending, with a reader of connections that waits for a call's own reader.
 #[test]
 fn a_caller_that_takes_no_bytes_holds_up_no_other() -> anyhow::Result<()> {
     let mesh = mesh(&[RESERVAS])?;
--- a/fulmarreel-node/tests/calls/kill.rs
+++ b/fulmarreel-node/tests/calls/kill.rs
@@ -24,6 +24,9 @@
     process.signal("KILL")
 }
 
+/// Seen to fail with `retry::decide` that retries non-idempotent calls of unknown outcome, which is
+/// the naive baseline: a booking ran twice where the node and where the target died. The case of
+/// the node that took the call was not seen to fail.
 #[rstest]
 #[case::node_in_front_of_the_target(Victim::Node)]
 #[case::target(Victim::Target)]
@@ -52,6 +55,8 @@
     })
 }
 
+/// Seen to fail with `retry::decide` that never retries calls of unknown outcome, in the case of
+/// the target; the node's is settled as not run in most runs, and was not seen to fail.
 #[rstest]
 #[case::node_in_front_of_the_target(Victim::Node)]
 #[case::target(Victim::Target)]
@@ -72,6 +77,8 @@
     })
 }
 
+/// Seen to fail with `Exchange::settle` that says "not run" without a query (a booking ran twice),
+/// and with `retry::decide` that never retries (both cases).
 #[rstest]
 #[case::bookings(BOOKINGS)]
 #[case::lookups(LOOKUPS)]
--- a/fulmarreel-node/tests/calls/leave.rs
+++ b/fulmarreel-node/tests/calls/leave.rs
@@ -15,6 +15,7 @@
 /// How long a process may take to end.
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// Seen to fail with announcements whose `leaving` is ignored.
 #[test]
 fn a_leaving_target_gets_no_new_work_and_no_call_fails() -> anyhow::Result<()> {
     let mesh = mesh(&[RESERVAS; 3])?;
@@ -48,6 +49,8 @@
     })
 }
 
+/// Seen to fail with `leave::run` that returns at the signal, in the case of bookings; that of
+/// lookups passed then, as these are retried.
 #[rstest]
 #[case::bookings(BOOKINGS)]
 #[case::lookups(LOOKUPS)]
@@ -63,6 +66,7 @@
     })
 }
 
+/// Seen to fail with `leave::run` that returns at the signal.
 #[rstest]
 #[case::bookings(BOOKINGS)]
 #[case::lookups(LOOKUPS)]
--- a/fulmarreel-node/tests/calls/overload.rs
+++ b/fulmarreel-node/tests/calls/overload.rs
@@ -12,6 +12,7 @@
 use smol::{Timer, io::AsyncWriteExt, net::TcpStream};
 use std::time::Duration;
 
+/// Seen to fail with `Admission::arrive` that always admits.
 #[test]
 fn slots_are_never_exceeded_and_refusals_are_true() -> anyhow::Result<()> {
     let few_slots = Instance {
@@ -39,6 +40,7 @@
     })
 }
 
+/// Seen to fail without the cancellation when a `Pending` call is dropped.
 #[test]
 fn a_waiting_call_is_not_run_once_its_caller_hangs_up() -> anyhow::Result<()> {
     let one_slot = Instance {
--- a/fulmarreel-node/tests/calls/silence.rs
+++ b/fulmarreel-node/tests/calls/silence.rs
@@ -32,6 +32,8 @@
     })
 }
 
+/// Seen to fail with `Exchange::settle` that gives up without a query, which is the naive baseline,
+/// and with `SILENCE_LIMIT` at 70 s.
 #[rstest]
 #[case::bookings(BOOKINGS)]
 #[case::lookups(LOOKUPS)]
--- a/fulmarreel-testing/examples/bench_calls.rs
+++ b/fulmarreel-testing/examples/bench_calls.rs
@@ -1,4 +1,4 @@
-//! Measures what the two nodes add to a call: `bench_calls [--seconds S] [--rounds N]`.
+//! Measures what the two nodes add to a call: `bench_calls [--seconds S] [--rounds N] [--rate R]`.
 //!
 //! For each rate, calls go to the target directly and through two nodes in turn, in one run and
 //! against the same target. Prints a row for each pass and the medians of the differences.
@@ -36,12 +36,13 @@
     let mut arguments = pico_args::Arguments::from_env();
     let seconds = arguments.opt_value_from_str("--seconds")?;
     let rounds = arguments.opt_value_from_str("--rounds")?;
+    let rate: Option<f64> = arguments.opt_value_from_str("--rate")?;
     let duration = Duration::from_secs_f64(seconds.unwrap_or(DEFAULT_SECONDS));
     let mesh = start()?;
     let (through, direct) = (mesh.places[0].callers, mesh.places[1].target_address);
     warm_up(&mesh, through)?;
     println!("rate  round  path     p50_us  p99_us  node_cpu_us_per_call");
-    for rate in RATES {
+    for rate in rate.map_or(RATES.to_vec(), |rate| vec![rate]) {
         let mut added = Vec::new();
         for round in 0..rounds.unwrap_or(DEFAULT_ROUNDS) {
             let near = pass(&mesh, direct, rate, duration)?;
