--- a/fulmarreel-node/src/leave.rs
+++ b/fulmarreel-node/src/leave.rs
@@ -32,7 +32,7 @@
 pub async fn run(state: Arc<State>, server: Arc<Server>, ingress: Arc<Ingress>) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let signal = signals.next().await;
-    log::info!("leaving signal={signal:?}");
+    log::info!(signal:? = signal; "leaving");
     server.leave();
     state.leave();
     ingress.close();
@@ -43,10 +43,8 @@
     }
     ingress.close_idle();
     Timer::after(FLUSH).await;
-    log::info!(
-        "left after_ms={} unfinished={}",
-        start.elapsed().as_millis(),
-        server.in_flight() + ingress.in_flight()
-    );
+    let after_ms = start.elapsed().as_millis() as u64;
+    let unfinished = server.in_flight() + ingress.in_flight();
+    log::info!(after_ms, unfinished; "left");
     Ok(())
 }
--- a/fulmarreel-node/src/peer/connection.rs
+++ b/fulmarreel-node/src/peer/connection.rs
@@ -204,7 +204,7 @@
         let heard = *self.heard.lock().expect("heard lock");
         let silent = now.saturating_duration_since(heard.max(since));
         if silent >= SILENCE_LIMIT {
-            log::info!("connection to {}: silent, closed", self.peer);
+            log::info!(peer:% = self.peer; "connection silent, closed");
             self.close();
         } else if silent >= PING_AFTER {
             let _ = self.outgoing.try_send(Frame::Ping { token: 0 });
--- a/fulmarreel-node/src/rollout/finish.rs
+++ b/fulmarreel-node/src/rollout/finish.rs
@@ -1,7 +1,10 @@
 //! The end of one call.
 
 use super::Move;
-use crate::state::unix_millis;
+use crate::{
+    state::unix_millis,
+    telemetry::{Decision, decision::Kind},
+};
 use fulmarreel_document::shift::Timestamp;
 use fulmarreel_rollout::evidence::{Route, Side};
 use std::sync::Arc;
@@ -48,10 +51,13 @@
         let mut progress = self.progress.lock().expect("progress lock");
         let phase = progress.state.phase;
         if progress.guard.record(side, end.failed, phase, now) {
-            log::warn!(
-                "move of {}: this node stops its own use of the new version",
-                self.service()
-            );
+            let reason = "this node stops its own use of the new version: it fails here";
+            Decision {
+                version: self.document.shift().map(|shift| shift.to().as_str()),
+                revision: Some(self.revision),
+                ..Decision::new(Kind::Shift, self.service(), reason)
+            }
+            .log();
         }
         let sides = progress.tallies.entry(route).or_default();
         let tally = match side {
--- a/fulmarreel-node/src/rollout/follow.rs
+++ b/fulmarreel-node/src/rollout/follow.rs
@@ -1,7 +1,10 @@
 //! Moves follow the documents in force and what is published of them.
 
 use super::{Gathered, Move, Moves, Progress};
-use crate::state::{self, unix_millis};
+use crate::{
+    state::{self, unix_millis},
+    telemetry::{Decision, decision::Kind},
+};
 use fulmarreel_document::{Document, shift::Timestamp};
 use fulmarreel_rollout::{Guard, Plan, Publication, State, state::Phase};
 use smol::Timer;
@@ -85,14 +88,15 @@
         progress.state = published.clone();
         progress.stored = false;
         drop(progress);
-        log::info!(
-            "move of {}: revision {} step {} share {} ppm, {}",
-            self.service(),
-            published.revision,
-            published.step,
-            published.share.parts(),
-            published.reason,
-        );
+        let to = self.document.shift().map(|shift| shift.to().as_str());
+        let percent = published.share.fraction() * 100.0;
+        let reason = format!("{percent} % of calls: {}", published.reason);
+        Decision {
+            version: to,
+            revision: Some(published.revision),
+            ..Decision::new(Kind::Shift, self.service(), &reason)
+        }
+        .log();
         true
     }
 
@@ -101,7 +105,7 @@
         if let Some(published) = &service.published_move {
             match Publication::decode(&published.value) {
                 Ok(publication) => self.take(&publication),
-                Err(error) => log::error!("move of {}: {error}", self.service()),
+                Err(error) => log::error!(service = self.service(); "move: {error}"),
             }
         }
         let to = self.document.shift().map(|shift| shift.to().as_str());
--- a/fulmarreel-node/src/rollout/owner/acquire.rs
+++ b/fulmarreel-node/src/rollout/owner/acquire.rs
@@ -14,7 +14,7 @@
     match try_acquire(state, store, entry).await {
         Ok(ownership) => ownership,
         Err(error) => {
-            log::info!("move of {}: no ownership: {error}", entry.service());
+            log::info!(service = entry.service(); "move: no ownership: {error}");
             None
         }
     }
@@ -59,7 +59,7 @@
         reporters: 0,
         unpublished: true,
     };
-    log::info!("move of {}: this node is its owner", entry.service());
+    log::info!(service = entry.service(); "move: this node is its owner");
     entry.set_owner(own);
     let kept = publish::publish(state, store, entry, &mut ownership, &entry.state()).await;
     Ok(kept.then_some(ownership))
--- a/fulmarreel-node/src/rollout/owner/publish.rs
+++ b/fulmarreel-node/src/rollout/owner/publish.rs
@@ -35,7 +35,7 @@
             reread(store, entry, ownership).await
         }
         Err(error) => {
-            log::warn!("move of {}: step not written: {error}", entry.service());
+            log::warn!(service = entry.service(); "move: step not written: {error}");
             true
         }
     }
@@ -75,11 +75,11 @@
             true
         }
         Ok(_) => {
-            log::info!("move of {}: ownership lost", entry.service());
+            log::info!(service = entry.service(); "move: ownership lost");
             false
         }
         Err(error) => {
-            log::warn!("move of {}: {error}", entry.service());
+            log::warn!(service = entry.service(); "move: {error}");
             true
         }
     }
--- a/fulmarreel-node/src/rollout/owner/tick.rs
+++ b/fulmarreel-node/src/rollout/owner/tick.rs
@@ -35,7 +35,7 @@
     let contact = contact(state, fleet, entry, ownership);
     let outcome = step::step(&current, &entry.plan, &ownership.comparison, &contact, now);
     if let Outcome::Hold(reason) = &outcome {
-        log::debug!("move of {}: held: {reason}", entry.service());
+        log::debug!(service = entry.service(); "move: held: {reason}");
     }
     match (&outcome, outcome.state()) {
         // A verdict counts at once and everywhere; the store takes it when it can.
@@ -104,11 +104,11 @@
             true
         }
         Err(Error::Expired { .. }) => {
-            log::info!("move of {}: the owner's lease has lapsed", entry.service());
+            log::info!(service = entry.service(); "move: the owner's lease has lapsed");
             false
         }
         Err(error) => {
-            log::warn!("move of {}: lease not renewed: {error}", entry.service());
+            log::warn!(service = entry.service(); "move: lease not renewed: {error}");
             true
         }
     }
--- a/fulmarreel-node/src/serve/call.rs
+++ b/fulmarreel-node/src/serve/call.rs
@@ -70,7 +70,7 @@
 
     async fn fail(&self, error: target::Error, permit: Permit) {
         drop(permit);
-        log::info!("call {}: {error}", self.sequence);
+        log::info!(call = self.sequence; "target: {error}");
         let failure = match error {
             target::Error::Malformed(_) => return self.withdraw(Refusal::Incomplete).await,
             target::Error::Connect { .. } => return self.withdraw(Refusal::Unreachable).await,
@@ -120,13 +120,13 @@
                     return self.finish(&answer, start, permit).await;
                 }
                 Ok(true) => {
-                    log::info!("call {}: the answer is shorter than stated", self.sequence);
+                    log::info!(call = self.sequence; "target: the answer is shorter than stated");
                     drop(permit);
                     return self.lose(Failure::TargetLost).await;
                 }
                 Ok(false) => {}
                 Err(error) => {
-                    log::info!("call {}: answer: {error}", self.sequence);
+                    log::info!(call = self.sequence; "target: answer: {error}");
                     drop(permit);
                     return self.lose(Failure::TargetLost).await;
                 }
@@ -148,7 +148,7 @@
             .expect("ledger lock")
             .lose(sequence, Instant::now());
         if let Err(error) = streamed {
-            log::info!("call {sequence}: answer: {error}");
+            log::info!(call = sequence; "target: answer: {error}");
             let reason = Failure::TargetLost;
             let failed = Frame::Failed(Failed { sequence, reason });
             let _ = self.outgoing.send(failed).await;
--- a/fulmarreel-node/src/serve/connection.rs
+++ b/fulmarreel-node/src/serve/connection.rs
@@ -36,7 +36,7 @@
         tcp.set_nodelay(true)?;
         let hello: Hello = stream::read(&mut tcp).await?;
         if hello.protocol != PROTOCOL {
-            log::warn!("peer {}: refused {hello:?}", hello.address);
+            log::warn!(peer:% = hello.address; "refused {hello:?}");
             return Ok(());
         }
         match hello.purpose {
@@ -144,7 +144,7 @@
             ledger.open(self.generation, open.sequence)
         };
         if let Err(error) = opened {
-            log::info!("call {} not opened: {error}", open.sequence);
+            log::info!(call = open.sequence, service = open.service.as_str(); "not opened: {error}");
             return;
         }
         let call = call::Call {
--- a/fulmarreel-node/src/serve/mod.rs
+++ b/fulmarreel-node/src/serve/mod.rs
@@ -112,7 +112,7 @@
         *self.target.write().expect("target lock") = announced;
         let leaving = self.is_leaving();
         if leaving != was_leaving {
-            log::info!("target leaving={leaving}");
+            log::info!(leaving; "the own target");
             self.broadcast(if leaving {
                 &Frame::Leaving
             } else {
