fix(node): an owner whose clock is off gives its lease up

Cause: the policy holds a move whose last step lies in the owner's future, so an owner with a clock behind would hold it for good. It revokes its lease and leaves the move to others for a minute.

--- a/fulmarreel-document/src/shift.rs
+++ b/fulmarreel-document/src/shift.rs
@@ -47,7 +47,7 @@
 pub enum Fallback {
     /// All traffic moves: nothing speaks against the version.
     Complete,
-    /// The share stays where it is until the version is proved.
+    /// The share stays within that of an unproven version until the version is proved.
     Hold,
 }
 
--- a/fulmarreel-node/src/rollout/owner/mod.rs
+++ b/fulmarreel-node/src/rollout/owner/mod.rs
@@ -31,6 +31,9 @@
 /// Age of a lease's last renewal at which it is renewed.
 const RENEWAL_AGE: Duration = Duration::from_millis(1_500);
 
+/// How long a node whose clock is off leaves a move to others.
+const STAND_BACK: Duration = Duration::from_secs(60);
+
 /// Time between two looks of a standby at the owner's key.
 const STANDBY_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -52,6 +55,17 @@
     unpublished: bool,
 }
 
+/// Whether this node still owns a move after a tick.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Tenure {
+    /// It does.
+    Kept,
+    /// It does not.
+    Over,
+    /// It gave the ownership up, since its clock is off.
+    Unfit,
+}
+
 /// What this node owns and stands by for, by service.
 #[derive(Debug, Default)]
 struct Duties {
@@ -73,8 +87,12 @@
         for entry in &running {
             let now = Timestamp(unix_millis());
             if let Some(mut ownership) = duties.owned.remove(entry.service()) {
-                if tick::tick(&state, &fleet, &store, entry, &mut ownership).await {
-                    duties.owned.insert(entry.service().to_owned(), ownership);
+                match tick::tick(&state, &fleet, &store, entry, &mut ownership).await {
+                    Tenure::Kept => {
+                        duties.owned.insert(entry.service().to_owned(), ownership);
+                    }
+                    Tenure::Over => {}
+                    Tenure::Unfit => duties.stand_back(entry, now),
                 }
             } else if duties.is_standby(&fleet, entry, now)
                 && let Some(ownership) = acquire::acquire(&state, &store, entry).await
@@ -98,6 +116,12 @@
         self.next_look.retain(|service, _| declared(service, None));
     }
 
+    /// Leaves a move to others for a while.
+    fn stand_back(&mut self, entry: &super::Move, now: Timestamp) {
+        let until = later(now, STAND_BACK);
+        self.next_look.insert(entry.service().to_owned(), until);
+    }
+
     /// Whether this node is to look at the owner's key now.
     fn is_standby(&mut self, fleet: &Fleet, entry: &super::Move, now: Timestamp) -> bool {
         if entry.is_settled() || fleet.rank(entry.service()) >= STANDBYS {
--- a/fulmarreel-node/src/rollout/owner/tick.rs
+++ b/fulmarreel-node/src/rollout/owner/tick.rs
@@ -1,6 +1,6 @@
 //! One decision of an owner.
 
-use super::{Ownership, RENEWAL_AGE, later, publish};
+use super::{Ownership, RENEWAL_AGE, Tenure, later, publish};
 use crate::{
     rollout::{Move, fleet::Fleet},
     state::{State, unix_millis},
@@ -10,22 +10,22 @@
 use fulmarreel_platform::{Error, Store};
 use fulmarreel_rollout::{
     Evidence,
-    step::{self, Contact, Outcome},
+    step::{self, Contact, Hold, Outcome},
 };
 
 /// The number of reporters falls by one part in that many a tick.
 const REPORTERS_FALL: u32 = 10;
 
-/// Renews the lease, decides, and publishes; returns whether this node still owns the move.
+/// Renews the lease, decides, and publishes.
 pub(super) async fn tick<S: Store>(
     state: &State,
     fleet: &Fleet,
     store: &S,
     entry: &Move,
     ownership: &mut Ownership,
-) -> bool {
+) -> Tenure {
     if !renew(store, entry, ownership).await {
-        return false;
+        return Tenure::Over;
     }
     let now = Timestamp(unix_millis());
     let evidence = entry.take_fleet();
@@ -36,6 +36,9 @@
     let outcome = step::step(&current, &entry.plan, &ownership.comparison, &contact, now);
     if let Outcome::Hold(reason) = &outcome {
         log::debug!(service = entry.service(); "move: held: {reason}");
+        if *reason == Hold::ClockOff {
+            return give_up(store, entry, ownership).await;
+        }
     }
     match (&outcome, outcome.state()) {
         // A verdict counts at once and everywhere; the store takes it when it can.
@@ -45,14 +48,34 @@
             ownership.unpublished = true;
         }
         // Any other step counts once the store has it; else it is decided anew.
-        (_, Some(next)) => return publish::publish(state, store, entry, ownership, next).await,
+        (_, Some(next)) => {
+            let kept = publish::publish(state, store, entry, ownership, next).await;
+            return Tenure::from(kept);
+        }
         (_, None) => {}
     }
     if ownership.unpublished {
         let current = entry.state();
-        return publish::publish(state, store, entry, ownership, &current).await;
+        let kept = publish::publish(state, store, entry, ownership, &current).await;
+        return Tenure::from(kept);
+    }
+    Tenure::from(!entry.is_settled())
+}
+
+impl From<bool> for Tenure {
+    fn from(kept: bool) -> Self {
+        if kept { Self::Kept } else { Self::Over }
+    }
+}
+
+/// Ends the lease early, so that a node whose clock is right takes over.
+async fn give_up<S: Store>(store: &S, entry: &Move, ownership: &Ownership) -> Tenure {
+    log::warn!(service = entry.service(); "move: this node's clock is off");
+    if let Err(error) = store.revoke(ownership.lease).await {
+        // The lease lapses by itself.
+        log::info!(service = entry.service(); "move: {error}");
     }
-    !entry.is_settled()
+    Tenure::Unfit
 }
 
 fn spread(state: &State, entry: &Move) {
