fix(distribution): report the deletion of a document in force

settle() said nothing of deletions, so that no log line told of one. Seen to fail without the report.

--- a/fulmarreel-distribution/src/catalog.rs
+++ b/fulmarreel-distribution/src/catalog.rs
@@ -151,6 +151,8 @@
     in_force: Option<Revised>,
     candidate: Option<Revised>,
     held: Option<Held>,
+    /// Whether a deletion is still to be reported.
+    deleted: bool,
 }
 
 /// The documents that a node knows, by service.
@@ -169,7 +171,7 @@
         slot.newest = revision;
         let Some(value) = value else {
             slot.candidate = None;
-            slot.in_force = None;
+            slot.deleted = slot.in_force.take().is_some();
             slot.held = None;
             return Outcome::Taken;
         };
@@ -192,6 +194,10 @@
     pub fn settle(&mut self, targets: &Targets) -> Vec<Change> {
         let mut changes = Vec::new();
         for (service, slot) in &mut self.slots {
+            if std::mem::take(&mut slot.deleted) {
+                let (service, revision) = (service.clone(), None);
+                changes.push(Change { service, revision });
+            }
             let Some(candidate) = slot.candidate.take() else {
                 continue;
             };
--- a/fulmarreel-distribution/tests/distribution/catalog.rs
+++ b/fulmarreel-distribution/tests/distribution/catalog.rs
@@ -129,7 +129,7 @@
     assert_eq!(in_force(&catalog), Some((5, "v1".to_owned())));
 }
 
-/// Fails with `newest` left as it was by a deletion.
+/// Fails with `newest` of zero after a deletion, and without the report of a deletion in `settle`.
 #[test]
 fn a_document_deleted_and_created_again_is_never_the_earlier_one() {
     let known = targets(&[("reservas", "v1"), ("reservas", "v2")]);
@@ -137,7 +137,8 @@
     offer(&mut catalog, 5, Some(&document("v1", "")));
     catalog.settle(&known);
     offer(&mut catalog, 8, None);
-    catalog.settle(&known);
+    let changes = catalog.settle(&known);
+    assert_eq!(changes[0].revision, None);
     assert_eq!(in_force(&catalog), None);
     offer(&mut catalog, 5, Some(&document("v1", "")));
     offer(&mut catalog, 7, Some(&document("v1", "")));
