fix(node): close the callers' socket right after the last look at it

Cause: between the last accept and the close the reactor had to let go of the socket; a caller that connected meanwhile was reset. Seen once, in a_rolling_restart_of_every_node_fails_no_call::case_2_lookups (first call: connection reset by peer), one failure in four full runs. A gap of two system calls is left.

--- a/fulmarreel-node/src/ingress/listen.rs
+++ b/fulmarreel-node/src/ingress/listen.rs
@@ -6,10 +6,10 @@
 
 use super::Ingress;
 use smol::{
-    future::{or, poll_once},
+    future::or,
     net::{TcpListener, TcpStream},
 };
-use std::{io, sync::Arc};
+use std::{io, net, os::fd::AsFd, sync::Arc};
 use trillium_http::HttpContext;
 use trillium_smol::SmolTransport;
 
@@ -31,10 +31,15 @@
             None => break,
         }
     }
-    // Those whose connection was opened already are served.
-    while let Some(Ok((tcp, _))) = poll_once(listener.accept()).await {
-        serve(&ingress, tcp);
+    // Those whose connection was opened already are served. What connects between the last look and
+    // the close is reset, so nothing else happens between these two: the reactor, which takes its
+    // time to let go of a socket, does so before.
+    let last = net::TcpListener::from(listener.as_fd().try_clone_to_owned()?);
+    drop(listener);
+    while let Ok((tcp, _)) = last.accept() {
+        serve(&ingress, TcpStream::try_from(tcp)?);
     }
+    drop(last);
     Ok(())
 }
 
