--- a/fulmarreel-node/tests/distribution/verdict.rs
+++ b/fulmarreel-node/tests/distribution/verdict.rs
@@ -53,8 +53,9 @@
     .await
 }
 
-/// Fails without the call of `tell` in `State::take_back`, without `moves.take` in `State::apply`, and
-/// with verdicts left out of comparisons.
+/// Fails without `moves.take` in `State::apply`, with malformed states taken in, and with verdicts
+/// neither told in `State::take_back` nor sent in comparisons; each of the two ways makes up for the
+/// other.
 #[test]
 fn verdicts_spread_without_the_store_and_moves_with_it() -> anyhow::Result<()> {
     runtime::init();
