--- a/fulmarreel-document/src/check.rs
+++ b/fulmarreel-document/src/check.rs
@@ -1,6 +1,6 @@
 //! Rules that take more than the document itself: the clock, and the other documents.
 //!
-//! Nodes do not apply them: a document that was accepted stays in force whatever the hour.
+//! Nodes do not apply them: a document that was accepted stays in force whatever the deadline.
 
 use crate::{
     Document, Service, raw,
@@ -8,11 +8,11 @@
     source::{self, Refusal},
 };
 
-/// Refuses a move whose hour is not after `now`.
-pub fn hour(text: &str, document: &Document, now: Timestamp) -> Result<(), source::Error> {
+/// Refuses a move whose deadline is not after `now`.
+pub fn deadline(text: &str, document: &Document, now: Timestamp) -> Result<(), source::Error> {
     match document.shift() {
         Some(shift) if shift.complete_by() <= now => {
-            let given = raw_hour(text);
+            let given = raw_deadline(text);
             let refusal = Refusal::new("move.complete_by", &given, "a time in the future");
             Err(refusal.located(text))
         }
@@ -39,8 +39,8 @@
     Err(Refusal::new(&field, &given, expected).located(text))
 }
 
-/// The hour as it is written.
-fn raw_hour(text: &str) -> String {
+/// The deadline as it is written.
+fn raw_deadline(text: &str) -> String {
     let raw: Option<raw::Document> = source::read(text).ok();
     let shift = raw.and_then(|raw| raw.shift);
     shift.map_or_else(String::new, |shift| shift.complete_by)
--- a/fulmarreel-document/src/parse.rs
+++ b/fulmarreel-document/src/parse.rs
@@ -203,10 +203,10 @@
 
 impl Error {
     /// Where the refused field is.
-    pub fn place(&self) -> source::Place {
+    pub fn position(&self) -> source::Position {
         match self {
-            Self::TooLarge { .. } => source::Place::START,
-            Self::Source(error) => error.place(),
+            Self::TooLarge { .. } => source::Position::START,
+            Self::Source(error) => error.position(),
         }
     }
 
--- a/fulmarreel-document/src/shift.rs
+++ b/fulmarreel-document/src/shift.rs
@@ -42,7 +42,7 @@
     pub latency_ratio: f64,
 }
 
-/// What becomes of a version that too few calls have proved when its hour comes.
+/// What becomes of a version that too few calls have proved when its deadline comes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fallback {
     /// All traffic moves: nothing speaks against the version.
@@ -72,7 +72,7 @@
         self.fault
     }
 
-    /// What happens when the hour comes and the version is unproven.
+    /// What happens when the deadline comes and the version is unproven.
     pub fn unproven_at_deadline(&self) -> Fallback {
         self.unproven_at_deadline
     }
--- a/fulmarreel-document/src/source/locate.rs
+++ b/fulmarreel-document/src/source/locate.rs
@@ -1,6 +1,6 @@
-//! From the path of a field to its place.
+//! From the path of a field to its position.
 
-use super::Place;
+use super::Position;
 use jsonc_parser::{
     CollectOptions, ParseOptions,
     ast::{ObjectProp, Value},
@@ -8,16 +8,16 @@
     parse_to_ast,
 };
 
-/// The place of a field such as `routes[0].path`, or of the nearest object or list around it that
+/// The position of a field such as `routes[0].path`, or of the nearest object or list around it that
 /// is there; the text's start where it does not parse.
-pub fn place(text: &str, field: &str) -> Place {
+pub fn position(text: &str, field: &str) -> Position {
     let steps = field
         .split(['.', '['])
         .map(|step| step.trim_end_matches(']').to_owned());
     let parsed = parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default());
     match parsed.ok().and_then(|parsed| parsed.value) {
-        Some(root) => Place::of(text, offset(&root, steps)),
-        None => Place::START,
+        Some(root) => Position::of(text, offset(&root, steps)),
+        None => Position::START,
     }
 }
 
--- a/fulmarreel-document/src/source/mod.rs
+++ b/fulmarreel-document/src/source/mod.rs
@@ -1,4 +1,4 @@
-//! Text in JSON with comments, and the places of the fields in it.
+//! Text in JSON with comments, and the positions of the fields in it.
 //!
 //! Documents and settings are both read with [`read()`], whose errors name the line and column of
 //! the field that was refused, rather than those of the object around it.
@@ -6,25 +6,25 @@
 mod locate;
 mod read;
 
-pub use locate::place;
+pub use locate::position;
 pub use read::read;
 
 use std::fmt;
 
-/// A place in a text, both counted from 1.
+/// A position in a text, both counted from 1.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Place {
+pub struct Position {
     /// The line.
     pub line: usize,
     /// The column, in characters.
     pub column: usize,
 }
 
-impl Place {
+impl Position {
     /// Where a text begins.
     pub const START: Self = Self { line: 1, column: 1 };
 
-    /// The place of a byte offset.
+    /// The position of a byte offset.
     fn of(text: &str, offset: usize) -> Self {
         let before = &text[..offset];
         let line_start = before.rfind('\n').map_or(0, |at| at + 1);
@@ -35,13 +35,13 @@
     }
 }
 
-impl fmt::Display for Place {
+impl fmt::Display for Position {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}:{}", self.line, self.column)
     }
 }
 
-/// A field whose value breaks a rule, before its place is known.
+/// A field whose value breaks a rule, before its position is known.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("field '{field}': {given}, expected {expected}")]
 pub struct Refusal {
@@ -63,10 +63,10 @@
         }
     }
 
-    /// The refusal with the place of its field in `text`.
+    /// The refusal with the position of its field in `text`.
     pub fn located(self, text: &str) -> Error {
         Error::Field {
-            place: place(text, &self.field),
+            position: position(text, &self.field),
             refusal: self,
         }
     }
@@ -76,41 +76,41 @@
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
     /// The text is not JSON with comments.
-    #[error("{place}: {reason}, expected JSON with comments")]
+    #[error("{position}: {reason}, expected JSON with comments")]
     Syntax {
         /// Where reading stopped.
-        place: Place,
+        position: Position,
         /// The parser's words.
         reason: String,
     },
     /// The text holds no value at all.
-    #[error("{}: the text is empty, expected an object", Place::START)]
+    #[error("{}: the text is empty, expected an object", Position::START)]
     Empty,
     /// A field stands twice in its object.
-    #[error("{place}: field '{field}': given a second time, expected once (line {first})")]
+    #[error("{position}: field '{field}': given a second time, expected once (line {first})")]
     Duplicate {
         /// Where it stands the second time.
-        place: Place,
+        position: Position,
         /// Path of the field.
         field: String,
         /// The line where it stands first.
         first: usize,
     },
     /// A field is missing, unknown or of the wrong type.
-    #[error("{place}: field '{field}': {reason}")]
+    #[error("{position}: field '{field}': {reason}")]
     Shape {
         /// Where the field is; for a missing field, the object that lacks it.
-        place: Place,
+        position: Position,
         /// Path of the field, or of the object that lacks it.
         field: String,
         /// What was found and what is accepted.
         reason: String,
     },
     /// A field's value breaks a rule.
-    #[error("{place}: {refusal}")]
+    #[error("{position}: {refusal}")]
     Field {
         /// Where the field is.
-        place: Place,
+        position: Position,
         /// What was found and what is accepted.
         refusal: Refusal,
     },
@@ -118,13 +118,13 @@
 
 impl Error {
     /// Where the refused field is.
-    pub fn place(&self) -> Place {
+    pub fn position(&self) -> Position {
         match self {
-            Self::Empty => Place::START,
-            Self::Syntax { place, .. }
-            | Self::Duplicate { place, .. }
-            | Self::Shape { place, .. }
-            | Self::Field { place, .. } => *place,
+            Self::Empty => Position::START,
+            Self::Syntax { position, .. }
+            | Self::Duplicate { position, .. }
+            | Self::Shape { position, .. }
+            | Self::Field { position, .. } => *position,
         }
     }
 
--- a/fulmarreel-document/src/source/read.rs
+++ b/fulmarreel-document/src/source/read.rs
@@ -1,6 +1,6 @@
-//! From text to a type, with the place of whatever is refused.
+//! From text to a type, with the position of whatever is refused.
 
-use super::{Error, Place, locate};
+use super::{Error, Position, locate};
 use jsonc_parser::{
     CollectOptions, ParseOptions, ast::Value, common::Ranged, errors::ParseError, parse_to_ast,
     parse_to_serde_value,
@@ -29,7 +29,7 @@
 /// The text is no JSON with comments, a field stands twice, or it does not fit the type.
 pub fn read<T: DeserializeOwned>(text: &str) -> Result<T, Error> {
     let syntax = |error: ParseError| Error::Syntax {
-        place: Place::of(text, error.range().start.min(text.len())),
+        position: Position::of(text, error.range().start.min(text.len())),
         reason: error.kind().to_string().to_lowercase(),
     };
     let parsed = parse_to_ast(text, &CollectOptions::default(), &DIALECT).map_err(syntax)?;
@@ -37,7 +37,7 @@
     unique(text, &root, "")?;
     let value: serde_json::Value = parse_to_serde_value(text, &DIALECT).map_err(syntax)?;
     serde_path_to_error::deserialize(value).map_err(|error| Error::Shape {
-        place: Place::of(text, locate::offset(&root, steps(error.path()))),
+        position: Position::of(text, locate::offset(&root, steps(error.path()))),
         field: field(error.path()),
         reason: error.inner().to_string(),
     })
@@ -68,8 +68,8 @@
                 let earlier = &object.properties[..index];
                 if let Some(first) = earlier.iter().find(|first| first.name.as_str() == name) {
                     return Err(Error::Duplicate {
-                        place: Place::of(text, property.start()),
-                        first: Place::of(text, first.start()).line,
+                        position: Position::of(text, property.start()),
+                        first: Position::of(text, first.start()).line,
                         field,
                     });
                 }
--- a/fulmarreel-document/tests/document/check.rs
+++ b/fulmarreel-document/tests/document/check.rs
@@ -14,17 +14,17 @@
   }
 }"#;
 
-const HOUR: u64 = 1_796_407_200_000;
+const DEADLINE: u64 = 1_796_407_200_000;
 
 #[rstest::rstest]
-#[case(HOUR - 1, None)]
+#[case(DEADLINE - 1, None)]
 #[case(
-    HOUR,
+    DEADLINE,
     Some("11:5: field 'move.complete_by': 2026-12-04T18:00:00Z, expected a time in the future")
 )]
-fn a_past_hour_is_refused(#[case] now: u64, #[case] expected: Option<&str>) {
+fn a_past_deadline_is_refused(#[case] now: u64, #[case] expected: Option<&str>) {
     let document = parse(TEXT).unwrap();
-    let result = check::hour(TEXT, &document, Timestamp(now));
+    let result = check::deadline(TEXT, &document, Timestamp(now));
     let error = result.err().map(|error| error.to_string());
     assert_eq!(error.as_deref(), expected);
 }
--- a/fulmarreel-node/src/sync/accept.rs
+++ b/fulmarreel-node/src/sync/accept.rs
@@ -35,7 +35,7 @@
             Ok(())
         }
         Frame::Compare(frame) => {
-            let Some(_place) = Place::take() else {
+            let Some(_permit) = Permit::take() else {
                 return Ok(());
             };
             exchange::serve(state, &mut stream, hello.address, &frame, deadline).await
@@ -45,9 +45,9 @@
 }
 
 /// One of the comparisons that are served at once.
-struct Place;
+struct Permit;
 
-impl Place {
+impl Permit {
     fn take() -> Option<Self> {
         if COMPARISONS.fetch_add(1, Ordering::AcqRel) >= MAX_COMPARISONS {
             COMPARISONS.fetch_sub(1, Ordering::AcqRel);
@@ -57,7 +57,7 @@
     }
 }
 
-impl Drop for Place {
+impl Drop for Permit {
     fn drop(&mut self) {
         COMPARISONS.fetch_sub(1, Ordering::AcqRel);
     }
--- a/fulmarreel-node/src/sync/duty.rs
+++ b/fulmarreel-node/src/sync/duty.rs
@@ -1,6 +1,6 @@
-//! Takes a place as a watcher when this node's turn comes, and gives it up again.
+//! Takes a slot as a watcher when this node's turn comes, and gives it up again.
 
-use super::{place, watch};
+use super::{slot, watch};
 use crate::state::State;
 use fastrand::Rng;
 use fulmarreel_distribution::{
@@ -24,7 +24,7 @@
 /// The pause after many failed attempts, at most.
 const MOST_PAUSE: Duration = Duration::from_secs(16);
 
-/// Takes a place when this node's turn comes, until the process ends.
+/// Takes a slot when this node's turn comes, until the process ends.
 pub(super) async fn run(state: &Arc<State>, client: &Client) {
     let mut rng = Rng::new();
     let mut backoff = Backoff::new(LEAST_PAUSE, MOST_PAUSE);
@@ -35,12 +35,12 @@
             backoff.reset();
             continue;
         };
-        match place::take(state, client, scope).await {
-            Ok(Some(place)) => {
+        match slot::take(state, client, scope).await {
+            Ok(Some(slot)) => {
                 backoff.reset();
-                log::info!("watcher: {scope:?} place {} taken", place.slot);
-                serve(state, client, scope, &place).await;
-                log::info!("watcher: {scope:?} place {} given up", place.slot);
+                log::info!("watcher: {scope:?} slot {} taken", slot.number);
+                serve(state, client, scope, &slot).await;
+                log::info!("watcher: {scope:?} slot {} given up", slot.number);
                 continue;
             }
             Ok(None) => {}
@@ -50,14 +50,14 @@
     }
 }
 
-async fn serve(state: &Arc<State>, client: &Client, scope: Scope, place: &place::Place) {
+async fn serve(state: &Arc<State>, client: &Client, scope: Scope, slot: &slot::Slot) {
     state.set_watcher(scope == Scope::Region);
-    let lost = place::keep(client, place);
+    let lost = slot::keep(client, slot);
     let surplus = surplus(state, scope);
-    let watching = watch::run(state, client, scope, place.slot);
+    let watching = watch::run(state, client, scope, slot.number);
     watching.or(lost).or(surplus).await;
     state.set_watcher(false);
-    place::release(client, place).await;
+    slot::release(client, slot).await;
 }
 
 /// Waits until this watcher is not needed any more.
--- a/fulmarreel-node/src/sync/mod.rs
+++ b/fulmarreel-node/src/sync/mod.rs
@@ -4,9 +4,9 @@
 mod accept;
 mod duty;
 mod exchange;
-mod place;
 mod push;
 mod seed;
+mod slot;
 mod stream;
 mod watch;
 
--- a/fulmarreel-node/src/sync/place.rs
+++ b/fulmarreel-node/src/sync/slot.rs
@@ -1,4 +1,4 @@
-//! A watcher's place in the store: one of a few keys of its region or zone, held by a lease.
+//! A watcher's slot in the store: one of a few keys of its region or zone, held by a lease.
 //!
 //! The lease only bounds how many nodes watch. A watcher whose lease has lapsed while it was paused
 //! does no harm: what it passes on is at most outdated, and the highest revision wins.
@@ -13,26 +13,26 @@
 use smol::Timer;
 use std::time::{Duration, Instant};
 
-/// How long a place is held without renewal.
+/// How long a slot is held without renewal.
 const LEASE: Duration = Duration::from_secs(10);
 
 /// Time between two renewals.
 const RENEWAL: Duration = Duration::from_secs(3);
 
-/// A place that this node holds.
+/// A slot that this node holds.
 #[derive(Debug)]
-pub(super) struct Place {
-    /// Its number among the places of the region or zone.
-    pub(super) slot: u32,
+pub(super) struct Slot {
+    /// Its number among the slots of the region or zone.
+    pub(super) number: u32,
     lease: Lease,
 }
 
-/// Tries for a free place; none where all are taken.
+/// Tries for a free slot; none where all are taken.
 pub(super) async fn take(
     state: &State,
     client: &Client,
     scope: Scope,
-) -> Result<Option<Place>, Error> {
+) -> Result<Option<Slot>, Error> {
     let name = match scope {
         Scope::Region => &state.settings.region,
         Scope::Zone => &state.settings.zone,
@@ -47,12 +47,16 @@
         // Their records are still under way.
         return Ok(None);
     }
-    let mut free = (0..SLOTS).filter_map(|slot| {
-        let key = Key::Watcher { zone: name, slot }.to_string();
+    let mut free = (0..SLOTS).filter_map(|number| {
+        let key = Key::Watcher {
+            zone: name,
+            slot: number,
+        }
+        .to_string();
         let taken = listing.entries.iter().any(|entry| entry.key == key);
-        (!taken).then_some((slot, key))
+        (!taken).then_some((number, key))
     });
-    let Some((slot, key)) = free.next() else {
+    let Some((number, key)) = free.next() else {
         return Ok(None);
     };
     let lease = client.grant(LEASE).await?;
@@ -62,7 +66,7 @@
             .when_absent(&key)
             .put_leased(&key, value.as_bytes(), lease);
     match client.commit_checked(&transaction).await {
-        Ok(Outcome::Written(_)) => Ok(Some(Place { slot, lease })),
+        Ok(Outcome::Written(_)) => Ok(Some(Slot { number, lease })),
         Ok(Outcome::Conflict(_)) => {
             client.revoke(lease).await?;
             Ok(None)
@@ -71,7 +75,7 @@
     }
 }
 
-/// Whether a place's holder may still live.
+/// Whether a slot's holder may still live.
 fn held(state: &State, entry: &Entry) -> bool {
     let holder = std::str::from_utf8(&entry.value).ok().and_then(|text| {
         let (address, boot) = text.split_once(' ')?;
@@ -80,13 +84,13 @@
     holder.is_some_and(|(address, boot)| state.may_watch(address, boot))
 }
 
-/// Keeps a place until it is lost.
-pub(super) async fn keep(client: &Client, place: &Place) {
+/// Keeps a slot until it is lost.
+pub(super) async fn keep(client: &Client, slot: &Slot) {
     let mut lapses = Instant::now() + LEASE;
     loop {
         Timer::after(RENEWAL).await;
         let asked = Instant::now();
-        match client.keep_alive(place.lease).await {
+        match client.keep_alive(slot.lease).await {
             Ok(left) => lapses = asked + left,
             Err(Error::Expired { .. }) => return,
             Err(error) => log::info!("watcher: {error}"),
@@ -97,9 +101,9 @@
     }
 }
 
-/// Gives a place up.
-pub(super) async fn release(client: &Client, place: &Place) {
-    if let Err(error) = client.revoke(place.lease).await {
+/// Gives a slot up.
+pub(super) async fn release(client: &Client, slot: &Slot) {
+    if let Err(error) = client.revoke(slot.lease).await {
         log::info!("watcher: {error}");
     }
 }
--- a/fulmarreel-node/tests/calls/body.rs
+++ b/fulmarreel-node/tests/calls/body.rs
@@ -52,7 +52,7 @@
             cut: true,
             ..Control::default()
         };
-        control(mesh.places[1].target_address, &cut).await?;
+        control(mesh.instances[1].target_address, &cut).await?;
         let options = Options {
             rate: 20.0,
             duration: Duration::from_secs(1),
@@ -72,7 +72,7 @@
 fn a_caller_that_takes_no_bytes_holds_up_no_other() -> anyhow::Result<()> {
     let mesh = mesh(&[RESERVAS])?;
     smol::block_on(async {
-        let node = mesh.places[CALLERS].callers;
+        let node = mesh.instances[CALLERS].callers;
         let size = 7 * MEGABYTE;
         let mut slow = Vec::new();
         for number in 0..3 {
--- a/fulmarreel-node/tests/calls/key.rs
+++ b/fulmarreel-node/tests/calls/key.rs
@@ -22,7 +22,11 @@
 #[test]
 fn a_repeated_key_runs_once_by_whichever_node_and_after_a_restart() -> anyhow::Result<()> {
     let mut mesh = mesh(&[RESERVAS; 2])?;
-    let nodes: Vec<SocketAddr> = mesh.places.iter().map(|place| place.callers).collect();
+    let nodes: Vec<SocketAddr> = mesh
+        .instances
+        .iter()
+        .map(|instance| instance.callers)
+        .collect();
     smol::block_on(async {
         let at_once: Vec<_> = (0..9)
             .map(|turn| smol::spawn(book(nodes[turn % 3], "first", "key-1")))
@@ -37,8 +41,8 @@
             answered += usize::from(outcome == "answered");
         }
         ensure!(answered == 1, "{answered} answered");
-        mesh.places[0].node.signal("KILL")?;
-        mesh.places[0].restart_node()?;
+        mesh.instances[0].node.signal("KILL")?;
+        mesh.instances[0].restart_node()?;
         super::support::await_targets(&mesh, 2).await?;
         let later = book(nodes[0], "first", "key-1").await?;
         ensure!(later == "repeated", "{later}");
@@ -54,11 +58,11 @@
 fn a_key_is_free_again_where_its_call_was_not_run() -> anyhow::Result<()> {
     let mut mesh = mesh(&[RESERVAS])?;
     smol::block_on(async {
-        let node = mesh.places[0].callers;
-        mesh.places[1].target.signal("KILL")?;
+        let node = mesh.instances[0].callers;
+        mesh.instances[1].target.signal("KILL")?;
         let refused = book(node, "first", "key-1").await?;
         ensure!(refused == "not-run", "{refused}");
-        mesh.places[1].restart_target()?;
+        mesh.instances[1].restart_target()?;
         super::support::await_targets(&mesh, 1).await?;
         let repeated = fulmarreel_testing::process::eventually(|| async {
             let outcome = book(node, "first", "key-1").await?;
@@ -78,7 +82,7 @@
     let mesh = mesh(&[RESERVAS])?;
     smol::block_on(async {
         mesh.store.signal("KILL")?;
-        let outcome = book(mesh.places[0].callers, "first", "key-1").await?;
+        let outcome = book(mesh.instances[0].callers, "first", "key-1").await?;
         ensure!(outcome == "not-run", "{outcome}");
         ensure!(!mesh.executions()?.contains_key("first"));
         Ok(())
--- a/fulmarreel-node/tests/calls/kill.rs
+++ b/fulmarreel-node/tests/calls/kill.rs
@@ -37,9 +37,9 @@
         slow_down(&mesh, 20).await?;
         let killing = async {
             match victim {
-                Victim::Node => kill(&mesh.places[1].node),
-                Victim::Target => kill(&mesh.places[1].target),
-                Victim::Callers => kill(&mesh.places[CALLERS].node),
+                Victim::Node => kill(&mesh.instances[1].node),
+                Victim::Target => kill(&mesh.instances[1].target),
+                Victim::Callers => kill(&mesh.instances[CALLERS].node),
             }
         };
         let (report, ()) = run_with(&mesh, &calls(&mesh, BOOKINGS), killing).await?;
@@ -64,11 +64,11 @@
     let mesh = mesh(&[RESERVAS; 3])?;
     smol::block_on(async {
         slow_down(&mesh, 10).await?;
-        let place = &mesh.places[1];
+        let instance = &mesh.instances[1];
         let killing = async {
             match victim {
-                Victim::Target => kill(&place.target),
-                _ => kill(&place.node),
+                Victim::Target => kill(&instance.target),
+                _ => kill(&instance.node),
             }
         };
         let (report, ()) = run_with(&mesh, &calls(&mesh, LOOKUPS), killing).await?;
@@ -86,7 +86,7 @@
     let mesh = mesh(&[RESERVAS; 3])?;
     smol::block_on(async {
         slow_down(&mesh, 20).await?;
-        let node = &mesh.places[1].node;
+        let node = &mesh.instances[1].node;
         let freezing = async {
             node.signal("STOP")?;
             Timer::after(Duration::from_millis(2_500)).await;
--- a/fulmarreel-node/tests/calls/leave.rs
+++ b/fulmarreel-node/tests/calls/leave.rs
@@ -26,7 +26,7 @@
                 leaving: true,
                 ..Control::default()
             };
-            control(mesh.places[1].target_address, &state).await?;
+            control(mesh.instances[1].target_address, &state).await?;
             Timer::after(Duration::from_secs(2)).await;
             mesh.executions()
         };
@@ -36,7 +36,7 @@
         let (report, _) = run_with(&mesh, &options, leaving).await?;
         check(&mesh, &report)?;
         check_answered(&report)?;
-        let port = mesh.places[1].target_address.port();
+        let port = mesh.instances[1].target_address.port();
         let file = mesh.folder().join(format!("executions-{port}"));
         let executed = std::fs::read_to_string(file)?;
         // The last quarter of the calls came more than two seconds after the announcement.
@@ -58,9 +58,9 @@
     let mut mesh = mesh(&[RESERVAS; 3])?;
     smol::block_on(async {
         slow_down(&mesh, 20).await?;
-        let ending = async { mesh.places[1].node.signal("TERM") };
+        let ending = async { mesh.instances[1].node.signal("TERM") };
         let (report, ()) = run_with(&mesh, &calls(&mesh, path), ending).await?;
-        mesh.places[1].node.wait(PATIENCE)?;
+        mesh.instances[1].node.wait(PATIENCE)?;
         check(&mesh, &report)?;
         check_answered(&report)
     })
@@ -76,17 +76,21 @@
         slow_down(&mesh, 5).await?;
         let options = Options {
             // Callers go to the next node where one refuses their connection.
-            nodes: mesh.places.iter().map(|place| place.callers).collect(),
+            nodes: mesh
+                .instances
+                .iter()
+                .map(|instance| instance.callers)
+                .collect(),
             duration: Duration::from_secs(12),
             rate: 60.0,
             ..calls(&mesh, path)
         };
         let load = Program::start(&options, mesh.folder())?;
-        for index in 0..mesh.places.len() {
-            let place = &mut mesh.places[index];
-            place.node.signal("TERM")?;
-            place.node.wait(PATIENCE)?;
-            place.restart_node()?;
+        for index in 0..mesh.instances.len() {
+            let instance = &mut mesh.instances[index];
+            instance.node.signal("TERM")?;
+            instance.node.wait(PATIENCE)?;
+            instance.restart_node()?;
             await_targets(&mesh, 3).await?;
         }
         let report = load.finish()?;
--- a/fulmarreel-node/tests/calls/overload.rs
+++ b/fulmarreel-node/tests/calls/overload.rs
@@ -6,7 +6,7 @@
 use anyhow::ensure;
 use fulmarreel_testing::{
     load::{Options, Outcome, Program},
-    process::Instance,
+    process::Spec,
     target::{CALL_HEADER, Control},
 };
 use smol::{Timer, io::AsyncWriteExt, net::TcpStream};
@@ -15,7 +15,7 @@
 /// Seen to fail with `Admission::arrive` that always admits.
 #[test]
 fn slots_are_never_exceeded_and_refusals_are_true() -> anyhow::Result<()> {
-    let few_slots = Instance {
+    let few_slots = Spec {
         slots: 3,
         ..RESERVAS
     };
@@ -29,8 +29,8 @@
         };
         let (report, ()) = run_with(&mesh, &options, async { Ok(()) }).await?;
         check(&mesh, &report)?;
-        for place in &mesh.places[1..] {
-            let peak: u16 = get(place.target_address, "/peak").await?.parse()?;
+        for instance in &mesh.instances[1..] {
+            let peak: u16 = get(instance.target_address, "/peak").await?.parse()?;
             ensure!(peak <= few_slots.slots, "{peak} calls at once");
         }
         ensure!(report.count(Outcome::NotRun) > 0, "{}", report.summary());
@@ -43,7 +43,7 @@
 /// Seen to fail without the cancellation when a `Pending` call is dropped.
 #[test]
 fn a_waiting_call_is_not_run_once_its_caller_hangs_up() -> anyhow::Result<()> {
-    let one_slot = Instance {
+    let one_slot = Spec {
         slots: 1,
         ..RESERVAS
     };
@@ -56,11 +56,11 @@
             ..calls(&mesh, BOOKINGS)
         };
         let first = Program::start(&first, mesh.folder())?;
-        let target = mesh.places[1].target_address;
+        let target = mesh.instances[1].target_address;
         while get(target, "/peak").await? == "0" {
             Timer::after(Duration::from_millis(10)).await;
         }
-        let mut caller = TcpStream::connect(mesh.places[CALLERS].callers).await?;
+        let mut caller = TcpStream::connect(mesh.instances[CALLERS].callers).await?;
         let request = format!(
             "POST {BOOKINGS} HTTP/1.1\r\nhost: reservas\r\n{CALL_HEADER}: hung-up\r\ncontent-length: 0\r\n\r\n"
         );
--- a/fulmarreel-node/tests/calls/silence.rs
+++ b/fulmarreel-node/tests/calls/silence.rs
@@ -6,7 +6,7 @@
 };
 use fulmarreel_testing::{
     load::Options,
-    process::{Instance, free_address},
+    process::{Spec, free_address},
     relay::{self, Control},
 };
 use rstest::rstest;
@@ -18,12 +18,12 @@
 /// One target, and a relay in front of its node.
 fn relayed(control: &Arc<Control>) -> anyhow::Result<Bench> {
     let advertise = free_address()?;
-    let instance = Instance {
+    let instance = Spec {
         advertise: Some(advertise),
         ..RESERVAS
     };
     mesh_with(&[instance], |mesh| {
-        let node = mesh.places[1].peers;
+        let node = mesh.instances[1].peers;
         Ok(smol::block_on(relay::start(
             advertise,
             node,
--- a/fulmarreel-node/tests/calls/support.rs
+++ b/fulmarreel-node/tests/calls/support.rs
@@ -3,7 +3,7 @@
 use anyhow::{Context, ensure};
 use fulmarreel_testing::{
     load::{Options, Outcome, Program, Record, Report},
-    process::{Instance, Mesh, eventually},
+    process::{Mesh, Spec, eventually},
     target::Control,
 };
 use smol::{
@@ -33,7 +33,7 @@
 /// The instance that takes the callers' calls, and has a target of another service.
 pub const CALLERS: usize = 0;
 
-pub const RESERVAS: Instance<'static> = Instance {
+pub const RESERVAS: Spec<'static> = Spec {
     region: "altiplano",
     zone: "alt-apizaco",
     service: "reservas",
@@ -45,7 +45,7 @@
 /// Meshes that run at once, so that tests leave the machine some room.
 static RUNNING: Semaphore = Semaphore::new(3);
 
-/// A mesh, and its place among those that run at once.
+/// A mesh, and its turn among those that run at once.
 pub struct Bench {
     mesh: Mesh,
     _place: SemaphoreGuard<'static>,
@@ -66,16 +66,16 @@
 }
 
 /// Starts the callers' instance and the given ones, and waits until calls reach all targets.
-pub fn mesh(instances: &[Instance<'_>]) -> anyhow::Result<Bench> {
+pub fn mesh(instances: &[Spec<'_>]) -> anyhow::Result<Bench> {
     mesh_with(instances, |_| Ok(()))
 }
 
 /// As [`mesh`], with something done once the instances are started.
 pub fn mesh_with(
-    instances: &[Instance<'_>],
+    instances: &[Spec<'_>],
     started: impl FnOnce(&Mesh) -> anyhow::Result<()>,
 ) -> anyhow::Result<Bench> {
-    let place = smol::block_on(RUNNING.acquire());
+    let instance = smol::block_on(RUNNING.acquire());
     let mut mesh = Mesh::start()?;
     mesh.add("altiplano", "alt-huamantla", "parcelas", "v1")?;
     for instance in instances {
@@ -86,13 +86,17 @@
     smol::block_on(await_targets(&mesh, instances.len()))?;
     Ok(Bench {
         mesh,
-        _place: place,
+        _place: instance,
     })
 }
 
 /// Waits until each node knows so many targets.
 pub async fn await_targets(mesh: &Mesh, count: usize) -> anyhow::Result<()> {
-    let nodes: Vec<SocketAddr> = mesh.places.iter().map(|place| place.admin).collect();
+    let nodes: Vec<SocketAddr> = mesh
+        .instances
+        .iter()
+        .map(|instance| instance.admin)
+        .collect();
     eventually(|| async {
         for node in &nodes {
             let view = get(*node, "/metrics").await?;
@@ -100,8 +104,8 @@
                 format!("fulmarreel_targets{{service=\"reservas\",version=\"v1\"}} {count}");
             ensure!(view.contains(&known), "{node} knows fewer targets: {view}");
         }
-        for place in &mesh.places {
-            TcpStream::connect(place.callers).await?;
+        for instance in &mesh.instances {
+            TcpStream::connect(instance.callers).await?;
         }
         Ok(())
     })
@@ -128,12 +132,12 @@
 
 /// Every target's calls take that long.
 pub async fn slow_down(mesh: &Mesh, delay_ms: u64) -> anyhow::Result<()> {
-    for place in &mesh.places[1..] {
+    for instance in &mesh.instances[1..] {
         let slow = Control {
             delay_ms,
             ..Control::default()
         };
-        control(place.target_address, &slow).await?;
+        control(instance.target_address, &slow).await?;
     }
     Ok(())
 }
@@ -141,7 +145,7 @@
 /// Calls at the callers' instance; 100 a second for two seconds.
 pub fn calls(mesh: &Mesh, path: &str) -> Options {
     Options {
-        nodes: vec![mesh.places[CALLERS].callers],
+        nodes: vec![mesh.instances[CALLERS].callers],
         service: "reservas".to_owned(),
         path: path.to_owned(),
         rate: 100.0,
--- a/fulmarreel-node/tests/moves/end_to_end.rs
+++ b/fulmarreel-node/tests/moves/end_to_end.rs
@@ -1,4 +1,4 @@
-//! A good version takes over by its hour, and a bad one is taken back.
+//! A good version takes over by its deadline, and a bad one is taken back.
 
 use super::support::{
     answered_by, call_for, document, fail_targets, now, ready, start, store, wait_for,
@@ -9,7 +9,7 @@
 
 /// Fails where evidence is not sent to the owner: seen with `report_zone` sending nothing.
 #[test]
-fn a_good_version_has_all_traffic_by_its_hour() -> anyhow::Result<()> {
+fn a_good_version_has_all_traffic_by_its_deadline() -> anyhow::Result<()> {
     smol::block_on(async {
         let mesh = start()?;
         ready(&mesh).await?;
--- a/fulmarreel-node/tests/moves/faults.rs
+++ b/fulmarreel-node/tests/moves/faults.rs
@@ -24,11 +24,11 @@
     Ok(())
 }
 
-fn place_of(mesh: &Mesh, owner: SocketAddr) -> anyhow::Result<usize> {
-    let mut places = mesh.places.iter();
-    places
-        .position(|place| place.peers == owner)
-        .context("owner is no place")
+fn instance_of(mesh: &Mesh, owner: SocketAddr) -> anyhow::Result<usize> {
+    let mut instances = mesh.instances.iter();
+    instances
+        .position(|instance| instance.peers == owner)
+        .context("owner is no instance")
 }
 
 /// A killed owner is followed by another, and so is one that is frozen past its lease; no step is
@@ -49,8 +49,8 @@
         let patience = Duration::from_secs(25);
         let before = wait_for(&store, patience, |state| state.share > Share::NONE).await?;
         let first = owner(&store).await?;
-        let place = &mesh.places[place_of(&mesh, first)?];
-        place.node.signal(signal)?;
+        let instance = &mesh.instances[instance_of(&mesh, first)?];
+        instance.node.signal(signal)?;
         let second = eventually(|| async {
             let now = owner(&store).await?;
             ensure!(now != first, "still {now}");
@@ -58,7 +58,7 @@
         })
         .await?;
         if signal == "STOP" {
-            place.node.signal("CONT")?;
+            instance.node.signal("CONT")?;
         }
         let mut last = published(&store).await?;
         for _ in 0..20 {
@@ -121,8 +121,8 @@
         let store = store(&mesh);
         let patience = Duration::from_secs(25);
         wait_for(&store, patience, |state| state.share > Share::NONE).await?;
-        for place in &mesh.places[2..] {
-            place.target.signal("KILL")?;
+        for instance in &mesh.instances[2..] {
+            instance.target.signal("KILL")?;
         }
         let report = calls.await;
         ensure!(report.count(Outcome::NotRun) == 0, "{}", report.summary());
@@ -137,8 +137,10 @@
     let deadline = std::time::Instant::now() + time;
     let mut shares = Vec::new();
     while std::time::Instant::now() < deadline {
-        for place in &mesh.places {
-            let mut conn = client.get(format!("http://{}/view", place.admin)).await?;
+        for instance in &mesh.instances {
+            let mut conn = client
+                .get(format!("http://{}/view", instance.admin))
+                .await?;
             let text = conn.response_body().read_string().await?;
             let view: serde_json::Value = serde_json::from_str(&text)?;
             let share = &view["documents"]["reservas"]["shift"]["share_percent"];
--- a/fulmarreel-node/tests/moves/support.rs
+++ b/fulmarreel-node/tests/moves/support.rs
@@ -42,8 +42,8 @@
 
 /// A document that moves the service to `v2` within some seconds.
 pub fn document(seconds: u64, soak_seconds: u64) -> anyhow::Result<String> {
-    let hour = unix_millis() / 1_000 + seconds;
-    let hour = jiff::Timestamp::from_second(i64::try_from(hour)?)?;
+    let deadline = unix_millis() / 1_000 + seconds;
+    let deadline = jiff::Timestamp::from_second(i64::try_from(deadline)?)?;
     Ok(format!(
         r#"{{
             "service": "{SERVICE}",
@@ -51,7 +51,7 @@
             "routes": [{{ "path": "/reservas" }}],
             "move": {{
                 "to": "v2",
-                "complete_by": "{hour}",
+                "complete_by": "{deadline}",
                 "unproven_percent": 10,
                 "soak_seconds": {soak_seconds}
             }}
@@ -61,7 +61,11 @@
 
 /// Starts calls over every node for some time.
 pub fn call_for(mesh: &Mesh, duration: Duration) -> smol::Task<Report> {
-    let nodes = mesh.places.iter().map(|place| place.callers).collect();
+    let nodes = mesh
+        .instances
+        .iter()
+        .map(|instance| instance.callers)
+        .collect();
     smol::spawn(load::run(load::Options {
         nodes,
         service: SERVICE.to_owned(),
@@ -76,8 +80,8 @@
 
 /// Waits until every node answers a call.
 pub async fn ready(mesh: &Mesh) -> anyhow::Result<()> {
-    for place in &mesh.places {
-        let admin = place.admin;
+    for instance in &mesh.instances {
+        let admin = instance.admin;
         eventually(|| async move {
             let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
             let conn = client.get(format!("http://{admin}/ready")).await?;
@@ -134,10 +138,10 @@
 }
 
 /// Makes each target of a version fail every call.
-pub async fn fail_targets(mesh: &Mesh, places: &[usize]) -> anyhow::Result<()> {
+pub async fn fail_targets(mesh: &Mesh, instances: &[usize]) -> anyhow::Result<()> {
     let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
-    for place in places {
-        let target = mesh.places[*place].target_address;
+    for instance in instances {
+        let target = mesh.instances[*instance].target_address;
         let conn = client
             .post(format!("http://{target}/control"))
             .with_body(r#"{ "error_every": 1 }"#)
--- a/fulmarreel-node/tests/node/program.rs
+++ b/fulmarreel-node/tests/node/program.rs
@@ -13,8 +13,8 @@
 #[test]
 fn operators_read_health_readiness_beliefs_and_metrics() -> anyhow::Result<()> {
     let mut mesh = Mesh::start()?;
-    let place = mesh.add("altiplano", "alt-apizaco", "reservas", "v1")?;
-    let admin = mesh.places[place].admin;
+    let instance = mesh.add("altiplano", "alt-apizaco", "reservas", "v1")?;
+    let admin = mesh.instances[instance].admin;
     let document = r#"{ "service": "reservas", "version": "v1", "routes": [{ "path": "/" }] }"#;
     mesh.apply("reservas.jsonc", document)?;
     smol::block_on(async {
@@ -72,20 +72,20 @@
 fn a_request_over_the_limit_of_the_settings_is_refused() -> anyhow::Result<()> {
     let mut mesh = Mesh::start()?;
     let index = mesh.add("altiplano", "alt-apizaco", "reservas", "v1")?;
-    let place = &mut mesh.places[index];
+    let instance = &mut mesh.instances[index];
     let mut settings: serde_json::Value =
-        serde_json::from_str(&std::fs::read_to_string(&place.settings)?)?;
+        serde_json::from_str(&std::fs::read_to_string(&instance.settings)?)?;
     settings["limits"] = serde_json::json!({ "request_bytes": 10 });
-    std::fs::write(&place.settings, settings.to_string())?;
+    std::fs::write(&instance.settings, settings.to_string())?;
     let ready = || async {
-        ensure!(read(place.admin, "/ready").await?.0 == 200);
+        ensure!(read(instance.admin, "/ready").await?.0 == 200);
         Ok(())
     };
     smol::block_on(eventually(ready))?;
-    place.node.signal("TERM")?;
-    place.node.wait(Duration::from_secs(60))?;
-    place.restart_node()?;
-    let callers = place.callers;
+    instance.node.signal("TERM")?;
+    instance.node.wait(Duration::from_secs(60))?;
+    instance.restart_node()?;
+    let callers = instance.callers;
     let send = |bytes: usize| async move {
         let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
         let url = format!("http://{callers}/");
@@ -113,7 +113,7 @@
     let other = mesh.add("altiplano", "alt-huamantla", "parcelas", "v1")?;
     let document = r#"{ "service": "reservas", "version": "v1", "routes": [{ "path": "/" }] }"#;
     mesh.apply("reservas.jsonc", document)?;
-    let callers = mesh.places[other].callers;
+    let callers = mesh.instances[other].callers;
     let call = || async {
         let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
         let conn = client
@@ -129,9 +129,9 @@
             Ok(())
         })
         .await?;
-        mesh.places[other].node.signal("TERM")?;
-        mesh.places[other].node.wait(Duration::from_secs(60))?;
-        mesh.places[other].restart_node()?;
+        mesh.instances[other].node.signal("TERM")?;
+        mesh.instances[other].node.wait(Duration::from_secs(60))?;
+        mesh.instances[other].restart_node()?;
         // A refused connection is an error, which is tried again; any answer ends the tries.
         let first = eventually(call).await?;
         ensure!(first == 200, "{first}");
--- a/fulmarreel-node/tests/path.rs
+++ b/fulmarreel-node/tests/path.rs
@@ -38,7 +38,7 @@
     mesh.add("altiplano", "alt-apizaco", "reservas", "v1")?;
     let other = mesh.add("altiplano", "alt-huamantla", "parcelas", "v1")?;
     mesh.apply("reservas.jsonc", DOCUMENT)?;
-    let callers = mesh.places[other].callers;
+    let callers = mesh.instances[other].callers;
     let body = smol::block_on(eventually(|| book(callers, "b-1")))?;
     ensure!(body == "booking b-1", "{body}");
     Ok(())
--- a/fulmarreel-rollout/examples/policy/case.rs
+++ b/fulmarreel-rollout/examples/policy/case.rs
@@ -69,7 +69,7 @@
     pub routes: Vec<f64>,
     /// Whether every route is idempotent.
     pub idempotent: bool,
-    /// Seconds from the declaration to the hour.
+    /// Seconds from the declaration to the deadline.
     pub seconds_to_hour: u64,
     /// The document's `unproven_percent`.
     pub unproven_percent: Option<f64>,
@@ -118,7 +118,7 @@
     pub spread_seconds: u64,
 }
 
-/// What the document says about an unproven version at its hour.
+/// What the document says about an unproven version at its deadline.
 #[derive(Debug, Clone, Copy, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AtDeadline {
--- a/fulmarreel-rollout/examples/policy/driver/ramp.rs
+++ b/fulmarreel-rollout/examples/policy/driver/ramp.rs
@@ -7,12 +7,12 @@
 /// Shares of the ramp, one after the other in equal times.
 const SHARES: [f64; 7] = [0.01, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0];
 
-/// Part of the time until the hour after which the last share begins.
+/// Part of the time until the deadline after which the last share begins.
 const COMPLETE_AT: f64 = 0.9;
 
 /// A fixed ramp.
 pub struct Ramp {
-    hour: f64,
+    deadline: f64,
     end: u64,
 }
 
@@ -22,14 +22,14 @@
 
     fn new(case: &Case) -> Self {
         Self {
-            hour: case.seconds_to_hour as f64,
+            deadline: case.seconds_to_hour as f64,
             end: case.seconds_to_hour + case.soak_seconds,
         }
     }
 
     fn decide(&mut self, tick: &Tick<'_>) -> Published {
         let last = (SHARES.len() - 1) as f64;
-        let part = tick.second as f64 / (self.hour * COMPLETE_AT);
+        let part = tick.second as f64 / (self.deadline * COMPLETE_AT);
         let share = SHARES[(part * last).min(last) as usize];
         let phase = if tick.second >= self.end {
             Phase::Completed
--- a/fulmarreel-rollout/examples/policy/run.rs
+++ b/fulmarreel-rollout/examples/policy/run.rs
@@ -11,7 +11,7 @@
 use fulmarreel_rollout::{Evidence, evidence::Pair, state::Phase};
 use std::collections::VecDeque;
 
-/// Seconds that a run goes on after the hour and the soak.
+/// Seconds that a run goes on after the deadline and the soak.
 const AFTER_S: u64 = 300;
 
 /// Seconds between two samples of a report's size.
@@ -20,7 +20,7 @@
 /// What came of a run.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Record {
-    /// All traffic had moved by the hour.
+    /// All traffic had moved by the deadline.
     pub on_time: bool,
     /// The version was taken back.
     pub taken_back: bool,
--- a/fulmarreel-rollout/src/compare/judge.rs
+++ b/fulmarreel-rollout/src/compare/judge.rs
@@ -14,7 +14,7 @@
 /// Log-likelihood ratio by the split of bad calls at which a version is bad, for few calls.
 const BAD: f64 = 10.0;
 
-/// The same for a version that is still unproven after its hour.
+/// The same for a version that is still unproven after its deadline.
 const BAD_UNPROVEN: f64 = 7.0;
 
 /// Calls to the new version that make up one chance of a false verdict; the bound of a verdict
@@ -39,14 +39,14 @@
 /// Log-likelihood ratio that proves a version.
 const PROOF: f64 = 3.0;
 
-/// Log-likelihood ratio that lets a version pass where its hour presses.
+/// Log-likelihood ratio that lets a version pass where its deadline is near.
 const HASTY_PROOF: f64 = 1.0;
 
 impl Comparison {
     /// The evidence on which the version is bad, if it is. Less evidence is enough against a
-    /// version that is still unproven after its hour.
-    pub fn verdict(&self, unproven_after_hour: bool) -> Option<Figures> {
-        let bound = if unproven_after_hour {
+    /// version that is still unproven after its deadline.
+    pub fn verdict(&self, unproven_after_deadline: bool) -> Option<Figures> {
+        let bound = if unproven_after_deadline {
             BAD_UNPROVEN
         } else {
             BAD + (1.0 + self.new_calls as f64 / CALLS_PER_CHANCE).ln()
@@ -74,7 +74,7 @@
         self.proof() >= PROOF && !self.doubts()
     }
 
-    /// Whether the calls prove the version well enough where its hour presses.
+    /// Whether the calls prove the version well enough where its deadline is near.
     pub fn proves_in_haste(&self) -> bool {
         self.proof() >= HASTY_PROOF && !self.doubts()
     }
--- a/fulmarreel-rollout/src/plan/mod.rs
+++ b/fulmarreel-rollout/src/plan/mod.rs
@@ -16,7 +16,7 @@
     pub unproven: Share,
     /// What counts as a fault.
     pub fault: Fault,
-    /// What happens when the hour comes and the version is unproven.
+    /// What happens when the deadline comes and the version is unproven.
     pub fallback: Fallback,
     /// How long evidence is still compared once the version has all traffic.
     pub soak: Duration,
--- a/fulmarreel-rollout/src/state/mod.rs
+++ b/fulmarreel-rollout/src/state/mod.rs
@@ -17,7 +17,7 @@
     Waiting,
     /// The new version takes few calls until it is proved.
     Proving,
-    /// The hour passed before the version was proved; its share stays.
+    /// The deadline passed before the version was proved; its share stays.
     Held,
     /// The version is proved or its document lets it pass; its share grows.
     Raising,
--- a/fulmarreel-rollout/src/state/reason.rs
+++ b/fulmarreel-rollout/src/state/reason.rs
@@ -40,21 +40,21 @@
     NeedsCalls,
     /// The version is proved.
     Proved,
-    /// The version is proved as far as its hour allows.
+    /// The version is proved as far as its deadline allows.
     ProvedInHaste,
     /// The share follows the schedule.
     Scheduled,
-    /// The document lets an unproven version pass at its hour.
-    HourUnproven,
-    /// The hour came and the version is unproven.
-    HourHeld,
+    /// The document lets an unproven version pass at its deadline.
+    DeadlineUnproven,
+    /// The deadline came and the version is unproven.
+    DeadlineHeld,
     /// The version is worse than the old one was; both are compared again.
     Suspected,
     /// The comparison found the version as good as the old one.
     Cleared,
     /// The soak is over.
     Soaked,
-    /// The soak is over; all traffic moved after the hour.
+    /// The soak is over; all traffic moved after the deadline.
     SoakedLate,
     /// The version is bad.
     Bad(Figures),
@@ -69,14 +69,16 @@
             Self::Started => "the first calls go to the new version",
             Self::NeedsCalls => "more calls are needed to prove the version in time",
             Self::Proved => "the version is proved",
-            Self::ProvedInHaste => "the hour presses and fewer calls than usual prove the version",
+            Self::ProvedInHaste => {
+                "the deadline is near and fewer calls than usual prove the version"
+            }
             Self::Scheduled => "the schedule allows a larger share",
-            Self::HourUnproven => "the document lets the unproven version pass at its hour",
-            Self::HourHeld => "the hour came before the version was proved",
+            Self::DeadlineUnproven => "the document lets the unproven version pass at its deadline",
+            Self::DeadlineHeld => "the deadline came before the version was proved",
             Self::Suspected => "the version looks worse than the old one did",
             Self::Cleared => "side by side the versions are alike",
             Self::Soaked => "all traffic moved in time and the soak is over",
-            Self::SoakedLate => "all traffic moved after the hour and the soak is over",
+            Self::SoakedLate => "all traffic moved after the deadline and the soak is over",
             Self::Bad(figures) => return figures.fmt(f),
             Self::Relayed => "an earlier owner found the version bad",
         };
--- a/fulmarreel-rollout/src/step/decide.rs
+++ b/fulmarreel-rollout/src/step/decide.rs
@@ -17,8 +17,8 @@
 /// Calls to the new version that a step waits for beyond its time.
 const STEP_CALLS: u64 = 100;
 
-/// Decides on the next step. All traffic moves by the plan's hour; the end of the move comes when
-/// the soak has passed since the hour and since the move.
+/// Decides on the next step. All traffic moves by the plan's deadline; the end of the move comes when
+/// the soak has passed since the deadline and since the move.
 ///
 ///  The comparison has taken in what came until `now`.
 pub fn step(
@@ -80,7 +80,7 @@
         let rate = self.comparison.calls_per_s(self.nodes);
         match rate.filter(|rate| *rate > 0.0) {
             Some(rate) => self.to(self.ramp.first(rate), Phase::Proving, Reason::Started),
-            None if self.ramp.hour_presses() => self.hour(),
+            None if self.ramp.deadline_is_near() => self.deadline(),
             None => Outcome::Hold(Hold::NoCalls),
         }
     }
@@ -92,11 +92,11 @@
         if self.comparison.proves() && self.watched_for(self.ramp.proving_dwell()) {
             return self.grow(Reason::Proved);
         }
-        if self.ramp.hour_presses() && self.comparison.proves_in_haste() {
+        if self.ramp.deadline_is_near() && self.comparison.proves_in_haste() {
             return self.grow(Reason::ProvedInHaste);
         }
-        if self.ramp.hour_presses() {
-            return self.hour();
+        if self.ramp.deadline_is_near() {
+            return self.deadline();
         }
         self.gather()
     }
@@ -122,12 +122,12 @@
         Outcome::Hold(Hold::Unproven)
     }
 
-    /// What the document says about an unproven version at its hour.
-    fn hour(&self) -> Outcome {
+    /// What the document says about an unproven version at its deadline.
+    fn deadline(&self) -> Outcome {
         match self.plan.fallback {
-            Fallback::Complete => self.grow(Reason::HourUnproven),
+            Fallback::Complete => self.grow(Reason::DeadlineUnproven),
             Fallback::Hold if self.ramp.left.is_zero() => {
-                self.to(self.state.share, Phase::Held, Reason::HourHeld)
+                self.to(self.state.share, Phase::Held, Reason::DeadlineHeld)
             }
             Fallback::Hold => self.gather(),
         }
@@ -139,7 +139,7 @@
         }
         let dwell = self.ramp.dwell();
         let enough = self.comparison.new_calls() >= STEP_CALLS || self.watched_for(dwell * 2);
-        let seen = enough || self.ramp.hour_presses();
+        let seen = enough || self.ramp.deadline_is_near();
         if seen && self.watched_for(dwell) {
             return self.grow(Reason::Scheduled);
         }
@@ -152,7 +152,7 @@
             let state = self.next(share, Phase::Checking, Reason::Suspected);
             return Outcome::Lower(state);
         }
-        if self.watched_for(self.plan.soak) && self.since_hour() >= self.plan.soak {
+        if self.watched_for(self.plan.soak) && self.since_deadline() >= self.plan.soak {
             let reason = if self.moved_late() {
                 Reason::SoakedLate
             } else {
@@ -195,8 +195,8 @@
         self.comparison.watched() >= time
     }
 
-    /// Time since the hour.
-    fn since_hour(&self) -> Duration {
+    /// Time since the deadline.
+    fn since_deadline(&self) -> Duration {
         contact::since(self.plan.complete_by, self.now)
     }
 
--- a/fulmarreel-rollout/src/step/mod.rs
+++ b/fulmarreel-rollout/src/step/mod.rs
@@ -16,7 +16,7 @@
 pub enum Outcome {
     /// Publish nothing.
     Hold(Hold),
-    /// Publish a step that starts the move, raises the share or records that the hour has come.
+    /// Publish a step that starts the move, raises the share or records that the deadline has come.
     Raise(State),
     /// Publish a step that gives part of the traffic back, to compare both versions again.
     Lower(State),
--- a/fulmarreel-rollout/src/step/ramp.rs
+++ b/fulmarreel-rollout/src/step/ramp.rs
@@ -1,4 +1,4 @@
-//! Shares and their times, worked back from the hour.
+//! Shares and their times, worked back from the deadline.
 
 use crate::{Plan, Share};
 use std::time::Duration;
@@ -42,7 +42,7 @@
     pub plan: &'a Plan,
     /// The present share.
     pub share: Share,
-    /// Time left until the hour.
+    /// Time left until the deadline.
     pub left: Duration,
     /// Age of the latest evidence.
     pub evidence_age: Duration,
@@ -93,7 +93,7 @@
     }
 
     /// Whether the share has to grow from now on to be on time.
-    pub fn hour_presses(&self) -> bool {
+    pub fn deadline_is_near(&self) -> bool {
         let least = self.min_dwell().mul_f64(HASTE * (self.steps_left() + 1.0));
         self.left <= least
     }
--- a/fulmarreel-rollout/tests/common/mod.rs
+++ b/fulmarreel-rollout/tests/common/mod.rs
@@ -126,10 +126,10 @@
     }
 }
 
-/// A plan with its hour so many seconds after the declaration.
-pub fn plan(hour: u64, fallback: Fallback) -> Plan {
+/// A plan with its deadline so many seconds after the declaration.
+pub fn plan(deadline: u64, fallback: Fallback) -> Plan {
     Plan {
-        complete_by: at(hour),
+        complete_by: at(deadline),
         unproven: Share::from_fraction(0.02),
         fault: FAULT,
         fallback,
--- a/fulmarreel-rollout/tests/step.rs
+++ b/fulmarreel-rollout/tests/step.rs
@@ -124,7 +124,7 @@
 #[rstest]
 #[case::completes(Fallback::Complete, Phase::Soaking, Share::ALL)]
 #[case::holds(Fallback::Hold, Phase::Held, Share::from_fraction(0.02))]
-fn an_idle_service_meets_its_hour(
+fn an_idle_service_meets_its_deadline(
     #[case] fallback: Fallback,
     #[case] phase: Phase,
     #[case] share: Share,
@@ -172,8 +172,8 @@
     assert_eq!((verdict.revision, verdict.step), (7, 4));
 }
 
-/// What becomes of a move at and around its hour; calls are (old, new) a second, watched until
-/// `now`. Fails if the fallbacks are swapped, the hour is not worked back from, the proof not
+/// What becomes of a move at and around its deadline; calls are (old, new) a second, watched until
+/// `now`. Fails if the fallbacks are swapped, the deadline is not worked back from, the proof not
 /// asked for, or the unproven share exceeded.
 #[rstest]
 #[case::proved_in_time((100, 4), 400, 1_000, Fallback::Hold, "raise", Some((Phase::Raising, 0.04)))]
@@ -182,10 +182,10 @@
 #[case::unproven_and_the_hour_is_near_but_holds((100, 0), 400, 430, Fallback::Hold, "hold", None)]
 #[case::unproven_at_the_hour((100, 0), 400, 400, Fallback::Hold, "raise", Some((Phase::Held, 0.02)))]
 #[case::proved_late((100, 4), 400, 300, Fallback::Hold, "raise", Some((Phase::Raising, 0.04)))]
-fn the_hour_decides(
+fn the_deadline_decides(
     #[case] calls: (u64, u64),
     #[case] now: u64,
-    #[case] hour: u64,
+    #[case] deadline: u64,
     #[case] fallback: Fallback,
     #[case] expected: &str,
     #[case] next: Option<(Phase, f64)>,
@@ -194,7 +194,7 @@
     let state = state(Phase::Proving, 0.02);
     let outcome = step(
         &state,
-        &plan(hour, fallback),
+        &plan(deadline, fallback),
         &comparison,
         &contact(now),
         at(now),
@@ -202,21 +202,21 @@
     assert_eq!(kind(&outcome), (expected, next));
 }
 
-/// Fails if the soak ends before its time since the move or before its time since the hour.
+/// Fails if the soak ends before its time since the move or before its time since the deadline.
 #[rstest]
 #[case::soaked(500, 400, 900, "complete", Some((Phase::Completed, 1.0)))]
 #[case::since_the_move(650, 400, 900, "hold", None)]
 #[case::since_the_hour(500, 700, 900, "hold", None)]
 fn the_soak_ends_the_move(
     #[case] moved: u64,
-    #[case] hour: u64,
+    #[case] deadline: u64,
     #[case] now: u64,
     #[case] expected: &str,
     #[case] next: Option<(Phase, f64)>,
 ) {
     let comparison = watched(GOOD, (0, 100), moved, now);
     let state = state(Phase::Soaking, 1.0);
-    let plan = plan(hour, Fallback::Hold);
+    let plan = plan(deadline, Fallback::Hold);
     let outcome = step(&state, &plan, &comparison, &contact(now), at(now));
     assert_eq!(kind(&outcome), (expected, next));
 }
--- a/fulmarreel-testing/examples/bench_calls.rs
+++ b/fulmarreel-testing/examples/bench_calls.rs
@@ -6,7 +6,7 @@
 use anyhow::Context;
 use fulmarreel_testing::{
     load::{Options, Outcome, Program, Report},
-    process::{Instance, Mesh, Process, eventually},
+    process::{Mesh, Process, Spec, eventually},
 };
 use std::{net::SocketAddr, time::Duration};
 
@@ -39,7 +39,7 @@
     let rate: Option<f64> = arguments.opt_value_from_str("--rate")?;
     let duration = Duration::from_secs_f64(seconds.unwrap_or(DEFAULT_SECONDS));
     let mesh = start()?;
-    let (through, direct) = (mesh.places[0].callers, mesh.places[1].target_address);
+    let (through, direct) = (mesh.instances[0].callers, mesh.instances[1].target_address);
     warm_up(&mesh, through)?;
     println!("rate  round  path     p50_us  p99_us  node_cpu_us_per_call");
     for rate in rate.map_or(RATES.to_vec(), |rate| vec![rate]) {
@@ -74,7 +74,7 @@
 fn start() -> anyhow::Result<Mesh> {
     let mut mesh = Mesh::start()?;
     mesh.add("altiplano", "alt-huamantla", "parcelas", "v1")?;
-    mesh.add_instance(Instance {
+    mesh.add_instance(Spec {
         region: "altiplano",
         zone: "alt-apizaco",
         service: "reservas",
@@ -126,7 +126,7 @@
 
 /// Processor time of both nodes in seconds.
 fn nodes_cpu(mesh: &Mesh) -> anyhow::Result<f64> {
-    let nodes = mesh.places.iter().map(|place| cpu(&place.node));
+    let nodes = mesh.instances.iter().map(|instance| cpu(&instance.node));
     nodes.sum()
 }
 
--- /dev/null
+++ b/fulmarreel-testing/examples/connections.rs
@@ -0,0 +1,99 @@
+//! What a node's memory grows by with each peer that it has called.
+//!
+//! `connections [--sizes 20,40,80]`; the output is CSV. Every node has a target of the one service
+//! that is called through the first node; the targets do not exist, so each call opens a connection
+//! to a peer, is refused there, and goes on to the next.
+
+use anyhow::{Context, ensure};
+use fulmarreel_testing::{
+    load,
+    process::{
+        Fleet, eventually,
+        fleet::{Node, Zone},
+    },
+};
+use std::time::Duration;
+
+const ZONE: Zone = Zone {
+    region: "altiplano",
+    zone: "alt-apizaco",
+};
+
+const DOCUMENT: &str = r#"{
+    "service": "parcelas",
+    "version": "v1",
+    "routes": [{ "path": "/parcelas", "idempotent": true, "timeout_ms": 5000 }]
+}"#;
+
+/// How long calls go on: long enough for new targets to get their whole part.
+const CALLS: Duration = Duration::from_secs(20);
+
+/// Calls a second.
+const RATE: f64 = 200.0;
+
+fn main() -> anyhow::Result<()> {
+    let mut arguments = pico_args::Arguments::from_env();
+    let sizes: Option<String> = arguments.opt_value_from_str("--sizes")?;
+    let rest = arguments.finish();
+    ensure!(rest.is_empty(), "unknown arguments: {rest:?}");
+    println!("nodes,connections,resident_kib_before,resident_kib_after");
+    for size in sizes.unwrap_or_else(|| "20,40,80".to_owned()).split(',') {
+        smol::block_on(run(size.parse()?))?;
+    }
+    Ok(())
+}
+
+async fn run(size: usize) -> anyhow::Result<()> {
+    let fleet = Fleet::start(&[ZONE], size)?;
+    for index in 0..size {
+        fleet.announce(index, "parcelas", "v1");
+    }
+    fleet.put("fulmarreel/documents/parcelas", DOCUMENT).await?;
+    eventually(|| knows_every_target(&fleet, size)).await?;
+    let node = &fleet.nodes[0];
+    let before = resident_kib(node)?;
+    load::run(load::Options {
+        nodes: vec![node.callers],
+        service: "parcelas".to_owned(),
+        path: "/parcelas".to_owned(),
+        rate: RATE,
+        duration: CALLS,
+        sizes: vec![64],
+        prefix: "lookup".to_owned(),
+        timeout: Duration::from_secs(6),
+    })
+    .await;
+    let after = resident_kib(node)?;
+    println!("{size},{},{before},{after}", connections(node)?);
+    Ok(())
+}
+
+async fn knows_every_target(fleet: &Fleet, size: usize) -> anyhow::Result<()> {
+    let view = fleet.view(0).await?;
+    let targets = view["documents"]["parcelas"]["targets"]["v1"].as_array();
+    let known = targets.map_or(0, Vec::len);
+    ensure!(known == size, "{known} of {size} targets are known");
+    Ok(())
+}
+
+fn id(node: &Node) -> anyhow::Result<u32> {
+    Ok(node.process.as_ref().context("the node is down")?.id())
+}
+
+fn resident_kib(node: &Node) -> anyhow::Result<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", id(node)?))?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next());
+    Ok(kib.context("VmRSS")?.parse()?)
+}
+
+/// Open sockets of the node's process.
+fn connections(node: &Node) -> anyhow::Result<usize> {
+    let mut sockets = 0;
+    for entry in std::fs::read_dir(format!("/proc/{}/fd", id(node)?))? {
+        let link = std::fs::read_link(entry?.path());
+        sockets +=
+            usize::from(link.is_ok_and(|link| link.to_string_lossy().starts_with("socket:")));
+    }
+    Ok(sockets)
+}
--- a/fulmarreel-testing/examples/quickstart/deployment.rs
+++ b/fulmarreel-testing/examples/quickstart/deployment.rs
@@ -39,11 +39,11 @@
     pub bad: u64,
 }
 
-/// The processes and their places.
+/// The processes and their instances.
 #[derive(Debug)]
 pub struct Deployment {
     pub mesh: Mesh,
-    /// Service and version of each place.
+    /// Service and version of each instance.
     targets: Vec<(&'static str, &'static str)>,
     /// Places that callers are sent to.
     entrances: usize,
@@ -103,14 +103,14 @@
 
     /// Tells every target how long its calls take, and the bad ones to fail.
     async fn control(&self) -> anyhow::Result<()> {
-        for (place, target) in self.mesh.places.iter().zip(&self.targets) {
+        for (instance, target) in self.mesh.instances.iter().zip(&self.targets) {
             let bad = *target == (BAD.service, VERSION);
             let control = Control {
                 delay_ms: WORK_MILLIS,
                 error_every: if bad { BAD_ERROR_EVERY } else { 0 },
                 ..Control::default()
             };
-            let url = format!("http://{}/control", place.target_address);
+            let url = format!("http://{}/control", instance.target_address);
             let body = serde_json::to_string(&control)?;
             eventually(|| watch::post(&url, &body)).await?;
         }
@@ -119,13 +119,17 @@
 
     /// Where callers are sent.
     pub fn callers(&self) -> Vec<SocketAddr> {
-        let places = self.mesh.places.iter().take(self.entrances);
-        places.map(|place| place.callers).collect()
+        let instances = self.mesh.instances.iter().take(self.entrances);
+        instances.map(|instance| instance.callers).collect()
     }
 
     /// Where operators are served.
     pub fn admins(&self) -> Vec<SocketAddr> {
-        self.mesh.places.iter().map(|place| place.admin).collect()
+        self.mesh
+            .instances
+            .iter()
+            .map(|instance| instance.admin)
+            .collect()
     }
 
     /// Waits until every node answers calls to every service.
@@ -157,11 +161,11 @@
     /// Tells a node to leave, waits for its end, starts it again, and waits until it is ready.
     pub async fn restart(&mut self, index: usize, patience: Duration) -> anyhow::Result<Duration> {
         let start = Instant::now();
-        let place = &mut self.mesh.places[index];
-        place.node.signal("TERM")?;
-        place.node.wait(patience).context("the old process")?;
-        place.restart_node()?;
-        let url = format!("http://{}/ready", place.admin);
+        let instance = &mut self.mesh.instances[index];
+        instance.node.signal("TERM")?;
+        instance.node.wait(patience).context("the old process")?;
+        instance.restart_node()?;
+        let url = format!("http://{}/ready", instance.admin);
         eventually(|| watch::get(&url)).await?;
         Ok(start.elapsed())
     }
@@ -169,11 +173,12 @@
     /// How often each call ran.
     pub async fn executions(&self) -> anyhow::Result<Executions> {
         let mut executions = Executions::default();
-        for (place, (service, version)) in self.mesh.places.iter().zip(&self.targets) {
+        for (instance, (service, version)) in self.mesh.instances.iter().zip(&self.targets) {
             if *service != "reservas" {
                 continue;
             }
-            let text = watch::get(&format!("http://{}/executions", place.target_address)).await?;
+            let text =
+                watch::get(&format!("http://{}/executions", instance.target_address)).await?;
             let by_name: BTreeMap<String, u64> = serde_json::from_str(&text)?;
             for (name, count) in by_name {
                 if *version == VERSION {
--- a/fulmarreel-testing/examples/quickstart/main.rs
+++ b/fulmarreel-testing/examples/quickstart/main.rs
@@ -1,4 +1,4 @@
-//! The main job on one machine: calls go on while a good version takes over by its hour, a bad one
+//! The main job on one machine: calls go on while a good version takes over by its deadline, a bad one
 //! is taken back, and a node is restarted.
 //!
 //! The last line of output is one JSON object, measured in this run; the program fails where a
@@ -81,7 +81,7 @@
         let path = deployment.write_move(shift)?;
         let took = watch::convergence(&cli, &path, shift.service, &deployment.admins()).await?;
         watched.convergence = watched.convergence.max(took);
-        let (service, by) = (shift.service, shift.hour_seconds);
+        let (service, by) = (shift.service, shift.deadline_seconds);
         say(&format!(
             "{service}: move to v2 within {by} s accepted and known to every node after {took:?}"
         ));
--- a/fulmarreel-testing/examples/quickstart/moves.rs
+++ b/fulmarreel-testing/examples/quickstart/moves.rs
@@ -13,13 +13,13 @@
 /// The move to a good version.
 pub const GOOD: Shift = Shift {
     service: "parcelas",
-    hour_seconds: 90,
+    deadline_seconds: 90,
 };
 
 /// The move to a bad version.
 pub const BAD: Shift = Shift {
     service: "reservas",
-    hour_seconds: 60,
+    deadline_seconds: 60,
 };
 
 /// How long versions are compared once the new one has all traffic, in seconds.
@@ -32,16 +32,16 @@
 #[derive(Debug)]
 pub struct Shift {
     pub service: &'static str,
-    /// The hour, counted from the declaration.
-    pub hour_seconds: u64,
+    /// The deadline, counted from the declaration.
+    pub deadline_seconds: u64,
 }
 
 impl Shift {
     /// The part of a document that declares the move from now on.
     pub fn declaration(&self) -> String {
-        let hour = jiff::Timestamp::now() + Duration::from_secs(self.hour_seconds);
+        let deadline = jiff::Timestamp::now() + Duration::from_secs(self.deadline_seconds);
         format!(
-            r#""move": {{ "to": "{VERSION}", "complete_by": "{hour:.0}", "soak_seconds": {SOAK_SECONDS} }}"#
+            r#""move": {{ "to": "{VERSION}", "complete_by": "{deadline:.0}", "soak_seconds": {SOAK_SECONDS} }}"#
         )
     }
 }
--- a/fulmarreel-testing/src/process/mesh.rs
+++ b/fulmarreel-testing/src/process/mesh.rs
@@ -20,7 +20,7 @@
 
 /// One instance: a node and its target, with their addresses.
 #[derive(Debug)]
-pub struct Place {
+pub struct Instance {
     /// The node.
     pub node: Process,
     /// The target.
@@ -42,7 +42,7 @@
 
 /// What an instance is to be.
 #[derive(Debug, Clone, Copy)]
-pub struct Instance<'a> {
+pub struct Spec<'a> {
     /// Region of its availability zone.
     pub region: &'a str,
     /// Its availability zone.
@@ -65,7 +65,7 @@
     /// Where the store is reached.
     pub store_address: SocketAddr,
     /// The instances.
-    pub places: Vec<Place>,
+    pub instances: Vec<Instance>,
     folder: PathBuf,
 }
 
@@ -85,7 +85,7 @@
         Ok(Self {
             store,
             store_address,
-            places: Vec::new(),
+            instances: Vec::new(),
             folder,
         })
     }
@@ -107,7 +107,7 @@
         service: &str,
         version: &str,
     ) -> anyhow::Result<usize> {
-        self.add_instance(Instance {
+        self.add_instance(Spec {
             region,
             zone,
             service,
@@ -122,7 +122,7 @@
     /// # Errors
     ///
     /// A process cannot be started.
-    pub fn add_instance(&mut self, instance: Instance<'_>) -> anyhow::Result<usize> {
+    pub fn add_instance(&mut self, spec: Spec<'_>) -> anyhow::Result<usize> {
         let addresses = [
             free_address()?,
             free_address()?,
@@ -131,16 +131,16 @@
         ];
         let [callers, peers, admin, target_address] = addresses;
         let seeds: Vec<String> = self
-            .places
+            .instances
             .iter()
             .take(2)
-            .map(|place| place.advertise.to_string())
+            .map(|instance| instance.advertise.to_string())
             .collect();
-        let advertise = instance.advertise.unwrap_or(peers);
+        let advertise = spec.advertise.unwrap_or(peers);
         let settings = self.folder.join(format!("node-{}.jsonc", peers.port()));
         let text = serde_json::json!({
-            "zone": instance.zone,
-            "region": instance.region,
+            "zone": spec.zone,
+            "region": spec.region,
             "callers": { "bind": callers.to_string() },
             "peers": { "bind": peers.to_string(), "advertise": advertise.to_string() },
             "admin": { "bind": admin.to_string() },
@@ -154,9 +154,9 @@
         let arguments = [
             ("--listen", target_address.to_string()),
             ("--node", admin.to_string()),
-            ("--service", instance.service.to_owned()),
-            ("--version", instance.version.to_owned()),
-            ("--slots", instance.slots.to_string()),
+            ("--service", spec.service.to_owned()),
+            ("--version", spec.version.to_owned()),
+            ("--slots", spec.slots.to_string()),
             (
                 "--executions",
                 self.folder.join(executions).display().to_string(),
@@ -167,7 +167,7 @@
             .flat_map(|(name, value)| [name.to_owned(), value])
             .collect();
         let target = start_target(&arguments)?;
-        self.places.push(Place {
+        self.instances.push(Instance {
             node,
             target,
             arguments,
@@ -178,7 +178,7 @@
             target_address,
             settings,
         });
-        Ok(self.places.len() - 1)
+        Ok(self.instances.len() - 1)
     }
 
     /// How often each named call was executed, by targets that run and targets that are gone.
@@ -243,7 +243,7 @@
     Process::start("target", &arguments)
 }
 
-impl Place {
+impl Instance {
     /// Starts the node again with the same settings.
     ///
     /// # Errors
--- a/fulmarreel-testing/src/process/mod.rs
+++ b/fulmarreel-testing/src/process/mod.rs
@@ -5,7 +5,7 @@
 mod port;
 
 pub use fleet::Fleet;
-pub use mesh::{Instance, Mesh, Place, eventually};
+pub use mesh::{Instance, Mesh, Spec, eventually};
 pub use port::free_address;
 
 use anyhow::{Context, ensure};
--- a/fulmarreel/src/check.rs
+++ b/fulmarreel/src/check.rs
@@ -33,7 +33,7 @@
         .and_then(|all| all.get(file.document.service()));
     // A move that was accepted in time stays valid while the rest of its document changes.
     if !stored.is_some_and(|stored| declares_same_move(stored, &file.document)) {
-        check::hour(&file.text, &file.document, options.now)?;
+        check::deadline(&file.text, &file.document, options.now)?;
     }
     check::destinations(&file.text, &file.document, |service| {
         let given = files.iter().any(|file| file.document.service() == service);
--- a/fulmarreel/src/cli/json.rs
+++ b/fulmarreel/src/cli/json.rs
@@ -76,8 +76,8 @@
     fn from(error: &file::Error) -> Self {
         Self {
             file: error.path().display().to_string(),
-            line: error.place().map(|place| place.line),
-            column: error.place().map(|place| place.column),
+            line: error.position().map(|position| position.line),
+            column: error.position().map(|position| position.column),
             field: error.field().map(str::to_owned),
             message: error.to_string(),
         }
--- a/fulmarreel/src/file/mod.rs
+++ b/fulmarreel/src/file/mod.rs
@@ -55,12 +55,12 @@
         source: source::Error,
     },
     /// Two files hold documents of one service.
-    #[error("{}:{place}: field 'service': '{service}' is also in {}, expected one document for each service", path.display(), other.display())]
+    #[error("{}:{position}: field 'service': '{service}' is also in {}, expected one document for each service", path.display(), other.display())]
     Twice {
         /// The file.
         path: PathBuf,
         /// Where the service is named.
-        place: source::Place,
+        position: source::Position,
         /// The service.
         service: String,
         /// The file read before.
@@ -81,12 +81,12 @@
     }
 
     /// Where in the file, if the text was read.
-    pub fn place(&self) -> Option<source::Place> {
+    pub fn position(&self) -> Option<source::Position> {
         match self {
             Self::Read { .. } | Self::Nothing { .. } => None,
-            Self::Document { source, .. } => Some(source.place()),
-            Self::Rule { source, .. } => Some(source.place()),
-            Self::Twice { place, .. } => Some(*place),
+            Self::Document { source, .. } => Some(source.position()),
+            Self::Rule { source, .. } => Some(source.position()),
+            Self::Twice { position, .. } => Some(*position),
         }
     }
 
--- a/fulmarreel/src/file/read.rs
+++ b/fulmarreel/src/file/read.rs
@@ -93,7 +93,7 @@
         if let Some(other) = first.insert(service, &file.path) {
             errors.push(Error::Twice {
                 path: file.path.clone(),
-                place: source::place(&file.text, "service"),
+                position: source::position(&file.text, "service"),
                 service: service.to_owned(),
                 other: other.to_owned(),
             });
--- a/fulmarreel/tests/cli/refuse.rs
+++ b/fulmarreel/tests/cli/refuse.rs
@@ -32,7 +32,7 @@
     document("reservas", Some("parcelas")),
     ":4:54: field 'routes[1].service': 'parcelas', expected a service with a document, given here or in the store"
 )]
-#[case::past_hour(
+#[case::past_deadline(
     moving("reservas", "11:59:59"),
     ":6:5: field 'move.complete_by': 2026-12-04T11:59:59Z, expected a time in the future"
 )]
