--- a/fulmarreel-testing/examples/connections.rs
+++ b/fulmarreel-testing/examples/connections.rs
@@ -5,14 +5,10 @@
 //! to a peer, is refused there, and goes on to the next.
 
 use anyhow::{Context, ensure};
-use fulmarreel_testing::{
-    load,
-    process::{
-        Fleet, eventually,
-        fleet::{Node, Zone},
-    },
+use fulmarreel_testing::process::{
+    Fleet, eventually,
+    fleet::{Node, Zone},
 };
-use std::time::Duration;
 
 const ZONE: Zone = Zone {
     region: "altiplano",
@@ -25,11 +21,8 @@
     "routes": [{ "path": "/parcelas", "idempotent": true, "timeout_ms": 5000 }]
 }"#;
 
-/// How long calls go on: long enough for new targets to get their whole part.
-const CALLS: Duration = Duration::from_secs(20);
-
-/// Calls a second.
-const RATE: f64 = 200.0;
+/// Calls one after the other over one connection, so that callers' connections do not count.
+const CALLS_PER_NODE: usize = 60;
 
 fn main() -> anyhow::Result<()> {
     let mut arguments = pico_args::Arguments::from_env();
@@ -51,23 +44,26 @@
     fleet.put("fulmarreel/documents/parcelas", DOCUMENT).await?;
     eventually(|| knows_every_target(&fleet, size)).await?;
     let node = &fleet.nodes[0];
+    let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
+    eventually(|| call(&client, node)).await?;
     let before = resident_kib(node)?;
-    load::run(load::Options {
-        nodes: vec![node.callers],
-        service: "parcelas".to_owned(),
-        path: "/parcelas".to_owned(),
-        rate: RATE,
-        duration: CALLS,
-        sizes: vec![64],
-        prefix: "lookup".to_owned(),
-        timeout: Duration::from_secs(6),
-    })
-    .await;
+    for _ in 0..size * CALLS_PER_NODE {
+        call(&client, node).await?;
+    }
     let after = resident_kib(node)?;
     println!("{size},{},{before},{after}", connections(node)?);
     Ok(())
 }
 
+async fn call(client: &trillium_client::Client, node: &Node) -> anyhow::Result<()> {
+    let mut conn = client
+        .get(format!("http://{}/parcelas", node.callers))
+        .with_request_header("x-fulmarreel-service", "parcelas")
+        .await?;
+    conn.response_body().read_bytes().await?;
+    Ok(())
+}
+
 async fn knows_every_target(fleet: &Fleet, size: usize) -> anyhow::Result<()> {
     let view = fleet.view(0).await?;
     let targets = view["documents"]["parcelas"]["targets"]["v1"].as_array();
