refactor: work done twice, found by reading the whole change

Addresses were put into text for each member and each service at every round of moves, and the zone's aggregator was worked out twice; now once a round.

--- a/fulmarreel-node/src/rollout/fleet.rs
+++ b/fulmarreel-node/src/rollout/fleet.rs
@@ -7,9 +7,16 @@
 /// The members that a node knows at one moment.
 #[derive(Debug)]
 pub struct Fleet {
-    own: SocketAddr,
+    own: Candidate,
     zone: String,
-    members: Vec<Member>,
+    members: Vec<(Member, Candidate)>,
+}
+
+/// An address with its text, which is hashed once for each service.
+#[derive(Debug)]
+struct Candidate {
+    address: SocketAddr,
+    text: String,
 }
 
 /// One member.
@@ -37,26 +44,24 @@
 
     /// A fleet of these members as seen by one of them.
     pub fn new(own: SocketAddr, zone: &str, members: Vec<Member>) -> Self {
+        let members = members.into_iter().map(|member| {
+            let candidate = Candidate::from(member.address);
+            (member, candidate)
+        });
         Self {
-            own,
+            own: own.into(),
             zone: zone.to_owned(),
-            members,
+            members: members.collect(),
         }
     }
 
-    /// How many members there are.
-    pub fn len(&self) -> usize {
-        self.members.len()
-    }
-
-    /// Whether no member is known, not even the own node.
-    pub fn is_empty(&self) -> bool {
-        self.members.is_empty()
-    }
-
     /// The availability zones with members.
     pub fn zones(&self) -> Vec<String> {
-        let zones: BTreeSet<&str> = self.members.iter().map(|m| m.zone.as_str()).collect();
+        let zones: BTreeSet<&str> = self
+            .members
+            .iter()
+            .map(|(member, _)| member.zone.as_str())
+            .collect();
         zones.into_iter().map(str::to_owned).collect()
     }
 
@@ -65,26 +70,43 @@
         let zone = self
             .members
             .iter()
-            .filter(|member| member.zone == self.zone);
-        let highest = zone.max_by_key(|member| score(service, member.address));
-        highest.map_or(self.own, |member| member.address)
+            .filter(|(member, _)| member.zone == self.zone);
+        let seed = seed(service);
+        let highest = zone.max_by_key(|(_, candidate)| candidate.score(seed));
+        highest.map_or(self.own.address, |(member, _)| member.address)
     }
 
     /// The own node's rank among those that may own a service's move, from 0.
     pub fn rank(&self, service: &str) -> usize {
-        let own = score(service, self.own);
+        let seed = seed(service);
+        let own = self.own.score(seed);
         let scores = self
             .members
             .iter()
-            .map(|member| score(service, member.address));
+            .map(|(_, candidate)| candidate.score(seed));
         scores.filter(|score| *score > own).count()
     }
 }
 
-/// Rendezvous hashing: members agree on the highest score, and the loss of one moves its duties
-/// alone.
-fn score(service: &str, address: SocketAddr) -> (u64, SocketAddr) {
-    let seed = xxh3_64_with_seed(service.as_bytes(), 0);
-    let hash = xxh3_64_with_seed(address.to_string().as_bytes(), seed);
-    (hash, address)
+impl From<SocketAddr> for Candidate {
+    fn from(address: SocketAddr) -> Self {
+        Self {
+            address,
+            text: address.to_string(),
+        }
+    }
+}
+
+impl Candidate {
+    /// Rendezvous hashing: members agree on the highest score, and the loss of one moves its
+    /// duties alone.
+    fn score(&self, seed: u64) -> (u64, SocketAddr) {
+        let hash = xxh3_64_with_seed(self.text.as_bytes(), seed);
+        (hash, self.address)
+    }
+}
+
+/// The seed of a service's scores.
+fn seed(service: &str) -> u64 {
+    xxh3_64_with_seed(service.as_bytes(), 0)
 }
--- a/fulmarreel-node/src/rollout/report/mod.rs
+++ b/fulmarreel-node/src/rollout/report/mod.rs
@@ -13,7 +13,7 @@
 use fulmarreel_wire::evidence::{Report, Stage};
 use link::Links;
 use smol::{Timer, net::TcpStream};
-use std::{io, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time between two sums of an availability zone, where there is something to add up.
@@ -39,10 +39,13 @@
         }
         let fleet = Fleet::of(&state);
         for entry in running {
+            let aggregator = fleet.aggregator(entry.service());
             if full {
-                report_own(&state, &fleet, &mut links, &entry, reporter);
+                report_own(&state, aggregator, &mut links, &entry, reporter);
+            }
+            if aggregator == state.settings.advertise {
+                report_zone(&state, &mut links, &entry, full);
             }
-            report_zone(&state, &fleet, &mut links, &entry, full);
         }
     }
 }
@@ -84,11 +87,16 @@
         .ok()
 }
 
-fn report_own(state: &State, fleet: &Fleet, links: &mut Links, entry: &Move, reporter: u32) {
+fn report_own(
+    state: &State,
+    aggregator: SocketAddr,
+    links: &mut Links,
+    entry: &Move,
+    reporter: u32,
+) {
     let Some(own) = entry.take_own(reporter) else {
         return;
     };
-    let aggregator = fleet.aggregator(entry.service());
     if aggregator == state.settings.advertise {
         entry.add_node(&own);
     } else if let Some(report) = encode(entry, &own, Stage::Node) {
@@ -97,11 +105,8 @@
 }
 
 /// An empty sum is sent with each full round: the owner learns that the zone is heard.
-fn report_zone(state: &State, fleet: &Fleet, links: &mut Links, entry: &Move, full: bool) {
+fn report_zone(state: &State, links: &mut Links, entry: &Move, full: bool) {
     let settings = &state.settings;
-    if fleet.aggregator(entry.service()) != settings.advertise {
-        return;
-    }
     let Some(owner) = entry.owner() else {
         return;
     };
--- a/fulmarreel-node/src/serve/call.rs
+++ b/fulmarreel-node/src/serve/call.rs
@@ -93,13 +93,15 @@
         }
     }
 
+    /// Notes that the answer cannot be had any more.
+    fn mark_lost(&self) {
+        let mut ledger = self.session.ledger.lock().expect("ledger lock");
+        ledger.lose(self.sequence, Instant::now());
+    }
+
     async fn lose(&self, reason: Failure) {
         let sequence = self.sequence;
-        self.session
-            .ledger
-            .lock()
-            .expect("ledger lock")
-            .lose(sequence, Instant::now());
+        self.mark_lost();
         self.session
             .reply(Frame::Failed(Failed { sequence, reason }))
             .await;
@@ -142,11 +144,7 @@
             .expect("credits lock")
             .remove(&self.sequence);
         let sequence = self.sequence;
-        self.session
-            .ledger
-            .lock()
-            .expect("ledger lock")
-            .lose(sequence, Instant::now());
+        self.mark_lost();
         if let Err(error) = streamed {
             log::info!(call = sequence; "target: answer: {error}");
             let reason = Failure::TargetLost;
--- a/fulmarreel-testing/examples/slopes.rs
+++ b/fulmarreel-testing/examples/slopes.rs
@@ -124,7 +124,7 @@
     row(size, "busy", "restarts_per_second", {
         f64::from(options.restarts) / options.busy.as_secs_f64()
     });
-    converged(size, latencies);
+    converged(size, &latencies);
     Ok(())
 }
 
@@ -245,24 +245,12 @@
 fn report(size: usize, load: &str, before: &Spent, after: &Spent) {
     let seconds = after.at.duration_since(before.at).as_secs_f64();
     let per_node = |total: f64| total / seconds / size as f64;
-    let mut shares: Vec<f64> = after
+    let shares: Vec<f64> = after
         .processor
         .iter()
         .filter_map(|(id, spent)| Some((spent - before.processor.get(id)?) / seconds * 100.0))
         .collect();
-    shares.sort_by(f64::total_cmp);
-    row(
-        size,
-        load,
-        "processor_percent_median",
-        shares[shares.len() / 2],
-    );
-    row(
-        size,
-        load,
-        "processor_percent_worst",
-        shares[shares.len() - 1],
-    );
+    median_and_worst(size, load, "processor_percent", shares);
     let mut all = 0.0;
     for (label, bytes) in &after.bytes {
         // A restarted node counts from zero.
@@ -293,37 +281,23 @@
         let kib = line.and_then(|line| line.split_whitespace().next());
         resident.push(kib.context("VmRSS")?.parse::<f64>()? / 1_024.0);
     }
-    resident.sort_by(f64::total_cmp);
-    row(
-        size,
-        load,
-        "resident_mib_median",
-        resident[resident.len() / 2],
-    );
-    row(
-        size,
-        load,
-        "resident_mib_worst",
-        resident[resident.len() - 1],
-    );
+    median_and_worst(size, load, "resident_mib", resident);
     Ok(())
 }
 
-fn converged(size: usize, mut latencies: Vec<Duration>) {
-    latencies.sort();
-    let millis = |at: usize| latencies[at].as_secs_f64() * 1_000.0;
-    row(
-        size,
-        "busy",
-        "convergence_ms_median",
-        millis(latencies.len() / 2),
-    );
-    row(
-        size,
-        "busy",
-        "convergence_ms_worst",
-        millis(latencies.len() - 1),
-    );
+fn median_and_worst(size: usize, load: &str, measure: &str, mut values: Vec<f64>) {
+    values.sort_by(f64::total_cmp);
+    let middle = values[values.len() / 2];
+    row(size, load, &format!("{measure}_median"), middle);
+    let worst = values[values.len() - 1];
+    row(size, load, &format!("{measure}_worst"), worst);
+}
+
+fn converged(size: usize, latencies: &[Duration]) {
+    let millis = latencies
+        .iter()
+        .map(|latency| latency.as_secs_f64() * 1_000.0);
+    median_and_worst(size, "busy", "convergence_ms", millis.collect());
 }
 
 fn row(size: usize, load: &str, measure: &str, value: f64) {
