fix(rollout): answers below 20 ms are not called slow

Cause: a call counted as slow from a multiple of the old version's 95th percentile on, however short that is. Targets that answer at once take a fraction of a millisecond, and the machine's noise is as large as that, so a move whose traffic had moved in time was suspected, checked, and completed late. Ruled out: a fault of the targets (they answer at once) and lost evidence (the check was cleared).

--- a/fulmarreel-rollout/src/compare/track.rs
+++ b/fulmarreel-rollout/src/compare/track.rs
@@ -1,7 +1,7 @@
 //! One route's measures.
 
 use super::channel::{Channel, Counts, Part};
-use crate::evidence::{BUCKETS, Loudest, Pair, Tally};
+use crate::evidence::{BUCKETS, Loudest, Pair, Tally, bucket};
 use fulmarreel_document::shift::Fault;
 
 /// Calls that make a batch.
@@ -19,6 +19,10 @@
 /// Buckets of latency per factor of two.
 const BUCKETS_PER_OCTAVE: f64 = 2.0;
 
+/// The least latency that counts as slow, in microseconds: below it the noise of the instances is
+/// as large as the latency.
+const MIN_SLOW_US: u64 = 20_000;
+
 /// The quantile of latency that is compared.
 const QUANTILE: f64 = 0.95;
 
@@ -116,7 +120,8 @@
             below >= QUANTILE * calls
         })?;
         let edge = quantile + (BUCKETS_PER_OCTAVE * ratio.log2()).round() as usize;
-        Some(edge.min(BUCKETS - 1))
+        let floor = bucket(MIN_SLOW_US) + 1;
+        Some(edge.max(floor).min(BUCKETS - 1))
     }
 }
 
--- a/fulmarreel-rollout/tests/compare.rs
+++ b/fulmarreel-rollout/tests/compare.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{FAULT, Fleet, Rates, at, watch};
-use fulmarreel_rollout::{Comparison, state::Measure};
+use fulmarreel_rollout::{Comparison, Evidence, evidence::Tally, state::Measure};
 use rstest::rstest;
 
 const USUAL: Rates = Rates {
@@ -129,3 +129,32 @@
     watch(&mut worse, &mut fleet, 1, (100, 4), 1..100);
     assert!(!worse.proves());
 }
+
+/// Fails if the old version's 95th percentile alone says what is slow: answers of a fraction of a
+/// millisecond vary by as much as their latency.
+#[rstest]
+#[case::noise_of_quick_answers(300, 4_000, false)]
+#[case::slow_answers(300, 100_000, true)]
+fn the_noise_of_quick_answers_is_not_suspected(
+    #[case] usual_us: u64,
+    #[case] worse_us: u64,
+    #[case] suspected: bool,
+) {
+    let mut comparison = Comparison::new(FAULT, at(0));
+    let tally = |slow: u64| {
+        let mut tally = Tally::default();
+        for call in 0..100 {
+            tally.record(false, if call < slow { worse_us } else { usual_us });
+        }
+        tally
+    };
+    for second in 1..60 {
+        let sum = Evidence::report(1, [(0, tally(0), Tally::default())]);
+        comparison.absorb(&[sum], 1, at(second));
+    }
+    for second in 60..80 {
+        let sum = Evidence::report(1, [(0, Tally::default(), tally(30))]);
+        comparison.absorb(&[sum], 2, at(second));
+    }
+    assert_eq!(comparison.suspects(), suspected);
+}
