--- a/fulmarreel-balance/src/admission.rs
+++ b/fulmarreel-balance/src/admission.rs
@@ -1,14 +1,15 @@
 //! Admission of calls to the slots of a node's own target.
 //!
-//! Calls that find no slot free wait in a short queue, the earliest deadline first. A call whose
-//! deadline cannot be met by what is known of the target's speed is refused at once.
+//! Calls that find no slot free wait in a short queue, the lowest rank and the earliest deadline
+//! first. A call whose deadline cannot be met by what is known of the target's speed is refused at
+//! once.
 
 use std::{
     collections::BTreeMap,
     time::{Duration, Instant},
 };
 
-/// Calls that may wait for each slot.
+/// Calls that may wait for each slot, where nothing else is said.
 const QUEUED_PER_SLOT: usize = 1;
 
 /// Calls that may wait where the target has few slots.
@@ -41,8 +42,9 @@
 #[derive(Debug)]
 pub struct Admission<T> {
     slots: usize,
+    queued_per_slot: usize,
     running: usize,
-    waiting: BTreeMap<(Instant, u64), T>,
+    waiting: BTreeMap<(u8, Instant, u64), T>,
     arrivals: u64,
     mean_held: Duration,
 }
@@ -50,8 +52,14 @@
 impl<T> Admission<T> {
     /// Admission to so many slots.
     pub fn new(slots: u16) -> Self {
+        Self::with_queue(slots, QUEUED_PER_SLOT)
+    }
+
+    /// Admission to so many slots, with a queue of so many calls for each.
+    pub fn with_queue(slots: u16, queued_per_slot: usize) -> Self {
         Self {
             slots: usize::from(slots),
+            queued_per_slot,
             running: 0,
             waiting: BTreeMap::new(),
             arrivals: 0,
@@ -76,16 +84,27 @@
 
     /// Takes a call in, queues it or refuses it.
     pub fn arrive(&mut self, now: Instant, deadline: Instant, call: T) -> Arrival<T> {
+        self.arrive_ranked(now, 0, deadline, call)
+    }
+
+    /// As [`Admission::arrive`]; of the calls that wait, those of the lowest rank go first.
+    pub fn arrive_ranked(
+        &mut self,
+        now: Instant,
+        rank: u8,
+        deadline: Instant,
+        call: T,
+    ) -> Arrival<T> {
         if self.running < self.slots && self.waiting.is_empty() {
             self.running += 1;
             return Arrival::Admitted(call);
         }
-        let full = self.waiting.len() >= MIN_QUEUE.max(self.slots * QUEUED_PER_SLOT);
-        if full || now + self.expected(deadline) > deadline {
+        let full = self.waiting.len() >= MIN_QUEUE.max(self.slots * self.queued_per_slot);
+        if full || now + self.expected(rank, deadline) > deadline {
             return Arrival::Refused(call);
         }
         self.arrivals += 1;
-        self.waiting.insert((deadline, self.arrivals), call);
+        self.waiting.insert((rank, deadline, self.arrivals), call);
         Arrival::Queued
     }
 
@@ -111,7 +130,7 @@
     fn release(&mut self, now: Instant) -> Vec<Release<T>> {
         let mut released = Vec::new();
         while let Some(first) = self.waiting.first_entry() {
-            let expired = first.key().0 <= now;
+            let expired = first.key().1 <= now;
             if !expired && self.running >= self.slots {
                 break;
             }
@@ -126,9 +145,16 @@
         released
     }
 
-    /// Time until a call of that deadline would end, by the mean of earlier calls.
-    fn expected(&self, deadline: Instant) -> Duration {
-        let ahead = self.waiting.range(..=(deadline, u64::MAX)).count();
+    /// Time until the calls that wait now will have a slot, by the mean of earlier calls.
+    pub fn backlog(&self) -> Duration {
+        let rounds = (self.waiting.len() + 1) as f64 / self.slots.max(1) as f64;
+        self.mean_held.mul_f64(rounds)
+    }
+
+    /// Time until a call of that rank and deadline would end, by the mean of earlier calls.
+    fn expected(&self, rank: u8, deadline: Instant) -> Duration {
+        let last = (rank, deadline, u64::MAX);
+        let ahead = self.waiting.range(..=last).count();
         let rounds = (ahead + 1) as f64 / self.slots.max(1) as f64;
         self.mean_held.mul_f64(rounds + 1.0)
     }
--- a/fulmarreel-balance/src/lib.rs
+++ b/fulmarreel-balance/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 mod budget;
 pub mod choice;
+pub mod placement;
 
 pub use admission::Admission;
 pub use budget::Budget;
--- a/fulmarreel-distribution/src/lib.rs
+++ b/fulmarreel-distribution/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`Log`] holds every distributed key at the highest revision seen, [`Verdicts`] the versions that
 //! were taken back; both only grow, so that loss, repetition and order do not matter. [`Catalog`]
-//! decides which document is in force.
+//! decides which document is in force. [`Mirror`] holds the whole of a small store, where one
+//! configuration is all there is to distribute.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
@@ -14,6 +15,7 @@
 pub mod fanout;
 pub mod freshness;
 pub mod log;
+pub mod mirror;
 pub mod pace;
 pub mod readiness;
 pub mod verdict;
@@ -21,4 +23,5 @@
 pub use catalog::Catalog;
 pub use entry::Entry;
 pub use log::Log;
+pub use mirror::Mirror;
 pub use verdict::{Verdict, Verdicts};
--- /dev/null
+++ b/fulmarreel-http/src/message.rs
@@ -0,0 +1,80 @@
+//! Requests as they are sent, and answers as they arrive.
+
+use std::fmt::Write;
+
+/// A header with its value as bytes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Header {
+    /// Its name, as it was written.
+    pub name: String,
+    /// Its value.
+    pub value: Vec<u8>,
+}
+
+/// A request that is sent as it is; `Content-Length` is added where there is a body.
+#[derive(Debug, Clone, Copy)]
+pub struct Request<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// The headers, `Host` included.
+    pub headers: &'a [(&'a str, &'a [u8])],
+    /// The body.
+    pub body: &'a [u8],
+}
+
+/// A whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Response {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: Vec<Header>,
+    /// The whole body, without its transfer coding.
+    pub body: Vec<u8>,
+}
+
+impl Request<'_> {
+    /// The request as bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut head = String::with_capacity(256);
+        // Writing to a string cannot fail.
+        let _ = write!(head, "{} {} HTTP/1.1\r\n", self.method, self.target);
+        let mut bytes = head.into_bytes();
+        for (name, value) in self.headers {
+            bytes.extend_from_slice(name.as_bytes());
+            bytes.extend_from_slice(b": ");
+            bytes.extend_from_slice(value);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        if !self.body.is_empty() || matches!(self.method, "POST" | "PUT" | "PATCH") {
+            bytes.extend_from_slice(format!("Content-Length: {}\r\n", self.body.len()).as_bytes());
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(self.body);
+        bytes
+    }
+}
+
+impl Response {
+    /// The first value of a header.
+    pub fn header(&self, name: &str) -> Option<&[u8]> {
+        find(&self.headers, name)
+    }
+
+    /// The first value of a header, where it is text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.header(name)
+            .and_then(|value| std::str::from_utf8(value).ok())
+            .map(str::trim)
+    }
+}
+
+/// The first value of a header.
+pub fn find<'a>(headers: &'a [Header], name: &str) -> Option<&'a [u8]> {
+    headers
+        .iter()
+        .find(|header| header.name.eq_ignore_ascii_case(name))
+        .map(|header| header.value.as_slice())
+}
--- a/fulmarreel-node/src/ingress/claim.rs
+++ b/fulmarreel-node/src/ingress/claim.rs
@@ -5,7 +5,7 @@
 //! the call proves to be not run the claim is released, and a repeat may run.
 
 use crate::settings::Settings;
-use fulmarreel_platform::{
+use fulmarreel_store::{
     Error, Lease, Outcome, Revision, Store, Transaction,
     etcd::{Client, Options},
     keys::Key,
--- a/fulmarreel-node/src/ingress/exchange.rs
+++ b/fulmarreel-node/src/ingress/exchange.rs
@@ -224,6 +224,7 @@
         let request = self.request;
         let remaining = request.deadline.saturating_duration_since(Instant::now());
         Open {
+            rank: 0,
             sequence: self.sequence,
             remaining_ms: remaining.as_millis() as u32,
             attempt: request.attempt.saturating_add(self.attempt),
--- a/fulmarreel-node/src/main.rs
+++ b/fulmarreel-node/src/main.rs
@@ -1,7 +1,10 @@
-//! The process in each target instance's slot: `fulmarreel-node --settings FILE`.
+//! The process in each target instance's slot: `fulmarreel-node --settings FILE`, or
+//! `fulmarreel-node platform` on the users' platform.
 
 use anyhow::Context;
-use fulmarreel_node::{run, settings, telemetry};
+use fulmarreel_node::{mesh, run, settings, telemetry};
+use fulmarreel_platform::Settings;
+use log::LevelFilter;
 use std::{io, path::PathBuf, process::ExitCode};
 
 /// Exit code for wrong arguments.
@@ -10,9 +13,12 @@
 /// The arguments.
 const HELP: &str = "\
 usage: fulmarreel-node --settings FILE [--check-settings]
+       fulmarreel-node platform [--check-settings]
 
   --settings FILE     the node's settings, JSON with comments
   --check-settings    check them and end
+  platform            run on the users' platform, with the settings file that
+                      its variable names, and log to standard output
 Exit codes: 0 ended in order, 1 settings refused or an address cannot be bound, 2 usage.
 ";
 
@@ -21,6 +27,7 @@
     Help,
     Check(PathBuf),
     Run(PathBuf),
+    Platform { check_only: bool },
 }
 
 fn main() -> ExitCode {
@@ -45,6 +52,12 @@
         return Ok(Request::Help);
     }
     let check_only = arguments.contains("--check-settings");
+    if let Some(word) = arguments.subcommand()? {
+        anyhow::ensure!(word == "platform", "unknown word {word:?}");
+        let rest = arguments.finish();
+        anyhow::ensure!(rest.is_empty(), "unknown arguments {rest:?}");
+        return Ok(Request::Platform { check_only });
+    }
     let path: PathBuf = arguments.value_from_str("--settings")?;
     let rest = arguments.finish();
     anyhow::ensure!(rest.is_empty(), "unknown arguments {rest:?}");
@@ -68,6 +81,14 @@
             telemetry::decision::limit(settings.log.decisions_per_second);
             run(settings).context("node")?;
         }
+        Request::Platform { check_only } => {
+            let settings = Settings::load().context("settings")?;
+            if !check_only {
+                let output = telemetry::queue::Queue::start(io::stdout()).context("log thread")?;
+                telemetry::logger::Logger::new(LevelFilter::Info, output).install()?;
+                mesh::run(settings).context("node")?;
+            }
+        }
     }
     Ok(())
 }
--- /dev/null
+++ b/fulmarreel-node/src/mesh/announce.rs
@@ -0,0 +1,135 @@
+//! What the own target says of itself.
+
+use super::{
+    keys::{self, Node},
+    serve::Server,
+    world::World,
+};
+use fulmarreel_platform::heartbeat;
+use fulmarreel_store::{Store, Transaction};
+use smol::{Timer, channel::Receiver};
+use std::{sync::Arc, time::Duration};
+use trillium::{Conn, Method, Status};
+
+/// The largest message of a target that is read, in bytes.
+const MAX_BODY_BYTES: u64 = 65_536;
+
+/// Pause before the node's own entry is written once more, the first time.
+const MIN_PAUSE: Duration = Duration::from_millis(150);
+
+/// The longest such pause.
+const MAX_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// How often the node's own entry is looked for in what is known of the store.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Serves one message of the own target; it is answered whether or not it is of use.
+pub async fn handle(world: &World, server: &Server, mut conn: Conn) -> Conn {
+    let path = conn.path().to_owned();
+    let Some(id) = heartbeat::id(&path) else {
+        return conn
+            .with_status(Status::NotFound)
+            .with_body("expected an announcement")
+            .halt();
+    };
+    match conn.method() {
+        Method::Put => {
+            let body = conn.request_body().with_max_len(MAX_BODY_BYTES);
+            let body = body.read_bytes().await.unwrap_or_default();
+            take(world, server, id, &body);
+            answered(conn)
+        }
+        Method::Delete => {
+            server.end(id);
+            answered(conn)
+        }
+        _ => conn
+            .with_status(Status::MethodNotAllowed)
+            .with_body("expected PUT or DELETE")
+            .halt(),
+    }
+}
+
+fn answered(conn: Conn) -> Conn {
+    conn.with_response_header(trillium::KnownHeaderName::ContentType, "application/json")
+        .ok("{}")
+}
+
+fn take(world: &World, server: &Server, id: &str, body: &[u8]) {
+    let announcement = match heartbeat::decode(id, body) {
+        Ok(announcement) => announcement,
+        Err(error) => {
+            log::warn!(target = id; "announcement passed over: {error}");
+            return;
+        }
+    };
+    let settings = world.settings();
+    if announcement.service != settings.service || announcement.endpoint != settings.endpoint {
+        log::warn!(
+            target = id,
+            service = announcement.service.as_str();
+            "announcement passed over: it is not of this instance's target"
+        );
+        return;
+    }
+    server.announce(announcement);
+}
+
+/// Keeps the node's own entry in the store as it should be, until the process ends.
+pub async fn publish(world: Arc<World>, server: Arc<Server>, stopped: Receiver<()>) {
+    let key = format!("{}{}", keys::NODES, world.settings().instance);
+    let mut pause = MIN_PAUSE;
+    loop {
+        let entry = entry(&world, &server);
+        let known = world.read(|mirror| mirror.get(&key).map(|item| item.value.clone()));
+        let ready = world.revision() > 0;
+        let wanted = serde_json::to_vec(&entry);
+        if let (true, Ok(wanted)) = (ready, wanted)
+            && known.as_deref() != Some(&wanted)
+            && (entry.target.is_some() || known.is_none())
+        {
+            let transaction = Transaction::new().put(&key, &wanted);
+            match world.store.commit(&transaction).await {
+                Ok(_) => {
+                    log::info!(instance = world.settings().instance.as_str(); "own entry written");
+                    pause = MIN_PAUSE;
+                    wait_for(&world, &key, &wanted).await;
+                }
+                Err(error) => {
+                    log::warn!("own entry: {error}");
+                    Timer::after(pause.mul_f64(1.0 + fastrand::f64())).await;
+                    pause = (pause * 2).min(MAX_PAUSE);
+                }
+            }
+        }
+        if stopped.is_closed() {
+            return;
+        }
+        Timer::after(LOOK_INTERVAL).await;
+    }
+}
+
+/// Waits until a written entry is seen, so that it is not written twice.
+async fn wait_for(world: &World, key: &str, wanted: &[u8]) {
+    for _ in 0..8 {
+        if world.read(|mirror| mirror.get(key).is_some_and(|item| item.value == wanted)) {
+            return;
+        }
+        Timer::after(LOOK_INTERVAL).await;
+    }
+}
+
+fn entry(world: &World, server: &Server) -> Node {
+    let settings = world.settings();
+    Node {
+        address: settings.peers,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        target: server.target().map(|target| keys::Target {
+            id: target.id,
+            service: target.service,
+            version: target.version,
+            slots: target.slots,
+        }),
+    }
+}
--- /dev/null
+++ b/fulmarreel-node/src/mesh/exchange.rs
@@ -0,0 +1,314 @@
+//! One attempt of a request at one target.
+
+use super::{
+    serve::{Rejection, Server},
+    targets::Targets,
+    view::Target,
+};
+use crate::{
+    peer::{Connection, Event, Pool},
+    serve::opener::Kept,
+};
+use fulmarreel_wire::call::{self, Chunk, Failure, Frame, Head, Open, Refusal, chunks};
+use smol::{Timer, channel::Receiver, future::or};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// How long a connection to another node may take to open before its target is passed over.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+
+/// How long after its limit the end of a request is waited for, which its target may tell.
+const LIMIT_SLACK: Duration = Duration::from_millis(60);
+
+/// How long the answer to a cancellation is waited for.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// How long a request whose connection was lost is asked for over a new one.
+const RESUME_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Time between two tries to open that connection.
+const RESUME_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What became of a request at one target.
+#[derive(Debug)]
+pub enum Attempt {
+    /// The target answered.
+    Answered(Kept),
+    /// It was not run, and never will be.
+    NotRun {
+        /// Why.
+        reason: &'static str,
+        /// When it may be worth asking again.
+        retry_after: Duration,
+        /// Whether its node could be reached.
+        reached: bool,
+    },
+    /// It may have run.
+    Unknown {
+        /// Why there is no answer.
+        reason: &'static str,
+        /// Whether the target failed it, as opposed to something on the way.
+        at_target: bool,
+    },
+}
+
+/// One attempt of a request at one target.
+#[derive(Debug)]
+pub struct Exchange<'a> {
+    /// This node in front of its own target.
+    pub server: &'a Arc<Server>,
+    /// Connections to other nodes.
+    pub pool: &'a Pool,
+    /// What is known of targets.
+    pub targets: &'a Targets,
+    /// Where it goes.
+    pub target: &'a Target,
+    /// This node's address.
+    pub own: SocketAddr,
+    /// When the request is given up.
+    pub limit: Instant,
+}
+
+/// A request that waits on a connection; cancelled when dropped before its end.
+struct Pending {
+    connection: Arc<Connection>,
+    sequence: u64,
+    ended: bool,
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        self.connection.forget(self.sequence);
+        if !self.ended {
+            self.cancel();
+        }
+    }
+}
+
+impl Pending {
+    fn cancel(&self) {
+        let (connection, sequence) = (Arc::clone(&self.connection), self.sequence);
+        crate::runtime::spawn(async move {
+            connection.send(Frame::Cancel { sequence }).await;
+        });
+    }
+}
+
+/// How waiting on one connection ended.
+enum Wait {
+    Over(Attempt),
+    /// The connection was lost after the request was written.
+    Lost,
+}
+
+impl Exchange<'_> {
+    /// Sends a request and waits for its end.
+    pub async fn run(&self, open: &Open, body: &[u8]) -> Attempt {
+        if self.target.address == self.own {
+            return self.run_here(open, body).await;
+        }
+        let connected = or(
+            async { self.pool.get(self.target.address).await.ok() },
+            async {
+                let limit = Instant::now() + CONNECT_LIMIT;
+                Timer::at(limit.min(self.limit)).await;
+                None
+            },
+        );
+        let Some(connection) = connected.await else {
+            return Attempt::NotRun {
+                reason: "the target's node cannot be reached",
+                retry_after: Duration::ZERO,
+                reached: false,
+            };
+        };
+        let peer_boot = connection.peer_boot();
+        let first = self.send(connection, open, body).await;
+        match first {
+            Wait::Over(attempt) => attempt,
+            // What may be repeated is better sent elsewhere at once.
+            Wait::Lost if open.idempotent => lost(),
+            Wait::Lost => self.resume(open.sequence, peer_boot).await,
+        }
+    }
+
+    /// Hands the request to this node's own target.
+    async fn run_here(&self, open: &Open, body: &[u8]) -> Attempt {
+        let handled = if open.idempotent {
+            self.server.handle(open, body, || true).await
+        } else {
+            // What may not be repeated is run to its end, also where its caller leaves.
+            let (server, open, body) = (Arc::clone(self.server), open.clone(), body.to_vec());
+            let (sender, receiver) = smol::channel::bounded(1);
+            crate::runtime::spawn(async move {
+                let handled = server.handle(&open, &body, || true).await;
+                // The caller may have left.
+                let _ = sender.try_send(handled);
+            });
+            receiver
+                .recv()
+                .await
+                .unwrap_or(Err(Rejection::Failed(Failure::Forgotten)))
+        };
+        match handled {
+            Ok(kept) => Attempt::Answered(kept),
+            Err(Rejection::Refused {
+                reason,
+                retry_after,
+            }) => refused(reason, retry_after),
+            Err(Rejection::Withdrawn) => refused(Refusal::Cancelled, Duration::ZERO),
+            Err(Rejection::Failed(reason)) => failed(reason),
+        }
+    }
+
+    async fn send(&self, connection: Arc<Connection>, open: &Open, body: &[u8]) -> Wait {
+        let sequence = open.sequence;
+        let events = connection.register(sequence);
+        let pending = Pending {
+            connection: Arc::clone(&connection),
+            sequence,
+            ended: false,
+        };
+        connection.send(Frame::Open(open.clone())).await;
+        for chunk in chunks(sequence, body) {
+            connection.send(Frame::Chunk(chunk)).await;
+        }
+        self.receive(pending, &events, false).await
+    }
+
+    /// Asks the same process over a new connection what became of the request.
+    async fn resume(&self, sequence: u64, peer_boot: u64) -> Attempt {
+        let until = (Instant::now() + RESUME_LIMIT).min(self.limit);
+        while Instant::now() < until {
+            let Ok(connection) = self.pool.get(self.target.address).await else {
+                Timer::after(RESUME_INTERVAL).await;
+                continue;
+            };
+            if connection.peer_boot() != peer_boot {
+                return lost();
+            }
+            let events = connection.register(sequence);
+            let pending = Pending {
+                connection: Arc::clone(&connection),
+                sequence,
+                ended: false,
+            };
+            connection.send(Frame::Query { sequence }).await;
+            if let Wait::Over(attempt) = self.receive(pending, &events, true).await {
+                return attempt;
+            }
+        }
+        lost()
+    }
+
+    /// Waits for the end of a request; `resumed` where it was sent on an earlier connection.
+    async fn receive(&self, mut pending: Pending, events: &Receiver<Event>, resumed: bool) -> Wait {
+        let mut deadline = self.limit + LIMIT_SLACK;
+        let mut cancelled = false;
+        let mut partial: Option<(Head, Vec<u8>)> = None;
+        let over = |pending: &mut Pending, attempt| {
+            pending.ended = true;
+            Wait::Over(attempt)
+        };
+        loop {
+            let next = or(async { events.recv().await.ok() }, async {
+                Timer::at(deadline).await;
+                None
+            });
+            let Some(event) = next.await else {
+                if cancelled {
+                    return over(&mut pending, failed(Failure::Deadline));
+                }
+                // Where the request still waits for a slot it is not run, and that can be said.
+                cancelled = true;
+                deadline = Instant::now() + CANCEL_TIMEOUT;
+                pending.cancel();
+                continue;
+            };
+            match event {
+                Event::State(call::State::NotRun) => {
+                    let attempt = refused(Refusal::Cancelled, Duration::ZERO);
+                    return over(&mut pending, attempt);
+                }
+                Event::State(call::State::Unknown) => return over(&mut pending, lost()),
+                Event::State(_) if cancelled => {
+                    return over(&mut pending, failed(Failure::Deadline));
+                }
+                Event::State(_) => {}
+                Event::Refused(end) => {
+                    let retry_after = Duration::from_millis(u64::from(end.retry_after_ms));
+                    return over(&mut pending, refused(end.reason, retry_after));
+                }
+                Event::Failed(end) => return over(&mut pending, failed(end.reason)),
+                Event::Lost { written } => {
+                    pending.ended = true;
+                    return if written || resumed {
+                        Wait::Lost
+                    } else {
+                        Wait::Over(refused(Refusal::Unreachable, Duration::ZERO))
+                    };
+                }
+                Event::Head(head) => {
+                    self.targets
+                        .report(self.target.address, u32::from(head.in_flight));
+                    // Copies of a kept answer are equal: a second one changes nothing.
+                    partial.get_or_insert((head, Vec::new()));
+                }
+                Event::Chunk(chunk) => {
+                    let whole = partial
+                        .as_mut()
+                        .is_some_and(|(head, body)| append(head, body, &chunk));
+                    if whole && let Some((head, body)) = partial.take() {
+                        let kept = Kept { head, body };
+                        return over(&mut pending, Attempt::Answered(kept));
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Adds part of a body; whether it is whole.
+fn append(head: &Head, body: &mut Vec<u8>, chunk: &Chunk) -> bool {
+    if chunk.offset == body.len() as u64 {
+        body.extend_from_slice(&chunk.bytes);
+    }
+    head.length == Some(body.len() as u64)
+}
+
+fn refused(reason: Refusal, retry_after: Duration) -> Attempt {
+    let reached = reason != Refusal::Unreachable;
+    let reason = match reason {
+        Refusal::Overloaded => "the target has too much to do",
+        Refusal::Leaving => "the target is leaving",
+        Refusal::NoTarget => "no target of that version is there",
+        Refusal::Cancelled | Refusal::Deadline => "the deadline passed before a slot was free",
+        Refusal::Unreachable => "the target cannot be reached",
+        Refusal::Incomplete => "the request did not arrive whole",
+    };
+    Attempt::NotRun {
+        reason,
+        retry_after,
+        reached,
+    }
+}
+
+fn failed(reason: Failure) -> Attempt {
+    let reason = match reason {
+        Failure::TargetLost => "the target's answer was lost",
+        Failure::Deadline => "the deadline passed while the target ran the request",
+        Failure::Forgotten => "the answer is no longer kept",
+    };
+    let at_target = true;
+    Attempt::Unknown { reason, at_target }
+}
+
+fn lost() -> Attempt {
+    Attempt::Unknown {
+        reason: "the connection to the target's node was lost",
+        at_target: false,
+    }
+}
--- /dev/null
+++ b/fulmarreel-node/src/mesh/listen.rs
@@ -0,0 +1,52 @@
+//! Connections of callers.
+
+use super::{caller::Caller, transport::Transport, world::World};
+use smol::net::{TcpListener, TcpStream};
+use std::{io, sync::Arc, time::Duration};
+use trillium::Conn;
+use trillium_http::{HttpConfig, HttpContext};
+
+/// Time beyond the callers' own limit for which an idle connection is kept.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
+
+/// Bytes of a head beyond the configured limit, for the request line.
+const HEAD_SLACK: usize = 16_384;
+
+/// Accepts callers until the task is dropped.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub async fn listen(world: Arc<World>, caller: Arc<Caller>) -> io::Result<()> {
+    let listener = TcpListener::bind(world.settings().callers).await?;
+    loop {
+        match listener.accept().await {
+            Ok((tcp, _)) => serve(&world, &caller, tcp),
+            Err(error) => log::warn!("accept: {error}"),
+        }
+    }
+}
+
+fn serve(world: &Arc<World>, caller: &Arc<Caller>, tcp: TcpStream) {
+    let view = world.view();
+    let limits = view.table.as_ref().map(|table| table.limits);
+    let limits = limits.unwrap_or_default();
+    let caller = Arc::clone(caller);
+    crate::runtime::spawn(async move {
+        if let Err(error) = tcp.set_nodelay(true) {
+            log::debug!("caller: {error}");
+        }
+        let config = HttpConfig::default().with_head_max_len(limits.head_bytes + HEAD_SLACK);
+        let mut context = HttpContext::new();
+        context.set_config(config);
+        let transport = Transport::new(tcp, limits.idle + IDLE_SLACK);
+        let watcher = transport.watcher();
+        let served = Arc::new(context).run(transport, |conn| async {
+            let conn: Conn = conn.into();
+            caller.handle(conn, &watcher).await.into_inner()
+        });
+        if let Err(error) = served.await {
+            log::debug!("caller: {error}");
+        }
+    });
+}
--- /dev/null
+++ b/fulmarreel-node/src/mesh/run.rs
@@ -0,0 +1,113 @@
+//! Starts every part of the node and keeps it running.
+
+use super::{
+    announce,
+    caller::Caller,
+    listen::listen,
+    notices::Notices,
+    ready,
+    serve::Server,
+    stop, sync,
+    takeover::{self, Moves},
+    targets::Targets,
+    world::World,
+};
+use crate::{peer::Pool, runtime, telemetry::metrics};
+use fulmarreel_platform::Settings;
+use smol::{Timer, channel::bounded, future::or};
+use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use trillium::{Conn, Handler};
+
+/// How often nodes that could not be reached are tried.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Runs a node on the platform until it is told to stop.
+///
+/// # Errors
+///
+/// An address cannot be bound.
+pub fn run(settings: Settings) -> io::Result<()> {
+    runtime::init();
+    metrics::init().map_err(io::Error::other)?;
+    runtime::block_on(start(settings))
+}
+
+async fn start(settings: Settings) -> io::Result<()> {
+    log::info!(
+        instance = settings.instance.as_str(),
+        zone = settings.zone.as_str(),
+        service = settings.service.as_str();
+        "started"
+    );
+    let (ready_at, announced_at) = (settings.ready, settings.announcements);
+    let world = Arc::new(World::new(settings));
+    let moves = Arc::new(Moves::default());
+    let server = Arc::new(Server::new(Arc::clone(&world)));
+    let caller = Arc::new(Caller::new(
+        Arc::clone(&world),
+        Arc::clone(&server),
+        Arc::clone(&moves),
+    ));
+    let notices = Notices::bind(Arc::clone(&world)).await?;
+
+    let asked = Arc::clone(&world);
+    serve(ready_at, move |conn: Conn| {
+        let world = Arc::clone(&asked);
+        async move { ready::handle(&world, conn) }
+    });
+    let hearing = (Arc::clone(&world), Arc::clone(&server));
+    serve(announced_at, move |conn: Conn| {
+        let (world, server) = hearing.clone();
+        async move { announce::handle(&world, &server, conn).await }
+    });
+    let (stopping, stopped) = bounded::<()>(1);
+    spawn(sync::run(Arc::clone(&world)));
+    spawn(announce::publish(
+        Arc::clone(&world),
+        Arc::clone(&server),
+        stopped,
+    ));
+    spawn(Arc::clone(&notices).tell());
+    spawn(Arc::clone(&notices).receive(Arc::clone(&moves)));
+    spawn(takeover::run(Arc::clone(&world), moves, notices));
+    spawn(stop::watch_settings(Arc::clone(&world)));
+    let (targets, pool) = caller.reach();
+    spawn(probe(Arc::clone(&world), targets, pool));
+
+    let serving = Arc::clone(&server).run();
+    let callers = listen(Arc::clone(&world), Arc::clone(&caller));
+    let ended = or(serving, or(callers, stop::run(world, server, caller))).await;
+    drop(stopping);
+    ended
+}
+
+/// Tries nodes that could not be reached, so that no request waits for them.
+async fn probe(world: Arc<World>, targets: Arc<Targets>, pool: Arc<Pool>) {
+    loop {
+        Timer::after(PROBE_INTERVAL).await;
+        let view = world.view();
+        targets.retain(|address| view.nodes.iter().any(|node| node.0 == address));
+        for address in targets.unreachable() {
+            let (targets, pool) = (Arc::clone(&targets), Arc::clone(&pool));
+            spawn(async move {
+                if pool.get(address).await.is_ok() {
+                    targets.reach(address, true);
+                }
+            });
+        }
+    }
+}
+
+fn spawn(future: impl Future<Output = ()> + Send + 'static) {
+    runtime::spawn(future);
+}
+
+fn serve(address: SocketAddr, handler: impl Handler) {
+    let server = trillium_smol::config()
+        .with_socketaddr(address)
+        .with_nodelay()
+        .without_signals();
+    spawn(async move {
+        server.run_async(handler).await;
+    });
+}
--- /dev/null
+++ b/fulmarreel-node/src/mesh/serve.rs
@@ -0,0 +1,591 @@
+//! The node in front of its target: requests of this and of other nodes, admitted to its slots.
+
+use super::{
+    endpoint::{self, Endpoint},
+    world::World,
+};
+use crate::{
+    peer::stream,
+    serve::{
+        gate::{Gate, Permit},
+        opener::{Kept, Session},
+    },
+};
+use fulmarreel_call::{Fate, Opener, ledger::Cancellation};
+use fulmarreel_http::Response;
+use fulmarreel_membership::{Announcement, announcement::Register};
+use fulmarreel_platform::request;
+use fulmarreel_wire::{
+    Hello, PROTOCOL, Purpose,
+    call::{Chunk, Failed, Failure, Frame, Head, Header, Open, Refusal, Refused, State},
+};
+use smol::{
+    Timer,
+    channel::{Receiver, Sender, bounded},
+    future::or,
+    io::BufReader,
+    net::{Shutdown, TcpListener, TcpStream},
+    stream::StreamExt,
+};
+use std::{
+    collections::HashMap,
+    io,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+/// Requests that may wait for each slot.
+const QUEUED_PER_SLOT: usize = 6;
+
+/// Frames that may wait to be written before their senders wait.
+const QUEUED_FRAMES: usize = 64;
+
+/// Announcement intervals after which a silent target is withdrawn.
+const SILENT_INTERVALS: u32 = 5;
+
+/// How often a silent target and idle sessions are looked for.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The node in front of its target.
+#[derive(Debug)]
+pub struct Server {
+    world: Arc<World>,
+    gate: Arc<Gate>,
+    endpoint: Endpoint,
+    register: Mutex<Own>,
+    sessions: Mutex<HashMap<Opener, Arc<Session>>>,
+    /// Requests that are with the target and may be broken off, by opener and sequence.
+    running: Mutex<HashMap<(Opener, u64), Sender<()>>>,
+}
+
+/// The own target and when it was last heard.
+#[derive(Debug)]
+struct Own {
+    register: Register,
+    heard: Instant,
+}
+
+/// Why a request has no answer.
+#[derive(Debug)]
+pub enum Rejection {
+    /// It was not run, and never will be.
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// When it may be worth asking again.
+        retry_after: Duration,
+    },
+    /// It was cancelled before it was handed over, which was said already.
+    Withdrawn,
+    /// It was handed over, and its answer cannot be had.
+    Failed(Failure),
+}
+
+/// One connection of a peer that opens requests.
+struct Peer {
+    server: Arc<Server>,
+    opener: Opener,
+    session: Arc<Session>,
+    outgoing: Sender<Frame>,
+    generation: u64,
+    /// Requests of which part has arrived.
+    arriving: HashMap<u64, (Open, Vec<u8>)>,
+}
+
+impl Server {
+    /// A server of requests to the own target.
+    pub fn new(world: Arc<World>) -> Self {
+        let endpoint = world.settings().endpoint;
+        Self {
+            world,
+            gate: Arc::new(Gate::with_queue(QUEUED_PER_SLOT)),
+            endpoint: Endpoint::new(endpoint),
+            register: Mutex::new(Own {
+                register: Register::default(),
+                heard: Instant::now(),
+            }),
+            sessions: Mutex::default(),
+            running: Mutex::default(),
+        }
+    }
+
+    /// Accepts peers until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn run(self: Arc<Self>) -> io::Result<()> {
+        let listener = TcpListener::bind(self.world.settings().peers).await?;
+        let checking = Arc::clone(&self);
+        crate::runtime::spawn(async move { checking.check().await });
+        let mut incoming = listener.incoming();
+        while let Some(accepted) = incoming.next().await {
+            let server = Arc::clone(&self);
+            match accepted {
+                Ok(tcp) => crate::runtime::spawn(async move {
+                    if let Err(error) = server.connection(tcp).await {
+                        log::debug!("peer connection: {error}");
+                    }
+                }),
+                Err(error) => log::warn!("accept: {error}"),
+            }
+        }
+        Ok(())
+    }
+
+    /// Requests that are queued or running.
+    pub fn in_flight(&self) -> usize {
+        self.gate.in_flight()
+    }
+
+    /// Requests in slots and waiting, and slots.
+    pub fn load(&self) -> (u16, u16) {
+        self.gate.load()
+    }
+
+    /// The own target.
+    pub fn target(&self) -> Option<Announcement> {
+        let own = self.register.lock().expect("register lock");
+        own.register.current().cloned()
+    }
+
+    /// Takes in what the own target says; whether it is another target than before.
+    pub fn announce(&self, announcement: Announcement) -> bool {
+        let before = self.target();
+        let slots = announcement.slots;
+        {
+            let mut own = self.register.lock().expect("register lock");
+            own.heard = Instant::now();
+            if !own.register.announce(announcement) {
+                return false;
+            }
+        }
+        self.gate.resize(slots);
+        self.target_changed(before.as_ref())
+    }
+
+    /// Takes in that a target ends.
+    pub fn end(&self, id: &str) {
+        let before = self.target();
+        let ended = {
+            let mut own = self.register.lock().expect("register lock");
+            own.register.end(id)
+        };
+        if ended {
+            self.target_changed(before.as_ref());
+        }
+    }
+
+    /// Tells peers that no new requests are taken, and takes none.
+    pub fn leave(&self) {
+        self.broadcast(&Frame::Leaving);
+    }
+
+    /// Admits a request and hands it over; `hand_over` says whether it may be, at the last moment.
+    ///
+    /// # Errors
+    ///
+    /// There is no answer.
+    pub async fn handle(
+        &self,
+        open: &Open,
+        body: &[u8],
+        hand_over: impl FnOnce() -> bool,
+    ) -> Result<Kept, Rejection> {
+        let refused = |reason, retry_after| Rejection::Refused {
+            reason,
+            retry_after,
+        };
+        let deadline = Instant::now() + Duration::from_millis(u64::from(open.remaining_ms));
+        self.target_for(open)
+            .map_err(|reason| refused(reason, Duration::ZERO))?;
+        let permit = or(self.gate.enter_ranked(open.rank, deadline), async {
+            Timer::at(deadline).await;
+            Err(Refusal::Deadline)
+        })
+        .await;
+        let permit = permit.map_err(|reason| refused(reason, self.gate.backlog()))?;
+        // The target may have left while the request waited.
+        let target = self
+            .target_for(open)
+            .map_err(|reason| refused(reason, Duration::ZERO))?;
+        if !hand_over() {
+            return Err(Rejection::Withdrawn);
+        }
+        let started = Instant::now();
+        let called = self.endpoint.call(open, body, &target.id, deadline).await;
+        let took = started.elapsed();
+        match called {
+            Ok(response) => Ok(self.keep(open.sequence, response, took, permit)),
+            Err(error) => {
+                drop(permit);
+                log::info!(
+                    sequence = open.sequence,
+                    target = target.id.as_str(),
+                    took_ms = took.as_millis() as u64;
+                    "no answer: {error}"
+                );
+                Err(match error {
+                    endpoint::Error::Unreachable { .. } => {
+                        refused(Refusal::Unreachable, Duration::ZERO)
+                    }
+                    endpoint::Error::Lost(_) => Rejection::Failed(Failure::TargetLost),
+                    endpoint::Error::Deadline { .. } => Rejection::Failed(Failure::Deadline),
+                })
+            }
+        }
+    }
+
+    fn keep(&self, sequence: u64, response: Response, took: Duration, permit: Permit) -> Kept {
+        drop(permit);
+        let (in_flight, slots) = self.gate.load();
+        let told = request::load(&response.headers);
+        let told = told.map_or(0, |load| load.running.saturating_add(load.waiting));
+        let headers = response.headers.into_iter();
+        let headers = headers
+            .filter(|header| !request::is_hop(&header.name))
+            .map(|header| Header {
+                name: header.name,
+                value: header.value,
+            });
+        let head = Head {
+            sequence,
+            status: response.status,
+            headers: headers.collect(),
+            length: Some(response.body.len() as u64),
+            target_micros: u32::try_from(took.as_micros()).unwrap_or(u32::MAX),
+            in_flight: in_flight.max(told),
+            slots,
+        };
+        let body = response.body;
+        Kept { head, body }
+    }
+
+    /// The target that may run a request, or why there is none.
+    fn target_for(&self, open: &Open) -> Result<Announcement, Refusal> {
+        if self.world.is_stopping() {
+            return Err(Refusal::Leaving);
+        }
+        let own = self.register.lock().expect("register lock");
+        match own.register.current() {
+            Some(target) if target.service != open.service || target.version != open.version => {
+                Err(Refusal::NoTarget)
+            }
+            Some(target) if target.leaving => Err(Refusal::Leaving),
+            Some(target) => Ok(target.clone()),
+            None => Err(Refusal::NoTarget),
+        }
+    }
+
+    /// Follows a change of the own target; whether it is another one than before.
+    fn target_changed(&self, before: Option<&Announcement>) -> bool {
+        let now = self.target();
+        let takes = |target: Option<&Announcement>| target.is_some_and(|target| !target.leaving);
+        let (was, is) = (takes(before), takes(now.as_ref()));
+        let id =
+            |target: Option<&Announcement>| target.map(|target| (target.id.clone(), target.born));
+        let changed = id(before) != id(now.as_ref());
+        if was != is || changed {
+            let name = now
+                .as_ref()
+                .or(before)
+                .map_or("", |target| target.id.as_str());
+            log::info!(target = name, takes_requests = is; "own target");
+        }
+        if changed {
+            self.endpoint.close_idle();
+        }
+        if was != is {
+            self.broadcast(if is {
+                &Frame::Accepting
+            } else {
+                &Frame::Leaving
+            });
+        }
+        changed
+    }
+
+    /// Withdraws a silent target and forgets idle sessions, until the process ends.
+    async fn check(&self) {
+        let mut last = Instant::now();
+        loop {
+            Timer::after(CHECK_INTERVAL).await;
+            let limit = self.world.settings().announcement_interval * SILENT_INTERVALS;
+            let before = self.target();
+            let paused = last.elapsed() > CHECK_INTERVAL * 2;
+            last = Instant::now();
+            let silent = {
+                let mut own = self.register.lock().expect("register lock");
+                if paused {
+                    own.heard = last;
+                }
+                let silent = before.is_some() && own.heard.elapsed() > limit;
+                if silent {
+                    own.register.withdraw();
+                }
+                silent
+            };
+            if silent {
+                self.target_changed(before.as_ref());
+            }
+            let mut sessions = self.sessions.lock().expect("sessions lock");
+            sessions.retain(|_, session| !session.is_idle());
+        }
+    }
+
+    fn broadcast(&self, frame: &Frame) {
+        let sessions: Vec<Arc<Session>> = {
+            let sessions = self.sessions.lock().expect("sessions lock");
+            sessions.values().map(Arc::clone).collect()
+        };
+        for session in sessions {
+            let frame = frame.clone();
+            crate::runtime::spawn(async move { session.reply(frame).await });
+        }
+    }
+
+    fn takes_requests(&self) -> bool {
+        let target = self.target();
+        !self.world.is_stopping() && target.is_some_and(|target| !target.leaving)
+    }
+
+    async fn connection(self: &Arc<Self>, mut tcp: TcpStream) -> io::Result<()> {
+        tcp.set_nodelay(true)?;
+        let hello: Hello = stream::read(&mut tcp).await?;
+        if hello.protocol != PROTOCOL {
+            log::warn!(peer:% = hello.address; "refused {hello:?}");
+            return Ok(());
+        }
+        match hello.purpose {
+            Purpose::Snapshot => return super::sync::send_snapshot(&self.world, tcp).await,
+            Purpose::Calls => {}
+            Purpose::Sync | Purpose::Evidence => return Ok(()),
+        }
+        let greeting = Hello {
+            protocol: PROTOCOL,
+            address: self.world.settings().peers,
+            boot: self.world.boot,
+            purpose: Purpose::Calls,
+        };
+        stream::write(&mut tcp, &greeting).await?;
+        let begin = stream::read(&mut tcp).await?;
+        let Frame::Begin {
+            generation,
+            resumed,
+        } = begin
+        else {
+            return Err(io::ErrorKind::InvalidData.into());
+        };
+        let opener = Opener {
+            address: hello.address,
+            boot: hello.boot,
+        };
+        let (outgoing, frames) = bounded::<Frame>(QUEUED_FRAMES);
+        let session = {
+            let mut sessions = self.sessions.lock().expect("sessions lock");
+            Arc::clone(sessions.entry(opener).or_default())
+        };
+        if !session.connect(generation, resumed, outgoing.clone()) {
+            return Ok(());
+        }
+        if !self.takes_requests() {
+            let _ = outgoing.send(Frame::Leaving).await;
+        }
+        let mut writing = tcp.clone();
+        crate::runtime::spawn(async move {
+            let written = stream::pump(&mut writing, &frames, |_| {}).await;
+            if let Err(error) = written {
+                log::debug!("peer connection: {error}");
+            }
+            frames.close();
+            // The peer may have closed it first.
+            let _ = writing.shutdown(Shutdown::Both);
+        });
+        let peer = Peer {
+            server: Arc::clone(self),
+            opener,
+            session,
+            outgoing: outgoing.clone(),
+            generation,
+            arriving: HashMap::new(),
+        };
+        let ended = peer.read_frames(tcp).await;
+        outgoing.close();
+        ended
+    }
+
+    /// Serves one request of a peer to its end.
+    async fn serve(
+        self: Arc<Self>,
+        opener: Opener,
+        session: Arc<Session>,
+        open: Open,
+        body: Vec<u8>,
+    ) {
+        let sequence = open.sequence;
+        let key = (opener, sequence);
+        let (cancel, cancelled) = bounded(1);
+        let hand_over = || {
+            let mut ledger = session.ledger.lock().expect("ledger lock");
+            let handed_over = ledger.hand_over(sequence);
+            if handed_over && open.idempotent {
+                let mut running = self.running.lock().expect("running lock");
+                running.insert(key, cancel);
+            }
+            handed_over
+        };
+        let handled = or(
+            async { Some(self.handle(&open, &body, hand_over).await) },
+            wait_for(&cancelled),
+        )
+        .await;
+        self.running.lock().expect("running lock").remove(&key);
+        match handled {
+            None => {
+                log::info!(sequence; "broken off, its caller left");
+                lose(&session, sequence, Failure::Deadline).await;
+            }
+            Some(Ok(kept)) => {
+                let kept = Arc::new(kept);
+                let bytes = kept.body.len() + size_of::<Kept>();
+                {
+                    let mut ledger = session.ledger.lock().expect("ledger lock");
+                    ledger.answer(sequence, Arc::clone(&kept), bytes, Instant::now());
+                }
+                session.send(&kept).await;
+            }
+            Some(Err(Rejection::Withdrawn)) => {}
+            Some(Err(Rejection::Failed(reason))) => lose(&session, sequence, reason).await,
+            Some(Err(Rejection::Refused {
+                reason,
+                retry_after,
+            })) => {
+                let withdrawn = {
+                    let mut ledger = session.ledger.lock().expect("ledger lock");
+                    ledger.withdraw(sequence, Instant::now())
+                };
+                if withdrawn {
+                    let refused = Refused::new(sequence, reason);
+                    session.reply(Frame::Refused(refused)).await;
+                } else {
+                    session.refuse_until(sequence, reason, retry_after).await;
+                }
+            }
+        }
+    }
+}
+
+/// Waits for a cancellation; a sender that is dropped cancels nothing.
+async fn wait_for<T>(cancelled: &Receiver<()>) -> Option<T> {
+    if cancelled.recv().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    None
+}
+
+async fn lose(session: &Session, sequence: u64, reason: Failure) {
+    {
+        let mut ledger = session.ledger.lock().expect("ledger lock");
+        ledger.lose(sequence, Instant::now());
+    }
+    let failed = Failed { sequence, reason };
+    session.reply(Frame::Failed(failed)).await;
+}
+
+impl Peer {
+    async fn read_frames(mut self, tcp: TcpStream) -> io::Result<()> {
+        let mut tcp = BufReader::new(tcp);
+        loop {
+            match stream::read(&mut tcp).await? {
+                Frame::Open(open) => _ = self.arriving.insert(open.sequence, (open, Vec::new())),
+                Frame::Chunk(chunk) => self.append(&chunk).await,
+                Frame::Cancel { sequence } => self.cancel(sequence).await,
+                Frame::Query { sequence } => self.query(sequence).await,
+                Frame::Ping { token } => _ = self.outgoing.send(Frame::Pong { token }).await,
+                other => log::debug!("unexpected frame {other:?}"),
+            }
+        }
+    }
+
+    async fn append(&mut self, chunk: &Chunk) {
+        let Some((open, body)) = self.arriving.get_mut(&chunk.sequence) else {
+            return;
+        };
+        body.extend_from_slice(&chunk.bytes);
+        if !chunk.last {
+            return;
+        }
+        let complete = open.length == body.len() as u64;
+        let Some((open, body)) = self.arriving.remove(&chunk.sequence) else {
+            return;
+        };
+        if !complete {
+            return self.refuse(chunk.sequence, Refusal::Incomplete).await;
+        }
+        let opened = {
+            let mut ledger = self.session.ledger.lock().expect("ledger lock");
+            ledger.expire(Instant::now());
+            ledger.open(self.generation, open.sequence)
+        };
+        if let Err(error) = opened {
+            log::info!(sequence = open.sequence; "not opened: {error}");
+            return;
+        }
+        let (server, session) = (Arc::clone(&self.server), Arc::clone(&self.session));
+        crate::runtime::spawn(server.serve(self.opener, session, open, body));
+    }
+
+    async fn refuse(&self, sequence: u64, reason: Refusal) {
+        let cancelled = {
+            let mut ledger = self.session.ledger.lock().expect("ledger lock");
+            ledger.cancel(sequence, Instant::now())
+        };
+        if cancelled == Cancellation::NotRun {
+            let refused = Frame::Refused(Refused::new(sequence, reason));
+            let _ = self.outgoing.send(refused).await;
+        }
+    }
+
+    async fn cancel(&mut self, sequence: u64) {
+        self.arriving.remove(&sequence);
+        let cancelled = {
+            let mut ledger = self.session.ledger.lock().expect("ledger lock");
+            ledger.cancel(sequence, Instant::now())
+        };
+        let reply = match cancelled {
+            Cancellation::NotRun => Frame::Refused(Refused::new(sequence, Refusal::Cancelled)),
+            Cancellation::TooLate => {
+                let key = (self.opener, sequence);
+                let running = self
+                    .server
+                    .running
+                    .lock()
+                    .expect("running lock")
+                    .remove(&key);
+                if let Some(running) = running {
+                    // The request may have ended this moment.
+                    let _ = running.try_send(());
+                }
+                let state = State::Running;
+                Frame::State { sequence, state }
+            }
+        };
+        let _ = self.outgoing.send(reply).await;
+    }
+
+    async fn query(&self, sequence: u64) {
+        let (state, kept) = {
+            let mut ledger = self.session.ledger.lock().expect("ledger lock");
+            match ledger.query(sequence, Instant::now()) {
+                Fate::NotRun => (State::NotRun, None),
+                Fate::Running => (State::Running, None),
+                Fate::Answered(kept) => (State::Answered, Some(Arc::clone(kept))),
+                Fate::Unknown => (State::Unknown, None),
+            }
+        };
+        let _ = self.outgoing.send(Frame::State { sequence, state }).await;
+        if let Some(kept) = kept {
+            self.session.send(&kept).await;
+        }
+    }
+}
--- /dev/null
+++ b/fulmarreel-node/src/mesh/stop.rs
@@ -0,0 +1,74 @@
+//! The planned end of a node, and changed settings.
+
+use super::{caller::Caller, serve::Server, world::World};
+use async_signal::{Signal, Signals};
+use fulmarreel_platform::Settings;
+use smol::{Timer, stream::StreamExt};
+use std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// How long callers are still served after the node has said that it is not ready.
+const LINGER: Duration = Duration::from_millis(2_500);
+
+/// Time before the platform's own limit at which the process ends in any case.
+const RESERVE: Duration = Duration::from_millis(400);
+
+/// How often the end of requests is looked for.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time for the last bytes to be written.
+const FLUSH: Duration = Duration::from_millis(100);
+
+/// How often the settings file is looked at without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Waits for SIGTERM or SIGINT, then lets every request end.
+///
+/// # Errors
+///
+/// The signals cannot be watched.
+pub async fn run(world: Arc<World>, server: Arc<Server>, caller: Arc<Caller>) -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    loop {
+        match signals.next().await {
+            Some(Ok(Signal::Hup)) => reload(&world),
+            Some(Ok(signal)) => {
+                log::info!(signal:? = signal; "stopping");
+                break;
+            }
+            Some(Err(error)) => return Err(error),
+            None => std::future::pending().await,
+        }
+    }
+    world.stop();
+    server.leave();
+    let start = Instant::now();
+    let end = start + world.settings().grace.saturating_sub(RESERVE);
+    Timer::after(LINGER).await;
+    while Instant::now() < end && server.in_flight() + caller.in_flight() > 0 {
+        Timer::after(CHECK_INTERVAL).await;
+    }
+    Timer::after(FLUSH).await;
+    let unfinished = server.in_flight() + caller.in_flight();
+    let after_ms = start.elapsed().as_millis() as u64;
+    log::info!(after_ms, unfinished; "stopped");
+    Ok(())
+}
+
+/// Looks at the settings file until the process ends; it may change without a signal.
+pub async fn watch_settings(world: Arc<World>) {
+    loop {
+        Timer::after(SETTINGS_INTERVAL).await;
+        reload(&world);
+    }
+}
+
+fn reload(world: &World) {
+    match Settings::load() {
+        Ok(settings) => world.reload(settings),
+        Err(error) => log::warn!("settings kept as they were: {error}"),
+    }
+}
--- /dev/null
+++ b/fulmarreel-node/src/mesh/sync.rs
@@ -0,0 +1,165 @@
+//! Follows the platform's store; other nodes help where the store cannot be reached.
+
+use super::world::World;
+use crate::peer::stream;
+use fulmarreel_distribution::mirror::{Change, Item};
+use fulmarreel_store::{Batch, Entry, Error, Event, Revision, Store, watch::Watch};
+use fulmarreel_wire::{Hello, PROTOCOL, Purpose, notice};
+use smol::{Timer, future::or, io::BufReader, net::TcpStream};
+use std::{
+    collections::BTreeMap, convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration,
+};
+
+/// How long the store holds a watch where nothing changes.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// Pause after a change, so that changes in quick succession come together.
+const BATCH_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause after a failed call, the first time.
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
+
+/// The longest pause after a failed call.
+const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
+
+/// How long another node may take to send what it holds.
+const PULL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Follows the store until the process ends.
+pub async fn run(world: Arc<World>) {
+    let mut backoff = MIN_BACKOFF;
+    let mut lost = false;
+    loop {
+        let Err(error) = follow(&world, &mut backoff, &mut lost).await;
+        if matches!(error, Error::Compacted { .. }) {
+            log::info!("the store's history is gone, reading it anew");
+            if list(&world).await.is_ok() {
+                continue;
+            }
+        }
+        if !lost {
+            log::warn!(revision = world.revision(); "store lost: {error}");
+            lost = true;
+        }
+        Timer::after(backoff.mul_f64(0.5 + fastrand::f64())).await;
+        backoff = (backoff * 2).min(MAX_BACKOFF);
+    }
+}
+
+/// Follows the store until a call fails.
+async fn follow(
+    world: &World,
+    backoff: &mut Duration,
+    lost: &mut bool,
+) -> Result<Infallible, Error> {
+    if world.revision() == 0 {
+        list(world).await?;
+    }
+    let from = Revision(world.revision()).next();
+    let mut watch = world.store.watch("", from, WATCH_WAIT).await?;
+    loop {
+        let batch = watch.next().await?;
+        if std::mem::take(lost) {
+            log::info!(revision = batch.revision.0; "store regained");
+        }
+        *backoff = MIN_BACKOFF;
+        let changed = !batch.events.is_empty();
+        take(world, batch);
+        if changed {
+            Timer::after(BATCH_PAUSE).await;
+        }
+    }
+}
+
+/// Reads the whole store.
+async fn list(world: &World) -> Result<(), Error> {
+    let listing = world.store.list("").await?;
+    let items = listing.entries.into_iter().map(|entry| {
+        let Entry {
+            key,
+            value,
+            revision,
+            ..
+        } = entry;
+        let revision = revision.0;
+        (key, Item { revision, value })
+    });
+    world.replace(listing.revision.0, items.collect());
+    Ok(())
+}
+
+fn take(world: &World, batch: Batch) {
+    let changes = batch.events.into_iter().map(|event| match event {
+        Event::Put(entry) => Change {
+            key: entry.key,
+            revision: entry.revision.0,
+            value: Some(entry.value),
+        },
+        Event::Delete { key, revision } => Change {
+            key,
+            revision: revision.0,
+            value: None,
+        },
+    });
+    world.apply(batch.revision.0, changes.collect());
+}
+
+/// Sends what this node holds of the store to a peer that asked.
+///
+/// # Errors
+///
+/// The connection failed.
+pub async fn send_snapshot(world: &World, mut tcp: TcpStream) -> io::Result<()> {
+    let snapshot = world.read(|mirror| notice::Snapshot {
+        revision: mirror.revision(),
+        items: mirror
+            .items()
+            .map(|(key, item)| notice::Item {
+                key: key.to_owned(),
+                revision: item.revision,
+                value: item.value.clone(),
+            })
+            .collect(),
+    });
+    stream::write(&mut tcp, &snapshot).await
+}
+
+/// Takes over what a peer holds of the store, where that is more.
+///
+/// # Errors
+///
+/// The peer cannot be reached or does not answer in time.
+pub async fn pull(world: &World, peer: SocketAddr) -> io::Result<()> {
+    or(fetch(world, peer), async {
+        Timer::after(PULL_TIMEOUT).await;
+        Err(io::ErrorKind::TimedOut.into())
+    })
+    .await
+}
+
+async fn fetch(world: &World, peer: SocketAddr) -> io::Result<()> {
+    let mut tcp = TcpStream::connect(peer).await?;
+    let hello = Hello {
+        protocol: PROTOCOL,
+        address: world.settings().peers,
+        boot: world.boot,
+        purpose: Purpose::Snapshot,
+    };
+    stream::write(&mut tcp, &hello).await?;
+    let mut tcp = BufReader::new(tcp);
+    let snapshot: notice::Snapshot = stream::read(&mut tcp).await?;
+    let revision = snapshot.revision;
+    let items: BTreeMap<String, Item> = snapshot
+        .items
+        .into_iter()
+        .map(|item| {
+            let (revision, value) = (item.revision, item.value);
+            (item.key, Item { revision, value })
+        })
+        .collect();
+    if revision > world.revision() {
+        log::info!(peer:% = peer, revision; "took over what a peer knows of the store");
+        world.replace(revision, items);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/fulmarreel-node/src/mesh/transport.rs
@@ -0,0 +1,134 @@
+//! A caller's connection that tells when the caller leaves while its request is served.
+//!
+//! The HTTP library reads the connection only between requests. While one is served,
+//! [`Watcher::left`] reads ahead into a bounded buffer, which the library gets first.
+
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
+use smol::{Timer, net::TcpStream};
+use std::{
+    collections::VecDeque,
+    io,
+    pin::Pin,
+    sync::{Arc, Mutex},
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
+
+/// Bytes that are read ahead at most.
+const MAX_AHEAD: usize = 65_536;
+
+/// Bytes that are read ahead at once.
+const READ_BYTES: usize = 4_096;
+
+/// What was read ahead.
+type Ahead = Arc<Mutex<VecDeque<u8>>>;
+
+/// A caller's connection.
+#[derive(Debug)]
+pub struct Transport {
+    tcp: TcpStream,
+    ahead: Ahead,
+    idle: Duration,
+    timer: Timer,
+}
+
+/// Tells when the caller leaves.
+#[derive(Debug, Clone)]
+pub struct Watcher {
+    tcp: TcpStream,
+    ahead: Ahead,
+}
+
+impl Transport {
+    /// A connection that ends after `idle` without a byte of its caller.
+    pub fn new(tcp: TcpStream, idle: Duration) -> Self {
+        Self {
+            tcp,
+            ahead: Ahead::default(),
+            timer: Timer::after(idle),
+            idle,
+        }
+    }
+
+    /// A watcher of the connection.
+    pub fn watcher(&self) -> Watcher {
+        Watcher {
+            tcp: self.tcp.clone(),
+            ahead: Arc::clone(&self.ahead),
+        }
+    }
+}
+
+impl Watcher {
+    /// Waits until the caller has closed the connection. Not to be awaited while a request is read.
+    pub async fn left(&self) {
+        let mut tcp = self.tcp.clone();
+        let mut bytes = [0; READ_BYTES];
+        loop {
+            match tcp.read(&mut bytes).await {
+                Ok(0) | Err(_) => return,
+                Ok(read) => {
+                    let full = {
+                        let mut ahead = self.ahead.lock().expect("ahead lock");
+                        ahead.extend(&bytes[..read]);
+                        ahead.len() >= MAX_AHEAD
+                    };
+                    if full {
+                        // A caller that sends that much is there; it is not watched further.
+                        return std::future::pending().await;
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl AsyncRead for Transport {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        {
+            let mut ahead = self.ahead.lock().expect("ahead lock");
+            if !ahead.is_empty() {
+                let read = buffer.len().min(ahead.len());
+                for (to, from) in buffer.iter_mut().zip(ahead.drain(..read)) {
+                    *to = from;
+                }
+                return Poll::Ready(Ok(read));
+            }
+        }
+        if let Poll::Ready(read) = Pin::new(&mut self.tcp).poll_read(cx, buffer) {
+            let until = Instant::now() + self.idle;
+            self.timer.set_at(until);
+            return Poll::Ready(read);
+        }
+        match Pin::new(&mut self.timer).poll(cx) {
+            Poll::Ready(_) => Poll::Ready(Ok(0)),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncWrite for Transport {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let until = Instant::now() + self.idle;
+        self.timer.set_at(until);
+        Pin::new(&mut self.tcp).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_close(cx)
+    }
+}
+
+impl trillium::Transport for Transport {}
--- /dev/null
+++ b/fulmarreel-node/src/mesh/world.rs
@@ -0,0 +1,109 @@
+//! What every part of the node shares.
+
+use super::view::{Place, View};
+use crate::state::unix_millis;
+use fulmarreel_distribution::{
+    Mirror,
+    mirror::{Change, Item},
+};
+use fulmarreel_platform::{Settings, store};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// What every part of the node shares.
+#[derive(Debug)]
+pub struct World {
+    settings: RwLock<Arc<Settings>>,
+    /// When this process started, in milliseconds since the Unix epoch.
+    pub boot: u64,
+    /// The platform's store.
+    pub store: store::Client,
+    mirror: Mutex<Mirror>,
+    view: RwLock<Arc<View>>,
+    stopping: AtomicBool,
+}
+
+impl World {
+    /// A node that knows nothing but its settings.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            boot: unix_millis(),
+            store: store::Client::new(settings.store, store::Options::default()),
+            settings: RwLock::new(Arc::new(settings)),
+            mirror: Mutex::default(),
+            view: RwLock::default(),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<Settings> {
+        Arc::clone(&self.settings.read().expect("settings lock"))
+    }
+
+    /// Takes further settings; addresses stay as they were bound.
+    pub fn reload(&self, settings: Settings) {
+        let mut present = self.settings.write().expect("settings lock");
+        if **present != settings {
+            log::info!(service = settings.service.as_str(); "settings reloaded");
+            *present = Arc::new(settings);
+        }
+    }
+
+    /// What requests are routed by.
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.read().expect("view lock"))
+    }
+
+    /// The revision up to which the store is known.
+    pub fn revision(&self) -> u64 {
+        self.mirror.lock().expect("mirror lock").revision()
+    }
+
+    /// Reads what the node knows of the store.
+    pub fn read<T>(&self, read: impl FnOnce(&Mirror) -> T) -> T {
+        read(&self.mirror.lock().expect("mirror lock"))
+    }
+
+    /// Takes in all items of the store as of a revision.
+    pub fn replace(&self, revision: u64, items: BTreeMap<String, Item>) {
+        let mut mirror = self.mirror.lock().expect("mirror lock");
+        if mirror.replace(revision, items) {
+            self.rebuild(&mirror);
+        }
+    }
+
+    /// Takes in the changes up to a revision.
+    pub fn apply(&self, revision: u64, changes: Vec<Change>) {
+        let mut mirror = self.mirror.lock().expect("mirror lock");
+        if mirror.apply(revision, changes) {
+            self.rebuild(&mirror);
+        }
+    }
+
+    /// Notes that the process is about to end.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Whether the process is about to end.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    fn rebuild(&self, mirror: &Mirror) {
+        let settings = self.settings();
+        let place = Place {
+            zone: &settings.zone,
+            region: &settings.region,
+        };
+        let last = self.view();
+        let view = View::of(mirror, place, &last);
+        *self.view.write().expect("view lock") = Arc::new(view);
+    }
+}
--- a/fulmarreel-node/src/rollout/mod.rs
+++ b/fulmarreel-node/src/rollout/mod.rs
@@ -19,11 +19,11 @@
 
 use crate::runtime;
 use fulmarreel_document::Document;
-use fulmarreel_platform::etcd::{Client, Options};
 use fulmarreel_rollout::{
     Guard, Plan, State,
     evidence::{Route, Tally},
 };
+use fulmarreel_store::etcd::{Client, Options};
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
--- a/fulmarreel-node/src/rollout/owner/acquire.rs
+++ b/fulmarreel-node/src/rollout/owner/acquire.rs
@@ -6,8 +6,8 @@
     state::{State, unix_millis},
 };
 use fulmarreel_document::shift::Timestamp;
-use fulmarreel_platform::{Error, Outcome, Revision, Store, Transaction, keys::Key};
 use fulmarreel_rollout::{Comparison, Publication};
+use fulmarreel_store::{Error, Outcome, Revision, Store, Transaction, keys::Key};
 
 /// Becomes the owner if there is none.
 pub async fn acquire<S: Store>(state: &State, store: &S, entry: &Move) -> Option<Ownership> {
--- a/fulmarreel-node/src/rollout/owner/mod.rs
+++ b/fulmarreel-node/src/rollout/owner/mod.rs
@@ -14,8 +14,8 @@
 use super::{Moves, fleet::Fleet};
 use crate::state::{State, unix_millis};
 use fulmarreel_document::shift::Timestamp;
-use fulmarreel_platform::{Lease, Revision, Store};
 use fulmarreel_rollout::Comparison;
+use fulmarreel_store::{Lease, Revision, Store};
 use smol::Timer;
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
--- a/fulmarreel-node/src/rollout/owner/publish.rs
+++ b/fulmarreel-node/src/rollout/owner/publish.rs
@@ -5,8 +5,8 @@
     acquire::{move_key, owner_key, read_published},
 };
 use crate::{rollout::Move, state::State};
-use fulmarreel_platform::{Error, Outcome, Store, Transaction, keys::Key};
 use fulmarreel_rollout::{Publication, State as Step};
+use fulmarreel_store::{Error, Outcome, Store, Transaction, keys::Key};
 
 /// Writes a step, and puts it in force here once it is written; returns whether this node still
 /// owns the move.
--- a/fulmarreel-node/src/rollout/owner/tick.rs
+++ b/fulmarreel-node/src/rollout/owner/tick.rs
@@ -7,11 +7,11 @@
 };
 use fulmarreel_distribution::Verdict;
 use fulmarreel_document::shift::Timestamp;
-use fulmarreel_platform::{Error, Store};
 use fulmarreel_rollout::{
     Evidence,
     step::{self, Contact, Hold, Outcome},
 };
+use fulmarreel_store::{Error, Store};
 
 /// The number of reporters falls by one part in that many a tick.
 const REPORTERS_FALL: u32 = 10;
--- a/fulmarreel-node/src/serve/call.rs
+++ b/fulmarreel-node/src/serve/call.rs
@@ -88,7 +88,7 @@
             ledger.withdraw(sequence, Instant::now())
         };
         if withdrawn {
-            let refused = Frame::Refused(Refused { sequence, reason });
+            let refused = Frame::Refused(Refused::new(sequence, reason));
             self.session.reply(refused).await;
         }
     }
--- a/fulmarreel-node/src/serve/connection.rs
+++ b/fulmarreel-node/src/serve/connection.rs
@@ -42,6 +42,7 @@
         match hello.purpose {
             Purpose::Sync => return sync::accept(&self.state, tcp, &hello).await,
             Purpose::Evidence => return report::accept(&self.moves, tcp).await,
+            Purpose::Snapshot => return Ok(()),
             Purpose::Calls => {}
         }
         let greeting = Hello {
@@ -162,7 +163,7 @@
             ledger.cancel(sequence, Instant::now())
         };
         if cancelled == Cancellation::NotRun {
-            let refused = Frame::Refused(Refused { sequence, reason });
+            let refused = Frame::Refused(Refused::new(sequence, reason));
             let _ = self.outgoing.send(refused).await;
         }
     }
@@ -179,10 +180,7 @@
             ledger.cancel(sequence, Instant::now())
         };
         let reply = match cancelled {
-            Cancellation::NotRun => Frame::Refused(Refused {
-                sequence,
-                reason: Refusal::Cancelled,
-            }),
+            Cancellation::NotRun => Frame::Refused(Refused::new(sequence, Refusal::Cancelled)),
             Cancellation::TooLate => Frame::State {
                 sequence,
                 state: State::Running,
--- a/fulmarreel-node/src/serve/gate.rs
+++ b/fulmarreel-node/src/serve/gate.rs
@@ -5,18 +5,18 @@
 use smol::channel::{Sender, bounded};
 use std::{
     sync::{Arc, Mutex},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// The slots of the own target.
 #[derive(Debug)]
-pub(super) struct Gate {
+pub(crate) struct Gate {
     admission: Mutex<Admission<Sender<Permit>>>,
 }
 
 /// A slot; free again when dropped.
 #[derive(Debug)]
-pub(super) struct Permit {
+pub(crate) struct Permit {
     gate: Arc<Gate>,
     since: Instant,
 }
@@ -36,11 +36,24 @@
     ///
     /// The queue is full, or the deadline cannot be met or has passed.
     pub async fn enter(self: &Arc<Self>, deadline: Instant) -> Result<Permit, Refusal> {
+        self.enter_ranked(0, deadline).await
+    }
+
+    /// As [`Gate::enter`]; of the calls that wait, those of the lowest rank go first.
+    ///
+    /// # Errors
+    ///
+    /// The queue is full, or the deadline cannot be met or has passed.
+    pub async fn enter_ranked(
+        self: &Arc<Self>,
+        rank: u8,
+        deadline: Instant,
+    ) -> Result<Permit, Refusal> {
         let (sender, receiver) = bounded(1);
         let now = Instant::now();
         let arrival = {
             let mut admission = self.admission.lock().expect("admission lock");
-            admission.arrive(now, deadline, sender)
+            admission.arrive_ranked(now, rank, deadline, sender)
         };
         match arrival {
             Arrival::Admitted(_) => Ok(self.permit(now)),
@@ -50,6 +63,18 @@
         }
     }
 
+    /// A gate with a queue of so many calls for each slot.
+    pub fn with_queue(queued_per_slot: usize) -> Self {
+        Self {
+            admission: Mutex::new(Admission::with_queue(0, queued_per_slot)),
+        }
+    }
+
+    /// Time until the calls that wait now will have a slot.
+    pub fn backlog(&self) -> Duration {
+        self.admission.lock().expect("admission lock").backlog()
+    }
+
     /// Takes over the number of slots.
     pub fn resize(self: &Arc<Self>, slots: u16) {
         let now = Instant::now();
--- a/fulmarreel-node/src/serve/mod.rs
+++ b/fulmarreel-node/src/serve/mod.rs
@@ -2,8 +2,8 @@
 
 mod call;
 mod connection;
-mod gate;
-mod opener;
+pub(crate) mod gate;
+pub(crate) mod opener;
 
 use crate::{rollout::Moves, state::State, target::Client};
 use fulmarreel_call::Opener;
--- a/fulmarreel-node/src/serve/opener.rs
+++ b/fulmarreel-node/src/serve/opener.rs
@@ -6,19 +6,19 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// A whole answer, kept in case its connection was lost.
 #[derive(Debug)]
-pub(super) struct Kept {
+pub(crate) struct Kept {
     pub head: Head,
     pub body: Vec<u8>,
 }
 
 /// What is kept for one opener, over all its connections.
 #[derive(Debug, Default)]
-pub(super) struct Session {
+pub(crate) struct Session {
     pub ledger: Mutex<Ledger<Arc<Kept>>>,
     /// The writer of its newest connection.
     newest: Mutex<Option<Sender<Frame>>>,
@@ -58,13 +58,22 @@
 
     /// Refuses a call, unless it was handed over or refused before.
     pub async fn refuse(&self, sequence: u64, reason: Refusal) {
+        self.refuse_until(sequence, reason, Duration::ZERO).await;
+    }
+
+    /// As [`Session::refuse`], with the time after which it may be worth asking again.
+    pub async fn refuse_until(&self, sequence: u64, reason: Refusal, retry_after: Duration) {
         let refused = {
             let mut ledger = self.ledger.lock().expect("ledger lock");
             ledger.refuse(sequence, Instant::now())
         };
         if refused {
-            self.reply(Frame::Refused(Refused { sequence, reason }))
-                .await;
+            self.reply(Frame::Refused(Refused {
+                sequence,
+                reason,
+                retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
+            }))
+            .await;
         }
     }
 
--- a/fulmarreel-node/src/state/documents.rs
+++ b/fulmarreel-node/src/state/documents.rs
@@ -8,7 +8,7 @@
     log::Difference,
     readiness::Unready,
 };
-use fulmarreel_platform::keys;
+use fulmarreel_store::keys;
 use fulmarreel_wire::sync::BUCKETS;
 use smol::channel::Receiver;
 use std::{
--- a/fulmarreel-node/src/sync/duty.rs
+++ b/fulmarreel-node/src/sync/duty.rs
@@ -7,7 +7,7 @@
     backoff::Backoff,
     duty::{self, Scope, WATCHERS},
 };
-use fulmarreel_platform::etcd::Client;
+use fulmarreel_store::etcd::Client;
 use futures_lite::FutureExt;
 use smol::Timer;
 use std::{sync::Arc, time::Duration};
--- a/fulmarreel-node/src/sync/mod.rs
+++ b/fulmarreel-node/src/sync/mod.rs
@@ -14,7 +14,7 @@
 pub(crate) use exchange::compare;
 
 use crate::state::State;
-use fulmarreel_platform::etcd::{Client, Options};
+use fulmarreel_store::etcd::{Client, Options};
 use std::{sync::Arc, time::Duration};
 
 /// How long one call to the store may take.
--- a/fulmarreel-node/src/sync/seed.rs
+++ b/fulmarreel-node/src/sync/seed.rs
@@ -4,7 +4,7 @@
 use crate::state::State;
 use fastrand::Rng;
 use fulmarreel_distribution::backoff::Backoff;
-use fulmarreel_platform::{
+use fulmarreel_store::{
     Error, Lease, Store, Transaction,
     etcd::Client,
     keys::{self, Key},
--- a/fulmarreel-node/src/sync/slot.rs
+++ b/fulmarreel-node/src/sync/slot.rs
@@ -5,7 +5,7 @@
 
 use crate::state::State;
 use fulmarreel_distribution::duty::{SLOTS, Scope, WATCHERS};
-use fulmarreel_platform::{
+use fulmarreel_store::{
     Entry, Error, Lease, Outcome, Store, Transaction,
     etcd::Client,
     keys::{self, Key},
--- a/fulmarreel-node/src/sync/watch.rs
+++ b/fulmarreel-node/src/sync/watch.rs
@@ -4,7 +4,7 @@
 use crate::state::{News, State};
 use fastrand::Rng;
 use fulmarreel_distribution::{Entry, backoff::Backoff, duty::Scope};
-use fulmarreel_platform::{
+use fulmarreel_store::{
     Batch, Error, Event, Listing, Store,
     etcd::{Client, Watch},
     keys,
@@ -99,7 +99,7 @@
         .collect()
 }
 
-fn entry(entry: fulmarreel_platform::Entry) -> Entry {
+fn entry(entry: fulmarreel_store::Entry) -> Entry {
     Entry {
         key: entry.key,
         revision: entry.revision.0,
--- a/fulmarreel-node/tests/distribution/freeze.rs
+++ b/fulmarreel-node/tests/distribution/freeze.rs
@@ -2,7 +2,7 @@
 
 use super::support::{ZONES, document, key, knows, revision, targets, views};
 use anyhow::Context;
-use fulmarreel_platform::{
+use fulmarreel_store::{
     Store,
     etcd::{Client, Options},
     keys,
--- a/fulmarreel-node/tests/distribution/operators.rs
+++ b/fulmarreel-node/tests/distribution/operators.rs
@@ -2,7 +2,7 @@
 
 use super::support::{document, key};
 use anyhow::{Context, ensure};
-use fulmarreel_platform::{
+use fulmarreel_store::{
     Store,
     etcd::{Client, Options},
 };
--- a/fulmarreel-node/tests/moves/fencing.rs
+++ b/fulmarreel-node/tests/moves/fencing.rs
@@ -7,12 +7,12 @@
     settings,
     state::State,
 };
-use fulmarreel_platform::{
+use fulmarreel_rollout::{Plan, Publication};
+use fulmarreel_store::{
     Store, Transaction,
     etcd::{Client, Options},
     keys::Key,
 };
-use fulmarreel_rollout::{Plan, Publication};
 use fulmarreel_testing::{
     process::free_address,
     store::{Faults, Stand},
--- a/fulmarreel-node/tests/moves/support.rs
+++ b/fulmarreel-node/tests/moves/support.rs
@@ -3,12 +3,12 @@
 use anyhow::{Context, ensure};
 use fulmarreel_document::shift::Timestamp;
 use fulmarreel_node::state::unix_millis;
-use fulmarreel_platform::{
+use fulmarreel_rollout::{Publication, State};
+use fulmarreel_store::{
     Entry, Store,
     etcd::{Client, Options},
     keys::Key,
 };
-use fulmarreel_rollout::{Publication, State};
 use fulmarreel_testing::{
     load::{self, Report},
     process::{Mesh, eventually},
--- a/fulmarreel-rollout/src/lib.rs
+++ b/fulmarreel-rollout/src/lib.rs
@@ -3,10 +3,12 @@
 //! A node that owns a move feeds a [`Comparison`] with the fleet's [`Evidence`] and asks
 //! [`step::step()`] what to publish; every node joins the published [`State`] with
 //! [`State::join()`], chooses the version of each call with [`share::picks()`], and keeps a
-//! [`Guard`] that stops its own use of a version that fails here.
+//! [`Guard`] that stops its own use of a version that fails here. Moves of seconds are decided by
+//! [`brief`].
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod brief;
 pub mod compare;
 pub mod evidence;
 pub mod guard;
--- a/fulmarreel-platform/tests/platform.rs
+++ b/fulmarreel-store/tests/store.rs
@@ -1,6 +1,6 @@
 //! Contract tests: the trait, by the HTTP client, on the stand-in.
 
-mod platform {
+mod store {
     mod commit;
     mod faults;
     mod gateway;
--- a/fulmarreel-platform/tests/platform/commit.rs
+++ b/fulmarreel-store/tests/store/commit.rs
@@ -1,7 +1,7 @@
 //! Compare-and-swap, guards and the value limit.
 
 use super::support::{put, value, with_store, written};
-use fulmarreel_platform::{Error, Outcome, Revision, Store, Transaction, store::MAX_VALUE};
+use fulmarreel_store::{Error, Outcome, Revision, Store, Transaction, store::MAX_VALUE};
 use futures_lite::{StreamExt, stream};
 use rstest::rstest;
 
--- a/fulmarreel-platform/tests/platform/faults.rs
+++ b/fulmarreel-store/tests/store/faults.rs
@@ -1,7 +1,7 @@
 //! Outages, slowness and lost replies.
 
 use super::support::{TIMEOUT, client, put, start, value, with_store, written};
-use fulmarreel_platform::{
+use fulmarreel_store::{
     Error, Outcome, Revision, Store, Transaction,
     error::{Site, Step},
 };
@@ -77,7 +77,7 @@
 /// A store that wraps another: its first commits end unknown, after something else happened.
 mod unknown {
     use super::{Error, Outcome, Revision, Site, Step, Store, Transaction};
-    use fulmarreel_platform::{Entry, Lease, Listing, etcd};
+    use fulmarreel_store::{Entry, Lease, Listing, etcd};
     use std::{sync::Mutex, time::Duration};
 
     /// The transactions that happen in place of the first commit, whose reply is lost.
--- a/fulmarreel-platform/tests/platform/gateway.rs
+++ b/fulmarreel-store/tests/store/gateway.rs
@@ -1,7 +1,7 @@
 //! Answers of the gateway that the stand-in never gives, from a server that sends fixed bytes.
 
 use super::support::{IDLE, TIMEOUT, client};
-use fulmarreel_platform::{Error, Event, Revision, Store, Transaction, etcd::Client, watch::Watch};
+use fulmarreel_store::{Error, Event, Revision, Store, Transaction, etcd::Client, watch::Watch};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use rstest::rstest;
 use smol::{Task, Timer, net::TcpListener};
--- a/fulmarreel-platform/tests/platform/keys.rs
+++ b/fulmarreel-store/tests/store/keys.rs
@@ -1,6 +1,6 @@
 //! The key layout.
 
-use fulmarreel_platform::keys::{self, Error, Key};
+use fulmarreel_store::keys::{self, Error, Key};
 use rstest::rstest;
 
 #[rstest]
--- a/fulmarreel-platform/tests/platform/lease.rs
+++ b/fulmarreel-store/tests/store/lease.rs
@@ -1,7 +1,7 @@
 //! Leases: their keys, renewal, expiry and end.
 
 use super::support::{IDLE, events, put, value, with_store, written};
-use fulmarreel_platform::{Error, Event, Lease, Outcome, Store, Transaction, watch::Watch};
+use fulmarreel_store::{Error, Event, Lease, Outcome, Store, Transaction, watch::Watch};
 use rstest::rstest;
 use smol::Timer;
 use std::time::Duration;
--- a/fulmarreel-platform/tests/platform/read.rs
+++ b/fulmarreel-store/tests/store/read.rs
@@ -1,7 +1,7 @@
 //! Reading keys and prefixes.
 
 use super::support::{put, with_store};
-use fulmarreel_platform::{Revision, Store, Transaction};
+use fulmarreel_store::{Revision, Store, Transaction};
 use rstest::rstest;
 
 #[test]
--- a/fulmarreel-platform/tests/platform/support.rs
+++ b/fulmarreel-store/tests/store/support.rs
@@ -1,6 +1,6 @@
 //! What the contract tests share.
 
-use fulmarreel_platform::{
+use fulmarreel_store::{
     Batch, Event, Outcome, Revision, Store, Transaction,
     etcd::{Client, Options},
     watch::Watch,
--- a/fulmarreel-platform/tests/platform/watch.rs
+++ b/fulmarreel-store/tests/store/watch.rs
@@ -1,7 +1,7 @@
 //! Watches: replay, order, deletions, compaction, silence.
 
 use super::support::{IDLE, TIMEOUT, client, events, put, start, with_store};
-use fulmarreel_platform::{Error, Event, Revision, Store, Transaction, watch::Watch};
+use fulmarreel_store::{Error, Event, Revision, Store, Transaction, watch::Watch};
 use fulmarreel_testing::store::Faults;
 use rstest::rstest;
 use std::{
--- a/fulmarreel-wire/src/call.rs
+++ b/fulmarreel-wire/src/call.rs
@@ -88,6 +88,8 @@
     pub depth: u8,
     /// Whether it may be run more than once.
     pub idempotent: bool,
+    /// Its rank among the calls that wait for a slot, 0 for the most urgent.
+    pub rank: u8,
     /// The service called.
     pub service: String,
     /// The version that the opening node chose.
@@ -167,6 +169,19 @@
     pub sequence: u64,
     /// Why.
     pub reason: Refusal,
+    /// When it may be worth asking again, in milliseconds from now; 0 where that is not known.
+    pub retry_after_ms: u32,
+}
+
+impl Refused {
+    /// A refusal that does not say when to ask again.
+    pub fn new(sequence: u64, reason: Refusal) -> Self {
+        Self {
+            sequence,
+            reason,
+            retry_after_ms: 0,
+        }
+    }
 }
 
 /// Why a call was not handed to the target.
--- a/fulmarreel-wire/src/hello.rs
+++ b/fulmarreel-wire/src/hello.rs
@@ -10,6 +10,8 @@
     Sync,
     /// Reports on the versions of a service.
     Evidence,
+    /// What the accepting node holds of the store; it is sent at once.
+    Snapshot,
 }
 
 /// The first message in each direction of a TCP connection between nodes.
--- a/fulmarreel-wire/src/lib.rs
+++ b/fulmarreel-wire/src/lib.rs
@@ -1,7 +1,8 @@
 //! Messages that the system's own processes exchange, and their framing.
 //!
 //! A TCP connection opens with one [`Hello`] that names its [`Purpose`]; what follows is a stream
-//! of [`call::Frame`], [`sync::Frame`] or [`evidence::Report`]. Membership travels as [`gossip::Datagram`] over UDP.
+//! of [`call::Frame`], [`sync::Frame`] or [`evidence::Report`]. Membership travels as
+//! [`gossip::Datagram`] over UDP, short word between the nodes of the platform as [`notice::Notice`].
 //! All of it is encoded with `postcard`; [`framing`] puts frames on a byte stream.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
@@ -11,6 +12,7 @@
 pub mod framing;
 pub mod gossip;
 mod hello;
+pub mod notice;
 pub mod sync;
 
 pub use hello::{Hello, Purpose};
--- /dev/null
+++ b/fulmarreel-wire/src/notice.rs
@@ -0,0 +1,122 @@
+//! Short word between nodes over UDP, and what a node holds of the store over TCP.
+
+use crate::framing;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The most bytes in one datagram, below the smallest usual MTU.
+pub const MAX_DATAGRAM_BYTES: usize = 1_200;
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// The sender's [`PROTOCOL`](crate::PROTOCOL).
+    pub protocol: u16,
+    /// Where the sender accepts peers.
+    pub from: SocketAddr,
+    /// What it says.
+    pub notice: Notice,
+}
+
+/// What a datagram says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Notice {
+    /// The revision up to which the sender knows the store.
+    Revision(u64),
+    /// What the sender has seen of both versions of a service that moves.
+    Tally(Tally),
+    /// The share of a service's new version, from the node that owns the move.
+    Share(Share),
+    /// The new version is bad.
+    Bad {
+        /// The service.
+        service: String,
+        /// The revision of the order to move.
+        order: u64,
+    },
+}
+
+/// What one node has seen of a move since its order; later ones replace earlier ones.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Tally {
+    /// The service.
+    pub service: String,
+    /// The revision of the order to move.
+    pub order: u64,
+    /// The counts by route.
+    pub routes: Vec<Route>,
+}
+
+/// Counts of one route.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// Hash of the route's name.
+    pub route: u64,
+    /// Of the version that traffic moves away from.
+    pub old: Counts,
+    /// Of the version that it moves to.
+    pub new: Counts,
+}
+
+/// How calls went.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Calls that ended at a target.
+    pub calls: u32,
+    /// Those that failed.
+    pub failed: u32,
+    /// Those that were answered far later than usual.
+    pub slow: u32,
+}
+
+/// The share of a service's new version.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    /// The service.
+    pub service: String,
+    /// The revision of the order to move.
+    pub order: u64,
+    /// Calls in a thousand that go to the new version.
+    pub permille: u16,
+}
+
+/// What a node holds of the store.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The revision up to which it is complete.
+    pub revision: u64,
+    /// Every item, in the order of their keys.
+    pub items: Vec<Item>,
+}
+
+/// One item of the store.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Item {
+    /// The whole key.
+    pub key: String,
+    /// The revision of its last write.
+    pub revision: u64,
+    /// Its value.
+    #[serde(with = "serde_bytes")]
+    pub value: Vec<u8>,
+}
+
+impl Datagram {
+    /// The bytes to send.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, framing::Error> {
+        framing::encode_bare(self)
+    }
+
+    /// Reads what was received.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no datagram.
+    pub fn decode(bytes: &[u8]) -> Result<Self, framing::Error> {
+        framing::decode(bytes)
+    }
+}
--- a/fulmarreel/src/apply.rs
+++ b/fulmarreel/src/apply.rs
@@ -1,7 +1,7 @@
 //! Writes documents to the store, each by compare-and-swap on the revision that was read.
 
 use crate::{File, stored::Documents};
-use fulmarreel_platform::{self as platform, Revision, Store, Transaction, keys::Key};
+use fulmarreel_store::{self as platform, Revision, Store, Transaction, keys::Key};
 use std::collections::BTreeSet;
 
 /// How documents are applied.
--- a/fulmarreel/src/cli/arguments.rs
+++ b/fulmarreel/src/cli/arguments.rs
@@ -1,7 +1,7 @@
 //! Arguments of the command line.
 
 use fulmarreel_document::Service;
-use fulmarreel_platform::Revision;
+use fulmarreel_store::Revision;
 use pico_args::Arguments as Parser;
 use std::{ffi::OsString, path::PathBuf, time::Duration};
 
--- a/fulmarreel/src/cli/run.rs
+++ b/fulmarreel/src/cli/run.rs
@@ -7,11 +7,11 @@
 };
 use crate::{apply, check, delete, diff, file, get, history, status, stored, wait};
 use fulmarreel_document::{Service, shift::Timestamp};
-use fulmarreel_platform::{
+use fulmarreel_rollout::state::Phase;
+use fulmarreel_store::{
     Error, Revision,
     etcd::{Client, Options},
 };
-use fulmarreel_rollout::state::Phase;
 use std::{
     io,
     path::PathBuf,
--- a/fulmarreel/src/delete.rs
+++ b/fulmarreel/src/delete.rs
@@ -2,7 +2,7 @@
 
 use crate::stored::Documents;
 use fulmarreel_document::{Document, Service};
-use fulmarreel_platform::{self as platform, Revision, Store, Transaction, keys::Key};
+use fulmarreel_store::{self as platform, Revision, Store, Transaction, keys::Key};
 
 /// Why a document was not deleted, or may not have been.
 #[derive(Debug, thiserror::Error)]
--- a/fulmarreel/src/diff.rs
+++ b/fulmarreel/src/diff.rs
@@ -1,7 +1,7 @@
 //! Compares documents with those in the store, and writes nothing.
 
 use crate::{File, stored::Documents};
-use fulmarreel_platform::Revision;
+use fulmarreel_store::Revision;
 use similar::TextDiff;
 
 /// Lines around a change that are shown with it.
--- a/fulmarreel/src/get.rs
+++ b/fulmarreel/src/get.rs
@@ -1,7 +1,7 @@
 //! Reads documents from the store.
 
 use crate::stored::{self, Documents};
-use fulmarreel_platform::{self as platform, Store};
+use fulmarreel_store::{self as platform, Store};
 
 /// Why there is nothing to show.
 #[derive(Debug, thiserror::Error)]
--- a/fulmarreel/src/history.rs
+++ b/fulmarreel/src/history.rs
@@ -1,7 +1,7 @@
 //! The outcomes of past moves.
 
 use crate::stored::{self, Move};
-use fulmarreel_platform::{self as platform, Store};
+use fulmarreel_store::{self as platform, Store};
 
 /// Reads the outcomes of moves of some services, or of all where none is named.
 ///
--- a/fulmarreel/src/status.rs
+++ b/fulmarreel/src/status.rs
@@ -4,7 +4,7 @@
     get,
     stored::{self, Move, Stored},
 };
-use fulmarreel_platform::Store;
+use fulmarreel_store::Store;
 
 /// One service's standing.
 #[derive(Debug)]
--- a/fulmarreel/src/stored/mod.rs
+++ b/fulmarreel/src/stored/mod.rs
@@ -6,8 +6,8 @@
 pub use read::{documents, history, moves};
 
 use fulmarreel_document::{Document, Service, parse};
-use fulmarreel_platform::Revision;
 use fulmarreel_rollout::{State, publication};
+use fulmarreel_store::Revision;
 use std::collections::BTreeMap;
 
 /// A document in the store.
--- a/fulmarreel/src/stored/read.rs
+++ b/fulmarreel/src/stored/read.rs
@@ -2,11 +2,11 @@
 
 use super::{Documents, Malformed, Move, Stored};
 use fulmarreel_document::parse;
-use fulmarreel_platform::{
+use fulmarreel_rollout::Publication;
+use fulmarreel_store::{
     Entry, Error, Store,
     keys::{self, Key},
 };
-use fulmarreel_rollout::Publication;
 
 /// Reads every document.
 pub async fn documents(store: &impl Store) -> Result<Documents, Error> {
--- a/fulmarreel/src/wait.rs
+++ b/fulmarreel/src/wait.rs
@@ -2,10 +2,8 @@
 
 use crate::stored::{self, Malformed};
 use fulmarreel_document::{Document, parse};
-use fulmarreel_platform::{
-    self as platform, Entry, Event, Revision, Store, keys::Key, watch::Watch,
-};
 use fulmarreel_rollout::State;
+use fulmarreel_store::{self as platform, Entry, Event, Revision, Store, keys::Key, watch::Watch};
 use smol::{Timer, future::or};
 use std::time::{Duration, Instant};
 
--- a/fulmarreel/tests/cli/apply.rs
+++ b/fulmarreel/tests/cli/apply.rs
@@ -4,7 +4,7 @@
     cli::Exit,
     file, stored,
 };
-use fulmarreel_platform::Revision;
+use fulmarreel_store::Revision;
 use fulmarreel_testing::store::Faults;
 
 const RESERVAS: &str = "fulmarreel/documents/reservas";
--- a/fulmarreel/tests/cli/support.rs
+++ b/fulmarreel/tests/cli/support.rs
@@ -2,7 +2,7 @@
 
 use fulmarreel::cli::{self, Environment, Exit};
 use fulmarreel_document::shift::Timestamp;
-use fulmarreel_platform::{
+use fulmarreel_store::{
     Store, Transaction,
     etcd::{Client, Options},
 };
