fix(node): a request waits for a slot only while its objective can be met

Ruled out: the store and the move (the fall begins with the burst, after both). Change: a request says how long it may wait for a slot (objective less its usual work), a queue refuses what cannot start by then and says when to come back; a stopping node takes nothing after 2.7 s.

--- a/fulmarreel-balance/src/admission.rs
+++ b/fulmarreel-balance/src/admission.rs
@@ -38,6 +38,13 @@
     Expired(T),
 }
 
+/// What a call's deadline is for.
+#[derive(Debug, Clone, Copy)]
+enum Due {
+    End(Instant),
+    Start(Instant),
+}
+
 /// The slots of a target, and the calls that wait for one; `T` stands for a waiting call.
 #[derive(Debug)]
 pub struct Admission<T> {
@@ -82,29 +89,38 @@
         self.slots
     }
 
-    /// Takes a call in, queues it or refuses it.
+    /// Takes a call in that is to end by its deadline, queues it or refuses it.
     pub fn arrive(&mut self, now: Instant, deadline: Instant, call: T) -> Arrival<T> {
-        self.arrive_ranked(now, 0, deadline, call)
+        self.enter(now, Due::End(deadline), 0, call)
     }
 
-    /// As [`Admission::arrive`]; of the calls that wait, those of the lowest rank go first.
+    /// Takes a call in that is to have a slot by `start_by`, queues it or refuses it; of the calls
+    /// that wait, those of the lowest rank go first.
     pub fn arrive_ranked(
         &mut self,
         now: Instant,
         rank: u8,
-        deadline: Instant,
+        start_by: Instant,
         call: T,
     ) -> Arrival<T> {
+        self.enter(now, Due::Start(start_by), rank, call)
+    }
+
+    fn enter(&mut self, now: Instant, due: Due, rank: u8, call: T) -> Arrival<T> {
         if self.running < self.slots && self.waiting.is_empty() {
             self.running += 1;
             return Arrival::Admitted(call);
         }
         let full = self.waiting.len() >= MIN_QUEUE.max(self.slots * self.queued_per_slot);
-        if full || now + self.expected(rank, deadline) > deadline {
+        let (by, work) = match due {
+            Due::End(by) => (by, self.mean_held),
+            Due::Start(by) => (by, Duration::ZERO),
+        };
+        if full || now + self.wait(rank, by) + work > by {
             return Arrival::Refused(call);
         }
         self.arrivals += 1;
-        self.waiting.insert((rank, deadline, self.arrivals), call);
+        self.waiting.insert((rank, by, self.arrivals), call);
         Arrival::Queued
     }
 
@@ -151,11 +167,11 @@
         self.mean_held.mul_f64(rounds)
     }
 
-    /// Time until a call of that rank and deadline would end, by the mean of earlier calls.
-    fn expected(&self, rank: u8, deadline: Instant) -> Duration {
+    /// Time until a call of that rank and deadline would have a slot, by the mean of earlier calls.
+    fn wait(&self, rank: u8, deadline: Instant) -> Duration {
         let last = (rank, deadline, u64::MAX);
         let ahead = self.waiting.range(..=last).count();
         let rounds = (ahead + 1) as f64 / self.slots.max(1) as f64;
-        self.mean_held.mul_f64(rounds + 1.0)
+        self.mean_held.mul_f64(rounds)
     }
 }
--- a/fulmarreel-node/src/ingress/exchange.rs
+++ b/fulmarreel-node/src/ingress/exchange.rs
@@ -227,6 +227,7 @@
             rank: 0,
             sequence: self.sequence,
             remaining_ms: remaining.as_millis() as u32,
+            patience_ms: remaining.as_millis() as u32,
             attempt: request.attempt.saturating_add(self.attempt),
             depth: request.depth,
             idempotent: self.destination.route.idempotent(),
--- a/fulmarreel-node/src/mesh/caller.rs
+++ b/fulmarreel-node/src/mesh/caller.rs
@@ -27,7 +27,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -46,6 +46,12 @@
 /// The part of the time left after which a caller is told to come back at the latest.
 const MAX_RETRY_PART: f64 = 0.3;
 
+/// Time that a process takes to start again.
+const RESTART: Duration = Duration::from_millis(500);
+
+/// The part of its objective that a request may wait for a slot, however long its work takes.
+const MIN_PATIENCE: f64 = 0.2;
+
 /// The lowest status that says the target failed.
 const FIRST_SERVER_ERROR: u16 = 500;
 
@@ -71,6 +77,8 @@
     sizes: Mutex<HashMap<String, f64>>,
     next_sequence: AtomicU64,
     in_flight: AtomicUsize,
+    /// Set once no further requests are taken: when the process ends at the latest.
+    closed: OnceLock<Instant>,
 }
 
 /// A request that is counted as in flight until dropped.
@@ -140,6 +148,7 @@
             sizes: Mutex::default(),
             next_sequence: AtomicU64::new(1),
             in_flight: AtomicUsize::new(0),
+            closed: OnceLock::new(),
         }
     }
 
@@ -148,6 +157,12 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
+    /// Takes no further requests; the process ends at `end` at the latest.
+    pub fn close(&self, end: Instant) {
+        // A second call would say the same.
+        let _ = self.closed.set(end);
+    }
+
     /// What is known of targets, and the connections to their nodes.
     pub fn reach(&self) -> (Arc<Targets>, Arc<Pool>) {
         (Arc::clone(&self.targets), Arc::clone(&self.pool))
@@ -166,6 +181,10 @@
 
     async fn serve(&self, mut conn: Conn, watcher: &Watcher) -> Conn {
         let started = Instant::now();
+        if let Some(end) = self.closed.get() {
+            let until = end.saturating_duration_since(started);
+            return refuse(conn, "this node is stopping", until + RESTART);
+        }
         let view = self.world.view();
         let Some(table) = &view.table else {
             let reason = "no configuration is known yet";
@@ -242,6 +261,7 @@
         Open {
             sequence: 0,
             remaining_ms: 0,
+            patience_ms: 0,
             attempt: 0,
             depth: 0,
             idempotent: request.route.idempotent,
@@ -278,6 +298,7 @@
                 return last.hinted(&tried);
             }
             open.remaining_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+            open.patience_ms = self.patience(request, &target);
             let exchange = Exchange {
                 server: &self.server,
                 pool: &self.pool,
@@ -347,6 +368,20 @@
         }
     }
 
+    /// How long a request may wait for a slot of a target: as long as its answer can be expected
+    /// within the objective, but a part of that in any case.
+    fn patience(&self, request: &Request<'_>, target: &Target) -> u32 {
+        let now = Instant::now();
+        let work = self.targets.candidate(target, &request.route.name).work;
+        let objective = request.route.objective;
+        let latest = (request.started + objective).min(request.limit);
+        let wait = latest.saturating_duration_since(now + work);
+        let least = objective.mul_f64(MIN_PATIENCE);
+        let left = request.limit.saturating_duration_since(now + work);
+        let wait = wait.max(least.min(left));
+        u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
+    }
+
     /// Whether there is time for a further target to answer.
     fn is_worth_another(&self, request: &Request<'_>) -> bool {
         let usual = self.targets.usual(&request.route.name).unwrap_or_default();
--- a/fulmarreel-node/src/mesh/serve.rs
+++ b/fulmarreel-node/src/mesh/serve.rs
@@ -199,11 +199,8 @@
         let deadline = Instant::now() + Duration::from_millis(u64::from(open.remaining_ms));
         self.target_for(open)
             .map_err(|reason| refused(reason, Duration::ZERO))?;
-        let permit = or(self.gate.enter_ranked(open.rank, deadline), async {
-            Timer::at(deadline).await;
-            Err(Refusal::Deadline)
-        })
-        .await;
+        let start_by = Instant::now() + Duration::from_millis(u64::from(open.patience_ms));
+        let permit = self.gate.enter_ranked(open.rank, start_by).await;
         let permit = permit.map_err(|reason| refused(reason, self.gate.backlog()))?;
         // The target may have left while the request waited.
         let target = self
--- a/fulmarreel-node/src/mesh/stop.rs
+++ b/fulmarreel-node/src/mesh/stop.rs
@@ -11,10 +11,13 @@
 };
 
 /// How long callers are still served after the node has said that it is not ready.
-const LINGER: Duration = Duration::from_millis(2_500);
+const LINGER: Duration = Duration::from_millis(2_200);
 
 /// Time before the platform's own limit at which the process ends in any case.
-const RESERVE: Duration = Duration::from_millis(400);
+const RESERVE: Duration = Duration::from_millis(700);
+
+/// How long after the signal requests are still taken; later ones might not end in time.
+const LAST_CALL: Duration = Duration::from_millis(2_700);
 
 /// How often the end of requests is looked for.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -47,6 +50,11 @@
     server.leave();
     let start = Instant::now();
     let end = start + world.settings().grace.saturating_sub(RESERVE);
+    let last_call = Arc::clone(&caller);
+    crate::runtime::spawn(async move {
+        Timer::at(start + LAST_CALL).await;
+        last_call.close(end);
+    });
     Timer::after(LINGER).await;
     while Instant::now() < end && server.in_flight() + caller.in_flight() > 0 {
         Timer::after(CHECK_INTERVAL).await;
--- a/fulmarreel-node/src/serve/gate.rs
+++ b/fulmarreel-node/src/serve/gate.rs
@@ -2,7 +2,11 @@
 
 use fulmarreel_balance::admission::{Admission, Arrival, Release};
 use fulmarreel_wire::call::Refusal;
-use smol::channel::{Sender, bounded};
+use smol::{
+    Timer,
+    channel::{Sender, bounded},
+    future::or,
+};
 use std::{
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -36,24 +40,42 @@
     ///
     /// The queue is full, or the deadline cannot be met or has passed.
     pub async fn enter(self: &Arc<Self>, deadline: Instant) -> Result<Permit, Refusal> {
-        self.enter_ranked(0, deadline).await
+        self.wait(|admission, now, call| admission.arrive(now, deadline, call))
+            .await
     }
 
-    /// As [`Gate::enter`]; of the calls that wait, those of the lowest rank go first.
+    /// Waits for a slot until `start_by`; of the calls that wait, those of the lowest rank go first.
     ///
     /// # Errors
     ///
-    /// The queue is full, or the deadline cannot be met or has passed.
+    /// The queue is full, or no slot is free in time.
     pub async fn enter_ranked(
         self: &Arc<Self>,
         rank: u8,
-        deadline: Instant,
+        start_by: Instant,
+    ) -> Result<Permit, Refusal> {
+        let wait =
+            self.wait(|admission, now, call| admission.arrive_ranked(now, rank, start_by, call));
+        or(wait, async {
+            Timer::at(start_by).await;
+            Err(Refusal::Overloaded)
+        })
+        .await
+    }
+
+    async fn wait(
+        self: &Arc<Self>,
+        arrive: impl FnOnce(
+            &mut Admission<Sender<Permit>>,
+            Instant,
+            Sender<Permit>,
+        ) -> Arrival<Sender<Permit>>,
     ) -> Result<Permit, Refusal> {
         let (sender, receiver) = bounded(1);
         let now = Instant::now();
         let arrival = {
             let mut admission = self.admission.lock().expect("admission lock");
-            admission.arrive_ranked(now, rank, deadline, sender)
+            arrive(&mut admission, now, sender)
         };
         match arrival {
             Arrival::Admitted(_) => Ok(self.permit(now)),
