--- a/fulmarreel-http/src/connection.rs
+++ b/fulmarreel-http/src/connection.rs
@@ -9,7 +9,12 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
-use std::{io, net::SocketAddr, time::Instant};
+use socket2::{SockRef, TcpKeepalive};
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 /// The most headers of an answer.
 const MAX_HEADERS: usize = 64;
@@ -23,6 +28,9 @@
 /// Bytes that are read at once.
 const READ_BYTES: usize = 16_384;
 
+/// Probes without an answer after which a host counts as silent.
+const PROBES: u32 = 2;
+
 /// Why an exchange brought no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -79,6 +87,21 @@
         })
     }
 
+    /// Has the connection fail where the server's host is silent for about `limit`, also while
+    /// nothing is sent. Several probes are sent in that time.
+    ///
+    /// # Errors
+    ///
+    /// The option cannot be set.
+    pub fn detect_silence(&self, limit: Duration) -> io::Result<()> {
+        let interval = (limit / (PROBES + 1)).max(Duration::from_secs(1));
+        let keepalive = TcpKeepalive::new()
+            .with_time(interval)
+            .with_interval(interval)
+            .with_retries(PROBES);
+        SockRef::from(&self.tcp).set_tcp_keepalive(&keepalive)
+    }
+
     /// Whether the last answer was whole and leaves the connection open.
     pub fn is_reusable(&self) -> bool {
         self.reusable
--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -131,10 +131,11 @@
         let notices = Arc::clone(self);
         crate::runtime::spawn(async move {
             Timer::after(STORE_FIRST).await;
-            if revision > notices.world.revision()
-                && let Err(error) = sync::pull(&notices.world, peer).await
-            {
-                log::info!(peer:% = peer; "pull: {error}");
+            if revision > notices.world.revision() {
+                notices.world.fall_behind();
+                if let Err(error) = sync::pull(&notices.world, peer).await {
+                    log::info!(peer:% = peer; "pull: {error}");
+                }
             }
             notices.pulling.store(false, Ordering::Release);
         });
--- a/fulmarreel-node/src/mesh/stop.rs
+++ b/fulmarreel-node/src/mesh/stop.rs
@@ -50,16 +50,16 @@
     server.leave();
     let start = Instant::now();
     let end = start + world.settings().grace.saturating_sub(RESERVE);
-    let last_call = Arc::clone(&caller);
-    crate::runtime::spawn(async move {
-        Timer::at(start + LAST_CALL).await;
-        last_call.close(end);
-    });
     Timer::after(LINGER).await;
-    while Instant::now() < end && server.in_flight() + caller.in_flight() > 0 {
+    while Instant::now() < start + LAST_CALL && server.in_flight() + caller.in_flight() > 0 {
         Timer::after(CHECK_INTERVAL).await;
     }
+    // What arrives from here on is refused, so that the process ends with no request half served.
+    caller.close(end);
     Timer::after(FLUSH).await;
+    while Instant::now() < end && server.in_flight() + caller.in_flight() > 0 {
+        Timer::after(CHECK_INTERVAL).await;
+    }
     let unfinished = server.in_flight() + caller.in_flight();
     let after_ms = start.elapsed().as_millis() as u64;
     log::info!(after_ms, unfinished; "stopped");
--- a/fulmarreel-node/src/mesh/sync.rs
+++ b/fulmarreel-node/src/mesh/sync.rs
@@ -58,7 +58,16 @@
     let from = Revision(world.revision()).next();
     let mut watch = world.store.watch("", from, WATCH_WAIT).await?;
     loop {
-        let batch = watch.next().await?;
+        let next = async { watch.next().await.map(Some) };
+        let next = or(next, async {
+            world.is_behind().await;
+            Ok(None)
+        });
+        let Some(batch) = next.await? else {
+            // The watch's connection may have gone silent; the next wait opens another one.
+            log::info!(revision = world.revision(); "a peer knows more than the watch");
+            continue;
+        };
         if std::mem::take(lost) {
             log::info!(revision = batch.revision.0; "store regained");
         }
--- a/fulmarreel-node/src/mesh/world.rs
+++ b/fulmarreel-node/src/mesh/world.rs
@@ -7,6 +7,7 @@
     mirror::{Change, Item},
 };
 use fulmarreel_platform::{Settings, store};
+use smol::channel::{Receiver, Sender, bounded};
 use std::{
     collections::BTreeMap,
     sync::{
@@ -26,6 +27,8 @@
     mirror: Mutex<Mirror>,
     view: RwLock<Arc<View>>,
     stopping: AtomicBool,
+    /// Word that a peer knows more of the store than the store has told.
+    behind: (Sender<()>, Receiver<()>),
 }
 
 impl World {
@@ -38,6 +41,7 @@
             mirror: Mutex::default(),
             view: RwLock::default(),
             stopping: AtomicBool::new(false),
+            behind: bounded(1),
         }
     }
 
@@ -86,6 +90,18 @@
         }
     }
 
+    /// Notes that a peer knows more of the store than the store has told this node.
+    pub fn fall_behind(&self) {
+        // One word that waits is enough.
+        let _ = self.behind.0.try_send(());
+    }
+
+    /// Waits for such word.
+    pub async fn is_behind(&self) {
+        // The sender lives as long as the receiver.
+        let _ = self.behind.1.recv().await;
+    }
+
     /// Notes that the process is about to end.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
