--- a/fulmarreel-balance/src/admission.rs
+++ b/fulmarreel-balance/src/admission.rs
@@ -38,11 +38,27 @@
     Expired(T),
 }
 
+/// How long a call waits for a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// By when it wants a slot; it is refused where it cannot expect one.
+    pub wanted: Instant,
+    /// When it gives up.
+    pub latest: Instant,
+}
+
 /// What a call's deadline is for.
 #[derive(Debug, Clone, Copy)]
 enum Due {
     End(Instant),
-    Start(Instant),
+    Start(Patience),
+}
+
+/// A call that waits.
+#[derive(Debug)]
+struct Waiting<T> {
+    latest: Instant,
+    call: T,
 }
 
 /// The slots of a target, and the calls that wait for one; `T` stands for a waiting call.
@@ -51,7 +67,7 @@
     slots: usize,
     queued_per_slot: usize,
     running: usize,
-    waiting: BTreeMap<(u8, Instant, u64), T>,
+    waiting: BTreeMap<(u8, Instant, u64), Waiting<T>>,
     arrivals: u64,
     mean_held: Duration,
 }
@@ -94,16 +110,19 @@
         self.enter(now, Due::End(deadline), 0, call)
     }
 
-    /// Takes a call in that is to have a slot by `start_by`, queues it or refuses it; of the calls
-    /// that wait, those of the lowest rank go first.
+    /// Takes a call in that waits for a slot as its patience allows, queues it or refuses it; of the
+    /// calls that wait, those of the lowest rank go first.
+    ///
+    /// The first in line waits until the latest time, also where it cannot have a slot by the wanted
+    /// one: little stands between it and a slot, and a refusal may waste what led to it.
     pub fn arrive_ranked(
         &mut self,
         now: Instant,
         rank: u8,
-        start_by: Instant,
+        patience: Patience,
         call: T,
     ) -> Arrival<T> {
-        self.enter(now, Due::Start(start_by), rank, call)
+        self.enter(now, Due::Start(patience), rank, call)
     }
 
     fn enter(&mut self, now: Instant, due: Due, rank: u8, call: T) -> Arrival<T> {
@@ -112,15 +131,23 @@
             return Arrival::Admitted(call);
         }
         let full = self.waiting.len() >= MIN_QUEUE.max(self.slots * self.queued_per_slot);
-        let (by, work) = match due {
-            Due::End(by) => (by, self.mean_held),
-            Due::Start(by) => (by, Duration::ZERO),
+        let (by, latest, in_time) = match due {
+            Due::End(by) => {
+                let ahead = self.ahead(rank, by);
+                (by, by, now + self.wait(ahead) + self.mean_held <= by)
+            }
+            Due::Start(Patience { wanted, latest }) => {
+                let ahead = self.ahead(rank, wanted);
+                let by = if ahead == 0 { latest } else { wanted };
+                (wanted, latest, now + self.wait(ahead) <= by)
+            }
         };
-        if full || now + self.wait(rank, by) + work > by {
+        if full || !in_time {
             return Arrival::Refused(call);
         }
         self.arrivals += 1;
-        self.waiting.insert((rank, by, self.arrivals), call);
+        let waiting = Waiting { latest, call };
+        self.waiting.insert((rank, by, self.arrivals), waiting);
         Arrival::Queued
     }
 
@@ -146,11 +173,11 @@
     fn release(&mut self, now: Instant) -> Vec<Release<T>> {
         let mut released = Vec::new();
         while let Some(first) = self.waiting.first_entry() {
-            let expired = first.key().1 <= now;
+            let expired = first.get().latest <= now;
             if !expired && self.running >= self.slots {
                 break;
             }
-            let call = first.remove();
+            let call = first.remove().call;
             if expired {
                 released.push(Release::Expired(call));
             } else {
@@ -163,14 +190,16 @@
 
     /// Time until the calls that wait now will have a slot, by the mean of earlier calls.
     pub fn backlog(&self) -> Duration {
-        let rounds = (self.waiting.len() + 1) as f64 / self.slots.max(1) as f64;
-        self.mean_held.mul_f64(rounds)
+        self.wait(self.waiting.len())
+    }
+
+    /// Calls that wait before one of that rank and deadline.
+    fn ahead(&self, rank: u8, deadline: Instant) -> usize {
+        self.waiting.range(..=(rank, deadline, u64::MAX)).count()
     }
 
-    /// Time until a call of that rank and deadline would have a slot, by the mean of earlier calls.
-    fn wait(&self, rank: u8, deadline: Instant) -> Duration {
-        let last = (rank, deadline, u64::MAX);
-        let ahead = self.waiting.range(..=last).count();
+    /// Time until a call behind so many has a slot, by the mean of earlier calls.
+    fn wait(&self, ahead: usize) -> Duration {
         let rounds = (ahead + 1) as f64 / self.slots.max(1) as f64;
         self.mean_held.mul_f64(rounds)
     }
--- a/fulmarreel-node/src/mesh/caller.rs
+++ b/fulmarreel-node/src/mesh/caller.rs
@@ -49,7 +49,7 @@
 /// Time that a process takes to start again.
 const RESTART: Duration = Duration::from_millis(500);
 
-/// The part of its objective that a request may wait for a slot, however long its work takes.
+/// The part of its objective within which a request wants a slot at the least.
 const MIN_PATIENCE: f64 = 0.2;
 
 /// The lowest status that says the target failed.
@@ -261,7 +261,8 @@
         Open {
             sequence: 0,
             remaining_ms: 0,
-            patience_ms: 0,
+            wanted_ms: 0,
+            latest_ms: 0,
             attempt: 0,
             depth: 0,
             idempotent: request.route.idempotent,
@@ -298,7 +299,7 @@
                 return last.hinted(&tried);
             }
             open.remaining_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-            open.patience_ms = self.patience(request, &target);
+            (open.wanted_ms, open.latest_ms) = self.patience(request, &target);
             let exchange = Exchange {
                 server: &self.server,
                 pool: &self.pool,
@@ -368,18 +369,19 @@
         }
     }
 
-    /// How long a request may wait for a slot of a target: as long as its answer can be expected
-    /// within the objective, but a part of that in any case.
-    fn patience(&self, request: &Request<'_>, target: &Target) -> u32 {
+    /// Within how many milliseconds a request wants a slot of a target, and after how many it no
+    /// longer waits: by when its answer can be expected within its objective, and within its limit.
+    fn patience(&self, request: &Request<'_>, target: &Target) -> (u32, u32) {
         let now = Instant::now();
         let work = self.targets.candidate(target, &request.route.name).work;
         let objective = request.route.objective;
-        let latest = (request.started + objective).min(request.limit);
-        let wait = latest.saturating_duration_since(now + work);
-        let least = objective.mul_f64(MIN_PATIENCE);
-        let left = request.limit.saturating_duration_since(now + work);
-        let wait = wait.max(least.min(left));
-        u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
+        let left = |until: Instant| until.saturating_duration_since(now + work);
+        let latest = left(request.limit);
+        let wanted = left(request.started + objective)
+            .max(objective.mul_f64(MIN_PATIENCE))
+            .min(latest);
+        let ms = |wait: Duration| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        (ms(wanted), ms(latest))
     }
 
     /// Whether there is time for a further target to answer.
--- a/fulmarreel-node/src/mesh/serve.rs
+++ b/fulmarreel-node/src/mesh/serve.rs
@@ -11,6 +11,7 @@
         opener::{Kept, Session},
     },
 };
+use fulmarreel_balance::admission::Patience;
 use fulmarreel_call::{Fate, Opener, ledger::Cancellation};
 use fulmarreel_http::Response;
 use fulmarreel_membership::{Announcement, announcement::Register};
@@ -196,11 +197,16 @@
             reason,
             retry_after,
         };
-        let deadline = Instant::now() + Duration::from_millis(u64::from(open.remaining_ms));
+        let now = Instant::now();
+        let deadline = now + Duration::from_millis(u64::from(open.remaining_ms));
         self.target_for(open)
             .map_err(|reason| refused(reason, Duration::ZERO))?;
-        let start_by = Instant::now() + Duration::from_millis(u64::from(open.patience_ms));
-        let permit = self.gate.enter_ranked(open.rank, start_by).await;
+        let within = |ms: u32| now + Duration::from_millis(u64::from(ms));
+        let patience = Patience {
+            wanted: within(open.wanted_ms),
+            latest: within(open.latest_ms),
+        };
+        let permit = self.gate.enter_ranked(open.rank, patience).await;
         let permit = permit.map_err(|reason| refused(reason, self.gate.backlog()))?;
         // The target may have left while the request waited.
         let target = self
--- a/fulmarreel-node/src/serve/gate.rs
+++ b/fulmarreel-node/src/serve/gate.rs
@@ -1,6 +1,6 @@
 //! The slots of the own target, as tasks wait for them.
 
-use fulmarreel_balance::admission::{Admission, Arrival, Release};
+use fulmarreel_balance::admission::{Admission, Arrival, Patience, Release};
 use fulmarreel_wire::call::Refusal;
 use smol::{
     Timer,
@@ -44,7 +44,8 @@
             .await
     }
 
-    /// Waits for a slot until `start_by`; of the calls that wait, those of the lowest rank go first.
+    /// Waits for a slot as its patience allows; of the calls that wait, those of the lowest rank go
+    /// first.
     ///
     /// # Errors
     ///
@@ -52,12 +53,12 @@
     pub async fn enter_ranked(
         self: &Arc<Self>,
         rank: u8,
-        start_by: Instant,
+        patience: Patience,
     ) -> Result<Permit, Refusal> {
         let wait =
-            self.wait(|admission, now, call| admission.arrive_ranked(now, rank, start_by, call));
+            self.wait(|admission, now, call| admission.arrive_ranked(now, rank, patience, call));
         or(wait, async {
-            Timer::at(start_by).await;
+            Timer::at(patience.latest).await;
             Err(Refusal::Overloaded)
         })
         .await
--- a/fulmarreel-wire/src/call.rs
+++ b/fulmarreel-wire/src/call.rs
@@ -82,8 +82,10 @@
     pub sequence: u64,
     /// Time left to its deadline in milliseconds; clocks are not compared across nodes.
     pub remaining_ms: u32,
-    /// How long it may wait for a slot, in milliseconds.
-    pub patience_ms: u32,
+    /// Within how many milliseconds it wants a slot.
+    pub wanted_ms: u32,
+    /// After how many milliseconds it no longer waits for one.
+    pub latest_ms: u32,
     /// How many targets it was sent to before.
     pub attempt: u8,
     /// How many calls led to this one.
