fix(balance): urgent calls wait until their limit, and no request waits for a node that cannot be reached

Ruled out: slots left idle (targets of the overloaded services were full throughout). Change: a call that passes less urgent ones waits until its limit; nodes that could not be reached are probed apart from requests; a target without word of when to come back is passed over for a second; a node whose target has ended takes its entry away.

--- a/fulmarreel-balance/src/admission.rs
+++ b/fulmarreel-balance/src/admission.rs
@@ -18,6 +18,9 @@
 /// Weight of the newest call in the mean time that a slot is held.
 const MEAN_WEIGHT: f64 = 0.1;
 
+/// How long after its last call a rank still counts as one that is passed.
+const RANK_AGE: Duration = Duration::from_secs(1);
+
 /// What becomes of a call on arrival.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Arrival<T> {
@@ -70,6 +73,8 @@
     waiting: BTreeMap<(u8, Instant, u64), Waiting<T>>,
     arrivals: u64,
     mean_held: Duration,
+    /// When a call of each rank came last.
+    ranks: BTreeMap<u8, Instant>,
 }
 
 impl<T> Admission<T> {
@@ -87,6 +92,7 @@
             waiting: BTreeMap::new(),
             arrivals: 0,
             mean_held: Duration::ZERO,
+            ranks: BTreeMap::new(),
         }
     }
 
@@ -113,8 +119,9 @@
     /// Takes a call in that waits for a slot as its patience allows, queues it or refuses it; of the
     /// calls that wait, those of the lowest rank go first.
     ///
-    /// The first in line waits until the latest time, also where it cannot have a slot by the wanted
-    /// one: little stands between it and a slot, and a refusal may waste what led to it.
+    /// The first in line, and a call that passes less urgent ones, wait until the latest time, also
+    /// where they cannot have a slot by the wanted one: little stands between them and a slot, and a
+    /// refusal may waste what led to them.
     pub fn arrive_ranked(
         &mut self,
         now: Instant,
@@ -126,6 +133,7 @@
     }
 
     fn enter(&mut self, now: Instant, due: Due, rank: u8, call: T) -> Arrival<T> {
+        self.ranks.insert(rank, now);
         if self.running < self.slots && self.waiting.is_empty() {
             self.running += 1;
             return Arrival::Admitted(call);
@@ -138,7 +146,8 @@
             }
             Due::Start(Patience { wanted, latest }) => {
                 let ahead = self.ahead(rank, wanted);
-                let by = if ahead == 0 { latest } else { wanted };
+                let goes_first = ahead == 0 || self.passes_others(rank, now);
+                let by = if goes_first { latest } else { wanted };
                 (wanted, latest, now + self.wait(ahead) <= by)
             }
         };
@@ -203,4 +212,10 @@
         let rounds = (ahead + 1) as f64 / self.slots.max(1) as f64;
         self.mean_held.mul_f64(rounds)
     }
+
+    /// Whether less urgent calls come besides those of that rank.
+    fn passes_others(&self, rank: u8, now: Instant) -> bool {
+        let mut others = self.ranks.range(rank.saturating_add(1)..);
+        others.any(|(_, last)| now.saturating_duration_since(*last) < RANK_AGE)
+    }
 }
--- a/fulmarreel-node/src/mesh/announce.rs
+++ b/fulmarreel-node/src/mesh/announce.rs
@@ -80,6 +80,9 @@
     let key = format!("{}{}", keys::NODES, world.settings().instance);
     let mut pause = MIN_PAUSE;
     loop {
+        if stopped.is_closed() || world.is_stopping() {
+            return;
+        }
         let entry = entry(&world, &server);
         let known = world.read(|mirror| mirror.get(&key).map(|item| item.value.clone()));
         let ready = world.revision() > 0;
@@ -102,13 +105,22 @@
                 }
             }
         }
-        if stopped.is_closed() {
-            return;
-        }
         Timer::after(LOOK_INTERVAL).await;
     }
 }
 
+/// Takes the node's own entry away where its target has ended; a node that only starts again keeps
+/// it.
+pub async fn retire(world: &World, server: &Server) {
+    if server.target().is_some_and(|target| !target.leaving) {
+        return;
+    }
+    let key = format!("{}{}", keys::NODES, world.settings().instance);
+    if let Err(error) = world.store.commit(&Transaction::new().delete(&key)).await {
+        log::warn!("own entry not taken away: {error}");
+    }
+}
+
 /// Waits until a written entry is seen, so that it is not written twice.
 async fn wait_for(world: &World, key: &str, wanted: &[u8]) {
     for _ in 0..8 {
--- a/fulmarreel-node/src/mesh/caller.rs
+++ b/fulmarreel-node/src/mesh/caller.rs
@@ -52,6 +52,12 @@
 /// The part of its objective within which a request wants a slot at the least.
 const MIN_PATIENCE: f64 = 0.2;
 
+/// How long a target is passed over that was full.
+const MAX_AVOID: Duration = Duration::from_millis(300);
+
+/// How long a target is passed over that takes no requests, such as one that leaves.
+const GONE_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// The lowest status that says the target failed.
 const FIRST_SERVER_ERROR: u16 = 500;
 
@@ -433,10 +439,22 @@
         if usable.is_empty() {
             usable = untried().filter(allowed).collect();
         }
-        let candidates: Vec<Candidate> = usable
-            .iter()
-            .map(|target| self.candidate(target, request))
-            .collect();
+        // Nobody waits for a node that could not be reached: it is probed apart from requests.
+        usable.retain(|target| !self.targets.is_unreachable(target.address));
+        let weigh = |target: &&Arc<Target>| self.candidate(target, request);
+        let mut candidates: Vec<Candidate> = usable.iter().map(weigh).collect();
+        if !tried.addresses.is_empty() {
+            // Over the paid link nothing is tried that refused a moment ago.
+            let worth =
+                |candidate: &Candidate| !(candidate.avoided && candidate.tier == Tier::Remote);
+            usable = usable
+                .iter()
+                .zip(&candidates)
+                .filter(|(_, candidate)| worth(candidate))
+                .map(|(target, _)| *target)
+                .collect();
+            candidates.retain(worth);
+        }
         let now = Instant::now();
         let objective = request.started + request.route.objective;
         let wanted = placement::Request {
@@ -493,7 +511,11 @@
                 ..
             } => {
                 self.targets.reach(address, *reached);
-                let pause = (*retry_after).clamp(MIN_RETRY_AFTER, Duration::from_millis(500));
+                let pause = if retry_after.is_zero() {
+                    GONE_PAUSE
+                } else {
+                    (*retry_after).clamp(MIN_RETRY_AFTER, MAX_AVOID)
+                };
                 self.targets.avoid(address, Instant::now() + pause);
             }
             Attempt::Unknown { at_target, .. } => {
--- a/fulmarreel-node/src/mesh/run.rs
+++ b/fulmarreel-node/src/mesh/run.rs
@@ -15,11 +15,17 @@
 use crate::{peer::Pool, runtime, telemetry::metrics};
 use fulmarreel_platform::Settings;
 use smol::{Timer, channel::bounded, future::or};
-use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use trillium::{Conn, Handler};
 
-/// How often nodes that could not be reached are tried.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// How often it is looked which nodes are to be probed.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Runs a node on the platform until it is told to stop.
 ///
@@ -87,7 +93,7 @@
         Timer::after(PROBE_INTERVAL).await;
         let view = world.view();
         targets.retain(|address| view.nodes.iter().any(|node| node.0 == address));
-        for address in targets.unreachable() {
+        for address in targets.probes(Instant::now()) {
             let (targets, pool) = (Arc::clone(&targets), Arc::clone(&pool));
             spawn(async move {
                 if pool.get(address).await.is_ok() {
--- a/fulmarreel-node/src/mesh/stop.rs
+++ b/fulmarreel-node/src/mesh/stop.rs
@@ -1,6 +1,6 @@
 //! The planned end of a node, and changed settings.
 
-use super::{caller::Caller, serve::Server, world::World};
+use super::{announce, caller::Caller, serve::Server, world::World};
 use async_signal::{Signal, Signals};
 use fulmarreel_platform::Settings;
 use smol::{Timer, stream::StreamExt};
@@ -48,6 +48,8 @@
     }
     world.stop();
     server.leave();
+    let (retiring, target) = (Arc::clone(&world), Arc::clone(&server));
+    crate::runtime::spawn(async move { announce::retire(&retiring, &target).await });
     let start = Instant::now();
     let end = start + world.settings().grace.saturating_sub(RESERVE);
     Timer::after(LINGER).await;
--- a/fulmarreel-node/src/mesh/targets.rs
+++ b/fulmarreel-node/src/mesh/targets.rs
@@ -24,6 +24,12 @@
 /// The time that a request is taken to need where nothing is known.
 const UNKNOWN_WORK: Duration = Duration::from_millis(100);
 
+/// Pause before a node that could not be reached is probed once more, the first time.
+const MIN_PROBE_PAUSE: Duration = Duration::from_millis(400);
+
+/// The longest such pause.
+const MAX_PROBE_PAUSE: Duration = Duration::from_secs(3);
+
 /// What this node has itself seen of targets.
 #[derive(Debug, Default)]
 pub struct Targets {
@@ -49,6 +55,8 @@
     failing_at: Instant,
     avoided_until: Instant,
     unreachable: bool,
+    probe_at: Instant,
+    probe_pause: Duration,
 }
 
 /// A running mean in seconds.
@@ -95,7 +103,7 @@
             held: Duration::from_secs_f64(held),
             work: Duration::from_secs_f64(work.unwrap_or(usual)),
             failing: record.failing * fade(record.failing_at, now, FAILING_HALF_LIFE),
-            avoided: record.unreachable || record.avoided_until > now,
+            avoided: record.avoided_until > now,
         }
     }
 
@@ -149,14 +157,38 @@
 
     /// Notes whether a target's node can be reached.
     pub fn reach(&self, address: SocketAddr, reached: bool) {
-        self.change(address, |record| record.unreachable = !reached);
+        self.change(address, |record| {
+            if reached || !record.unreachable {
+                record.probe_at = Instant::now();
+                record.probe_pause = MIN_PROBE_PAUSE;
+            }
+            record.unreachable = !reached;
+        });
     }
 
-    /// Nodes that could not be reached.
-    pub fn unreachable(&self) -> Vec<SocketAddr> {
+    /// Whether a target's node could not be reached.
+    pub fn is_unreachable(&self, address: SocketAddr) -> bool {
         let seen = self.seen.lock().expect("targets lock");
-        let lost = seen.targets.iter().filter(|(_, record)| record.unreachable);
-        lost.map(|(address, _)| *address).collect()
+        let record = seen.targets.get(&address);
+        record.is_some_and(|record| record.unreachable)
+    }
+
+    /// Nodes that could not be reached and are to be probed now; each next probe comes later.
+    pub fn probes(&self, now: Instant) -> Vec<SocketAddr> {
+        let mut seen = self.seen.lock().expect("targets lock");
+        let lost = seen
+            .targets
+            .iter_mut()
+            .filter(|(_, record)| record.unreachable);
+        let due = lost.filter_map(|(address, record)| {
+            if now < record.probe_at {
+                return None;
+            }
+            record.probe_at = now + record.probe_pause;
+            record.probe_pause = (record.probe_pause * 2).min(MAX_PROBE_PAUSE);
+            Some(*address)
+        });
+        due.collect()
     }
 
     /// Forgets targets whose nodes are gone.
@@ -199,6 +231,8 @@
             failing_at: now,
             avoided_until: now,
             unreachable: false,
+            probe_at: now,
+            probe_pause: MIN_PROBE_PAUSE,
         }
     }
 
