--- /dev/null
+++ b/fulmarreel-balance/tests/placement.rs
@@ -0,0 +1,67 @@
+//! Which target a request goes to.
+
+use fulmarreel_balance::{
+    choice::Tier,
+    placement::{Candidate, Request, choose},
+};
+use rstest::rstest;
+use std::time::Duration;
+
+const REQUEST: Request = Request {
+    objective: Duration::from_millis(600),
+    limit: Duration::from_millis(1_200),
+    kilobytes: 5.0,
+};
+
+fn candidate(tier: Tier, load: u32) -> Candidate {
+    Candidate {
+        tier,
+        load,
+        slots: 6,
+        held: Duration::from_millis(250),
+        work: Duration::from_millis(220),
+        failing: 0.0,
+        avoided: false,
+    }
+}
+
+/// The own zone's target against those of the region and of another region.
+#[rstest]
+#[case::all_idle(0, 0, 0, Tier::Zone)]
+#[case::own_full(6, 0, 0, Tier::Zone)]
+#[case::own_late(20, 0, 0, Tier::Region)]
+#[case::region_late(20, 20, 0, Tier::Remote)]
+#[case::all_late(20, 20, 20, Tier::Zone)]
+fn bytes_are_paid_for_only_to_be_in_time(
+    #[case] own: u32,
+    #[case] region: u32,
+    #[case] remote: u32,
+    #[case] expected: Tier,
+) {
+    let candidates = [
+        candidate(Tier::Zone, own),
+        candidate(Tier::Region, region),
+        candidate(Tier::Remote, remote),
+    ];
+    let chosen = choose(&candidates, &REQUEST).expect("a target");
+    assert_eq!(candidates[chosen].tier, expected);
+}
+
+/// Fails if failures, refusals or load are not looked at.
+#[rstest]
+#[case::failing(|one: &mut Candidate| one.failing = 0.5)]
+#[case::avoided(|one: &mut Candidate| one.avoided = true)]
+#[case::busier(|one: &mut Candidate| one.load = 3)]
+#[case::slower(|one: &mut Candidate| one.work = Duration::from_millis(800))]
+fn the_worse_of_two_is_not_chosen(#[case] worsen: fn(&mut Candidate)) {
+    let mut candidates = [candidate(Tier::Zone, 1), candidate(Tier::Zone, 1)];
+    worsen(&mut candidates[0]);
+    assert_eq!(choose(&candidates, &REQUEST), Some(1));
+    candidates.reverse();
+    assert_eq!(choose(&candidates, &REQUEST), Some(0));
+}
+
+#[test]
+fn without_a_candidate_there_is_no_choice() {
+    assert_eq!(choose(&[], &REQUEST), None);
+}
--- /dev/null
+++ b/fulmarreel-membership/tests/announcement.rs
@@ -0,0 +1,67 @@
+//! What a target says of itself, out of order and after its end.
+
+use fulmarreel_membership::{Announcement, announcement::Register};
+use std::time::Duration;
+
+fn announcement(id: &str, born: u64, sequence: u64) -> Announcement {
+    Announcement {
+        id: id.to_owned(),
+        born,
+        sequence,
+        endpoint: "127.0.0.1:80".parse().expect("address"),
+        service: "reservas".to_owned(),
+        version: "v1".to_owned(),
+        zone: "a".to_owned(),
+        slots: 6,
+        leaving: false,
+        cold: Duration::ZERO,
+    }
+}
+
+/// Fails if the order of arrival counts.
+#[test]
+fn a_late_message_changes_nothing() {
+    let mut register = Register::default();
+    assert!(register.announce(announcement("a", 10, 4)));
+    let leaving = Announcement {
+        leaving: true,
+        ..announcement("a", 10, 5)
+    };
+    assert!(register.announce(leaving.clone()));
+    assert!(!register.announce(announcement("a", 10, 4)));
+    assert!(!register.announce(announcement("a", 10, 5)));
+    assert_eq!(register.current(), Some(&leaving));
+}
+
+/// Fails if a message of an earlier start passes for one of the present target.
+#[test]
+fn a_former_target_does_not_come_back() {
+    let mut register = Register::default();
+    assert!(register.announce(announcement("a", 10, 9)));
+    assert!(register.announce(announcement("b", 20, 1)));
+    assert!(!register.announce(announcement("a", 10, 10)));
+    assert_eq!(
+        register.current().map(|target| target.id.as_str()),
+        Some("b")
+    );
+}
+
+/// Fails if a delayed message undoes the end of its sender, or a new start under the same id is not
+/// taken.
+#[test]
+fn an_ended_target_is_back_only_by_a_new_start() {
+    let mut register = Register::default();
+    assert!(register.announce(announcement("a", 10, 3)));
+    assert!(register.end("a"));
+    assert!(!register.announce(announcement("a", 10, 4)));
+    assert_eq!(register.current(), None);
+    assert!(register.announce(announcement("a", 30, 1)));
+}
+
+#[test]
+fn the_end_of_another_target_changes_nothing() {
+    let mut register = Register::default();
+    assert!(register.announce(announcement("a", 10, 3)));
+    assert!(!register.end("b"));
+    assert!(register.current().is_some());
+}
--- /dev/null
+++ b/fulmarreel-rollout/tests/brief.rs
@@ -0,0 +1,116 @@
+//! Moves of seconds.
+
+use fulmarreel_rollout::brief::{Counts, Evidence, Pair, Step, step, verdict};
+use rstest::rstest;
+use std::time::Duration;
+
+const LIMIT: Duration = Duration::from_secs(15);
+
+fn counts(calls: u32, failed: u32, slow: u32) -> Counts {
+    Counts {
+        calls,
+        failed,
+        slow,
+    }
+}
+
+fn evidence(old: Counts, new: Counts) -> Evidence {
+    Evidence::from([(1, Pair { old, new })])
+}
+
+/// Fails if few failures are enough, or a fault of both versions is blamed on the new one.
+#[rstest]
+#[case::alike(counts(500, 2, 0), counts(30, 0, 0), false)]
+#[case::one_failure(counts(500, 2, 0), counts(4, 1, 0), false)]
+#[case::half_fail(counts(100, 0, 0), counts(8, 4, 0), true)]
+#[case::third_fail(counts(100, 0, 0), counts(12, 4, 0), true)]
+#[case::both_fail(counts(100, 40, 0), counts(12, 5, 0), false)]
+#[case::few_of_many_fail(counts(100, 0, 0), counts(100, 4, 0), false)]
+#[case::half_slow(counts(200, 0, 4), counts(14, 0, 7), true)]
+#[case::both_slow(counts(200, 0, 90), counts(14, 0, 7), false)]
+fn a_bad_version_is_told_from_a_good_one(
+    #[case] old: Counts,
+    #[case] new: Counts,
+    #[case] bad: bool,
+) {
+    assert_eq!(verdict(&evidence(old, new)).is_some(), bad);
+}
+
+/// Fails if routes are only looked at together.
+#[test]
+fn a_fault_of_one_route_is_found() {
+    let mut seen = evidence(counts(900, 2, 0), counts(90, 0, 0));
+    let pair = Pair {
+        old: counts(60, 0, 0),
+        new: counts(9, 5, 0),
+    };
+    seen.insert(2, pair);
+    assert_eq!(verdict(&seen), Some(pair.new));
+}
+
+/// Fails if a share falls with time, the version has all traffic too late, or the move is complete
+/// before its deadline leaves room to write it down.
+#[test]
+fn the_share_rises_and_the_move_is_complete_in_time() {
+    let good = evidence(counts(500, 2, 0), counts(50, 0, 0));
+    let mut last = 0.0;
+    let mut full_at = None;
+    let mut complete_at = None;
+    for tenth in 0..150 {
+        let elapsed = Duration::from_millis(tenth * 100);
+        match step(&good, elapsed, LIMIT) {
+            Step::Share(share) => {
+                assert!(share >= last, "{elapsed:?}");
+                last = share;
+                full_at = full_at.or((share >= 1.0).then_some(elapsed));
+            }
+            Step::Complete => complete_at = complete_at.or(Some(elapsed)),
+            Step::TakeBack(counts) => panic!("{elapsed:?}: {counts:?}"),
+        }
+    }
+    let (full_at, complete_at) = (full_at.expect("full"), complete_at.expect("complete"));
+    // What the old version runs has ended before its targets are stopped.
+    assert!(complete_at - full_at >= Duration::from_secs(2));
+    assert!(complete_at + Duration::from_millis(1_500) <= LIMIT);
+}
+
+/// Fails if more than a tenth of the calls can reach a version before its first fault shows, for
+/// any moment at which that begins, given a second until all nodes know.
+#[test]
+fn exposure_is_bounded_whenever_the_fault_begins() {
+    let per_tenth = 4.0;
+    for begins in 0..105 {
+        let (mut new, mut failed, mut known_for) = (0.0, 0.0, 0);
+        let mut old = 0.0;
+        for tenth in 0..150 {
+            let elapsed = Duration::from_millis(tenth * 100);
+            let seen = evidence(
+                counts(old as u32, 0, 0),
+                counts(new as u32, failed as u32, 0),
+            );
+            let share = match step(&seen, elapsed, LIMIT) {
+                Step::Share(share) => share,
+                Step::Complete => 1.0,
+                Step::TakeBack(_) => {
+                    known_for += 1;
+                    if known_for > 10 {
+                        break;
+                    }
+                    1.0
+                }
+            };
+            new += per_tenth * share;
+            old += per_tenth * (1.0 - share);
+            if tenth >= begins {
+                failed += per_tenth * share * 0.4;
+            }
+        }
+        let all = per_tenth * 150.0;
+        if begins < 60 {
+            assert!(
+                new <= all * 0.1 + 50.0,
+                "begins at {begins}: {new} of {all}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/fulmarreel-route/tests/table.rs
@@ -0,0 +1,74 @@
+//! Which route takes a request, and which part of it.
+
+use fulmarreel_route::{Limits, Part, Route, Split, Table};
+use rstest::rstest;
+use std::time::Duration;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        parts: parts(&[1.0]),
+        idempotent: true,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        max_attempts: 2,
+        priority: 0,
+    }
+}
+
+fn parts(weights: &[f64]) -> Vec<Part> {
+    let part = |(index, weight): (usize, &f64)| Part {
+        service: index.to_string(),
+        weight: *weight,
+    };
+    weights.iter().enumerate().map(part).collect()
+}
+
+/// Fails if a shorter prefix wins, a host is ignored, or the query takes part.
+#[rstest]
+#[case::plain("a.example", "/one/x", Some("one"))]
+#[case::longest("a.example", "/one/two/x", Some("two"))]
+#[case::exact("a.example", "/one/", Some("one"))]
+#[case::no_slash("a.example", "/one", None)]
+#[case::other_host("b.example", "/one/x", Some("other"))]
+#[case::unknown_host("c.example", "/one/x", None)]
+#[case::with_port("a.example:80", "/one/x", Some("one"))]
+#[case::upper_case("A.Example", "/one/x", Some("one"))]
+#[case::query("a.example", "/nowhere?/one/", None)]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let routes = vec![
+        route("one", "a.example", "/one/"),
+        route("two", "a.example", "/one/two/"),
+        route("other", "b.example", "/one/"),
+    ];
+    let table = Table::new(1, 1, Limits::default(), routes);
+    let found = table
+        .find(host, path)
+        .map(|entry| entry.route.name.as_str());
+    assert_eq!(found, expected);
+}
+
+/// Fails if the parts are drawn at random: a hundred draws would be off by more than one.
+#[rstest]
+#[case::halves(&[50.0, 50.0], &[50, 50])]
+#[case::small_part(&[95.0, 5.0], &[95, 5])]
+#[case::three(&[1.0, 2.0, 7.0], &[10, 20, 70])]
+#[case::none(&[0.0, 1.0], &[0, 100])]
+fn a_split_keeps_to_its_weights(#[case] weights: &[f64], #[case] expected: &[i32]) {
+    for phase in [0.0, 0.3, 0.99] {
+        let split = Split::new(&parts(weights));
+        let mut counts = vec![0; weights.len()];
+        for _ in 0..100 {
+            counts[split.next(phase)] += 1;
+        }
+        for (count, expected) in counts.iter().zip(expected) {
+            assert!((count - expected).abs() <= 1, "phase {phase}: {counts:?}");
+        }
+    }
+}
