--- /dev/null
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -0,0 +1,8 @@
+//! Nodes on the users' platform, as processes, against stand-ins of its store and targets.
+
+mod backend;
+mod moves;
+mod path;
+mod stop;
+mod store;
+mod support;
--- /dev/null
+++ b/fulmarreel-node/tests/mesh/stop.rs
@@ -0,0 +1,116 @@
+//! Targets that leave, and nodes that stop.
+
+use crate::{
+    backend::Manner,
+    support::{Instance, configure, eventually},
+};
+use anyhow::ensure;
+use fulmarreel_testing::kv::Stand;
+use std::time::{Duration, Instant};
+
+/// Fails if the acknowledgement binds nobody: a request reaches the target after it.
+#[test]
+fn nothing_reaches_a_target_after_its_leaving_was_acknowledged() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let stand = Stand::start()?;
+        configure(&stand, 1, &["s", "own"]);
+        let caller = Instance::start(stand.address(), "own", "v1").await?;
+        let mut one = Instance::start(stand.address(), "s", "v1").await?;
+        caller.wait_served("/s/").await?;
+        ensure!(one.drain().await?, "not acknowledged");
+        let arrived = one.backend.arrivals().len();
+        for number in 0..5 {
+            let answer = caller.request("GET", "/s/", &format!("r-{number}")).await?;
+            ensure!(answer.status == 503, "{}", answer.text);
+        }
+        ensure!(one.backend.arrivals().len() == arrived);
+        Ok(())
+    })
+}
+
+/// Fails if a stop cuts what runs, waits for nothing, or the stopping node stays ready.
+#[test]
+fn a_stop_lets_requests_end() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let stand = Stand::start()?;
+        configure(&stand, 1, &["s"]);
+        let mut one = Instance::start(stand.address(), "s", "v1").await?;
+        one.wait_served("/s/").await?;
+        one.backend.set_manner(Manner {
+            delay: Duration::from_millis(1_500),
+            ..Manner::default()
+        });
+        let before = one.backend.arrivals().len();
+        let (lookup, booking) = (
+            one.request("GET", "/s/", "r-1"),
+            one.request("POST", "/s-do/", "r-2"),
+        );
+        let stopping = async {
+            let begun = || async { one.backend.arrivals().len() == before + 2 };
+            eventually("running", begun).await?;
+            one.process.signal("TERM")
+        };
+        let ((lookup, booking), stopped) =
+            smol::future::zip(smol::future::zip(lookup, booking), stopping).await;
+        stopped?;
+        ensure!(lookup?.status == 200);
+        ensure!(booking?.status == 200);
+        let asked = Instant::now();
+        one.process.wait(Duration::from_secs(6))?;
+        ensure!(asked.elapsed() < Duration::from_secs(6));
+        // It only starts again: its entry stays.
+        ensure!(
+            stand
+                .keys()
+                .iter()
+                .any(|key| key.starts_with("fulmarreel/nodes/"))
+        );
+        Ok(())
+    })
+}
+
+/// Fails if entries of instances that are gone for good stay behind.
+#[test]
+fn a_node_whose_target_has_ended_takes_its_entry_away() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let stand = Stand::start()?;
+        configure(&stand, 1, &["s"]);
+        let mut one = Instance::start(stand.address(), "s", "v1").await?;
+        one.wait_served("/s/").await?;
+        ensure!(one.drain().await?);
+        one.process.signal("TERM")?;
+        one.process.wait(Duration::from_secs(6))?;
+        let keys = stand.keys();
+        ensure!(
+            !keys.iter().any(|key| key.starts_with("fulmarreel/nodes/")),
+            "{keys:?}"
+        );
+        Ok(())
+    })
+}
+
+/// Fails if a node that was killed is not used again, or callers wait for it.
+#[test]
+fn a_killed_node_is_back_after_its_restart() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let stand = Stand::start()?;
+        configure(&stand, 1, &["s", "own"]);
+        let caller = Instance::start(stand.address(), "own", "v1").await?;
+        let mut one = Instance::start(stand.address(), "s", "v1").await?;
+        caller.wait_served("/s/").await?;
+        one.process.signal("KILL")?;
+        one.process.status(Duration::from_secs(2))?;
+        let answer = caller.request("GET", "/s/", "r-1").await?;
+        ensure!(matches!(answer.status, 502 | 503), "{}", answer.text);
+        let asked = Instant::now();
+        let answer = caller.request("GET", "/s/", "r-2").await?;
+        ensure!(answer.status == 503, "{}", answer.text);
+        ensure!(
+            asked.elapsed() < Duration::from_millis(600),
+            "{:?}",
+            asked.elapsed()
+        );
+        one.restart()?;
+        caller.wait_served("/s/").await
+    })
+}
--- /dev/null
+++ b/fulmarreel-testing/src/kv/serve.rs
@@ -0,0 +1,213 @@
+//! The store's calls.
+
+use super::{Shared, lock};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use smol::Timer;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+use trillium::{Conn, Method, Status};
+
+/// How often a waiting watch looks for changes.
+const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+
+#[derive(Debug, Deserialize)]
+struct Transaction {
+    #[serde(default)]
+    precondition: Vec<Row>,
+    #[serde(default)]
+    puts: Vec<Put>,
+    #[serde(default)]
+    deletes: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Row {
+    key: String,
+    revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Put {
+    key: String,
+    value: String,
+    #[serde(default)]
+    lease: u64,
+}
+
+/// Serves until the task is dropped.
+pub(super) async fn run(address: SocketAddr, shared: Arc<Mutex<Shared>>) {
+    let server = trillium_smol::config()
+        .with_socketaddr(address)
+        .with_nodelay()
+        .without_signals();
+    server
+        .run_async(move |conn: Conn| {
+            let shared = Arc::clone(&shared);
+            async move { handle(&shared, conn).await }
+        })
+        .await;
+}
+
+async fn handle(shared: &Mutex<Shared>, mut conn: Conn) -> Conn {
+    let body = conn.request_body().read_bytes().await.unwrap_or_default();
+    let query = Query::of(conn.querystring());
+    let faults = {
+        let mut shared = lock(shared);
+        shared.calls += 1;
+        shared.faults.clone()
+    };
+    if faults.silent {
+        std::future::pending::<()>().await;
+    }
+    if let Some(status) = faults.status {
+        return conn.with_status(status).with_body("{}").halt();
+    }
+    let path = conn.path().to_owned();
+    let write = conn.method() != Method::Get;
+    let (status, body) = match path.as_str() {
+        "/-/kv-key" => key(shared, &query),
+        "/-/kv-range" => range(shared, &query, faults.page),
+        "/-/kv-watch" => watch(shared, &query).await,
+        "/-/kv-txn" => transact(shared, &body),
+        "/-/kv-lease" => grant(shared, &body),
+        _ => lease(shared, &path),
+    };
+    if write && faults.lost_writes {
+        std::future::pending::<()>().await;
+    }
+    conn.with_status(status).with_body(body.to_string()).halt()
+}
+
+fn key(shared: &Mutex<Shared>, query: &Query) -> (Status, Value) {
+    let shared = lock(shared);
+    match shared.data.get(&query.text("key")) {
+        Some(item) => {
+            let mut body = json!(item);
+            body["store_revision"] = json!(shared.data.revision);
+            (Status::Ok, body)
+        }
+        None => (Status::NotFound, json!({})),
+    }
+}
+
+fn range(shared: &Mutex<Shared>, query: &Query, page: usize) -> (Status, Value) {
+    let data = &lock(shared).data;
+    let (items, truncated) = data.range(&query.text("prefix"), &query.text("after"), page);
+    let revision = data.revision;
+    let body = json!({"items": items, "truncated": truncated, "store_revision": revision});
+    (Status::Ok, body)
+}
+
+async fn watch(shared: &Mutex<Shared>, query: &Query) -> (Status, Value) {
+    let prefix = query.text("prefix");
+    let after: u64 = query.text("after").parse().unwrap_or(0);
+    let wait = query.text("wait_ms").parse().unwrap_or(0);
+    let until = Instant::now() + Duration::from_millis(wait);
+    loop {
+        {
+            let shared = lock(shared);
+            if after < shared.data.compacted {
+                return (Status::Gone, json!({}));
+            }
+            let events = shared.data.changes(&prefix, after);
+            if !events.is_empty() || Instant::now() >= until {
+                let revision = shared.data.revision;
+                let body = json!({"events": events, "store_revision": revision});
+                return (Status::Ok, body);
+            }
+            if shared.faults.silent {
+                break;
+            }
+        }
+        Timer::after(LOOK_INTERVAL).await;
+    }
+    std::future::pending().await
+}
+
+fn transact(shared: &Mutex<Shared>, body: &[u8]) -> (Status, Value) {
+    let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
+        return (Status::BadRequest, json!({}));
+    };
+    let data = &mut lock(shared).data;
+    let present = |key: &str| data.get(key).map_or(0, |item| item.revision);
+    if transaction
+        .precondition
+        .iter()
+        .any(|row| present(&row.key) != row.revision)
+    {
+        let rows = transaction.precondition.iter();
+        let items: Vec<_> = rows.filter_map(|row| data.get(&row.key)).collect();
+        return (Status::PreconditionFailed, json!({"items": items}));
+    }
+    let leases = transaction.puts.iter().map(|put| put.lease);
+    if leases
+        .into_iter()
+        .any(|lease| lease != 0 && !data.has_lease(lease))
+    {
+        return (Status::NotFound, json!({}));
+    }
+    data.revision += 1;
+    for put in transaction.puts {
+        data.write(&put.key, put.value, put.lease);
+    }
+    for key in transaction.deletes {
+        data.delete(&key);
+    }
+    (Status::Ok, json!({"revision": data.revision}))
+}
+
+fn grant(shared: &Mutex<Shared>, body: &[u8]) -> (Status, Value) {
+    let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+    let ttl = body["ttl_s_time"].as_f64().unwrap_or(1.0);
+    let lease = lock(shared).data.grant(Duration::from_secs_f64(ttl));
+    (Status::Ok, json!({"lease": lease, "ttl_s_time": ttl}))
+}
+
+fn lease(shared: &Mutex<Shared>, path: &str) -> (Status, Value) {
+    let data = &mut lock(shared).data;
+    let id = |prefix| path.strip_prefix(prefix).and_then(|id| id.parse().ok());
+    let done = if let Some(id) = id("/-/kv-keep/") {
+        data.renew(id)
+            .map(|ttl| json!({"ttl_s_time": ttl.as_secs_f64()}))
+    } else if let Some(id) = id("/-/kv-lease-end/") {
+        data.end(id).then(|| json!({}))
+    } else {
+        None
+    };
+    done.map_or((Status::NotFound, json!({})), |body| (Status::Ok, body))
+}
+
+/// The parts of a query.
+struct Query(Vec<(String, String)>);
+
+impl Query {
+    fn of(text: &str) -> Self {
+        let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+        let pairs = pairs.map(|(name, value)| (name.to_owned(), decode(value)));
+        Self(pairs.collect())
+    }
+
+    fn text(&self, name: &str) -> String {
+        let pair = self.0.iter().find(|(known, _)| known == name);
+        pair.map_or_else(String::new, |(_, value)| value.clone())
+    }
+}
+
+fn decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        if byte != b'%' {
+            bytes.push(byte);
+            continue;
+        }
+        let digits = [rest.next().unwrap_or(b'0'), rest.next().unwrap_or(b'0')];
+        let digits = std::str::from_utf8(&digits).unwrap_or("00");
+        bytes.push(u8::from_str_radix(digits, 16).unwrap_or(0));
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- a/fulmarreel-testing/src/process/mod.rs
+++ b/fulmarreel-testing/src/process/mod.rs
@@ -28,6 +28,19 @@
     ///
     /// The program was not built, or cannot be started.
     pub fn start(program: &str, arguments: &[&str]) -> anyhow::Result<Self> {
+        Self::start_with(program, arguments, &[])
+    }
+
+    /// As [`Process::start`], with further environment variables.
+    ///
+    /// # Errors
+    ///
+    /// The program was not built, or cannot be started.
+    pub fn start_with(
+        program: &str,
+        arguments: &[&str],
+        variables: &[(&str, &str)],
+    ) -> anyhow::Result<Self> {
         let path = locate(program)?;
         let quiet = std::env::var_os("FULMARREEL_TEST_LOG").is_none();
         let sink = || {
@@ -39,6 +52,7 @@
         };
         let child = Command::new(&path)
             .args(arguments)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
             .stdout(sink())
             .stderr(sink())
