fix(node): an entry that was taken away is back in time, and a silent watch is left without a peer's word

Found by tests (tests/mesh): an entry that was removed right after it was written was missed for 4.5 s, since its writer waited to see it; two nodes whose watches both hung were told by nobody.

--- a/fulmarreel-node/src/mesh/announce.rs
+++ b/fulmarreel-node/src/mesh/announce.rs
@@ -6,7 +6,7 @@
     world::World,
 };
 use fulmarreel_platform::heartbeat;
-use fulmarreel_store::{Store, Transaction};
+use fulmarreel_store::{Outcome, Revision, Store, Transaction};
 use smol::{Timer, channel::Receiver};
 use std::{sync::Arc, time::Duration};
 use trillium::{Conn, Method, Status};
@@ -23,6 +23,9 @@
 /// How often the node's own entry is looked for in what is known of the store.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Looks that a written entry is waited for.
+const MAX_LOOKS: u32 = 8;
+
 /// Serves one message of the own target; it is answered whether or not it is of use.
 pub async fn handle(world: &World, server: &Server, mut conn: Conn) -> Conn {
     let path = conn.path().to_owned();
@@ -93,10 +96,12 @@
         {
             let transaction = Transaction::new().put(&key, &wanted);
             match world.store.commit(&transaction).await {
-                Ok(_) => {
+                Ok(outcome) => {
                     log::info!(instance = world.settings().instance.as_str(); "own entry written");
                     pause = MIN_PAUSE;
-                    wait_for(&world, &key, &wanted).await;
+                    if let Outcome::Written(revision) = outcome {
+                        wait_for(&world, revision).await;
+                    }
                 }
                 Err(error) => {
                     log::warn!("own entry: {error}");
@@ -121,10 +126,11 @@
     }
 }
 
-/// Waits until a written entry is seen, so that it is not written twice.
-async fn wait_for(world: &World, key: &str, wanted: &[u8]) {
-    for _ in 0..8 {
-        if world.read(|mirror| mirror.get(key).is_some_and(|item| item.value == wanted)) {
+/// Waits for a while until the store is known up to a revision, so that what was written there is
+/// not written twice.
+async fn wait_for(world: &World, revision: Revision) {
+    for _ in 0..MAX_LOOKS {
+        if world.revision() >= revision.0 {
             return;
         }
         Timer::after(LOOK_INTERVAL).await;
--- a/fulmarreel-node/src/mesh/caller.rs
+++ b/fulmarreel-node/src/mesh/caller.rs
@@ -3,7 +3,7 @@
 use super::{
     exchange::{Attempt, Exchange},
     serve::Server,
-    takeover::{Moves, Side},
+    takeover::{Moves, Sample, Side},
     targets::Targets,
     transport::Watcher,
     view::{Target, View},
@@ -317,7 +317,7 @@
             let flight = self.targets.begin(target.address);
             let attempt = exchange.run(&open, request.body).await;
             drop(flight);
-            self.observe(request, &target, side, &attempt);
+            self.observe(request, &target, &side, &attempt);
             match attempt {
                 Attempt::Answered(kept) if is_not_run(&kept) => {
                     tried.reached += 1;
@@ -481,7 +481,7 @@
     }
 
     /// Takes in what an attempt says of its target and of the version that it runs.
-    fn observe(&self, request: &Request<'_>, target: &Target, side: Side, attempt: &Attempt) {
+    fn observe(&self, request: &Request<'_>, target: &Target, side: &Side, attempt: &Attempt) {
         let route = request.route.name.as_str();
         let address = target.address;
         match attempt {
@@ -493,10 +493,14 @@
                 }
                 let failed = kept.head.status >= FIRST_SERVER_ERROR;
                 let took = Duration::from_micros(u64::from(kept.head.target_micros));
-                let usual = self.targets.usual(route);
-                let age = self.targets.age(address);
-                self.moves
-                    .record(request.service, side, route, failed, took, usual, age);
+                let sample = Sample {
+                    route,
+                    failed,
+                    took,
+                    usual: self.targets.usual(route),
+                    age: self.targets.age(address),
+                };
+                self.moves.record(request.service, side, &sample);
                 self.targets.end(address, route, took, failed);
                 if !failed {
                     let size = kept.body.len() as f64 / 1024.0;
@@ -521,16 +525,14 @@
             Attempt::Unknown { at_target, .. } => {
                 self.targets.fail(address);
                 if *at_target {
-                    let took = request.started.elapsed();
-                    self.moves.record(
-                        request.service,
-                        side,
+                    let sample = Sample {
                         route,
-                        true,
-                        took,
-                        None,
-                        Duration::ZERO,
-                    );
+                        failed: true,
+                        took: request.started.elapsed(),
+                        usual: None,
+                        age: Duration::ZERO,
+                    };
+                    self.moves.record(request.service, side, &sample);
                 }
             }
         }
--- a/fulmarreel-node/src/mesh/mod.rs
+++ b/fulmarreel-node/src/mesh/mod.rs
@@ -6,22 +6,22 @@
 //! [`takeover`] moves services to new versions, [`announce`] and [`ready`] answer the platform, and
 //! [`stop`] ends the process without cutting a request.
 
-pub mod announce;
-pub mod caller;
-pub mod endpoint;
-pub mod exchange;
-pub mod keys;
-pub mod listen;
-pub mod notices;
-pub mod ready;
+pub(crate) mod announce;
+pub(crate) mod caller;
+pub(crate) mod endpoint;
+pub(crate) mod exchange;
+pub(crate) mod keys;
+pub(crate) mod listen;
+pub(crate) mod notices;
+pub(crate) mod ready;
 pub mod run;
-pub mod serve;
-pub mod stop;
-pub mod sync;
-pub mod takeover;
-pub mod targets;
-pub mod transport;
-pub mod view;
-pub mod world;
+pub(crate) mod serve;
+pub(crate) mod stop;
+pub(crate) mod sync;
+pub(crate) mod takeover;
+pub(crate) mod targets;
+pub(crate) mod transport;
+pub(crate) mod view;
+pub(crate) mod world;
 
 pub use run::run;
--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -13,16 +13,20 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// How often a node says up to which revision it knows the store.
 const REVISION_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// How long the store itself has to bring a revision that a peer knows.
-const STORE_FIRST: Duration = Duration::from_millis(500);
+/// How long the store itself has to bring a revision that a peer knows, and once more after the
+/// watch was begun anew.
+const STORE_FIRST: Duration = Duration::from_millis(400);
 
-/// Nodes that are told.
+/// How often it is looked whether the revision has risen.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Nodes of the own region that are told.
 const FAN_OUT: usize = 2;
 
 /// The node's datagram socket.
@@ -75,25 +79,40 @@
         }
     }
 
-    /// Says up to which revision the store is known, until the process ends.
+    /// Says up to which revision the store is known, now and then and when it rises, until the process
+    /// ends.
     pub async fn tell(self: Arc<Self>) {
-        let own = self.world.settings().peers;
+        let mut told = (0, Instant::now());
         loop {
-            Timer::after(REVISION_INTERVAL).await;
+            Timer::after(LOOK_INTERVAL).await;
             let revision = self.world.revision();
-            let view = self.world.view();
-            let near = view.nodes.iter().filter(|node| node.1 && node.0 != own);
-            let near: Vec<SocketAddr> = near.map(|node| node.0).collect();
-            if revision == 0 || near.is_empty() {
+            if revision == 0 || (revision == told.0 && told.1.elapsed() < REVISION_INTERVAL) {
                 continue;
             }
-            for _ in 0..FAN_OUT {
-                let to = near[fastrand::usize(..near.len())];
-                self.send(to, Notice::Revision(revision)).await;
+            let risen = revision > told.0;
+            told = (revision, Instant::now());
+            self.tell_some(true, FAN_OUT, revision).await;
+            if risen {
+                self.tell_some(false, 1, revision).await;
             }
         }
     }
 
+    /// Tells some random nodes of the own region, or of others.
+    async fn tell_some(&self, near: bool, count: usize, revision: u64) {
+        let own = self.world.settings().peers;
+        let view = self.world.view();
+        let nodes = view
+            .nodes
+            .iter()
+            .filter(|node| node.1 == near && node.0 != own);
+        let nodes: Vec<SocketAddr> = nodes.map(|node| node.0).collect();
+        for _ in 0..count.min(nodes.len()) {
+            let to = nodes[fastrand::usize(..nodes.len())];
+            self.send(to, Notice::Revision(revision)).await;
+        }
+    }
+
     /// Takes in notices until the process ends.
     pub async fn receive(self: Arc<Self>, moves: Arc<Moves>) {
         let mut buffer = [0; 2 * MAX_DATAGRAM_BYTES];
@@ -133,9 +152,12 @@
             Timer::after(STORE_FIRST).await;
             if revision > notices.world.revision() {
                 notices.world.fall_behind();
-                if let Err(error) = sync::pull(&notices.world, peer).await {
-                    log::info!(peer:% = peer; "pull: {error}");
-                }
+                Timer::after(STORE_FIRST).await;
+            }
+            if revision > notices.world.revision()
+                && let Err(error) = sync::pull(&notices.world, peer).await
+            {
+                log::info!(peer:% = peer; "pull: {error}");
             }
             notices.pulling.store(false, Ordering::Release);
         });
--- a/fulmarreel-node/src/mesh/run.rs
+++ b/fulmarreel-node/src/mesh/run.rs
@@ -68,6 +68,7 @@
     });
     let (stopping, stopped) = bounded::<()>(1);
     spawn(sync::run(Arc::clone(&world)));
+    spawn(sync::probe(Arc::clone(&world)));
     spawn(announce::publish(
         Arc::clone(&world),
         Arc::clone(&server),
--- a/fulmarreel-node/src/mesh/sync.rs
+++ b/fulmarreel-node/src/mesh/sync.rs
@@ -1,6 +1,6 @@
 //! Follows the platform's store; other nodes help where the store cannot be reached.
 
-use super::world::World;
+use super::{keys, world::World};
 use crate::peer::stream;
 use fulmarreel_distribution::mirror::{Change, Item};
 use fulmarreel_store::{Batch, Entry, Error, Event, Revision, Store, watch::Watch};
@@ -13,6 +13,9 @@
 /// How long the store holds a watch where nothing changes.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
+/// How often the store is asked whether it answers, on average.
+const PROBE_INTERVAL: Duration = Duration::from_secs(4);
+
 /// Pause after a change, so that changes in quick succession come together.
 const BATCH_PAUSE: Duration = Duration::from_millis(250);
 
@@ -80,6 +83,31 @@
     }
 }
 
+/// Asks the store now and then whether it answers, until the process ends. A watch that waited while
+/// the store was silent may never be answered, so it is left once the store is back.
+pub async fn probe(world: Arc<World>) {
+    let key = format!("{}{}", keys::NODES, world.settings().instance);
+    let mut silent = false;
+    loop {
+        Timer::after(PROBE_INTERVAL.mul_f64(0.5 + fastrand::f64())).await;
+        match world.store.probe(&key).await {
+            Ok(reached) => {
+                let behind = reached.is_some_and(|reached| reached.0 > world.revision());
+                if std::mem::take(&mut silent) || behind {
+                    Timer::after(BATCH_PAUSE * 2).await;
+                    if !behind || reached.is_some_and(|reached| reached.0 > world.revision()) {
+                        world.fall_behind();
+                    }
+                }
+            }
+            Err(error) => {
+                log::info!("store probe: {error}");
+                silent = true;
+            }
+        }
+    }
+}
+
 /// Reads the whole store.
 async fn list(world: &World) -> Result<(), Error> {
     let listing = world.store.list("").await?;
--- a/fulmarreel-node/src/mesh/takeover.rs
+++ b/fulmarreel-node/src/mesh/takeover.rs
@@ -66,6 +66,21 @@
     },
 }
 
+/// How a target dealt with a request.
+#[derive(Debug)]
+pub struct Sample<'a> {
+    /// The route's name.
+    pub route: &'a str,
+    /// Whether it failed.
+    pub failed: bool,
+    /// How long the target took.
+    pub took: Duration,
+    /// How long requests of the route usually take, where that is known.
+    pub usual: Option<Duration>,
+    /// How long this node has known the target.
+    pub age: Duration,
+}
+
 /// The moves that are under way, and those whose version was found bad.
 #[derive(Debug, Default)]
 pub struct Moves {
@@ -76,14 +91,12 @@
 #[derive(Debug)]
 struct Live {
     order: u64,
-    seen: Instant,
     share: f64,
     /// Deals requests out by the share.
     credit: f64,
     bad: bool,
     own: Evidence,
     heard: HashMap<SocketAddr, Vec<notice::Route>>,
-    reported: Instant,
 }
 
 /// What an owner needs to write.
@@ -110,18 +123,22 @@
     }
 }
 
+impl Sample<'_> {
+    fn is_slow(&self) -> bool {
+        let late = |usual: Duration| self.took > usual.mul_f64(SLOW_RATIO);
+        self.age > COLD && self.usual.is_some_and(late)
+    }
+}
+
 impl Live {
     fn new(order: u64) -> Self {
-        let now = Instant::now();
         Self {
             order,
-            seen: now,
             share: 0.0,
             credit: fastrand::f64(),
             bad: false,
             own: Evidence::default(),
             heard: HashMap::new(),
-            reported: now,
         }
     }
 
@@ -181,17 +198,7 @@
     }
 
     /// Takes in how a target dealt with a request.
-    #[allow(clippy::too_many_arguments)] // one observation, all of it needed
-    pub fn record(
-        &self,
-        service: &str,
-        side: Side,
-        route: &str,
-        failed: bool,
-        took: Duration,
-        usual: Option<Duration>,
-        age: Duration,
-    ) {
+    pub fn record(&self, service: &str, side: &Side, sample: &Sample<'_>) {
         let new = match side {
             Side::Any => return,
             Side::Old { .. } => false,
@@ -201,8 +208,8 @@
         let Some(live) = live.get_mut(service) else {
             return;
         };
-        let slow =
-            !failed && age > COLD && usual.is_some_and(|usual| took > usual.mul_f64(SLOW_RATIO));
+        let Sample { route, failed, .. } = *sample;
+        let slow = !failed && sample.is_slow();
         let pair = live.own.entry(xxh3_64(route.as_bytes())).or_default();
         let counts = if new { &mut pair.new } else { &mut pair.old };
         counts.calls += 1;
@@ -268,7 +275,6 @@
     /// What this node has seen, to be sent to the owner.
     fn tally(&self, service: &str) -> Option<Tally> {
         self.with(service, |live| {
-            live.reported = Instant::now();
             let routes = live.own.iter().map(|(route, pair)| notice::Route {
                 route: *route,
                 old: wire(pair.old),
--- a/fulmarreel-node/tests/mesh/support.rs
+++ b/fulmarreel-node/tests/mesh/support.rs
@@ -9,7 +9,7 @@
 use smol::{Task, Timer, io::AsyncWriteExt, net::TcpStream};
 use std::{
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     sync::atomic::{AtomicU64, Ordering},
     time::{Duration, Instant},
 };
@@ -134,7 +134,7 @@
     }
 }
 
-fn node(settings: &PathBuf) -> anyhow::Result<Process> {
+fn node(settings: &Path) -> anyhow::Result<Process> {
     let settings = settings.to_str().context("path")?;
     let variables = [("FULMARREEL_CONFIG", settings)];
     Process::start_with("fulmarreel-node", &["platform"], &variables)
--- a/fulmarreel-rollout/src/brief.rs
+++ b/fulmarreel-rollout/src/brief.rs
@@ -102,10 +102,7 @@
         total.new.add(pair.new);
     }
     let routes = evidence.values().copied();
-    routes
-        .chain([total])
-        .find(|pair| is_bad(pair))
-        .map(|pair| pair.new)
+    routes.chain([total]).find(is_bad).map(|pair| pair.new)
 }
 
 fn is_bad(pair: &Pair) -> bool {
