fix(node): what waits for a slot when a node stops is refused before the end

Ruled out: requests at work (their targets had not begun). Change: near its end a stopping node's requests wait no longer than until 0.6 s before it, and are refused then as not run.

--- a/fulmarreel-node/src/mesh/caller.rs
+++ b/fulmarreel-node/src/mesh/caller.rs
@@ -27,8 +27,8 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, OnceLock,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -46,6 +46,9 @@
 /// The part of the time left after which a caller is told to come back at the latest.
 const MAX_RETRY_PART: f64 = 0.3;
 
+/// Time before a process's end at which it refuses what still waits for a slot.
+const LAST_WORD: Duration = Duration::from_millis(600);
+
 /// Time that a process takes to start again.
 const RESTART: Duration = Duration::from_millis(500);
 
@@ -83,8 +86,8 @@
     sizes: Mutex<HashMap<String, f64>>,
     next_sequence: AtomicU64,
     in_flight: AtomicUsize,
-    /// Set once no further requests are taken: when the process ends at the latest.
-    closed: OnceLock<Instant>,
+    /// Whether no further requests are taken.
+    closed: AtomicBool,
 }
 
 /// A request that is counted as in flight until dropped.
@@ -154,7 +157,7 @@
             sizes: Mutex::default(),
             next_sequence: AtomicU64::new(1),
             in_flight: AtomicUsize::new(0),
-            closed: OnceLock::new(),
+            closed: AtomicBool::new(false),
         }
     }
 
@@ -163,10 +166,9 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
-    /// Takes no further requests; the process ends at `end` at the latest.
-    pub fn close(&self, end: Instant) {
-        // A second call would say the same.
-        let _ = self.closed.set(end);
+    /// Takes no further requests.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Release);
     }
 
     /// What is known of targets, and the connections to their nodes.
@@ -187,7 +189,8 @@
 
     async fn serve(&self, mut conn: Conn, watcher: &Watcher) -> Conn {
         let started = Instant::now();
-        if let Some(end) = self.closed.get() {
+        if self.closed.load(Ordering::Acquire) {
+            let end = self.world.end().unwrap_or(started);
             let until = end.saturating_duration_since(started);
             return refuse(conn, "this node is stopping", until + RESTART);
         }
@@ -382,7 +385,10 @@
         let work = self.targets.candidate(target, &request.route.name).work;
         let objective = request.route.objective;
         let left = |until: Instant| until.saturating_duration_since(now + work);
-        let latest = left(request.limit);
+        // Where the process ends before, what waits is refused while that can still be said.
+        let end = self.world.end().map(|end| end - LAST_WORD);
+        let limit = end.map_or(request.limit, |end| end.min(request.limit));
+        let latest = left(limit);
         let wanted = left(request.started + objective)
             .max(objective.mul_f64(MIN_PATIENCE))
             .min(latest);
--- a/fulmarreel-node/src/mesh/stop.rs
+++ b/fulmarreel-node/src/mesh/stop.rs
@@ -46,18 +46,18 @@
             None => std::future::pending().await,
         }
     }
-    world.stop();
+    let start = Instant::now();
+    let end = start + world.settings().grace.saturating_sub(RESERVE);
+    world.stop(end);
     server.leave();
     let (retiring, target) = (Arc::clone(&world), Arc::clone(&server));
     crate::runtime::spawn(async move { announce::retire(&retiring, &target).await });
-    let start = Instant::now();
-    let end = start + world.settings().grace.saturating_sub(RESERVE);
     Timer::after(LINGER).await;
     while Instant::now() < start + LAST_CALL && server.in_flight() + caller.in_flight() > 0 {
         Timer::after(CHECK_INTERVAL).await;
     }
     // What arrives from here on is refused, so that the process ends with no request half served.
-    caller.close(end);
+    caller.close();
     Timer::after(FLUSH).await;
     while Instant::now() < end && server.in_flight() + caller.in_flight() > 0 {
         Timer::after(CHECK_INTERVAL).await;
--- a/fulmarreel-node/src/mesh/world.rs
+++ b/fulmarreel-node/src/mesh/world.rs
@@ -10,10 +10,8 @@
 use smol::channel::{Receiver, Sender, bounded};
 use std::{
     collections::BTreeMap,
-    sync::{
-        Arc, Mutex, RwLock,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, OnceLock, RwLock},
+    time::Instant,
 };
 
 /// What every part of the node shares.
@@ -26,7 +24,8 @@
     pub store: store::Client,
     mirror: Mutex<Mirror>,
     view: RwLock<Arc<View>>,
-    stopping: AtomicBool,
+    /// When the process ends at the latest, once it has been told to.
+    end: OnceLock<Instant>,
     /// Word that a peer knows more of the store than the store has told.
     behind: (Sender<()>, Receiver<()>),
 }
@@ -40,7 +39,7 @@
             settings: RwLock::new(Arc::new(settings)),
             mirror: Mutex::default(),
             view: RwLock::default(),
-            stopping: AtomicBool::new(false),
+            end: OnceLock::new(),
             behind: bounded(1),
         }
     }
@@ -102,14 +101,20 @@
         let _ = self.behind.1.recv().await;
     }
 
-    /// Notes that the process is about to end.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Release);
+    /// Notes that the process ends, at `end` at the latest.
+    pub fn stop(&self, end: Instant) {
+        // A second signal changes nothing.
+        let _ = self.end.set(end);
+    }
+
+    /// When the process ends at the latest, once it has been told to.
+    pub fn end(&self) -> Option<Instant> {
+        self.end.get().copied()
     }
 
     /// Whether the process is about to end.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.end.get().is_some()
     }
 
     fn rebuild(&self, mirror: &Mirror) {
--- a/fulmarreel-node/tests/mesh/stop.rs
+++ b/fulmarreel-node/tests/mesh/stop.rs
@@ -2,10 +2,11 @@
 
 use crate::{
     backend::Manner,
-    support::{Instance, configure, eventually},
+    support::{Answer, Instance, configure, eventually},
 };
 use anyhow::ensure;
 use fulmarreel_testing::kv::Stand;
+use smol::Timer;
 use std::time::{Duration, Instant};
 
 /// Fails if the acknowledgement binds nobody: a request reaches the target after it.
@@ -114,3 +115,47 @@
         caller.wait_served("/s/").await
     })
 }
+
+/// Fails if what still waits for a slot when the node stops gets neither an answer nor a refusal
+/// (LOST, encalado-tlx trouble-2).
+#[test]
+fn what_waits_for_a_slot_is_refused_before_the_end() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let stand = Stand::start()?;
+        configure(&stand, 1, &["s", "own"]);
+        let mut caller = Instance::start(stand.address(), "own", "v1").await?;
+        let one = Instance::start(stand.address(), "s", "v1").await?;
+        caller.wait_served("/s/").await?;
+        one.wait_served("/s/").await?;
+        one.backend.set_manner(Manner {
+            delay: Duration::from_secs(20),
+            ..Manner::default()
+        });
+        caller.process.signal("TERM")?;
+        Timer::after(Duration::from_millis(1_900)).await;
+        // Every slot is taken by requests of another node, which goes on.
+        let ids: Vec<String> = (0..4).map(|number| format!("r-{number}")).collect();
+        let long = ids.iter().map(|id| one.request("POST", "/s-do/", id));
+        let last = async {
+            Timer::after(Duration::from_millis(500)).await;
+            caller.request("POST", "/s-do/", "r-last").await
+        };
+        let taken = smol::future::zip(join(long), last).await;
+        let answer = taken.1?;
+        ensure!(answer.status == 503, "{}", answer.text);
+        Ok(())
+    })
+}
+
+/// Waits for all of some requests.
+async fn join(requests: impl Iterator<Item = impl Future<Output = anyhow::Result<Answer>>>) {
+    let executor = smol::LocalExecutor::new();
+    let tasks: Vec<_> = requests.map(|request| executor.spawn(request)).collect();
+    let all = async {
+        for task in tasks {
+            // Their ends do not matter here.
+            let _ = task.await;
+        }
+    };
+    executor.run(all).await;
+}
