--- a/fulmarreel-node/tests/mesh/stop.rs
+++ b/fulmarreel-node/tests/mesh/stop.rs
@@ -133,9 +133,13 @@
         });
         caller.process.signal("TERM")?;
         Timer::after(Duration::from_millis(1_900)).await;
-        // Every slot is taken by requests of another node, which goes on.
+        // Every slot is taken, one by a request of the stopping node, which goes on for it.
         let ids: Vec<String> = (0..4).map(|number| format!("r-{number}")).collect();
-        let long = ids.iter().map(|id| one.request("POST", "/s-do/", id));
+        let from = |number: usize| if number == 0 { &caller } else { &one };
+        let long = ids
+            .iter()
+            .enumerate()
+            .map(|(number, id)| from(number).request("POST", "/s-do/", id));
         let last = async {
             Timer::after(Duration::from_millis(500)).await;
             caller.request("POST", "/s-do/", "r-last").await
