feat(node): a restarted node takes up its working target, and lines of both nodes carry the request's id

Ruled out: the store (read within 0.1 s) and the callers (ready after 0.3 s). Change: where the entry names a target, that is asked once for its health by id; 200 takes it up until it announces itself, anything else waits. Logs of refusals, breaks and ends carry the caller's id, offers, reach and the last target.

--- a/fulmarreel-node/src/mesh/announce.rs
+++ b/fulmarreel-node/src/mesh/announce.rs
@@ -21,10 +21,10 @@
 const MAX_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// How often the node's own entry is looked for in what is known of the store.
-const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Looks that a written entry is waited for.
-const MAX_LOOKS: u32 = 8;
+const MAX_LOOKS: u32 = 16;
 
 /// Serves one message of the own target; it is answered whether or not it is of use.
 pub async fn handle(world: &World, server: &Server, mut conn: Conn) -> Conn {
@@ -82,7 +82,12 @@
 pub async fn publish(world: Arc<World>, server: Arc<Server>, stopped: Receiver<()>) {
     let key = format!("{}{}", keys::NODES, world.settings().instance);
     let mut pause = MIN_PAUSE;
+    let mut resumed = false;
     loop {
+        if !resumed && world.revision() > 0 {
+            resumed = true;
+            resume(&world, &server, &key).await;
+        }
         if stopped.is_closed() || world.is_stopping() {
             return;
         }
@@ -114,6 +119,25 @@
     }
 }
 
+/// Takes up the target of a former process of this node: its next announcement may be seconds away.
+async fn resume(world: &World, server: &Server, key: &str) {
+    let known = world.read(|mirror| {
+        let item = mirror.get(key)?;
+        serde_json::from_slice::<Node>(&item.value).ok()
+    });
+    let Some(target) = known.and_then(|node| node.target) else {
+        return;
+    };
+    let view = world.view();
+    let path = view.table.as_ref();
+    let path = path.and_then(|table| table.health_paths.get(&target.service));
+    if target.service == world.settings().service
+        && let Some(path) = path
+    {
+        server.resume(target, path).await;
+    }
+}
+
 /// Takes the node's own entry away where its target has ended; a node that only starts again keeps
 /// it.
 pub async fn retire(world: &World, server: &Server) {
--- a/fulmarreel-node/src/mesh/caller.rs
+++ b/fulmarreel-node/src/mesh/caller.rs
@@ -237,7 +237,8 @@
             rank: rank(table, route),
         };
         let open = self.open(&conn, &request);
-        let answer = async { Some(self.answer(&request, open).await) };
+        let mut tried = Tried::default();
+        let answer = async { Some(self.answer(&request, open, &mut tried).await) };
         let ended = or(answer, async {
             watcher.left().await;
             None
@@ -248,7 +249,7 @@
                 .with_response_header(KnownHeaderName::Connection, "close")
                 .halt();
         };
-        self.log_end(&request, &end);
+        self.log_end(&request, &end, &tried);
         self.respond(conn, &request, end)
     }
 
@@ -287,8 +288,7 @@
 
     /// Offers a request to one target after the other, as its kind, its route and the budget of
     /// repeats allow.
-    async fn answer(&self, request: &Request<'_>, mut open: Open) -> End {
-        let mut tried = Tried::default();
+    async fn answer(&self, request: &Request<'_>, mut open: Open, tried: &mut Tried) -> End {
         let mut last = End::NotRun {
             reason: "no target is known",
             retry_after: Duration::ZERO,
@@ -296,16 +296,16 @@
         self.budget(request.service, Budget::earn);
         loop {
             let view = self.world.view();
-            let chosen = self.choose(&view, request, &tried);
+            let chosen = self.choose(&view, request, tried);
             let Some((target, side)) = chosen else {
-                return last.hinted(&tried);
+                return last.hinted(tried);
             };
             tried.addresses.push(target.address);
             open.sequence = self.next_sequence.fetch_add(1, Ordering::Relaxed);
             open.version.clone_from(&target.version);
             let left = request.limit.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return last.hinted(&tried);
+                return last.hinted(tried);
             }
             open.remaining_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
             (open.wanted_ms, open.latest_ms) = self.patience(request, &target);
@@ -328,8 +328,8 @@
                         reason: "the target did not run it",
                         retry_after: Duration::ZERO,
                     };
-                    if !self.may_reach_another(request, &tried) {
-                        return last.hinted(&tried);
+                    if !self.may_reach_another(request, tried) {
+                        return last.hinted(tried);
                     }
                 }
                 Attempt::Answered(kept) => {
@@ -338,7 +338,7 @@
                     let again = failed
                         && request.route.idempotent
                         && self.is_worth_another(request)
-                        && self.may_reach_another(request, &tried);
+                        && self.may_reach_another(request, tried);
                     last = End::Answered(kept);
                     if !again {
                         return last;
@@ -358,7 +358,7 @@
                         };
                     }
                     if tried.addresses.len() >= MAX_OFFERS {
-                        return last.hinted(&tried);
+                        return last.hinted(tried);
                     }
                 }
                 Attempt::Unknown { reason, .. } => {
@@ -367,9 +367,8 @@
                     if !matches!(last, End::Answered(_)) {
                         last = End::Unknown { reason, late };
                     }
-                    let again = request.route.idempotent
-                        && !late
-                        && self.may_reach_another(request, &tried);
+                    let again =
+                        request.route.idempotent && !late && self.may_reach_another(request, tried);
                     if !again {
                         return last;
                     }
@@ -573,7 +572,7 @@
         }
     }
 
-    fn log_end(&self, request: &Request<'_>, end: &End) {
+    fn log_end(&self, request: &Request<'_>, end: &End, tried: &Tried) {
         let (outcome, status, reason) = match end {
             End::Answered(kept) => (Outcome::Answered, kept.head.status, "answered"),
             End::NotRun { reason, .. } => (Outcome::NotRun, 503, *reason),
@@ -590,8 +589,12 @@
         {
             return;
         }
+        let target = tried.addresses.last().map(ToString::to_string);
         log::info!(
             id = request.id,
+            offers = tried.addresses.len(),
+            reached = tried.reached,
+            target = target.as_deref().unwrap_or(""),
             route = request.route.name.as_str(),
             service = request.service,
             revision = request.revision,
--- a/fulmarreel-node/src/mesh/endpoint.rs
+++ b/fulmarreel-node/src/mesh/endpoint.rs
@@ -141,6 +141,36 @@
         }
     }
 
+    /// Whether the target with that id takes requests, by its own word.
+    ///
+    /// # Errors
+    ///
+    /// It does not answer.
+    pub async fn takes_requests(&self, path: &str, id: &str) -> Result<bool, Error> {
+        let target = self.address;
+        let mut connection = self.open().await?;
+        let host = target.to_string();
+        let question = Request {
+            method: "GET",
+            target: path,
+            headers: &[("Host", host.as_bytes())],
+            body: &[],
+        };
+        let asked = async {
+            let response = connection.exchange(&question, |_, _| true).await?;
+            Ok(response)
+        };
+        let response = or(asked, async {
+            Timer::after(CONNECT_TIMEOUT).await;
+            Err(Error::Deadline { target })
+        })
+        .await?;
+        let own = request::answering_target(&response.headers) == Some(id);
+        let well = response.status == 200 && own;
+        self.keep(connection, &response);
+        Ok(well)
+    }
+
     /// Closes idle connections; the target behind them may have changed.
     pub fn close_idle(&self) {
         self.idle.lock().expect("idle lock").clear();
--- a/fulmarreel-node/src/mesh/serve.rs
+++ b/fulmarreel-node/src/mesh/serve.rs
@@ -2,6 +2,7 @@
 
 use super::{
     endpoint::{self, Endpoint},
+    keys,
     world::World,
 };
 use crate::{
@@ -165,6 +166,32 @@
         self.target_changed(before.as_ref())
     }
 
+    /// Takes up the target that a former process of this node knew, where that says that it takes
+    /// requests, until it announces itself.
+    pub async fn resume(&self, known: keys::Target, health_path: &str) {
+        let well = self.endpoint.takes_requests(health_path, &known.id).await;
+        match well {
+            Ok(true) if self.target().is_none() => {
+                let settings = self.world.settings();
+                self.announce(Announcement {
+                    id: known.id,
+                    // Whatever the target itself says comes later.
+                    born: 0,
+                    sequence: 0,
+                    endpoint: settings.endpoint,
+                    service: known.service,
+                    version: known.version,
+                    zone: settings.zone.clone(),
+                    slots: known.slots,
+                    leaving: false,
+                    cold: Duration::ZERO,
+                });
+            }
+            Ok(_) => {}
+            Err(error) => log::info!(target = known.id.as_str(); "not resumed: {error}"),
+        }
+    }
+
     /// Takes in that a target ends.
     pub fn end(&self, id: &str) {
         let before = self.target();
@@ -207,7 +234,19 @@
             latest: within(open.latest_ms),
         };
         let permit = self.gate.enter_ranked(open.rank, patience).await;
-        let permit = permit.map_err(|reason| refused(reason, self.gate.backlog()))?;
+        let permit = permit.map_err(|reason| {
+            let (load, slots) = self.gate.load();
+            let backlog = self.gate.backlog();
+            log::info!(
+                id = request_id(open),
+                load,
+                slots,
+                wanted_ms = open.wanted_ms,
+                backlog_ms = backlog.as_millis() as u64;
+                "refused, no slot in time"
+            );
+            refused(reason, backlog)
+        })?;
         // The target may have left while the request waited.
         let target = self
             .target_for(open)
@@ -223,7 +262,7 @@
             Err(error) => {
                 drop(permit);
                 log::info!(
-                    sequence = open.sequence,
+                    id = request_id(open),
                     target = target.id.as_str(),
                     took_ms = took.as_millis() as u64;
                     "no answer: {error}"
@@ -445,7 +484,7 @@
         self.running.lock().expect("running lock").remove(&key);
         match handled {
             None => {
-                log::info!(sequence; "broken off, its caller left");
+                log::info!(id = request_id(&open); "broken off, its caller left");
                 lose(&session, sequence, Failure::Deadline).await;
             }
             Some(Ok(kept)) => {
@@ -478,6 +517,15 @@
     }
 }
 
+/// The caller's id of a request, by which the lines of all nodes join.
+fn request_id(open: &Open) -> &str {
+    let mut headers = open.headers.iter();
+    let header = headers.find(|header| header.name.eq_ignore_ascii_case(request::ID));
+    header.map_or("", |header| {
+        std::str::from_utf8(&header.value).unwrap_or("")
+    })
+}
+
 /// Waits for a cancellation; a sender that is dropped cancels nothing.
 async fn wait_for<T>(cancelled: &Receiver<()>) -> Option<T> {
     if cancelled.recv().await.is_err() {
--- a/fulmarreel-node/tests/mesh/backend.rs
+++ b/fulmarreel-node/tests/mesh/backend.rs
@@ -23,6 +23,8 @@
     pub lose: bool,
     /// It says that it did not run the request.
     pub shed: bool,
+    /// It says that it is not well, or leaving.
+    pub unhealthy: bool,
 }
 
 /// A request that arrived, as text.
@@ -92,6 +94,15 @@
                 return Ok(());
             };
             let manner = self.lock().manner;
+            if request.starts_with("GET /health ") {
+                let status = if manner.unhealthy { 503 } else { 200 };
+                let id = &self.id;
+                let answer = format!(
+                    "HTTP/1.1 {status} Health\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                );
+                tcp.write_all(answer.as_bytes()).await?;
+                continue;
+            }
             if !request.contains(&format!("x-expect-instance: {}\r\n", self.id)) {
                 let answer = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
                 tcp.write_all(answer.as_bytes()).await?;
--- a/fulmarreel-node/tests/mesh/stop.rs
+++ b/fulmarreel-node/tests/mesh/stop.rs
@@ -6,6 +6,7 @@
 };
 use anyhow::ensure;
 use fulmarreel_testing::kv::Stand;
+use rstest::rstest;
 use smol::Timer;
 use std::time::{Duration, Instant};
 
@@ -123,7 +124,7 @@
     smol::block_on(async {
         let stand = Stand::start()?;
         configure(&stand, 1, &["s", "own"]);
-        let mut caller = Instance::start(stand.address(), "own", "v1").await?;
+        let caller = Instance::start(stand.address(), "own", "v1").await?;
         let one = Instance::start(stand.address(), "s", "v1").await?;
         caller.wait_served("/s/").await?;
         one.wait_served("/s/").await?;
@@ -163,3 +164,40 @@
     };
     executor.run(all).await;
 }
+
+/// Fails if a node that starts again beside a working target waits for its next announcement, or
+/// takes up a target that has ended meanwhile.
+#[rstest]
+#[case::working(true)]
+#[case::ended(false)]
+fn a_restarted_node_takes_up_the_target_that_works(#[case] works: bool) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let stand = Stand::start()?;
+        configure(&stand, 1, &["s"]);
+        let mut one = Instance::start(stand.address(), "s", "v1").await?;
+        one.wait_served("/s/").await?;
+        let entry = || {
+            stand
+                .keys()
+                .iter()
+                .any(|key| key.starts_with("fulmarreel/nodes/"))
+        };
+        eventually("entered", || async { entry() }).await?;
+        one.silence();
+        one.process.signal("KILL")?;
+        one.process.status(Duration::from_secs(2))?;
+        one.backend.set_manner(Manner {
+            unhealthy: !works,
+            ..Manner::default()
+        });
+        one.restart()?;
+        if works {
+            return one.wait_served("/s/").await;
+        }
+        one.wait_ready().await?;
+        Timer::after(Duration::from_millis(700)).await;
+        let answer = one.request("GET", "/s/", "r-1").await?;
+        ensure!(answer.status == 503, "{}", answer.text);
+        Ok(())
+    })
+}
--- a/fulmarreel-node/tests/mesh/support.rs
+++ b/fulmarreel-node/tests/mesh/support.rs
@@ -91,6 +91,11 @@
         }));
     }
 
+    /// Has the target say nothing of itself.
+    pub fn silence(&mut self) {
+        self.beats = None;
+    }
+
     /// Has the target say once that it leaves; true once that is acknowledged.
     pub async fn drain(&mut self) -> anyhow::Result<bool> {
         self.beats = None;
@@ -155,7 +160,12 @@
         }
     }
     let routes = routes.join(",");
-    let config = format!("{{\"version\":{version},\"routes\":[{routes}],\"services\":[]}}");
+    let services = services
+        .iter()
+        .map(|service| format!("{{\"name\":\"{service}\",\"health_path\":\"/health\"}}"));
+    let services = services.collect::<Vec<_>>().join(",");
+    let config =
+        format!("{{\"version\":{version},\"routes\":[{routes}],\"services\":[{services}]}}");
     stand.put("op/config", config.as_bytes());
 }
 
--- a/fulmarreel-route/src/table.rs
+++ b/fulmarreel-route/src/table.rs
@@ -12,6 +12,8 @@
     pub version: u64,
     /// What callers may ask for.
     pub limits: Limits,
+    /// Where the targets of a service answer questions about their health, by service.
+    pub health_paths: HashMap<String, String>,
     hosts: HashMap<String, Vec<Arc<Entry>>>,
 }
 
@@ -40,6 +42,7 @@
             revision,
             version,
             limits,
+            health_paths: HashMap::new(),
             hosts,
         }
     }
