--- a/fulmarreel-node/src/mesh/sync.rs
+++ b/fulmarreel-node/src/mesh/sync.rs
@@ -17,7 +17,7 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(4);
 
 /// Pause after a change, so that changes in quick succession come together.
-const BATCH_PAUSE: Duration = Duration::from_millis(250);
+const BATCH_PAUSE: Duration = Duration::from_millis(600);
 
 /// Pause after a failed call, the first time.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
