--- /dev/null
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -0,0 +1,221 @@
+//! Requests of callers and of the own target, from their arrival to their answer.
+
+mod answer;
+mod choose;
+mod respond;
+
+use super::{serve::Server, takeover::Moves, targets::Targets, transport::Watcher, world::World};
+use crate::peer::{Identity, Pool};
+use answer::Tried;
+use fulmarreel_balance::Budget;
+use fulmarreel_platform::request;
+use fulmarreel_route::Route;
+use fulmarreel_wire::call::{Header, Open};
+use respond::refuse;
+use smol::future::or;
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use trillium::{Conn, KnownHeaderName, Status};
+
+/// Time that a process takes to start again.
+const RESTART: Duration = Duration::from_millis(500);
+
+/// The shortest time after which a caller is told to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// The lowest status that says the target failed.
+const FIRST_SERVER_ERROR: u16 = 500;
+
+/// Serves requests of callers.
+#[derive(Debug)]
+pub struct Caller {
+    world: Arc<World>,
+    server: Arc<Server>,
+    moves: Arc<Moves>,
+    targets: Arc<Targets>,
+    pool: Arc<Pool>,
+    budgets: Mutex<HashMap<String, Budget>>,
+    /// Mean size of answers by route, in kilobytes.
+    sizes: Mutex<HashMap<String, f64>>,
+    next_sequence: AtomicU64,
+    in_flight: AtomicUsize,
+    /// Whether no further requests are taken.
+    closed: AtomicBool,
+}
+
+/// A request that is counted as in flight until dropped.
+struct Counted<'a>(&'a AtomicUsize);
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// One request, read whole.
+struct Request<'a> {
+    id: &'a str,
+    route: &'a Route,
+    service: &'a str,
+    revision: u64,
+    body: &'a [u8],
+    started: Instant,
+    limit: Instant,
+    rank: u8,
+}
+
+impl Caller {
+    /// A handler of requests.
+    pub fn new(world: Arc<World>, server: Arc<Server>, moves: Arc<Moves>) -> Self {
+        let own = Identity {
+            address: world.settings().peers,
+            boot: world.boot,
+        };
+        let pool = Arc::new(Pool::new(own));
+        let watched = Arc::clone(&pool);
+        crate::runtime::spawn(async move { watched.watch().await });
+        Self {
+            world,
+            server,
+            moves,
+            targets: Arc::default(),
+            pool,
+            budgets: Mutex::default(),
+            sizes: Mutex::default(),
+            next_sequence: AtomicU64::new(1),
+            in_flight: AtomicUsize::new(0),
+            closed: AtomicBool::new(false),
+        }
+    }
+
+    /// Requests whose answer has not been sent.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Takes no further requests.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+    }
+
+    /// What is known of targets, and the connections to their nodes.
+    pub fn reach(&self) -> (Arc<Targets>, Arc<Pool>) {
+        (Arc::clone(&self.targets), Arc::clone(&self.pool))
+    }
+
+    /// Serves one request.
+    pub async fn handle(&self, conn: Conn, watcher: &Watcher) -> Conn {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        let _counted = Counted(&self.in_flight);
+        let conn = self.serve(conn, watcher).await;
+        if self.world.is_stopping() {
+            return conn.with_response_header(KnownHeaderName::Connection, "close");
+        }
+        conn
+    }
+
+    async fn serve(&self, mut conn: Conn, watcher: &Watcher) -> Conn {
+        let started = Instant::now();
+        if self.closed.load(Ordering::Acquire) {
+            let end = self.world.end().unwrap_or(started);
+            let until = end.saturating_duration_since(started);
+            return refuse(conn, "this node is stopping", until + RESTART);
+        }
+        let view = self.world.view();
+        let Some(table) = &view.table else {
+            let reason = "no configuration is known yet";
+            return refuse(conn, reason, Duration::from_millis(300));
+        };
+        let host = conn.host().unwrap_or_default().to_owned();
+        let path = conn.path().to_owned();
+        let Some(entry) = table.find(&host, &path).map(Arc::clone) else {
+            log::info!(host = host.as_str(), path = path.as_str(), revision = table.revision; "no route");
+            return conn
+                .with_status(Status::NotFound)
+                .with_body("no route")
+                .halt();
+        };
+        let limit = table.limits.body_bytes;
+        let body = conn.request_body().with_max_len(limit).read_bytes().await;
+        let Ok(body) = body else {
+            return conn
+                .with_status(Status::PayloadTooLarge)
+                .with_body("the body is incomplete or too long")
+                .halt();
+        };
+        let route = &entry.route;
+        let part = entry.split.next(fastrand::f64());
+        let headers = conn.request_headers();
+        let allowed = headers
+            .get_str(request::DEADLINE)
+            .and_then(|text| text.trim().parse().ok())
+            .map_or(route.timeout, |ms| {
+                Duration::from_millis(ms).min(route.timeout)
+            });
+        let id = headers.get_str(request::ID).unwrap_or_default().to_owned();
+        let request = Request {
+            id: &id,
+            route,
+            service: &route.parts[part].service,
+            revision: table.revision,
+            body: &body,
+            started,
+            limit: started + allowed,
+            rank: route.priority,
+        };
+        let open = self.open(&conn, &request);
+        let mut tried = Tried::default();
+        let answer = async { Some(self.answer(&request, open, &mut tried).await) };
+        let ended = or(answer, async {
+            watcher.left().await;
+            None
+        });
+        let Some(end) = ended.await else {
+            log::info!(id = id.as_str(), route = route.name.as_str(); "the caller left");
+            return conn
+                .with_response_header(KnownHeaderName::Connection, "close")
+                .halt();
+        };
+        self.log_end(&request, &end, &tried);
+        self.respond(conn, &request, end)
+    }
+
+    fn open(&self, conn: &Conn, request: &Request<'_>) -> Open {
+        let mut headers = Vec::with_capacity(conn.request_headers().len() + 1);
+        for (name, values) in conn.request_headers() {
+            let name: &str = name.as_ref();
+            if !request::is_hop(name) {
+                headers.extend(values.iter().map(|value| Header {
+                    name: name.to_owned(),
+                    value: AsRef::<[u8]>::as_ref(value).to_vec(),
+                }));
+            }
+        }
+        headers.push(Header {
+            name: request::CALLER_SERVICE.to_owned(),
+            value: self.world.settings().service.clone().into_bytes(),
+        });
+        Open {
+            sequence: 0,
+            remaining_ms: 0,
+            wanted_ms: 0,
+            latest_ms: 0,
+            attempt: 0,
+            depth: 0,
+            idempotent: request.route.idempotent,
+            rank: request.rank,
+            service: request.service.to_owned(),
+            version: String::new(),
+            method: conn.method().as_str().to_owned(),
+            path: conn.path_and_query().to_owned(),
+            headers,
+            length: request.body.len() as u64,
+        }
+    }
+}
--- /dev/null
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -0,0 +1,91 @@
+//! Answers to callers, and the line that is logged of each.
+
+use super::{
+    Caller, FIRST_SERVER_ERROR, MIN_RETRY_AFTER, Request,
+    answer::{End, Tried},
+};
+use crate::telemetry::metrics::{self, Outcome};
+use fulmarreel_platform::request;
+use std::time::{Duration, Instant};
+use trillium::{Conn, Status};
+
+/// The part of the time left after which a caller is told to come back at the latest.
+const MAX_RETRY_PART: f64 = 0.3;
+
+/// One in so many requests that went well at once is written to the log.
+const LOGGED_OF_GOOD: u64 = 16;
+
+impl Caller {
+    pub(super) fn respond(&self, conn: Conn, request: &Request<'_>, end: End) -> Conn {
+        match end {
+            End::Answered(kept) => {
+                let mut conn = conn.with_status(kept.head.status).with_body(kept.body);
+                let headers = conn.response_headers_mut();
+                for header in kept.head.headers {
+                    headers.append(header.name, header.value);
+                }
+                conn.halt()
+            }
+            End::NotRun {
+                reason,
+                retry_after,
+            } => {
+                let left = request.limit.saturating_duration_since(Instant::now());
+                let latest = left.mul_f64(MAX_RETRY_PART).max(MIN_RETRY_AFTER);
+                refuse(conn, reason, retry_after.clamp(MIN_RETRY_AFTER, latest))
+            }
+            End::Unknown { reason, late } => {
+                let status = if late {
+                    Status::GatewayTimeout
+                } else {
+                    Status::BadGateway
+                };
+                conn.with_status(status).with_body(reason).halt()
+            }
+        }
+    }
+
+    pub(super) fn log_end(&self, request: &Request<'_>, end: &End, tried: &Tried) {
+        let (outcome, status, reason) = match end {
+            End::Answered(kept) => (Outcome::Answered, kept.head.status, "answered"),
+            End::NotRun { reason, .. } => (Outcome::NotRun, 503, *reason),
+            End::Unknown { reason, late } => {
+                (Outcome::Unknown, if *late { 504 } else { 502 }, *reason)
+            }
+        };
+        let took = request.started.elapsed();
+        metrics::call_ended(request.service, "", outcome, took);
+        let good = outcome == Outcome::Answered
+            && status < FIRST_SERVER_ERROR
+            && took <= request.route.objective;
+        if good && !xxhash_rust::xxh3::xxh3_64(request.id.as_bytes()).is_multiple_of(LOGGED_OF_GOOD)
+        {
+            return;
+        }
+        let target = tried.addresses.last().map(ToString::to_string);
+        log::info!(
+            id = request.id,
+            offers = tried.addresses.len(),
+            reached = tried.reached,
+            target = target.as_deref().unwrap_or(""),
+            route = request.route.name.as_str(),
+            service = request.service,
+            revision = request.revision,
+            outcome = outcome.name(),
+            status,
+            took_ms = took.as_millis() as u64;
+            "{reason}"
+        );
+    }
+}
+
+/// Says that a request was not run, and when to come back.
+pub(super) fn refuse(conn: Conn, reason: &'static str, retry_after: Duration) -> Conn {
+    conn.with_status(Status::ServiceUnavailable)
+        .with_response_header(
+            request::RETRY_AFTER,
+            format!("{:.3}", retry_after.as_secs_f64()),
+        )
+        .with_body(reason)
+        .halt()
+}
