--- a/fulmarreel-http/src/message.rs
+++ b/fulmarreel-http/src/message.rs
@@ -2,6 +2,25 @@
 
 use std::fmt::Write;
 
+/// Headers that concern one connection and do not travel on.
+const CONNECTION_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+];
+
+/// Whether a header concerns one connection and does not travel on.
+pub fn concerns_connection(name: &str) -> bool {
+    let mut headers = CONNECTION_HEADERS.iter();
+    headers.any(|header| name.eq_ignore_ascii_case(header))
+}
+
 /// A header with its value as bytes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Header {
--- a/fulmarreel-node/src/ingress/exchange.rs
+++ b/fulmarreel-node/src/ingress/exchange.rs
@@ -109,20 +109,11 @@
         self.loads.end(self.target);
         self.connection.forget(self.sequence);
         if !self.ended {
-            self.cancel();
+            self.connection.cancel(self.sequence);
         }
     }
 }
 
-impl Pending {
-    fn cancel(&self) {
-        let (connection, sequence) = (Arc::clone(&self.connection), self.sequence);
-        crate::runtime::spawn(async move {
-            connection.send(Frame::Cancel { sequence }).await;
-        });
-    }
-}
-
 impl Exchange<'_> {
     /// Sends the call and waits for its answer.
     ///
@@ -259,7 +250,7 @@
                 cancelled = true;
                 deadline = Instant::now() + CANCEL_TIMEOUT;
                 pending.ended = true;
-                pending.cancel();
+                pending.connection.cancel(pending.sequence);
                 continue;
             };
             match event {
--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -13,8 +13,6 @@
 pub use request::{ATTEMPT_HEADER, DEADLINE_HEADER, DEPTH_HEADER, IDEMPOTENCY_HEADER};
 pub use respond::OUTCOME_HEADER;
 
-pub(crate) use request::is_hop;
-
 use crate::{
     peer::{Identity, Pool},
     rollout::{self, Moves},
--- a/fulmarreel-node/src/ingress/request.rs
+++ b/fulmarreel-node/src/ingress/request.rs
@@ -1,6 +1,7 @@
 //! One request of a caller.
 
 use super::SERVICE_HEADER;
+use fulmarreel_http::message::concerns_connection;
 use fulmarreel_wire::call::Header;
 use std::{
     net::SocketAddr,
@@ -27,19 +28,6 @@
 /// The longest time that a caller may allow.
 const MAX_TIMEOUT: Duration = Duration::from_secs(600);
 
-/// Headers that belong to one connection and do not travel on.
-const HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-];
-
 /// Headers that the next hop gets with values of its own.
 const OWN_HEADERS: [&str; 3] = [DEADLINE_HEADER, ATTEMPT_HEADER, DEPTH_HEADER];
 
@@ -149,7 +137,8 @@
     let mut kept = Vec::with_capacity(headers.len());
     for (name, values) in headers {
         let name: &str = name.as_ref();
-        if is_hop(name) || OWN_HEADERS.iter().any(|own| name.eq_ignore_ascii_case(own)) {
+        if concerns_connection(name) || OWN_HEADERS.iter().any(|own| name.eq_ignore_ascii_case(own))
+        {
             continue;
         }
         kept.extend(values.iter().map(|value| Header {
@@ -160,11 +149,6 @@
     kept
 }
 
-/// Whether a header belongs to one connection.
-pub(crate) fn is_hop(name: &str) -> bool {
-    HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
-}
-
 fn service(conn: &Conn) -> Option<String> {
     let named = conn.request_headers().get_str(SERVICE_HEADER);
     // A host that is an IP number names no service.
--- a/fulmarreel-node/src/ingress/respond.rs
+++ b/fulmarreel-node/src/ingress/respond.rs
@@ -1,6 +1,7 @@
 //! Answers to callers.
 
-use super::{exchange::Answer, request::is_hop};
+use super::exchange::Answer;
+use fulmarreel_http::message::concerns_connection;
 use fulmarreel_wire::call::Head;
 use trillium::{Body, Conn, Status};
 
@@ -44,7 +45,7 @@
         .with_response_header(OUTCOME_HEADER, "answered")
         .with_body(body);
     for header in head.headers {
-        if !is_hop(&header.name) {
+        if !concerns_connection(&header.name) {
             let headers = conn.response_headers_mut();
             headers.append(header.name, header.value);
         }
--- a/fulmarreel-node/src/mesh/caller/answer.rs
+++ b/fulmarreel-node/src/mesh/caller/answer.rs
@@ -51,6 +51,8 @@
     pub addresses: Vec<SocketAddr>,
     /// How many may have begun to work on it.
     pub reached: u32,
+    /// The version of the last one.
+    pub version: String,
     /// The shortest time after which one may take it.
     retry_after: Option<Duration>,
 }
@@ -78,6 +80,7 @@
             tried.addresses.push(target.address);
             open.sequence = self.next_sequence.fetch_add(1, Ordering::Relaxed);
             open.version.clone_from(&target.version);
+            tried.version.clone_from(&target.version);
             let left = request.limit.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return last.hinted(tried);
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -54,7 +54,7 @@
             }
         };
         let took = request.started.elapsed();
-        metrics::call_ended(request.service, "", outcome, took);
+        metrics::call_ended(request.service, &tried.version, outcome, took);
         let good = outcome == Outcome::Answered
             && status < FIRST_SERVER_ERROR
             && took <= request.route.objective;
@@ -68,6 +68,7 @@
             offers = tried.addresses.len(),
             reached = tried.reached,
             target = target.as_deref().unwrap_or(""),
+            version = tried.version.as_str(),
             route = request.route.name.as_str(),
             service = request.service,
             revision = request.revision,
--- a/fulmarreel-node/src/mesh/exchange.rs
+++ b/fulmarreel-node/src/mesh/exchange.rs
@@ -83,20 +83,11 @@
     fn drop(&mut self) {
         self.connection.forget(self.sequence);
         if !self.ended {
-            self.cancel();
+            self.connection.cancel(self.sequence);
         }
     }
 }
 
-impl Pending {
-    fn cancel(&self) {
-        let (connection, sequence) = (Arc::clone(&self.connection), self.sequence);
-        crate::runtime::spawn(async move {
-            connection.send(Frame::Cancel { sequence }).await;
-        });
-    }
-}
-
 /// How waiting on one connection ended.
 enum Wait {
     Over(Attempt),
@@ -225,7 +216,7 @@
                 // Where the request still waits for a slot it is not run, and that can be said.
                 cancelled = true;
                 deadline = Instant::now() + CANCEL_TIMEOUT;
-                pending.cancel();
+                pending.connection.cancel(pending.sequence);
                 continue;
             };
             match event {
--- a/fulmarreel-node/src/mesh/serve/peer.rs
+++ b/fulmarreel-node/src/mesh/serve/peer.rs
@@ -3,7 +3,7 @@
 use super::{Rejection, Server, request_id};
 use crate::{
     mesh::sync,
-    peer::stream,
+    peer::{Identity, stream},
     serve::opener::{Kept, Session},
 };
 use fulmarreel_call::{Fate, Opener, ledger::Cancellation};
@@ -15,7 +15,7 @@
     channel::{Receiver, Sender, bounded},
     future::or,
     io::BufReader,
-    net::{Shutdown, TcpStream},
+    net::TcpStream,
 };
 use std::{collections::HashMap, io, sync::Arc, time::Instant};
 
@@ -46,21 +46,11 @@
             Purpose::Calls => {}
             Purpose::Sync | Purpose::Evidence => return Ok(()),
         }
-        let greeting = Hello {
-            protocol: PROTOCOL,
+        let own = Identity {
             address: self.world.settings().peers,
             boot: self.world.boot,
-            purpose: Purpose::Calls,
-        };
-        stream::write(&mut tcp, &greeting).await?;
-        let begin = stream::read(&mut tcp).await?;
-        let Frame::Begin {
-            generation,
-            resumed,
-        } = begin
-        else {
-            return Err(io::ErrorKind::InvalidData.into());
         };
+        let (generation, resumed) = stream::greet(&mut tcp, own).await?;
         let opener = Opener {
             address: hello.address,
             boot: hello.boot,
@@ -76,16 +66,7 @@
         if !self.takes_requests() {
             let _ = outgoing.send(Frame::Leaving).await;
         }
-        let mut writing = tcp.clone();
-        crate::runtime::spawn(async move {
-            let written = stream::pump(&mut writing, &frames, |_| {}).await;
-            if let Err(error) = written {
-                log::debug!("peer connection: {error}");
-            }
-            frames.close();
-            // The peer may have closed it first.
-            let _ = writing.shutdown(Shutdown::Both);
-        });
+        crate::runtime::spawn(stream::pump_calls(tcp.clone(), frames));
         let peer = Peer {
             server: Arc::clone(self),
             opener,
--- a/fulmarreel-node/src/peer/connection.rs
+++ b/fulmarreel-node/src/peer/connection.rs
@@ -191,6 +191,14 @@
         self.outgoing.send(frame).await.is_ok()
     }
 
+    /// Tells the peer that a call's answer is no longer wanted.
+    pub fn cancel(self: &Arc<Self>, sequence: u64) {
+        let connection = Arc::clone(self);
+        crate::runtime::spawn(async move {
+            connection.send(Frame::Cancel { sequence }).await;
+        });
+    }
+
     /// Closes the connection where calls wait and nothing was heard for too long, and asks for a
     /// sign of life before that.
     pub fn check(&self, now: Instant) {
--- a/fulmarreel-node/src/peer/stream.rs
+++ b/fulmarreel-node/src/peer/stream.rs
@@ -1,9 +1,15 @@
 //! Frames on a TCP stream.
 
-use fulmarreel_wire::framing;
+use super::Identity;
+use fulmarreel_wire::{Hello, PROTOCOL, Purpose, call::Frame, framing};
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use serde::{Serialize, de::DeserializeOwned};
-use smol::{Timer, channel::Receiver, future::or};
+use smol::{
+    Timer,
+    channel::Receiver,
+    future::or,
+    net::{Shutdown, TcpStream},
+};
 use std::{io, time::Duration};
 
 /// Bytes of frames that are written at once.
@@ -45,6 +51,39 @@
     stream.write_all(&bytes).await
 }
 
+/// Greets a peer that opens calls, and reads how its connection follows on earlier ones: its
+/// generation, and whether it opened calls here before.
+///
+/// # Errors
+///
+/// The stream failed, or the peer's first frame is another one.
+pub async fn greet(tcp: &mut TcpStream, own: Identity) -> io::Result<(u64, bool)> {
+    let greeting = Hello {
+        protocol: PROTOCOL,
+        address: own.address,
+        boot: own.boot,
+        purpose: Purpose::Calls,
+    };
+    write(tcp, &greeting).await?;
+    match read(tcp).await? {
+        Frame::Begin {
+            generation,
+            resumed,
+        } => Ok((generation, resumed)),
+        _ => Err(io::ErrorKind::InvalidData.into()),
+    }
+}
+
+/// Writes the frames to a peer until the channel is closed or the stream fails, then closes both.
+pub async fn pump_calls(mut tcp: TcpStream, frames: Receiver<Frame>) {
+    if let Err(error) = pump(&mut tcp, &frames, |_| {}).await {
+        log::debug!("peer connection: {error}");
+    }
+    frames.close();
+    // The peer may have closed it first.
+    let _ = tcp.shutdown(Shutdown::Both);
+}
+
 /// Writes frames as they come, those that wait together at once, until the channel is closed;
 /// `before` sees each frame before any of its bytes are written.
 ///
--- a/fulmarreel-node/src/serve/connection.rs
+++ b/fulmarreel-node/src/serve/connection.rs
@@ -4,7 +4,11 @@
     Server, call,
     opener::{Kept, Session},
 };
-use crate::{peer::stream, rollout::report, sync};
+use crate::{
+    peer::{Identity, stream},
+    rollout::report,
+    sync,
+};
 use fulmarreel_call::{Fate, Opener, ledger::Cancellation};
 use fulmarreel_wire::{
     Hello, PROTOCOL, Purpose,
@@ -13,7 +17,7 @@
 use smol::{
     channel::{Sender, bounded},
     io::BufReader,
-    net::{Shutdown, TcpStream},
+    net::TcpStream,
 };
 use std::{collections::HashMap, io, sync::Arc, time::Instant};
 
@@ -45,21 +49,11 @@
             Purpose::Snapshot => return Ok(()),
             Purpose::Calls => {}
         }
-        let greeting = Hello {
-            protocol: PROTOCOL,
+        let own = Identity {
             address: self.state.settings.advertise,
             boot: self.state.boot,
-            purpose: Purpose::Calls,
-        };
-        stream::write(&mut tcp, &greeting).await?;
-        let begin = stream::read(&mut tcp).await?;
-        let Frame::Begin {
-            generation,
-            resumed,
-        } = begin
-        else {
-            return Err(io::ErrorKind::InvalidData.into());
         };
+        let (generation, resumed) = stream::greet(&mut tcp, own).await?;
         let opener = Opener {
             address: hello.address,
             boot: hello.boot,
@@ -72,12 +66,7 @@
         if self.is_leaving() {
             let _ = outgoing.send(Frame::Leaving).await;
         }
-        let mut writing = tcp.clone();
-        crate::runtime::spawn(async move {
-            let _ = stream::pump(&mut writing, &frames, |_| {}).await;
-            frames.close();
-            let _ = writing.shutdown(Shutdown::Both);
-        });
+        crate::runtime::spawn(stream::pump_calls(tcp.clone(), frames));
         let connection = Connection {
             server: Arc::clone(self),
             session,
--- a/fulmarreel-node/src/target/mod.rs
+++ b/fulmarreel-node/src/target/mod.rs
@@ -2,8 +2,9 @@
 
 mod dialer;
 
-use crate::ingress::{ATTEMPT_HEADER, DEADLINE_HEADER, DEPTH_HEADER, is_hop};
+use crate::ingress::{ATTEMPT_HEADER, DEADLINE_HEADER, DEPTH_HEADER};
 use dialer::Dialer;
+use fulmarreel_http::message::concerns_connection;
 use fulmarreel_wire::call::{Header, Open};
 use std::{
     net::SocketAddr,
@@ -124,7 +125,7 @@
 fn headers_of(headers: &trillium::Headers) -> Vec<Header> {
     headers
         .iter()
-        .filter(|(name, _)| !is_hop(name.as_ref()))
+        .filter(|(name, _)| !concerns_connection(name.as_ref()))
         .flat_map(|(name, values)| {
             values.iter().map(move |value| Header {
                 name: name.to_string(),
