fix(node): a lookup that one target ran is not said to be not run when another refuses it

Found by reading: a target's word that it did not run a request replaced the failure of one that did, and the caller was told 503. The test failed before (1 run, 503) and passes; bookings never had it, since they are not sent on after a target has had them.

--- a/fulmarreel-node/src/mesh/caller/answer.rs
+++ b/fulmarreel-node/src/mesh/caller/answer.rs
@@ -102,10 +102,7 @@
             match attempt {
                 Attempt::Answered(kept) if is_not_run(&kept) => {
                     tried.reached += 1;
-                    last = End::NotRun {
-                        reason: "the target did not run it",
-                        retry_after: Duration::ZERO,
-                    };
+                    last = last.or_not_run("the target did not run it", Duration::ZERO);
                     if !self.may_reach_another(request, tried) {
                         return last.hinted(tried);
                     }
@@ -128,13 +125,7 @@
                     ..
                 } => {
                     tried.hint(retry_after);
-                    // An answer of a target, be it a failure, is better than a refusal.
-                    if matches!(last, End::NotRun { .. }) {
-                        last = End::NotRun {
-                            reason,
-                            retry_after,
-                        };
-                    }
+                    last = last.or_not_run(reason, retry_after);
                     if tried.addresses.len() >= MAX_OFFERS {
                         return last.hinted(tried);
                     }
@@ -203,6 +194,18 @@
 }
 
 impl End {
+    /// The end after a further target did not run the request; where an earlier one may have, "not
+    /// run" would not be true.
+    fn or_not_run(self, reason: &'static str, retry_after: Duration) -> Self {
+        match self {
+            Self::NotRun { .. } => Self::NotRun {
+                reason,
+                retry_after,
+            },
+            other => other,
+        }
+    }
+
     /// Tells the caller when to come back, from what the targets said.
     fn hinted(self, tried: &Tried) -> Self {
         match self {
--- a/fulmarreel-node/tests/mesh/path.rs
+++ b/fulmarreel-node/tests/mesh/path.rs
@@ -159,6 +159,32 @@
     })
 }
 
+/// Fails if a lookup that one target ran and failed is said to be not run, since another refused it.
+#[test]
+fn what_one_target_ran_is_not_said_to_be_not_run() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (_stand, caller, one, two) = start().await?;
+        one.backend.set_manner(Manner {
+            status: 500,
+            ..Manner::default()
+        });
+        two.backend.set_manner(Manner {
+            shed: true,
+            ..Manner::default()
+        });
+        let mut ran = 0;
+        for number in 0..12 {
+            let id = format!("r-{number}");
+            let answer = caller.request("GET", "/s/", &id).await?;
+            let runs = runs(&[&one, &two], &id);
+            ensure!(runs == 0 || answer.status == 500, "{runs}: {}", answer.text);
+            ran += runs;
+        }
+        ensure!(ran > 0);
+        Ok(())
+    })
+}
+
 /// Fails if a target works on what its caller no longer waits for, also where further requests
 /// stand behind it on its connection.
 #[rstest]
