--- a/fulmarreel-rollout/src/brief.rs
+++ b/fulmarreel-rollout/src/brief.rs
@@ -17,7 +17,10 @@
 ];
 
 /// The part of the move's time from which on the move is complete.
-const COMPLETE: f64 = 0.88;
+const COMPLETE: f64 = 0.92;
+
+/// Time that is left of the limit for the order to reach its owner and for the outcome to be written.
+const RESERVE: Duration = Duration::from_millis(1_500);
 
 /// Failed calls to the new version without which no verdict falls.
 const MIN_FAILED: u32 = 4;
@@ -86,7 +89,8 @@
     if let Some(counts) = verdict(evidence) {
         return Step::TakeBack(counts);
     }
-    let part = elapsed.as_secs_f64() / limit.as_secs_f64().max(0.001);
+    let usable = limit.saturating_sub(RESERVE).max(limit / 2);
+    let part = elapsed.as_secs_f64() / usable.as_secs_f64().max(0.001);
     if part >= COMPLETE {
         return Step::Complete;
     }
--- a/fulmarreel-rollout/tests/brief.rs
+++ b/fulmarreel-rollout/tests/brief.rs
@@ -74,6 +74,19 @@
     assert!(complete_at + Duration::from_millis(1_500) <= LIMIT);
 }
 
+/// Fails if the time that an order takes to arrive, and an outcome to be written, is a part of the
+/// limit only: a move of 8 s was written as complete after 8.0 s.
+#[rstest]
+#[case(8)]
+#[case(12)]
+#[case(15)]
+fn short_moves_leave_the_same_time_for_their_ends(#[case] seconds: u64) {
+    let limit = Duration::from_secs(seconds);
+    let good = evidence(counts(500, 2, 0), counts(50, 0, 0));
+    let last = limit - Duration::from_millis(1_500);
+    assert_eq!(step(&good, last, limit), Step::Complete);
+}
+
 /// Fails if more than a tenth of the calls can reach a version before its first fault shows, for
 /// any moment at which that begins, given a second until all nodes know.
 #[test]
