test: stand-ins keep the port that they were given

Ruled out: outgoing connections (their ports begin at 32768) and other test programs (one runs at a time). The stand-ins of targets and of the platform's store now bind once. Left: addresses of node processes, which are bound after an exec of their own.

--- a/fulmarreel-node/tests/mesh/backend.rs
+++ b/fulmarreel-node/tests/mesh/backend.rs
@@ -50,7 +50,7 @@
 
 impl Backend {
     pub async fn start(id: &str, version: &str) -> anyhow::Result<Self> {
-        let listener = TcpListener::bind(fulmarreel_testing::process::free_address()?).await?;
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
         let backend = Self {
             id: id.to_owned(),
             version: version.to_owned(),
--- a/fulmarreel-testing/src/kv/mod.rs
+++ b/fulmarreel-testing/src/kv/mod.rs
@@ -5,9 +5,9 @@
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use data::Data;
-use smol::Timer;
+use smol::{Timer, net};
 use std::{
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
@@ -50,10 +50,13 @@
     ///
     /// No address is free.
     pub fn start() -> anyhow::Result<Self> {
-        let address = crate::process::free_address()?;
+        // Kept from here on: between two binds a process that is just starting may hold the port.
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let address = listener.local_addr()?;
+        let listener = net::TcpListener::try_from(listener)?;
         let shared = Arc::new(Mutex::new(Shared::default()));
         let serving = Arc::clone(&shared);
-        smol::spawn(serve::run(address, serving)).detach();
+        smol::spawn(serve::run(listener, serving)).detach();
         let expiring = Arc::clone(&shared);
         smol::spawn(async move {
             loop {
--- a/fulmarreel-testing/src/kv/serve.rs
+++ b/fulmarreel-testing/src/kv/serve.rs
@@ -3,9 +3,8 @@
 use super::{Shared, lock};
 use serde::Deserialize;
 use serde_json::{Value, json};
-use smol::Timer;
+use smol::{Timer, net::TcpListener};
 use std::{
-    net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -39,9 +38,9 @@
 }
 
 /// Serves until the task is dropped.
-pub(super) async fn run(address: SocketAddr, shared: Arc<Mutex<Shared>>) {
+pub(super) async fn run(listener: TcpListener, shared: Arc<Mutex<Shared>>) {
     let server = trillium_smol::config()
-        .with_socketaddr(address)
+        .with_prebound_server(listener)
         .with_nodelay()
         .without_signals();
     server
