--- a/fulmarreel-node/src/mesh/announce.rs
+++ b/fulmarreel-node/src/mesh/announce.rs
@@ -7,7 +7,7 @@
 };
 use fulmarreel_platform::heartbeat;
 use fulmarreel_store::{Outcome, Revision, Store, Transaction};
-use smol::{Timer, channel::Receiver};
+use smol::Timer;
 use std::{sync::Arc, time::Duration};
 use trillium::{Conn, Method, Status};
 
@@ -78,8 +78,8 @@
     server.announce(announcement);
 }
 
-/// Keeps the node's own entry in the store as it should be, until the process ends.
-pub async fn publish(world: Arc<World>, server: Arc<Server>, stopped: Receiver<()>) {
+/// Keeps the node's own entry in the store as it should be, until the process is told to end.
+pub async fn publish(world: Arc<World>, server: Arc<Server>) {
     let key = format!("{}{}", keys::NODES, world.settings().instance);
     let mut pause = MIN_PAUSE;
     let mut resumed = false;
@@ -88,7 +88,7 @@
             resumed = true;
             resume(&world, &server, &key).await;
         }
-        if stopped.is_closed() || world.is_stopping() {
+        if world.is_stopping() {
             return;
         }
         let entry = entry(&world, &server);
--- a/fulmarreel-node/src/mesh/run.rs
+++ b/fulmarreel-node/src/mesh/run.rs
@@ -14,7 +14,7 @@
 };
 use crate::{peer::Pool, runtime, telemetry::metrics};
 use fulmarreel_platform::Settings;
-use smol::{Timer, channel::bounded, future::or};
+use smol::{Timer, future::or};
 use std::{
     future::Future,
     io,
@@ -66,14 +66,9 @@
         let (world, server) = hearing.clone();
         async move { announce::handle(&world, &server, conn).await }
     });
-    let (stopping, stopped) = bounded::<()>(1);
     spawn(sync::run(Arc::clone(&world)));
     spawn(sync::probe(Arc::clone(&world)));
-    spawn(announce::publish(
-        Arc::clone(&world),
-        Arc::clone(&server),
-        stopped,
-    ));
+    spawn(announce::publish(Arc::clone(&world), Arc::clone(&server)));
     spawn(Arc::clone(&notices).tell());
     spawn(Arc::clone(&notices).receive(Arc::clone(&moves)));
     spawn(takeover::run(Arc::clone(&world), moves, notices));
@@ -83,9 +78,7 @@
 
     let serving = Arc::clone(&server).run();
     let callers = listen(Arc::clone(&world), Arc::clone(&caller));
-    let ended = or(serving, or(callers, stop::run(world, server, caller))).await;
-    drop(stopping);
-    ended
+    or(serving, or(callers, stop::run(world, server, caller))).await
 }
 
 /// Tries nodes that could not be reached, so that no request waits for them.
