fix(balance): repeats are counted over the window that pays for them

All targets of a service shed half of their requests; the calls of the other service's runs failed, its runs were repeated, and each repeat made its calls again, which count as repeats at the shedding service, on top of that one's own.

Change: a sliding window in place of a bucket of tokens, so that the bound is that of the grant, and half of it for requests that may have run. A property over nodes, faults and a chain of two services fails with the whole share (254 of 225) and passes now.

--- a/fulmarreel-balance/src/lib.rs
+++ b/fulmarreel-balance/src/lib.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod admission;
-mod budget;
+pub mod budget;
 pub mod choice;
 pub mod placement;
 
--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -25,7 +25,10 @@
 };
 use claim::{Claims, Refusal};
 use exchange::{Answer, Exchange};
-use fulmarreel_balance::Budget;
+use fulmarreel_balance::{
+    Budget,
+    budget::{Ground, Options},
+};
 use fulmarreel_call::retry::{self, End, Next};
 use load::Loads;
 use request::Request;
@@ -41,7 +44,7 @@
         Arc, Mutex,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 use trillium::{Conn, KnownHeaderName, Status};
 use trillium_http::HttpContext;
@@ -192,7 +195,7 @@
     async fn answer(&self, destination: &mut Destination<'_>, request: &Request) -> Answer {
         let mut tried = Vec::new();
         let mut last = Answer::not_run("no target is known");
-        self.budget(destination, Budget::earn);
+        self.budget(destination, |budget| budget.earn(Instant::now()));
         loop {
             let Some(target) = self.choose_again(destination, &tried).await else {
                 return last;
@@ -286,11 +289,17 @@
             retried_above: request.attempt > 0,
             attempts: tried.len() as u8,
         };
+        let ground = match end {
+            End::Unknown => Ground::Run,
+            _ => Ground::Rejected,
+        };
         match retry::decide(call, end) {
             Next::Stop => false,
             Next::Retry => true,
             _ if self.choose(destination, tried).is_none() => false,
-            Next::RetryOnBudget => self.budget(destination, Budget::spend),
+            Next::RetryOnBudget => {
+                self.budget(destination, |budget| budget.spend(Instant::now(), ground))
+            }
         }
     }
 
@@ -300,7 +309,8 @@
         if let Some(budget) = budgets.get_mut(service) {
             return change(budget);
         }
-        change(budgets.entry(service.to_owned()).or_default())
+        let budget = Budget::new(Options::default());
+        change(budgets.entry(service.to_owned()).or_insert(budget))
     }
 
     /// Hands an end to whoever compares versions.
--- a/fulmarreel-node/src/mesh/caller/answer.rs
+++ b/fulmarreel-node/src/mesh/caller/answer.rs
@@ -8,7 +8,10 @@
     },
     serve::opener::Kept,
 };
-use fulmarreel_balance::Budget;
+use fulmarreel_balance::{
+    Budget,
+    budget::{Ground, Options},
+};
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::Open;
 use std::{
@@ -70,7 +73,7 @@
             reason: "no target is known",
             retry_after: Duration::ZERO,
         };
-        self.budget(request.service, Budget::earn);
+        self.budget(request.service, |budget| budget.earn(Instant::now()));
         loop {
             let view = self.world.view();
             let chosen = self.choose(&view, request, tried);
@@ -103,7 +106,7 @@
                 Attempt::Answered(kept) if is_not_run(&kept) => {
                     tried.reached += 1;
                     last = last.or_not_run("the target did not run it", Duration::ZERO);
-                    if !self.may_reach_another(request, tried) {
+                    if !self.may_reach_another(request, tried, Ground::Rejected) {
                         return last.hinted(tried);
                     }
                 }
@@ -113,7 +116,7 @@
                     let again = failed
                         && request.route.idempotent
                         && self.is_worth_another(request)
-                        && self.may_reach_another(request, tried);
+                        && self.may_reach_another(request, tried, Ground::Run);
                     last = End::Answered(kept);
                     if !again {
                         return last;
@@ -136,8 +139,9 @@
                     if !matches!(last, End::Answered(_)) {
                         last = End::Unknown { reason, late };
                     }
-                    let again =
-                        request.route.idempotent && !late && self.may_reach_another(request, tried);
+                    let again = request.route.idempotent
+                        && !late
+                        && self.may_reach_another(request, tried, Ground::Run);
                     if !again {
                         return last;
                     }
@@ -171,10 +175,12 @@
     }
 
     /// Whether a request may go to a further target after one that it may have reached.
-    fn may_reach_another(&self, request: &Request<'_>, tried: &Tried) -> bool {
+    fn may_reach_another(&self, request: &Request<'_>, tried: &Tried, ground: Ground) -> bool {
         tried.reached < request.route.max_attempts
             && tried.addresses.len() < MAX_OFFERS
-            && self.budget(request.service, Budget::spend)
+            && self.budget(request.service, |budget| {
+                budget.spend(Instant::now(), ground)
+            })
     }
 
     fn budget<T>(&self, service: &str, work: impl FnOnce(&mut Budget) -> T) -> T {
@@ -185,10 +191,11 @@
         let settings = self.world.settings();
         // Each node takes its part of what all may spend.
         let nodes = self.world.view().nodes.len().max(1) as f64;
-        let budget = Budget::new(
-            settings.retry_ratio * RETRY_PART,
-            (settings.retry_slack * RETRY_PART / nodes).max(1.0),
-        );
+        let budget = Budget::new(Options {
+            ratio: settings.retry_ratio * RETRY_PART,
+            slack: settings.retry_slack * RETRY_PART / nodes,
+            window: settings.retry_window,
+        });
         work(budgets.entry(service.to_owned()).or_insert(budget))
     }
 }
