fix(balance): a call waits only where a slot comes in time by its rank's pace

Logs of the wait at the gate showed 0.7 to 3 s where 0.4 to 1.6 s were wanted, for three reasons: the wait was judged by the mean time of all calls, which short urgent calls pull down while they take most slots; a call with an early wish counted as first in line and so waited to its limit, in any number; and six calls a slot could wait, so that routes with a long objective took the room of others.

Change: each rank's pace of leaving the queue is measured; only a call that finds nobody waiting goes on to its limit; one call waits for each slot, and less urgent ones take no room from urgent ones.

Ruled out: slow targets (the work itself took its usual time).

--- a/fulmarreel-balance/src/admission.rs
+++ b/fulmarreel-balance/src/admission.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-/// Calls that may wait for each slot, where nothing else is said.
+/// Calls that may wait for each slot.
 const QUEUED_PER_SLOT: usize = 1;
 
 /// Calls that may wait where the target has few slots.
@@ -68,31 +68,35 @@
 #[derive(Debug)]
 pub struct Admission<T> {
     slots: usize,
-    queued_per_slot: usize,
     running: usize,
     waiting: BTreeMap<(u8, Instant, u64), Waiting<T>>,
     arrivals: u64,
     mean_held: Duration,
     /// When a call of each rank came last.
     ranks: BTreeMap<u8, Instant>,
+    /// How fast calls of each rank leave the queue.
+    paces: BTreeMap<u8, Pace>,
+}
+
+/// How fast calls of a rank leave the queue; those of lower ranks pass them.
+#[derive(Debug)]
+struct Pace {
+    /// When one had a slot last while others of its rank waited.
+    last: Option<Instant>,
+    mean_interval: Duration,
 }
 
 impl<T> Admission<T> {
     /// Admission to so many slots.
     pub fn new(slots: u16) -> Self {
-        Self::with_queue(slots, QUEUED_PER_SLOT)
-    }
-
-    /// Admission to so many slots, with a queue of so many calls for each.
-    pub fn with_queue(slots: u16, queued_per_slot: usize) -> Self {
         Self {
             slots: usize::from(slots),
-            queued_per_slot,
             running: 0,
             waiting: BTreeMap::new(),
             arrivals: 0,
             mean_held: Duration::ZERO,
             ranks: BTreeMap::new(),
+            paces: BTreeMap::new(),
         }
     }
 
@@ -119,9 +123,10 @@
     /// Takes a call in that waits for a slot as its patience allows, queues it or refuses it; of the
     /// calls that wait, those of the lowest rank go first.
     ///
-    /// The first in line, and a call that passes less urgent ones, wait until the latest time, also
-    /// where they cannot have a slot by the wanted one: little stands between them and a slot, and a
-    /// refusal may waste what led to them.
+    /// A call that finds nobody waiting, and one that passes less urgent ones, wait until the latest
+    /// time, also where they cannot have a slot by the wanted one: little stands between them and a
+    /// slot, and a refusal may waste what led to them. Less urgent calls take no room in the queue
+    /// from a call.
     pub fn arrive_ranked(
         &mut self,
         now: Instant,
@@ -138,17 +143,18 @@
             self.running += 1;
             return Arrival::Admitted(call);
         }
-        let full = self.waiting.len() >= MIN_QUEUE.max(self.slots * self.queued_per_slot);
+        let before = self.waiting.keys().filter(|key| key.0 <= rank).count();
+        let full = before >= MIN_QUEUE.max(self.slots * QUEUED_PER_SLOT);
         let (by, latest, in_time) = match due {
             Due::End(by) => {
                 let ahead = self.ahead(rank, by);
-                (by, by, now + self.wait(ahead) + self.mean_held <= by)
+                (by, by, now + self.wait(rank, ahead) + self.mean_held <= by)
             }
             Due::Start(Patience { wanted, latest }) => {
                 let ahead = self.ahead(rank, wanted);
-                let goes_first = ahead == 0 || self.passes_others(rank, now);
-                let by = if goes_first { latest } else { wanted };
-                (wanted, latest, now + self.wait(ahead) <= by)
+                let patient = self.waiting.is_empty() || self.passes_others(rank, now);
+                let until = if patient { latest } else { wanted };
+                (wanted, latest, now + self.wait(rank, ahead) <= until)
             }
         };
         if full || !in_time {
@@ -163,13 +169,7 @@
     /// Frees the slot of a call that held it for that long.
     pub fn finish(&mut self, now: Instant, held: Duration) -> Vec<Release<T>> {
         self.running -= 1;
-        self.mean_held = if self.mean_held.is_zero() {
-            held
-        } else {
-            self.mean_held
-                .mul_f64(1.0 - MEAN_WEIGHT)
-                .saturating_add(held.mul_f64(MEAN_WEIGHT))
-        };
+        self.mean_held = mean(self.mean_held, held);
         self.release(now)
     }
 
@@ -186,20 +186,37 @@
             if !expired && self.running >= self.slots {
                 break;
             }
+            let rank = first.key().0;
             let call = first.remove().call;
             if expired {
                 released.push(Release::Expired(call));
             } else {
                 self.running += 1;
+                self.pace(rank, now);
                 released.push(Release::Admitted(call));
             }
         }
         released
     }
 
+    /// Notes that a call of that rank left the queue for a slot.
+    fn pace(&mut self, rank: u8, now: Instant) {
+        let others = self.waiting.keys().any(|key| key.0 == rank);
+        let pace = self.paces.entry(rank).or_insert(Pace {
+            last: None,
+            mean_interval: Duration::ZERO,
+        });
+        if let Some(last) = pace.last {
+            let interval = now.saturating_duration_since(last);
+            pace.mean_interval = mean(pace.mean_interval, interval);
+        }
+        pace.last = others.then_some(now);
+    }
+
     /// Time until the calls that wait now will have a slot, by the mean of earlier calls.
     pub fn backlog(&self) -> Duration {
-        self.wait(self.waiting.len())
+        let last = self.waiting.keys().next_back();
+        self.wait(last.map_or(0, |key| key.0), self.waiting.len())
     }
 
     /// Calls that wait before one of that rank and deadline.
@@ -207,10 +224,16 @@
         self.waiting.range(..=(rank, deadline, u64::MAX)).count()
     }
 
-    /// Time until a call behind so many has a slot, by the mean of earlier calls.
-    fn wait(&self, ahead: usize) -> Duration {
+    /// Time until a call of that rank behind so many has a slot, by the mean of earlier calls.
+    fn wait(&self, rank: u8, ahead: usize) -> Duration {
         let rounds = (ahead + 1) as f64 / self.slots.max(1) as f64;
-        self.mean_held.mul_f64(rounds)
+        let by_slots = self.mean_held.mul_f64(rounds);
+        let Some(pace) = self.paces.get(&rank) else {
+            return by_slots;
+        };
+        let passed = self.waiting.keys().filter(|key| key.0 < rank).count();
+        let own = ahead.saturating_sub(passed) + 1;
+        by_slots.max(pace.mean_interval.mul_f64(own as f64))
     }
 
     /// Whether less urgent calls come besides those of that rank.
@@ -219,3 +242,12 @@
         others.any(|(_, last)| now.saturating_duration_since(*last) < RANK_AGE)
     }
 }
+
+/// A mean with a newest value taken in.
+fn mean(mean: Duration, newest: Duration) -> Duration {
+    if mean.is_zero() {
+        return newest;
+    }
+    let kept = mean.mul_f64(1.0 - MEAN_WEIGHT);
+    kept.saturating_add(newest.mul_f64(MEAN_WEIGHT))
+}
--- a/fulmarreel-balance/tests/ranked.rs
+++ b/fulmarreel-balance/tests/ranked.rs
@@ -14,7 +14,7 @@
 
 /// Two slots, both taken, by calls that hold theirs for [`HELD`].
 fn full(now: Instant) -> Admission<&'static str> {
-    let mut admission = Admission::with_queue(2, 6);
+    let mut admission = Admission::new(2);
     let long = patience(now, 10_000, 10_000);
     admission.arrive_ranked(now, 2, long, "first");
     admission.finish(now, HELD);
@@ -49,7 +49,7 @@
 fn a_usual_call_is_refused_where_its_wish_cannot_be_met() {
     let now = Instant::now();
     let mut admission = full(now);
-    // The first in line waits on, as long as its limit allows.
+    // Where nobody waits, a call waits on, as long as its limit allows.
     let short = patience(now, 100, 1_000);
     assert_eq!(admission.arrive_ranked(now, 2, short, "c"), Arrival::Queued);
     assert_eq!(
@@ -86,3 +86,62 @@
     assert_eq!(admission.finish(later, HELD), [Release::Expired("c")]);
     assert_eq!(admission.running(), 1);
 }
+
+/// Fails if less urgent calls fill the queue for an urgent one.
+#[test]
+fn usual_calls_take_no_room_from_urgent_ones() {
+    let now = Instant::now();
+    let mut admission = full(now);
+    let long = patience(now, 10_000, 10_000);
+    let mut queued = 0;
+    while admission.arrive_ranked(now, 2, long, "usual") == Arrival::Queued {
+        queued += 1;
+    }
+    assert_eq!(queued, 4);
+    assert_eq!(
+        admission.arrive_ranked(now, 1, long, "urgent"),
+        Arrival::Queued
+    );
+}
+
+/// Fails if the wait is judged by the mean time that calls hold a slot: short urgent calls pull that
+/// down and take most of the slots, and usual calls were answered after their objective.
+#[test]
+fn the_wait_of_usual_calls_is_judged_by_their_own_pace() {
+    let start = Instant::now();
+    let mut admission = full(start);
+    let mut now = start;
+    let long = patience(start, 60_000, 60_000);
+    for _ in 0..3 {
+        admission.arrive_ranked(now, 2, long, "usual");
+    }
+    // Four urgent calls have a slot for each usual one that has one; all are short.
+    for turn in 0..15 {
+        now += Duration::from_millis(100);
+        if turn % 5 != 0 {
+            admission.arrive_ranked(now, 1, long, "urgent");
+        }
+        admission.finish(now, Duration::from_millis(50));
+    }
+    let soon = patience(now, 600, 60_000);
+    admission.arrive_ranked(now, 2, soon, "usual");
+    assert_eq!(
+        admission.arrive_ranked(now, 2, soon, "late"),
+        Arrival::Refused("late")
+    );
+}
+
+/// Fails if the one that waits decides what the next may expect: a call with an early wish waited
+/// until its limit behind any number of others, and all of them were answered too late.
+#[test]
+fn only_a_call_that_finds_nobody_waiting_goes_on_to_its_limit() {
+    let now = Instant::now();
+    let mut admission = full(now);
+    let late = patience(now, 5_000, 6_000);
+    assert_eq!(admission.arrive_ranked(now, 2, late, "c"), Arrival::Queued);
+    let early = patience(now, 100, 6_000);
+    assert_eq!(
+        admission.arrive_ranked(now, 2, early, "d"),
+        Arrival::Refused("d")
+    );
+}
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -25,9 +25,6 @@
     time::{Duration, Instant},
 };
 
-/// Requests that may wait for each slot.
-const QUEUED_PER_SLOT: usize = 6;
-
 /// Announcement intervals after which a silent target is withdrawn.
 const SILENT_INTERVALS: u32 = 5;
 
@@ -75,7 +72,7 @@
         let endpoint = world.settings().endpoint;
         Self {
             world,
-            gate: Arc::new(Gate::with_queue(QUEUED_PER_SLOT)),
+            gate: Arc::default(),
             endpoint: Endpoint::new(endpoint),
             register: Mutex::new(Own {
                 register: Register::default(),
--- a/fulmarreel-node/src/serve/gate.rs
+++ b/fulmarreel-node/src/serve/gate.rs
@@ -86,13 +86,6 @@
         }
     }
 
-    /// A gate with a queue of so many calls for each slot.
-    pub fn with_queue(queued_per_slot: usize) -> Self {
-        Self {
-            admission: Mutex::new(Admission::with_queue(0, queued_per_slot)),
-        }
-    }
-
     /// Time until the calls that wait now will have a slot.
     pub fn backlog(&self) -> Duration {
         self.admission.lock().expect("admission lock").backlog()
