feat(node): room for the work's spread, and for unknown work, before a slot is wanted

Change: twice the usual work has to fit before the objective; unknown work is 0.4 of it. The line of a request's end says what time the caller allowed and how long the target worked.

--- a/fulmarreel-node/src/mesh/caller/answer.rs
+++ b/fulmarreel-node/src/mesh/caller/answer.rs
@@ -32,6 +32,9 @@
 /// The part of its objective within which a request wants a slot at the least.
 const MIN_PATIENCE: f64 = 0.2;
 
+/// The part of its usual time that a request may take beyond that, in how long it waits for a slot.
+const SPREAD: f64 = 1.0;
+
 /// How a request ended.
 pub(super) enum End {
     Answered(Kept),
@@ -154,14 +157,14 @@
     /// longer waits: by when its answer can be expected within its objective, and within its limit.
     fn patience(&self, request: &Request<'_>, target: &Target) -> (u32, u32) {
         let now = Instant::now();
-        let work = self.targets.candidate(target, &request.route.name).work;
+        let work = self.targets.candidate(target, request.route).work;
         let objective = request.route.objective;
         let left = |until: Instant| until.saturating_duration_since(now + work);
         // Where the process ends before, what waits is refused while that can still be said.
         let end = self.world.end().map(|end| end - LAST_WORD);
         let limit = end.map_or(request.limit, |end| end.min(request.limit));
         let latest = left(limit);
-        let wanted = left(request.started + objective)
+        let wanted = left((request.started + objective) - work.mul_f64(SPREAD))
             .max(objective.mul_f64(MIN_PATIENCE))
             .min(latest);
         let ms = |wait: Duration| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -62,6 +62,10 @@
         {
             return;
         }
+        let ran = match end {
+            End::Answered(kept) => kept.head.target_micros / 1_000,
+            End::NotRun { .. } | End::Unknown { .. } => 0,
+        };
         let target = tried.addresses.last().map(ToString::to_string);
         log::info!(
             id = request.id,
@@ -74,6 +78,8 @@
             revision = request.revision,
             outcome = outcome.name(),
             status,
+            allowed_ms = request.limit.saturating_duration_since(request.started).as_millis() as u64,
+            ran_ms = ran,
             took_ms = took.as_millis() as u64;
             "{reason}"
         );
--- a/fulmarreel-node/src/mesh/targets.rs
+++ b/fulmarreel-node/src/mesh/targets.rs
@@ -2,6 +2,7 @@
 
 use super::view::Target;
 use fulmarreel_balance::placement::Candidate;
+use fulmarreel_route::Route;
 use std::{
     collections::HashMap,
     net::SocketAddr,
@@ -21,8 +22,8 @@
 /// How long a reported load counts.
 const REPORT_AGE: Duration = Duration::from_millis(800);
 
-/// The time that a request is taken to need where nothing is known.
-const UNKNOWN_WORK: Duration = Duration::from_millis(100);
+/// The part of its objective that a request is taken to need where nothing is known.
+const UNKNOWN_WORK: f64 = 0.4;
 
 /// Pause before a node that could not be reached is probed once more, the first time.
 const MIN_PROBE_PAUSE: Duration = Duration::from_millis(400);
@@ -83,11 +84,11 @@
 
 impl Targets {
     /// What a choice needs to know of a target for a route.
-    pub fn candidate(&self, target: &Target, route: &str) -> Candidate {
+    pub fn candidate(&self, target: &Target, route: &Route) -> Candidate {
         let now = Instant::now();
         let mut seen = self.seen.lock().expect("targets lock");
-        let usual = seen.usual.get(route).copied();
-        let usual = usual.unwrap_or(UNKNOWN_WORK.as_secs_f64());
+        let usual = seen.usual.get(&route.name).copied();
+        let usual = usual.unwrap_or(route.objective.as_secs_f64() * UNKNOWN_WORK);
         let record = seen
             .targets
             .entry(target.address)
@@ -95,7 +96,10 @@
         let fresh = now.saturating_duration_since(record.reported_at) < REPORT_AGE;
         let reported = if fresh { record.reported } else { 0 };
         let held = record.held.map_or(usual, |mean| mean.faded(usual, now));
-        let work = record.work.get(route).map(|mean| mean.faded(usual, now));
+        let work = record
+            .work
+            .get(&route.name)
+            .map(|mean| mean.faded(usual, now));
         Candidate {
             tier: target.tier,
             load: record.in_flight.max(reported),
