feat: explain a failed request from logs, and metrics at a port of their own

`fulmarreel explain ID FILE...` puts a request's lines of all nodes in order and says in a sentence or two what became of it and what that rests on.

--- a/fulmarreel-node/src/main.rs
+++ b/fulmarreel-node/src/main.rs
@@ -13,12 +13,13 @@
 /// The arguments.
 const HELP: &str = "\
 usage: fulmarreel-node --settings FILE [--check-settings]
-       fulmarreel-node platform [--check-settings]
+       fulmarreel-node platform [--metrics PORT] [--check-settings]
 
   --settings FILE     the node's settings, JSON with comments
   --check-settings    check them and end
   platform            run on the users' platform, with the settings file that
                       its variable names, and log to standard output
+  --metrics PORT      serve /metrics at that port of the instance too
 Exit codes: 0 ended in order, 1 settings refused or an address cannot be bound, 2 usage.
 ";
 
@@ -27,7 +28,10 @@
     Help,
     Check(PathBuf),
     Run(PathBuf),
-    Platform { check_only: bool },
+    Platform {
+        metrics: Option<u16>,
+        check_only: bool,
+    },
 }
 
 fn main() -> ExitCode {
@@ -54,9 +58,13 @@
     let check_only = arguments.contains("--check-settings");
     if let Some(word) = arguments.subcommand()? {
         anyhow::ensure!(word == "platform", "unknown word {word:?}");
+        let metrics = arguments.opt_value_from_str("--metrics")?;
         let rest = arguments.finish();
         anyhow::ensure!(rest.is_empty(), "unknown arguments {rest:?}");
-        return Ok(Request::Platform { check_only });
+        return Ok(Request::Platform {
+            metrics,
+            check_only,
+        });
     }
     let path: PathBuf = arguments.value_from_str("--settings")?;
     let rest = arguments.finish();
@@ -81,12 +89,15 @@
             telemetry::decision::limit(settings.log.decisions_per_second);
             run(settings).context("node")?;
         }
-        Request::Platform { check_only } => {
+        Request::Platform {
+            metrics,
+            check_only,
+        } => {
             let settings = Settings::load().context("settings")?;
             if !check_only {
                 let output = telemetry::queue::Queue::start(io::stdout()).context("log thread")?;
                 telemetry::logger::Logger::new(LevelFilter::Info, output).install()?;
-                mesh::run(settings).context("node")?;
+                mesh::run(settings, metrics).context("node")?;
             }
         }
     }
--- a/fulmarreel-node/src/mesh/caller/answer.rs
+++ b/fulmarreel-node/src/mesh/caller/answer.rs
@@ -7,6 +7,7 @@
         view::Target,
     },
     serve::opener::Kept,
+    telemetry::metrics,
 };
 use fulmarreel_balance::{
     Budget,
@@ -83,6 +84,9 @@
             let Some((target, side)) = chosen else {
                 return last.hinted(tried);
             };
+            if !tried.addresses.is_empty() {
+                metrics::call_retried(request.service);
+            }
             tried.addresses.push(target.address);
             open.sequence = self.next_sequence.fetch_add(1, Ordering::Relaxed);
             open.version.clone_from(&target.version);
--- a/fulmarreel-node/src/mesh/ready.rs
+++ b/fulmarreel-node/src/mesh/ready.rs
@@ -17,7 +17,7 @@
             .halt(),
         (Method::Get, "/metrics") => conn
             .with_response_header(trillium::KnownHeaderName::ContentType, METRICS_TYPE)
-            .ok(metrics::render()),
+            .ok(rendered(world)),
         _ => conn
             .with_status(Status::NotFound)
             .with_body("expected GET /-/ready or /metrics\n")
@@ -25,6 +25,23 @@
     }
 }
 
+/// All metrics as text, those that are read off the moment set first.
+fn rendered(world: &World) -> String {
+    let view = world.view();
+    metrics::ready(is_ready(world));
+    metrics::configuration(view.table.as_ref().map_or(0, |table| table.revision));
+    for (service, targets) in &view.targets {
+        let mut versions = std::collections::BTreeMap::new();
+        for target in targets {
+            *versions.entry(target.version.as_str()).or_insert(0) += 1;
+        }
+        for (version, count) in versions {
+            metrics::targets(service, version, count);
+        }
+    }
+    metrics::render()
+}
+
 fn is_ready(world: &World) -> bool {
     !world.is_stopping() && world.view().table.is_some()
 }
--- a/fulmarreel-node/src/mesh/run.rs
+++ b/fulmarreel-node/src/mesh/run.rs
@@ -27,18 +27,19 @@
 /// How often it is looked which nodes are to be probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Runs a node on the platform until it is told to stop.
+/// Runs a node on the platform until it is told to stop, with metrics at a port of their own if one is
+/// given.
 ///
 /// # Errors
 ///
 /// An address cannot be bound.
-pub fn run(settings: Settings) -> io::Result<()> {
+pub fn run(settings: Settings, metrics_port: Option<u16>) -> io::Result<()> {
     runtime::init();
     metrics::init().map_err(io::Error::other)?;
-    runtime::block_on(start(settings))
+    runtime::block_on(start(settings, metrics_port))
 }
 
-async fn start(settings: Settings) -> io::Result<()> {
+async fn start(settings: Settings, metrics_port: Option<u16>) -> io::Result<()> {
     log::info!(
         instance = settings.instance.as_str(),
         zone = settings.zone.as_str(),
@@ -56,11 +57,14 @@
     ));
     let notices = Notices::bind(Arc::clone(&world)).await?;
 
-    let asked = Arc::clone(&world);
-    serve(ready_at, move |conn: Conn| {
-        let world = Arc::clone(&asked);
-        async move { ready::handle(&world, conn) }
-    });
+    let metrics_at = metrics_port.map(|port| SocketAddr::new(ready_at.ip(), port));
+    for address in [Some(ready_at), metrics_at].into_iter().flatten() {
+        let asked = Arc::clone(&world);
+        serve(address, move |conn: Conn| {
+            let world = Arc::clone(&asked);
+            async move { ready::handle(&world, conn) }
+        });
+    }
     let hearing = (Arc::clone(&world), Arc::clone(&server));
     serve(announced_at, move |conn: Conn| {
         let (world, server) = hearing.clone();
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -7,9 +7,12 @@
     keys,
     world::World,
 };
-use crate::serve::{
-    gate::{Gate, Permit},
-    opener::{Kept, Session},
+use crate::{
+    serve::{
+        gate::{Gate, Permit},
+        opener::{Kept, Session},
+    },
+    telemetry::metrics,
 };
 use fulmarreel_balance::admission::Patience;
 use fulmarreel_call::Opener;
@@ -192,9 +195,12 @@
         body: &[u8],
         hand_over: impl FnOnce() -> bool,
     ) -> Result<Kept, Rejection> {
-        let refused = |reason, retry_after| Rejection::Refused {
-            reason,
-            retry_after,
+        let refused = |reason, retry_after| {
+            metrics::call_refused(&open.service, reason);
+            Rejection::Refused {
+                reason,
+                retry_after,
+            }
         };
         let now = Instant::now();
         let deadline = now + Duration::from_millis(u64::from(open.remaining_ms));
@@ -342,6 +348,8 @@
             if silent {
                 self.target_changed(before.as_ref());
             }
+            let (in_flight, slots) = self.gate.load();
+            metrics::slots(in_flight, slots);
             let mut sessions = self.sessions.lock().expect("sessions lock");
             sessions.retain(|_, session| !session.is_idle());
         }
--- a/fulmarreel-node/src/mesh/sync.rs
+++ b/fulmarreel-node/src/mesh/sync.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's store; other nodes help where the store cannot be reached.
 
 use super::{keys, world::World};
-use crate::peer::stream;
+use crate::{peer::stream, telemetry::metrics};
 use fulmarreel_distribution::mirror::{Change, Item};
 use fulmarreel_store::{Batch, Entry, Error, Event, Revision, Store, watch::Watch};
 use fulmarreel_wire::{Hello, PROTOCOL, Purpose, notice};
@@ -34,6 +34,7 @@
     let mut lost = false;
     loop {
         let Err(error) = follow(&world, &mut backoff, &mut lost).await;
+        metrics::store_watched("failed");
         if matches!(error, Error::Compacted { .. }) {
             log::info!("the store's history is gone, reading it anew");
             if list(&world).await.is_ok() {
@@ -76,6 +77,7 @@
         }
         *backoff = MIN_BACKOFF;
         let changed = !batch.events.is_empty();
+        metrics::store_watched(if changed { "events" } else { "quiet" });
         take(world, batch);
         if changed {
             Timer::after(BATCH_PAUSE).await;
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Names and labels are part of the operators' interface; docs/OPERATIONS.md lists them.
 
+use fulmarreel_wire::call::Refusal;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use metrics_util::MetricKindMask;
@@ -91,6 +92,31 @@
     counter!("fulmarreel_retries_total", "service" => service.to_owned()).increment(1);
 }
 
+/// Counts a call that this node refused on behalf of its target.
+pub fn call_refused(service: &str, reason: Refusal) {
+    let labels = [
+        ("service", service.to_owned()),
+        ("reason", reason.name().to_owned()),
+    ];
+    counter!("fulmarreel_refusals_total", &labels).increment(1);
+}
+
+/// Sets the calls in the slots of the own target and waiting, and its slots.
+pub fn slots(in_flight: u16, slots: u16) {
+    gauge!("fulmarreel_target_in_flight").set(f64::from(in_flight));
+    gauge!("fulmarreel_target_slots").set(f64::from(slots));
+}
+
+/// Counts a watch of the store that ended, with events, without, or by a failure.
+pub fn store_watched(result: &'static str) {
+    counter!("fulmarreel_store_watches_total", "result" => result).increment(1);
+}
+
+/// Sets the store's revision at which the configuration in force was written; 0 where there is none.
+pub fn configuration(revision: u64) {
+    gauge!("fulmarreel_configuration_revision").set(revision as f64);
+}
+
 /// Counts a decision that was left out of the log.
 pub fn decision_dropped() {
     counter!("fulmarreel_decisions_dropped_total").increment(1);
--- a/fulmarreel-node/tests/mesh/support.rs
+++ b/fulmarreel-node/tests/mesh/support.rs
@@ -26,6 +26,7 @@
     pub ready: SocketAddr,
     pub announcements: SocketAddr,
     pub peers: SocketAddr,
+    pub metrics: SocketAddr,
     pub service: String,
     pub backend: Backend,
     settings: PathBuf,
@@ -45,6 +46,7 @@
         let backend = Backend::start(&id, version).await?;
         let (callers, ready) = (free_address()?, free_address()?);
         let (announcements, peers) = (free_address()?, free_address()?);
+        let metrics = free_address()?;
         let settings = format!(
             "node_name=n-{id}\nzone=a\nregion=r\nip=127.0.0.1\nlisten.outbound={callers}\n\
             listen.ready={ready}\nlisten.control={announcements}\nport_range={0},{0}\n\
@@ -56,11 +58,12 @@
         let path = std::env::temp_dir().join(format!("fulmarreel-{}-{id}", std::process::id()));
         std::fs::write(&path, settings)?;
         let mut instance = Self {
-            process: node(&path)?,
+            process: node(&path, metrics)?,
             callers,
             ready,
             announcements,
             peers,
+            metrics,
             service: service.to_owned(),
             backend,
             settings: path,
@@ -70,9 +73,16 @@
         Ok(instance)
     }
 
+    /// What the node has logged.
+    pub fn log(&self) -> anyhow::Result<String> {
+        Ok(std::fs::read_to_string(
+            self.settings.with_extension("log"),
+        )?)
+    }
+
     /// Starts the node anew.
     pub fn restart(&mut self) -> anyhow::Result<()> {
-        self.process = node(&self.settings)?;
+        self.process = node(&self.settings, self.metrics)?;
         Ok(())
     }
 
@@ -139,10 +149,13 @@
     }
 }
 
-fn node(settings: &Path) -> anyhow::Result<Process> {
+fn node(settings: &Path, metrics: SocketAddr) -> anyhow::Result<Process> {
+    let port = metrics.port().to_string();
+    let arguments = ["platform", "--metrics", &port];
+    let log = settings.with_extension("log");
     let settings = settings.to_str().context("path")?;
     let variables = [("FULMARREEL_CONFIG", settings)];
-    Process::start_with("fulmarreel-node", &["platform"], &variables)
+    Process::start_logged("fulmarreel-node", &arguments, &variables, &log)
 }
 
 /// Puts a configuration with a route `/SERVICE/` for lookups and `/SERVICE-do/` for bookings into
--- a/fulmarreel-testing/src/process/mod.rs
+++ b/fulmarreel-testing/src/process/mod.rs
@@ -10,7 +10,8 @@
 
 use anyhow::{Context, ensure};
 use std::{
-    path::PathBuf,
+    fs::File,
+    path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     time::{Duration, Instant},
 };
@@ -40,21 +41,38 @@
         program: &str,
         arguments: &[&str],
         variables: &[(&str, &str)],
+    ) -> anyhow::Result<Self> {
+        Self::spawn(program, arguments, variables, sink())
+    }
+
+    /// As [`Process::start_with`], with its standard output added to a file.
+    ///
+    /// # Errors
+    ///
+    /// The program was not built or cannot be started, or the file cannot be written.
+    pub fn start_logged(
+        program: &str,
+        arguments: &[&str],
+        variables: &[(&str, &str)],
+        log: &Path,
+    ) -> anyhow::Result<Self> {
+        let file = File::options().create(true).append(true).open(log);
+        let file = file.with_context(|| format!("open {}", log.display()))?;
+        Self::spawn(program, arguments, variables, file.into())
+    }
+
+    fn spawn(
+        program: &str,
+        arguments: &[&str],
+        variables: &[(&str, &str)],
+        output: Stdio,
     ) -> anyhow::Result<Self> {
         let path = locate(program)?;
-        let quiet = std::env::var_os("FULMARREEL_TEST_LOG").is_none();
-        let sink = || {
-            if quiet {
-                Stdio::null()
-            } else {
-                Stdio::inherit()
-            }
-        };
         let child = Command::new(&path)
             .args(arguments)
             .envs(variables.iter().copied())
             .stdin(Stdio::null())
-            .stdout(sink())
+            .stdout(output)
             .stderr(sink())
             .spawn()
             .with_context(|| format!("start {}", path.display()))?;
@@ -119,6 +137,15 @@
     }
 }
 
+/// Where output goes that no test reads.
+fn sink() -> Stdio {
+    if std::env::var_os("FULMARREEL_TEST_LOG").is_none() {
+        Stdio::null()
+    } else {
+        Stdio::inherit()
+    }
+}
+
 /// Finds a built program beside the running one.
 ///
 /// # Errors
--- a/fulmarreel-wire/src/call.rs
+++ b/fulmarreel-wire/src/call.rs
@@ -207,6 +207,21 @@
     Incomplete,
 }
 
+impl Refusal {
+    /// The reason's name, as in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Overloaded => "overloaded",
+            Self::Leaving => "leaving",
+            Self::NoTarget => "no-target",
+            Self::Cancelled => "cancelled",
+            Self::Deadline => "deadline",
+            Self::Unreachable => "unreachable",
+            Self::Incomplete => "incomplete",
+        }
+    }
+}
+
 /// The call was handed to the target, and its answer cannot be had.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failed {
--- a/fulmarreel/src/cli/arguments.rs
+++ b/fulmarreel/src/cli/arguments.rs
@@ -23,11 +23,12 @@
   status [SERVICE...]                 show documents in force and their moves
   wait [--timeout SECONDS] SERVICE    wait until the service's move is over
   history [SERVICE...]                show the outcomes of moves
+  explain ID FILE...                  say what became of a request, from logs of nodes
 
 A PATH is a document, or a folder with documents (.jsonc, .json).
 The store's addresses come from --store or the variable FULMARREEL_STORE.
 Exit codes: 0 done, 1 refused, 2 usage, 3 conflict, 4 store failed, 5 unknown outcome,
-6 differences, 7 taken back, 8 not over in time, 9 no such document or move.
+6 differences, 7 taken back, 8 not over in time, 9 no such document, move or request.
 ";
 
 /// One command with its own arguments.
@@ -68,6 +69,13 @@
     },
     /// Show the outcomes of moves.
     History(Vec<String>),
+    /// Say what became of a request.
+    Explain {
+        /// The request's id.
+        id: String,
+        /// Files with log lines.
+        logs: Vec<PathBuf>,
+    },
 }
 
 /// All arguments of a run.
@@ -85,11 +93,13 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Usage {
     /// No command was given.
-    #[error("no command, expected one of check, diff, apply, delete, get, status, wait, history")]
+    #[error(
+        "no command, expected one of check, diff, apply, delete, get, status, wait, history, explain"
+    )]
     NoCommand,
     /// The command is unknown.
     #[error(
-        "unknown command '{0}', expected one of check, diff, apply, delete, get, status, wait, history"
+        "unknown command '{0}', expected one of check, diff, apply, delete, get, status, wait, history, explain"
     )]
     Command(String),
     /// A flag is unknown to the command.
@@ -134,7 +144,7 @@
         let flag: Option<String> = parser.opt_value_from_str("--store")?;
         let store = addresses(flag.as_deref().or(store).unwrap_or_default());
         let command = command(parser)?;
-        if store.is_empty() && !matches!(command, Command::Check(_)) {
+        if store.is_empty() && !matches!(command, Command::Check(_) | Command::Explain { .. }) {
             return Err(Usage::NoStore);
         }
         Ok(Self {
@@ -172,6 +182,7 @@
         Some("status") => Ok(Command::Status(free(parser)?)),
         Some("wait") => wait(parser),
         Some("history") => Ok(Command::History(free(parser)?)),
+        Some("explain") => explain(parser),
         Some(other) => Err(Usage::Command(other.to_owned())),
         None => match parser.finish().first() {
             Some(flag) => Err(Usage::Flag(flag.to_string_lossy().into_owned())),
@@ -202,6 +213,20 @@
     Ok(Command::Wait { service, timeout })
 }
 
+fn explain(parser: Parser) -> Result<Command, Usage> {
+    let mut given = free(parser)?;
+    if given.len() < 2 {
+        return Err(Usage::Count {
+            command: "explain",
+            given: format!("{} arguments", given.len()),
+            expected: "an id and a file",
+        });
+    }
+    let id = given.remove(0);
+    let logs = given.into_iter().map(PathBuf::from).collect();
+    Ok(Command::Explain { id, logs })
+}
+
 fn single(command: &'static str, parser: Parser) -> Result<String, Usage> {
     let mut services = free(parser)?;
     match services.pop() {
--- a/fulmarreel/src/cli/exit.rs
+++ b/fulmarreel/src/cli/exit.rs
@@ -22,6 +22,6 @@
     TakenBack = 7,
     /// `wait` gave up before the move was over.
     Late = 8,
-    /// The store has no such document, or the document declares no move.
+    /// The store has no such document, the document declares no move, or no log line bears the id.
     Absent = 9,
 }
--- a/fulmarreel/src/cli/json.rs
+++ b/fulmarreel/src/cli/json.rs
@@ -4,7 +4,7 @@
 use crate::{
     apply::{self, Applied},
     diff::{self, Change},
-    file, status,
+    explain, file, status,
     stored::{Move, Stored},
 };
 use fulmarreel_document::Document as Checked;
@@ -20,6 +20,24 @@
     message: String,
 }
 
+/// What became of a request.
+#[derive(Debug, Serialize)]
+pub(super) struct Explanation {
+    summary: String,
+    lines: Vec<String>,
+    unreadable: usize,
+}
+
+impl From<&explain::Outcome> for Explanation {
+    fn from(outcome: &explain::Outcome) -> Self {
+        Self {
+            summary: outcome.summary.clone(),
+            lines: outcome.lines.clone(),
+            unreadable: outcome.unreadable,
+        }
+    }
+}
+
 /// A document's comparison with the store.
 #[derive(Debug, Serialize)]
 pub(super) struct Difference {
--- a/fulmarreel/src/cli/print.rs
+++ b/fulmarreel/src/cli/print.rs
@@ -1,13 +1,13 @@
 //! Writes results: JSON for machines, tables for people.
 
 use super::{
-    json::{Application, Difference, Document, Refused, Standing, Step},
+    json::{Application, Difference, Document, Explanation, Refused, Standing, Step},
     table, time,
 };
 use crate::{
     apply::{Applied, Outcome},
     diff::{self, Change},
-    file, status,
+    explain, file, status,
     stored::{Documents, Move},
 };
 use fulmarreel_document::Document as Checked;
@@ -45,6 +45,19 @@
         errors.iter().try_for_each(|error| self.error(error))
     }
 
+    pub(super) fn explanation(&mut self, outcome: &explain::Outcome) -> io::Result<()> {
+        if outcome.unreadable > 0 {
+            self.error(&format_args!("{} lines cannot be read", outcome.unreadable))?;
+        }
+        if self.json {
+            return self.list([Explanation::from(outcome)].into_iter());
+        }
+        for line in &outcome.lines {
+            writeln!(self.out, "{line}")?;
+        }
+        writeln!(self.out, "{}", outcome.summary)
+    }
+
     pub(super) fn accepted(&mut self, documents: usize) -> io::Result<()> {
         if self.json {
             return self.list(std::iter::empty::<Refused>());
--- a/fulmarreel/src/cli/run.rs
+++ b/fulmarreel/src/cli/run.rs
@@ -5,7 +5,7 @@
     arguments::{Arguments, Command, HELP},
     print::Printer,
 };
-use crate::{apply, check, delete, diff, file, get, history, status, stored, wait};
+use crate::{apply, check, delete, diff, explain, file, get, history, status, stored, wait};
 use fulmarreel_document::{Service, shift::Timestamp};
 use fulmarreel_rollout::state::Phase;
 use fulmarreel_store::{
@@ -61,6 +61,7 @@
             };
             run_wait(&options, &store, printer).await
         }
+        Command::Explain { id, logs } => run_explain(id, logs, printer),
         Command::History(services) => match history::history(&store, services).await {
             Ok(moves) => printer.moves(&moves).map(|()| Exit::Done),
             Err(error) => failed(&error, printer),
@@ -104,6 +105,35 @@
     Ok(Ok(Checked { files, stored }))
 }
 
+fn run_explain<O: io::Write, E: io::Write>(
+    id: &str,
+    logs: &[PathBuf],
+    printer: &mut Printer<'_, O, E>,
+) -> io::Result<Exit> {
+    let mut texts = Vec::new();
+    for path in logs {
+        match std::fs::read(path) {
+            Ok(bytes) => texts.push((path.display().to_string(), bytes)),
+            Err(error) => {
+                printer.error(&format_args!("{}: {error}", path.display()))?;
+                return Ok(Exit::Refused);
+            }
+        }
+    }
+    let texts: Vec<(&str, String)> = texts
+        .iter()
+        .map(|(file, bytes)| (file.as_str(), String::from_utf8_lossy(bytes).into_owned()))
+        .collect();
+    let lines = texts.iter().flat_map(|(file, text)| {
+        let lines = text.lines();
+        lines.map(|text| explain::Source { file, text })
+    });
+    match explain::explain(id, lines) {
+        Ok(outcome) => printer.explanation(&outcome).map(|()| Exit::Done),
+        Err(error) => printer.error(&error).map(|()| Exit::Absent),
+    }
+}
+
 async fn run_check<O: io::Write, E: io::Write>(
     paths: &[PathBuf],
     store: Option<&Client>,
--- a/fulmarreel/src/lib.rs
+++ b/fulmarreel/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cli;
 pub mod delete;
 pub mod diff;
+pub mod explain;
 pub mod file;
 pub mod get;
 pub mod history;
--- a/fulmarreel/tests/cli.rs
+++ b/fulmarreel/tests/cli.rs
@@ -4,6 +4,8 @@
 mod apply;
 #[path = "cli/examples.rs"]
 mod examples;
+#[path = "cli/explain.rs"]
+mod explain;
 #[path = "cli/refuse.rs"]
 mod refuse;
 #[path = "cli/status.rs"]
--- /dev/null
+++ b/fulmarreel/tests/cli/explain.rs
@@ -0,0 +1,44 @@
+use super::support::Bench;
+use fulmarreel::cli::Exit;
+
+const CALLER: &str = r#"{"at":"2026-02-06T19:15:18.161Z","id":"9c41","level":"info","message":"the target has too much to do","module":"caller","offers":1,"outcome":"not-run","reached":0,"revision":14,"route":"r","service":"s","status":503,"allowed_ms":1500,"ran_ms":0,"target":"10.1.0.8:7620","took_ms":3,"version":"v1"}"#;
+
+const TARGET: &str = r#"{"at":"2026-02-06T19:15:18.160Z","id":"9c41","level":"info","message":"refused, no slot in time","load":12,"slots":6,"wanted_ms":100,"backlog_ms":420}"#;
+
+/// Lines of two nodes, in the wrong order, one file with a collector's words before the JSON.
+#[test]
+fn a_request_is_explained_from_the_logs_of_all_nodes() {
+    let bench = Bench::new();
+    let callers = bench.file("callers.log", &format!("{CALLER}\n{{\"id\":\"9c41\n"));
+    let targets = bench.file(
+        "all.log",
+        &format!("  18.16 node-7 {TARGET}\n  18.2 node-7 other\n"),
+    );
+    let run = bench.run(&["explain", "9c41", &callers, &targets]);
+    assert_eq!(run.exit, Exit::Done);
+    assert_eq!(run.err, "1 lines cannot be read\n");
+    let expected = format!(
+        "2026-02-06T19:15:18.160Z node-7: refused, no slot in time\n\
+        2026-02-06T19:15:18.161Z {callers}: the target has too much to do\n\
+        Refused after 3 ms, and not run: the target has too much to do. By revision 14 for s v1, \
+        offered to 1 targets, last 10.1.0.8:7620. node-7 refused it with 12 requests at 6 slots, a \
+        backlog of 420 ms where a slot was wanted within 100 ms.\n"
+    );
+    assert_eq!(run.out, expected);
+}
+
+#[test]
+fn an_id_that_no_line_bears_is_said_so() {
+    let bench = Bench::new();
+    let callers = bench.file("callers.log", CALLER);
+    let run = bench.run(&["explain", "9c4", &callers]);
+    assert_eq!(run.exit, Exit::Absent);
+    assert!(
+        run.err.starts_with("no line bears the id '9c4'"),
+        "{}",
+        run.err
+    );
+    let run = bench.run(&["explain", "9c41", "/nowhere.log"]);
+    assert_eq!(run.exit, Exit::Refused);
+    assert!(run.err.starts_with("/nowhere.log: "), "{}", run.err);
+}
--- a/fulmarreel/tests/cli/refuse.rs
+++ b/fulmarreel/tests/cli/refuse.rs
@@ -5,17 +5,18 @@
 #[rstest]
 #[case(
     &[],
-    "fulmarreel: no command, expected one of check, diff, apply, delete, get, status, wait, history"
+    "fulmarreel: no command, expected one of check, diff, apply, delete, get, status, wait, history, explain"
 )]
 #[case(
     &["aply", "x"],
-    "fulmarreel: unknown command 'aply', expected one of check, diff, apply, delete, get, status, wait, history"
+    "fulmarreel: unknown command 'aply', expected one of check, diff, apply, delete, get, status, wait, history, explain"
 )]
 #[case(&["apply", "--forse", "x"], "fulmarreel: unknown flag '--forse', see fulmarreel --help")]
 #[case(&["--verbose"], "fulmarreel: unknown flag '--verbose', see fulmarreel --help")]
 #[case(&["check"], "fulmarreel: check: no path given, expected a file or folder")]
 #[case(&["wait", "a", "b"], "fulmarreel: wait: 2 services given, expected one service")]
 #[case(&["wait"], "fulmarreel: wait: 0 services given, expected one service")]
+#[case(&["explain", "9c41"], "fulmarreel: explain: 1 arguments given, expected an id and a file")]
 #[case(&["delete", "--revision", "1", "A"], "fulmarreel: 'A' is not a name, expected 1 to 63 of a-z, 0-9 and '-', with a letter or digit at both ends")]
 fn wrong_usage_is_one_line(#[case] arguments: &[&str], #[case] expected: &str) {
     let run = Bench::new().run(arguments);
