fix(node): the last log lines are written before the process ends

The unit test fails first (the flush returned at once); the process test didn't, as a real machine's thread writes in time.

--- a/fulmarreel-node/src/main.rs
+++ b/fulmarreel-node/src/main.rs
@@ -42,7 +42,9 @@
             return ExitCode::from(USAGE);
         }
     };
-    match serve(request) {
+    let served = serve(request);
+    log::logger().flush();
+    match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("fulmarreel-node: {error:#}");
--- a/fulmarreel-node/tests/mesh/stop.rs
+++ b/fulmarreel-node/tests/mesh/stop.rs
@@ -82,6 +82,8 @@
         ensure!(one.drain().await?);
         one.process.signal("TERM")?;
         one.process.wait(Duration::from_secs(6))?;
+        let log = one.log()?;
+        ensure!(log.contains("\"message\":\"stopped\""), "{log}");
         let keys = stand.keys();
         ensure!(
             !keys.iter().any(|key| key.starts_with("fulmarreel/nodes/")),
--- a/fulmarreel-node/tests/node/logs.rs
+++ b/fulmarreel-node/tests/node/logs.rs
@@ -6,6 +6,7 @@
 use std::{
     io::{self, Write},
     sync::{Arc, Mutex, mpsc},
+    time::{Duration, Instant},
 };
 
 /// An output that tests read.
@@ -109,3 +110,19 @@
     }
     drop(release);
 }
+
+/// Fails if a process's last lines are lost at its end, or a stalled reader holds that end up.
+#[test]
+fn a_flush_waits_for_the_output_but_not_for_a_stalled_one() {
+    let (release, stalled) = mpsc::channel();
+    let mut queue = Queue::start(Stalled(stalled)).unwrap();
+    queue.write_all(b"last\n").unwrap();
+    let begun = Instant::now();
+    queue.flush().unwrap();
+    assert!(begun.elapsed() >= Duration::from_millis(150));
+    assert!(begun.elapsed() < Duration::from_secs(2));
+    drop(release);
+    let begun = Instant::now();
+    queue.flush().unwrap();
+    assert!(begun.elapsed() < Duration::from_millis(150));
+}
