--- a/fulmarreel-node/src/mesh/serve/peer.rs
+++ b/fulmarreel-node/src/mesh/serve/peer.rs
@@ -4,34 +4,23 @@
 use crate::{
     mesh::sync,
     peer::{Identity, stream},
-    serve::opener::{Kept, Session},
+    serve::{
+        link::{Event, Link, QUEUED_FRAMES},
+        opener::{Kept, Session},
+    },
 };
-use fulmarreel_call::{Fate, Opener, ledger::Cancellation};
+use fulmarreel_call::Opener;
 use fulmarreel_wire::{
     Hello, PROTOCOL, Purpose,
-    call::{Chunk, Failed, Failure, Frame, Open, Refusal, Refused, State},
+    call::{Failed, Failure, Frame, Open, Refused},
 };
 use smol::{
-    channel::{Receiver, Sender, bounded},
+    channel::{Receiver, bounded},
     future::or,
     io::BufReader,
     net::TcpStream,
 };
-use std::{collections::HashMap, io, sync::Arc, time::Instant};
-
-/// Frames that may wait to be written before their senders wait.
-const QUEUED_FRAMES: usize = 64;
-
-/// One connection of a peer that opens requests.
-struct Peer {
-    server: Arc<Server>,
-    opener: Opener,
-    session: Arc<Session>,
-    outgoing: Sender<Frame>,
-    generation: u64,
-    /// Requests of which part has arrived.
-    arriving: HashMap<u64, (Open, Vec<u8>)>,
-}
+use std::{io, sync::Arc, time::Instant};
 
 impl Server {
     pub(super) async fn connection(self: &Arc<Self>, mut tcp: TcpStream) -> io::Result<()> {
@@ -67,19 +56,41 @@
             let _ = outgoing.send(Frame::Leaving).await;
         }
         crate::runtime::spawn(stream::pump_calls(tcp.clone(), frames));
-        let peer = Peer {
-            server: Arc::clone(self),
-            opener,
-            session,
-            outgoing: outgoing.clone(),
-            generation,
-            arriving: HashMap::new(),
-        };
-        let ended = peer.read_frames(tcp).await;
+        // The callers' node keeps the configured limit of bodies.
+        let link = Link::new(session, outgoing.clone(), generation, u64::MAX);
+        let ended = self.follow(opener, link, tcp).await;
         outgoing.close();
         ended
     }
 
+    async fn follow(
+        self: &Arc<Self>,
+        opener: Opener,
+        mut link: Link,
+        tcp: TcpStream,
+    ) -> io::Result<()> {
+        let mut tcp = BufReader::new(tcp);
+        loop {
+            match link.next(&mut tcp).await? {
+                Event::Opened(open, body) => {
+                    let (server, session) = (Arc::clone(self), Arc::clone(&link.session));
+                    crate::runtime::spawn(server.serve(opener, session, open, body));
+                }
+                Event::Cancelled { sequence, late } if late => self.break_off((opener, sequence)),
+                Event::Cancelled { .. } | Event::Credit { .. } => {}
+            }
+        }
+    }
+
+    /// Has a request that may be repeated broken off at its target.
+    fn break_off(&self, key: (Opener, u64)) {
+        let running = self.running.lock().expect("running lock").remove(&key);
+        if let Some(running) = running {
+            // The request may have ended this moment.
+            let _ = running.try_send(());
+        }
+    }
+
     /// Serves one request of a peer to its end.
     async fn serve(
         self: Arc<Self>,
@@ -157,101 +168,3 @@
     let failed = Failed { sequence, reason };
     session.reply(Frame::Failed(failed)).await;
 }
-
-impl Peer {
-    async fn read_frames(mut self, tcp: TcpStream) -> io::Result<()> {
-        let mut tcp = BufReader::new(tcp);
-        loop {
-            match stream::read(&mut tcp).await? {
-                Frame::Open(open) => _ = self.arriving.insert(open.sequence, (open, Vec::new())),
-                Frame::Chunk(chunk) => self.append(&chunk).await,
-                Frame::Cancel { sequence } => self.cancel(sequence).await,
-                Frame::Query { sequence } => self.query(sequence).await,
-                Frame::Ping { token } => _ = self.outgoing.send(Frame::Pong { token }).await,
-                other => log::debug!("unexpected frame {other:?}"),
-            }
-        }
-    }
-
-    async fn append(&mut self, chunk: &Chunk) {
-        let Some((open, body)) = self.arriving.get_mut(&chunk.sequence) else {
-            return;
-        };
-        body.extend_from_slice(&chunk.bytes);
-        if !chunk.last {
-            return;
-        }
-        let complete = open.length == body.len() as u64;
-        let Some((open, body)) = self.arriving.remove(&chunk.sequence) else {
-            return;
-        };
-        if !complete {
-            return self.refuse(chunk.sequence, Refusal::Incomplete).await;
-        }
-        let opened = {
-            let mut ledger = self.session.ledger.lock().expect("ledger lock");
-            ledger.expire(Instant::now());
-            ledger.open(self.generation, open.sequence)
-        };
-        if let Err(error) = opened {
-            log::info!(sequence = open.sequence; "not opened: {error}");
-            return;
-        }
-        let (server, session) = (Arc::clone(&self.server), Arc::clone(&self.session));
-        crate::runtime::spawn(server.serve(self.opener, session, open, body));
-    }
-
-    async fn refuse(&self, sequence: u64, reason: Refusal) {
-        let cancelled = {
-            let mut ledger = self.session.ledger.lock().expect("ledger lock");
-            ledger.cancel(sequence, Instant::now())
-        };
-        if cancelled == Cancellation::NotRun {
-            let refused = Frame::Refused(Refused::new(sequence, reason));
-            let _ = self.outgoing.send(refused).await;
-        }
-    }
-
-    async fn cancel(&mut self, sequence: u64) {
-        self.arriving.remove(&sequence);
-        let cancelled = {
-            let mut ledger = self.session.ledger.lock().expect("ledger lock");
-            ledger.cancel(sequence, Instant::now())
-        };
-        let reply = match cancelled {
-            Cancellation::NotRun => Frame::Refused(Refused::new(sequence, Refusal::Cancelled)),
-            Cancellation::TooLate => {
-                let key = (self.opener, sequence);
-                let running = self
-                    .server
-                    .running
-                    .lock()
-                    .expect("running lock")
-                    .remove(&key);
-                if let Some(running) = running {
-                    // The request may have ended this moment.
-                    let _ = running.try_send(());
-                }
-                let state = State::Running;
-                Frame::State { sequence, state }
-            }
-        };
-        let _ = self.outgoing.send(reply).await;
-    }
-
-    async fn query(&self, sequence: u64) {
-        let (state, kept) = {
-            let mut ledger = self.session.ledger.lock().expect("ledger lock");
-            match ledger.query(sequence, Instant::now()) {
-                Fate::NotRun => (State::NotRun, None),
-                Fate::Running => (State::Running, None),
-                Fate::Answered(kept) => (State::Answered, Some(Arc::clone(kept))),
-                Fate::Unknown => (State::Unknown, None),
-            }
-        };
-        let _ = self.outgoing.send(Frame::State { sequence, state }).await;
-        if let Some(kept) = kept {
-            self.session.send(&kept).await;
-        }
-    }
-}
--- /dev/null
+++ b/fulmarreel-node/src/serve/link.rs
@@ -0,0 +1,157 @@
+//! The frames of one connection of an opener: calls that arrive in parts, and what becomes of them.
+
+use super::opener::{Kept, Session};
+use crate::peer::stream;
+use fulmarreel_call::{Fate, ledger::Cancellation};
+use fulmarreel_wire::call::{Chunk, Frame, Open, Refusal, Refused, State};
+use smol::{channel::Sender, io::BufReader, net::TcpStream};
+use std::{collections::HashMap, io, sync::Arc, time::Instant};
+
+/// Frames that may wait to be written before their senders wait.
+pub(crate) const QUEUED_FRAMES: usize = 64;
+
+/// One connection of a process that opens calls.
+#[derive(Debug)]
+pub(crate) struct Link {
+    pub session: Arc<Session>,
+    pub outgoing: Sender<Frame>,
+    pub generation: u64,
+    /// The longest body that is taken, in bytes.
+    pub limit: u64,
+    /// Calls of which part has arrived.
+    arriving: HashMap<u64, (Open, Vec<u8>)>,
+}
+
+/// What the node has to act on.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// A call is here whole, and its ledger has taken it.
+    Opened(Open, Vec<u8>),
+    /// A call was cancelled, and its opener knows whether that came in time.
+    Cancelled {
+        sequence: u64,
+        /// Whether it was handed over before.
+        late: bool,
+    },
+    /// The opener takes so many further bytes of an answer.
+    Credit { sequence: u64, bytes: u32 },
+}
+
+impl Link {
+    pub fn new(
+        session: Arc<Session>,
+        outgoing: Sender<Frame>,
+        generation: u64,
+        limit: u64,
+    ) -> Self {
+        Self {
+            session,
+            outgoing,
+            generation,
+            limit,
+            arriving: HashMap::new(),
+        }
+    }
+
+    /// Reads frames up to one that the node has to act on.
+    ///
+    /// # Errors
+    ///
+    /// The connection ended.
+    pub async fn next(&mut self, tcp: &mut BufReader<TcpStream>) -> io::Result<Event> {
+        loop {
+            match stream::read(tcp).await? {
+                Frame::Open(open) if open.length > self.limit => {
+                    self.refuse_incomplete(open.sequence).await;
+                }
+                Frame::Open(open) => _ = self.arriving.insert(open.sequence, (open, Vec::new())),
+                Frame::Chunk(chunk) => {
+                    if let Some((open, body)) = self.append(&chunk).await {
+                        return Ok(Event::Opened(open, body));
+                    }
+                }
+                Frame::Cancel { sequence } => {
+                    let late = self.cancel(sequence).await;
+                    return Ok(Event::Cancelled { sequence, late });
+                }
+                Frame::Query { sequence } => self.query(sequence).await,
+                Frame::Credit { sequence, bytes } => return Ok(Event::Credit { sequence, bytes }),
+                Frame::Ping { token } => _ = self.outgoing.send(Frame::Pong { token }).await,
+                other => log::debug!("unexpected frame {other:?}"),
+            }
+        }
+    }
+
+    /// Adds a part to its call; the call once it is whole and may be worked on.
+    async fn append(&mut self, chunk: &Chunk) -> Option<(Open, Vec<u8>)> {
+        let (open, body) = self.arriving.get_mut(&chunk.sequence)?;
+        let length = body.len() as u64 + chunk.bytes.len() as u64;
+        let fits = chunk.offset == body.len() as u64 && length <= open.length;
+        let incomplete = !fits || (chunk.last && length != open.length);
+        if incomplete {
+            self.arriving.remove(&chunk.sequence);
+            self.refuse_incomplete(chunk.sequence).await;
+            return None;
+        }
+        body.extend_from_slice(&chunk.bytes);
+        if !chunk.last {
+            return None;
+        }
+        let (open, body) = self.arriving.remove(&chunk.sequence)?;
+        let opened = {
+            let mut ledger = self.session.ledger.lock().expect("ledger lock");
+            ledger.expire(Instant::now());
+            ledger.open(self.generation, open.sequence)
+        };
+        if let Err(error) = opened {
+            log::info!(call = open.sequence, service = open.service.as_str(); "not opened: {error}");
+            return None;
+        }
+        Some((open, body))
+    }
+
+    async fn refuse_incomplete(&self, sequence: u64) {
+        if self.withdraw(sequence) == Cancellation::NotRun {
+            let refused = Refused::new(sequence, Refusal::Incomplete);
+            let _ = self.outgoing.send(Frame::Refused(refused)).await;
+        }
+    }
+
+    /// Cancels a call and says whether that came in time; true where it was handed over before.
+    async fn cancel(&mut self, sequence: u64) -> bool {
+        self.arriving.remove(&sequence);
+        let cancelled = self.withdraw(sequence);
+        let reply = match cancelled {
+            Cancellation::NotRun => Frame::Refused(Refused::new(sequence, Refusal::Cancelled)),
+            Cancellation::TooLate => Frame::State {
+                sequence,
+                state: State::Running,
+            },
+        };
+        let _ = self.outgoing.send(reply).await;
+        cancelled == Cancellation::TooLate
+    }
+
+    fn withdraw(&self, sequence: u64) -> Cancellation {
+        let mut ledger = self.session.ledger.lock().expect("ledger lock");
+        ledger.cancel(sequence, Instant::now())
+    }
+
+    async fn query(&self, sequence: u64) {
+        let (state, kept) = self.fate(sequence);
+        let _ = self.outgoing.send(Frame::State { sequence, state }).await;
+        if let Some(kept) = kept {
+            self.session.send(&kept).await;
+        }
+    }
+
+    fn fate(&self, sequence: u64) -> (State, Option<Arc<Kept>>) {
+        let mut ledger = self.session.ledger.lock().expect("ledger lock");
+        match ledger.query(sequence, Instant::now()) {
+            Fate::NotRun => (State::NotRun, None),
+            Fate::Running => (State::Running, None),
+            Fate::Answered(kept) => (State::Answered, Some(Arc::clone(kept))),
+            Fate::Unknown => (State::Unknown, None),
+        }
+    }
+}
--- a/fulmarreel-node/src/serve/mod.rs
+++ b/fulmarreel-node/src/serve/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod connection;
 pub(crate) mod gate;
+pub(crate) mod link;
 pub(crate) mod opener;
 
 use crate::{rollout::Moves, state::State, target::Client};
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod explain;
+mod frames;
 mod moves;
 mod path;
 mod stop;
