feat(node): what a refusal was decided from, and bytes from the store by call

Callers saw 404 on routes that were there, and no log line could tell such a refusal from a proper one: 'no route' bore no id, no age and not what higher revision its node had heard of; refusals of too long bodies, of a node without a configuration and of a stopping one wrote no line.

Each request that a node ends by itself writes one line now: id, host, path, status, revision, the store's revision that is known and heard of, and the age of the last contact. 'explain' tells of it. No decision changes.

--- a/fulmarreel-http/src/connection.rs
+++ b/fulmarreel-http/src/connection.rs
@@ -13,6 +13,10 @@
 use std::{
     io,
     net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -67,6 +71,8 @@
     /// When the last exchange ended.
     idle_since: Instant,
     reusable: bool,
+    /// Bytes received, of this connection and of others that count into the same.
+    received: Arc<AtomicU64>,
 }
 
 impl Connection {
@@ -84,9 +90,15 @@
             buffer: Vec::new(),
             idle_since: Instant::now(),
             reusable: true,
+            received: Arc::default(),
         })
     }
 
+    /// Adds the bytes that are received from here on to `received`.
+    pub fn count_into(&mut self, received: Arc<AtomicU64>) {
+        self.received = received;
+    }
+
     /// Has the connection fail where the server's host is silent for about `limit`, also while
     /// nothing is sent. Several probes are sent in that time.
     ///
@@ -290,6 +302,7 @@
         let read = self.tcp.read(&mut self.buffer[start..]).await;
         let count = *read.as_ref().unwrap_or(&0);
         self.buffer.truncate(start + count);
+        self.received.fetch_add(count as u64, Ordering::Relaxed);
         read.map_err(|source| self.lost(source))
     }
 
--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -125,29 +125,25 @@
         if self.closed.load(Ordering::Acquire) {
             let end = self.world.end().unwrap_or(started);
             let until = end.saturating_duration_since(started);
-            return refuse(conn, "this node is stopping", until + RESTART);
+            let reason = "this node is stopping";
+            self.log_early_end(&conn, Status::ServiceUnavailable, reason, 0);
+            return refuse(conn, reason, until + RESTART);
         }
         let view = self.world.view();
         let Some(table) = &view.table else {
             let reason = "no configuration is known yet";
+            self.log_early_end(&conn, Status::ServiceUnavailable, reason, 0);
             return refuse(conn, reason, Duration::from_millis(300));
         };
-        let host = conn.host().unwrap_or_default().to_owned();
-        let path = conn.path().to_owned();
-        let Some(entry) = table.find(&host, &path).map(Arc::clone) else {
-            log::info!(host = host.as_str(), path = path.as_str(), revision = table.revision; "no route");
-            return conn
-                .with_status(Status::NotFound)
-                .with_body("no route")
-                .halt();
+        let (host, path) = (conn.host().unwrap_or_default(), conn.path());
+        let Some(entry) = table.find(host, path).map(Arc::clone) else {
+            return self.deny(conn, Status::NotFound, "no route", table.revision);
         };
         let limit = table.limits.body_bytes;
         let body = conn.request_body().with_max_len(limit).read_bytes().await;
         let Ok(body) = body else {
-            return conn
-                .with_status(Status::PayloadTooLarge)
-                .with_body("the body is incomplete or too long")
-                .halt();
+            let reason = "the body is incomplete or too long";
+            return self.deny(conn, Status::PayloadTooLarge, reason, table.revision);
         };
         let route = &entry.route;
         let part = entry.split.next(fastrand::f64());
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -45,6 +45,44 @@
         }
     }
 
+    /// Turns a request away for good.
+    pub(super) fn deny(
+        &self,
+        conn: Conn,
+        status: Status,
+        reason: &'static str,
+        revision: u64,
+    ) -> Conn {
+        self.log_early_end(&conn, status, reason, revision);
+        conn.with_status(status).with_body(reason).halt()
+    }
+
+    /// Logs a request that ends before it is offered to a target, and what that was decided from:
+    /// the configuration's revision, the store's that is known and that was heard of, and how long
+    /// ago the store was in contact.
+    pub(super) fn log_early_end(
+        &self,
+        conn: &Conn,
+        status: Status,
+        reason: &'static str,
+        revision: u64,
+    ) {
+        metrics::request_ended(status as u16, reason);
+        let id = conn.request_headers().get_str(request::ID);
+        let age = self.world.contact_age().map(|age| age.as_millis() as u64);
+        log::info!(
+            id = id.unwrap_or_default(),
+            host = conn.host().unwrap_or_default(),
+            path = conn.path(),
+            status = status as u16,
+            revision,
+            known = self.world.revision(),
+            heard = self.world.heard(),
+            contact_age_ms = age;
+            "{reason}"
+        );
+    }
+
     pub(super) fn log_end(&self, request: &Request<'_>, end: &End, tried: &Tried) {
         let (outcome, status, reason) = match end {
             End::Answered(kept) => (Outcome::Answered, kept.head.status, "answered"),
--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -144,6 +144,7 @@
 
     /// Takes over what a peer knows, unless the store itself brings it soon.
     fn catch_up(self: &Arc<Self>, peer: SocketAddr, revision: u64) {
+        self.world.hear(revision);
         if revision <= self.world.revision() || self.pulling.swap(true, Ordering::AcqRel) {
             return;
         }
--- a/fulmarreel-node/src/mesh/ready.rs
+++ b/fulmarreel-node/src/mesh/ready.rs
@@ -29,6 +29,10 @@
 fn rendered(world: &World) -> String {
     let view = world.view();
     metrics::ready(is_ready(world));
+    metrics::store_known(world.revision(), world.heard());
+    if let Some(age) = world.contact_age() {
+        metrics::store_contact_age(age);
+    }
     metrics::configuration(view.table.as_ref().map_or(0, |table| table.revision));
     for (service, targets) in &view.targets {
         let mut versions = std::collections::BTreeMap::new();
--- a/fulmarreel-node/src/mesh/sync.rs
+++ b/fulmarreel-node/src/mesh/sync.rs
@@ -61,6 +61,7 @@
     }
     let from = Revision(world.revision()).next();
     let mut watch = world.store.watch("", from, WATCH_WAIT).await?;
+    let mut received = 0;
     loop {
         let next = async { watch.next().await.map(Some) };
         let next = or(next, async {
@@ -69,7 +70,12 @@
         });
         let Some(batch) = next.await? else {
             // The watch's connection may have gone silent; the next wait opens another one.
-            log::info!(revision = world.revision(); "a peer knows more than the watch");
+            log::info!(
+                revision = world.revision(),
+                heard = world.heard(),
+                bytes = watch.received() - std::mem::replace(&mut received, watch.received());
+                "a peer knows more than the watch, which is left"
+            );
             continue;
         };
         if std::mem::take(lost) {
@@ -77,6 +83,15 @@
         }
         *backoff = MIN_BACKOFF;
         let changed = !batch.events.is_empty();
+        if changed {
+            log::info!(
+                revision = batch.revision.0,
+                events = batch.events.len(),
+                bytes = watch.received() - std::mem::replace(&mut received, watch.received());
+                "store changed"
+            );
+        }
+        world.touch();
         metrics::store_watched(if changed { "events" } else { "quiet" });
         take(world, batch);
         if changed {
@@ -113,6 +128,7 @@
 /// Reads the whole store.
 async fn list(world: &World) -> Result<(), Error> {
     let listing = world.store.list("").await?;
+    world.touch();
     let items = listing.entries.into_iter().map(|entry| {
         let Entry {
             key,
@@ -196,8 +212,10 @@
             (item.key, Item { revision, value })
         })
         .collect();
+    let bytes: usize = items.values().map(|item| item.value.len()).sum();
+    metrics::snapshot_received(bytes as u64);
     if revision > world.revision() {
-        log::info!(peer:% = peer, revision; "took over what a peer knows of the store");
+        log::info!(peer:% = peer, revision, bytes; "took over what a peer knows of the store");
         world.replace(revision, items);
     }
     Ok(())
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -8,7 +8,12 @@
     order::{self, State},
 };
 use fulmarreel_route::Table;
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 /// A target, by the word of the node in front of it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -129,9 +134,16 @@
     {
         return last.table.clone();
     }
+    let began = Instant::now();
     match config::decode(item.revision, &item.value) {
         Ok(table) => {
-            log::info!(revision = item.revision, version = table.version; "configuration in force");
+            log::info!(
+                revision = item.revision,
+                version = table.version,
+                bytes = item.value.len(),
+                decode_us = began.elapsed().as_micros() as u64;
+                "configuration in force"
+            );
             Some(Arc::new(table))
         }
         Err(error) => {
--- a/fulmarreel-node/src/mesh/world.rs
+++ b/fulmarreel-node/src/mesh/world.rs
@@ -10,8 +10,11 @@
 use smol::channel::{Receiver, Sender, bounded};
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, OnceLock, RwLock},
-    time::Instant,
+    sync::{
+        Arc, Mutex, OnceLock, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 /// What every part of the node shares.
@@ -26,6 +29,10 @@
     view: RwLock<Arc<View>>,
     /// When the process ends at the latest, once it has been told to.
     end: OnceLock<Instant>,
+    /// When the store answered last with all that it had.
+    contact: Mutex<Option<Instant>>,
+    /// The highest revision that a peer said it knows.
+    heard: AtomicU64,
     /// Word that a peer knows more of the store than the store has told.
     behind: (Sender<()>, Receiver<()>),
 }
@@ -40,6 +47,8 @@
             mirror: Mutex::default(),
             view: RwLock::default(),
             end: OnceLock::new(),
+            contact: Mutex::default(),
+            heard: AtomicU64::default(),
             behind: bounded(1),
         }
     }
@@ -89,6 +98,27 @@
         }
     }
 
+    /// Notes that the store has just told all that it had.
+    pub fn touch(&self) {
+        *self.contact.lock().expect("contact lock") = Some(Instant::now());
+    }
+
+    /// How long ago the store told all that it had; none where it never did.
+    pub fn contact_age(&self) -> Option<Duration> {
+        let contact = *self.contact.lock().expect("contact lock");
+        contact.map(|contact| contact.elapsed())
+    }
+
+    /// Takes in up to which revision a peer knows the store.
+    pub fn hear(&self, revision: u64) {
+        self.heard.fetch_max(revision, Ordering::AcqRel);
+    }
+
+    /// The highest revision of the store that is known to exist.
+    pub fn heard(&self) -> u64 {
+        self.heard.load(Ordering::Acquire).max(self.revision())
+    }
+
     /// Notes that a peer knows more of the store than the store has told this node.
     pub fn fall_behind(&self) {
         // One word that waits is enough.
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -112,6 +112,26 @@
     counter!("fulmarreel_store_watches_total", "result" => result).increment(1);
 }
 
+/// Counts the bytes of what a peer knew of the store.
+pub fn snapshot_received(bytes: u64) {
+    counter!("fulmarreel_snapshot_received_bytes_total").increment(bytes);
+}
+
+/// Counts a request that this node ended by itself before it was offered to a target.
+pub fn request_ended(status: u16, reason: &'static str) {
+    let labels = [
+        ("status", status.to_string()),
+        ("reason", reason.to_owned()),
+    ];
+    counter!("fulmarreel_requests_ended_total", &labels).increment(1);
+}
+
+/// Sets the store's revision that this node knows, and the highest that it has heard of.
+pub fn store_known(revision: u64, heard: u64) {
+    gauge!("fulmarreel_store_revision").set(revision as f64);
+    gauge!("fulmarreel_store_revision_heard").set(heard as f64);
+}
+
 /// Sets the store's revision at which the configuration in force was written; 0 where there is none.
 pub fn configuration(revision: u64) {
     gauge!("fulmarreel_configuration_revision").set(revision as f64);
--- a/fulmarreel/src/explain.rs
+++ b/fulmarreel/src/explain.rs
@@ -55,6 +55,9 @@
     slots: Option<u32>,
     wanted_ms: Option<u64>,
     backlog_ms: Option<u64>,
+    known: Option<u64>,
+    heard: Option<u64>,
+    contact_age_ms: Option<u64>,
 }
 
 /// A line with who wrote it.
@@ -130,8 +133,9 @@
 fn summary(told: &[Told<'_>]) -> String {
     let causes: Vec<String> = told.iter().filter_map(Told::cause).collect();
     let end = told.iter().find(|told| told.line.outcome.is_some());
-    let mut text = match end {
-        Some(end) => ended(end),
+    let early = told.iter().find(|told| told.line.status.is_some());
+    let mut text = match end.map(ended).or_else(|| early.map(ended_early)) {
+        Some(text) => text,
         None if told
             .iter()
             .any(|told| told.line.message.contains("caller left")) =>
@@ -147,6 +151,25 @@
     text
 }
 
+/// A request that its callers' node ended before it was offered to a target.
+fn ended_early(end: &Told<'_>) -> String {
+    let line = &end.line;
+    let number = |value: Option<u64>| value.unwrap_or_default();
+    let contact = line.contact_age_ms.map_or_else(
+        || "it had never read the store".to_owned(),
+        |age| format!("it was in contact with the store {age} ms before"),
+    );
+    format!(
+        "Ended with {} by {} itself: {}. By revision {}; it knew the store up to {} and had heard of {}, and {contact}.",
+        line.status.unwrap_or_default(),
+        end.by,
+        line.message,
+        number(line.revision),
+        number(line.known),
+        number(line.heard),
+    )
+}
+
 fn ended(end: &Told<'_>) -> String {
     let line = &end.line;
     let number = |value: Option<u64>| value.unwrap_or_default();
--- a/fulmarreel/tests/cli/explain.rs
+++ b/fulmarreel/tests/cli/explain.rs
@@ -27,6 +27,23 @@
     assert_eq!(run.out, expected);
 }
 
+const DENIED: &str = r#"{"at":"2026-02-06T19:15:18.161Z","id":"b063","level":"info","message":"no route","host":"h.example","path":"/added/","status":404,"revision":107,"known":119,"heard":131,"contact_age_ms":5230}"#;
+
+/// Fails if a request that was turned away for good cannot be told from one that should not have been.
+#[test]
+fn a_denied_request_is_explained_by_what_its_node_knew() {
+    let bench = Bench::new();
+    let log = bench.file("all.log", &format!("10.6 node-17 {DENIED}\n"));
+    let run = bench.run(&["explain", "b063", &log]);
+    assert_eq!(run.exit, Exit::Done);
+    assert_eq!(
+        run.out,
+        "2026-02-06T19:15:18.161Z node-17: no route\n\
+        Ended with 404 by node-17 itself: no route. By revision 107; it knew the store up to 119 and \
+        had heard of 131, and it was in contact with the store 5230 ms before.\n"
+    );
+}
+
 #[test]
 fn an_id_that_no_line_bears_is_said_so() {
     let bench = Bench::new();
