fix(testing): a relay delivers what it read before a connection ended

What tests saw: with a delay, bytes that were still on their way when the connection ended behind them never arrived. Cause: the end of the reading ended the connection at once. Now the writer writes what was read, and then the connection ends.

Evidence: delayed_bytes_arrive_before_the_end failed before (0 of 100,000 bytes arrived) and passes.

--- a/fulmarreel-testing/src/relay/tcp.rs
+++ b/fulmarreel-testing/src/relay/tcp.rs
@@ -60,11 +60,12 @@
 
 async fn pipe(from: TcpStream, to: TcpStream, connection: u64, control: &Arc<Control>) {
     let (sender, receiver) = bounded(READS_UNDERWAY);
-    race(
-        read(from, sender, connection, control),
-        write(to, receiver, connection, control),
-    )
-    .await;
+    let reading = async {
+        read(from, sender, connection, control).await;
+        // The writer ends once it has written what was read.
+        std::future::pending::<()>().await;
+    };
+    race(reading, write(to, receiver, connection, control)).await;
 }
 
 async fn read(
@@ -110,5 +111,4 @@
             return;
         }
     }
-    std::future::pending::<()>().await;
 }
