test(testing): relays may share a link of limited rate

A link has a rate and a queue for each direction and counts the bytes that it takes in. Bytes of all connections and datagrams of its relays are sent first in, first out; a full queue stops the readers of connections and drops datagrams. Relays without a link are as before.

--- a/fulmarreel-testing/src/relay/mod.rs
+++ b/fulmarreel-testing/src/relay/mod.rs
@@ -2,10 +2,12 @@
 //! while it runs.
 
 mod control;
+mod link;
 mod tcp;
 mod udp;
 
 pub use control::{Control, Fault};
+pub use link::{Carried, Link};
 
 use smol::net::{TcpListener, UdpSocket};
 use std::{io, net::SocketAddr, sync::Arc};
@@ -19,11 +21,26 @@
     listen: SocketAddr,
     forward: SocketAddr,
     control: Arc<Control>,
+) -> io::Result<()> {
+    start_on(listen, forward, control, &Arc::new(Link::unlimited())).await
+}
+
+/// As [`start`], with all bytes over a link that other relays may share.
+///
+/// # Errors
+///
+/// An address cannot be bound.
+pub async fn start_on(
+    listen: SocketAddr,
+    forward: SocketAddr,
+    control: Arc<Control>,
+    link: &Arc<Link>,
 ) -> io::Result<()> {
     let listener = TcpListener::bind(listen).await?;
     let socket = UdpSocket::bind(listen).await?;
-    let streams = Arc::clone(&control);
-    smol::spawn(async move { tcp::run(&listener, forward, &streams).await }).detach();
-    smol::spawn(async move { udp::run(socket, forward, control).await }).detach();
+    let (streams, stream_link) = (Arc::clone(&control), Arc::clone(link));
+    smol::spawn(async move { tcp::run(&listener, forward, &streams, &stream_link).await }).detach();
+    let link = Arc::clone(link);
+    smol::spawn(async move { udp::run(socket, forward, control, link).await }).detach();
     Ok(())
 }
--- a/fulmarreel-testing/src/relay/tcp.rs
+++ b/fulmarreel-testing/src/relay/tcp.rs
@@ -1,6 +1,6 @@
 //! Connections through a relay.
 
-use super::Control;
+use super::{Control, Link, link::Direction};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future::race};
 use smol::{
     Timer,
@@ -23,7 +23,12 @@
 /// How often an idle connection looks whether it was cut.
 const CUT_INTERVAL: Duration = Duration::from_millis(20);
 
-pub(super) async fn run(listener: &TcpListener, forward: SocketAddr, control: &Arc<Control>) {
+pub(super) async fn run(
+    listener: &TcpListener,
+    forward: SocketAddr,
+    control: &Arc<Control>,
+    link: &Arc<Link>,
+) {
     loop {
         let Ok((near, _)) = listener.accept().await else {
             continue;
@@ -31,21 +36,26 @@
         if control.is_cut() {
             continue;
         }
-        let control = Arc::clone(control);
+        let (control, link) = (Arc::clone(control), Arc::clone(link));
         smol::spawn(async move {
-            let _ = relay(near, forward, &control).await;
+            let _ = relay(near, forward, &control, &link).await;
         })
         .detach();
     }
 }
 
-async fn relay(near: TcpStream, forward: SocketAddr, control: &Arc<Control>) -> io::Result<()> {
+async fn relay(
+    near: TcpStream,
+    forward: SocketAddr,
+    control: &Control,
+    link: &Link,
+) -> io::Result<()> {
     let connection = control.accept();
     let far = TcpStream::connect(forward).await?;
     near.set_nodelay(true)?;
     far.set_nodelay(true)?;
-    let there = pipe(near.clone(), far.clone(), connection, control);
-    let back = pipe(far.clone(), near.clone(), connection, control);
+    let there = pipe(near.clone(), far.clone(), connection, control, &link.there);
+    let back = pipe(far.clone(), near.clone(), connection, control, &link.back);
     race(race(there, back), cut(control)).await;
     let _ = near.shutdown(Shutdown::Both);
     let _ = far.shutdown(Shutdown::Both);
@@ -58,10 +68,16 @@
     }
 }
 
-async fn pipe(from: TcpStream, to: TcpStream, connection: u64, control: &Arc<Control>) {
+async fn pipe(
+    from: TcpStream,
+    to: TcpStream,
+    connection: u64,
+    control: &Control,
+    link: &Direction,
+) {
     let (sender, receiver) = bounded(READS_UNDERWAY);
     let reading = async {
-        read(from, sender, connection, control).await;
+        read(from, sender, connection, control, link).await;
         // The writer ends once it has written what was read.
         std::future::pending::<()>().await;
     };
@@ -73,9 +89,11 @@
     sender: Sender<(Instant, Vec<u8>)>,
     connection: u64,
     control: &Control,
+    link: &Direction,
 ) {
     let mut buffer = vec![0; READ_BYTES];
     loop {
+        link.wait_for_room().await;
         let read = from.read(&mut buffer).await;
         if control.swallows(connection) {
             // Not even the end of the connection may be seen on the other side.
@@ -87,7 +105,7 @@
         let Ok(bytes @ 1..) = read else {
             return;
         };
-        let due = Instant::now() + control.delay();
+        let due = link.push(bytes) + control.delay();
         if sender.send((due, buffer[..bytes].to_vec())).await.is_err() {
             return;
         }
--- a/fulmarreel-testing/src/relay/udp.rs
+++ b/fulmarreel-testing/src/relay/udp.rs
@@ -2,7 +2,7 @@
 //!
 //! Each sender gets a socket of its own towards the node, so that answers find their way back.
 
-use super::Control;
+use super::{Control, Link, link::Direction};
 use smol::{Timer, net::UdpSocket};
 use std::{
     collections::{HashMap, hash_map::Entry},
@@ -13,7 +13,12 @@
 /// The largest datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
 
-pub(super) async fn run(socket: UdpSocket, forward: SocketAddr, control: Arc<Control>) {
+pub(super) async fn run(
+    socket: UdpSocket,
+    forward: SocketAddr,
+    control: Arc<Control>,
+    link: Arc<Link>,
+) {
     let mut sockets: HashMap<SocketAddr, UdpSocket> = HashMap::new();
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -26,13 +31,22 @@
                 let Ok(own) = UdpSocket::bind(("127.0.0.1", 0)).await else {
                     continue;
                 };
-                let (back, answers, control) = (socket.clone(), own.clone(), Arc::clone(&control));
-                smol::spawn(async move { relay_back(&answers, &back, sender, &control).await })
-                    .detach();
+                let (back, answers) = (socket.clone(), own.clone());
+                let (control, link) = (Arc::clone(&control), Arc::clone(&link));
+                smol::spawn(async move {
+                    relay_back(&answers, &back, sender, &control, &link.back).await;
+                })
+                .detach();
                 vacant.insert(own)
             }
         };
-        send(own, buffer[..bytes].to_vec(), forward, &control);
+        send(
+            own,
+            buffer[..bytes].to_vec(),
+            forward,
+            &control,
+            &link.there,
+        );
     }
 }
 
@@ -40,23 +54,33 @@
     answers: &UdpSocket,
     back: &UdpSocket,
     sender: SocketAddr,
-    control: &Arc<Control>,
+    control: &Control,
+    link: &Direction,
 ) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         if let Ok((bytes, _)) = answers.recv_from(&mut buffer).await {
-            send(back, buffer[..bytes].to_vec(), sender, control);
+            send(back, buffer[..bytes].to_vec(), sender, control, link);
         }
     }
 }
 
-fn send(socket: &UdpSocket, datagram: Vec<u8>, to: SocketAddr, control: &Control) {
+fn send(
+    socket: &UdpSocket,
+    datagram: Vec<u8>,
+    to: SocketAddr,
+    control: &Control,
+    link: &Direction,
+) {
     if control.drops_datagram() {
         return;
     }
-    let (socket, delay) = (socket.clone(), control.delay());
+    let Some(sent) = link.push_datagram(datagram.len()) else {
+        return;
+    };
+    let (socket, due) = (socket.clone(), sent + control.delay());
     smol::spawn(async move {
-        Timer::after(delay).await;
+        Timer::at(due).await;
         let _ = socket.send_to(&datagram, to).await;
     })
     .detach();
--- a/fulmarreel-testing/tests/relay.rs
+++ b/fulmarreel-testing/tests/relay.rs
@@ -1,17 +1,25 @@
-//! Relays with faults.
+//! Relays: faults, and links of limited rate that they share.
 
 use anyhow::ensure;
 use fulmarreel_testing::{
     process::free_address,
-    relay::{Control, Fault, start},
+    relay::{Carried, Control, Fault, Link, start, start_on},
 };
 use smol::{
     Timer,
-    future::or,
+    future::{or, zip},
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpStream, UdpSocket},
 };
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+const BYTES_PER_SECOND: u64 = 1_000_000;
+
+const QUEUE_BYTES: u64 = 64_000;
 
 /// How long anything may take that is waited for.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -29,6 +37,12 @@
     Ok(address)
 }
 
+async fn relay(forward: SocketAddr, link: &Arc<Link>) -> anyhow::Result<SocketAddr> {
+    let listen = free_address()?;
+    start_on(listen, forward, Arc::new(Control::default()), link).await?;
+    Ok(listen)
+}
+
 /// Reads a connection to its end; returns how many bytes came.
 async fn drain(address: SocketAddr) -> anyhow::Result<usize> {
     let mut tcp = TcpStream::connect(address).await?;
@@ -56,3 +70,86 @@
         Ok(())
     })
 }
+
+/// Fails if relays of one link each have the whole rate, or bytes are lost at a connection's end.
+#[test]
+fn connections_of_two_relays_share_the_rate() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let link = Arc::new(Link::new(BYTES_PER_SECOND, QUEUE_BYTES));
+        let source = source(500_000).await?;
+        let (one, other) = (relay(source, &link).await?, relay(source, &link).await?);
+        let begin = Instant::now();
+        let (first, second) = zip(drain(one), drain(other)).await;
+        let took = begin.elapsed();
+        ensure!(first? == 500_000 && second? == 500_000);
+        ensure!(took > Duration::from_millis(950), "{took:?}");
+        ensure!(took < Duration::from_millis(2_000), "{took:?}");
+        let carried = link.carried();
+        let expected = Carried {
+            there: 0,
+            back: 1_000_000,
+        };
+        ensure!(carried == expected, "{carried:?}");
+        Ok(())
+    })
+}
+
+/// Fails if a link without a limit slows a connection down.
+#[test]
+fn an_unlimited_link_adds_no_time() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let link = Arc::new(Link::unlimited());
+        let relay = relay(source(1_000_000).await?, &link).await?;
+        let begin = Instant::now();
+        ensure!(drain(relay).await? == 1_000_000);
+        ensure!(begin.elapsed() < Duration::from_millis(900));
+        Ok(())
+    })
+}
+
+/// Fails if a relay reads on while the queue of its link is full.
+#[test]
+fn a_full_queue_stops_the_reader() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let link = Arc::new(Link::new(BYTES_PER_SECOND, QUEUE_BYTES));
+        let relay = relay(source(20_000_000).await?, &link).await?;
+        let begin = Instant::now();
+        let _tcp = TcpStream::connect(relay).await?;
+        Timer::after(Duration::from_millis(500)).await;
+        let carried = link.carried().back;
+        let sent = BYTES_PER_SECOND as f64 * begin.elapsed().as_secs_f64();
+        let read_bytes = 16_384.0;
+        ensure!(carried > 300_000, "{carried}");
+        let most = sent + QUEUE_BYTES as f64 + read_bytes;
+        ensure!(carried as f64 <= most, "{carried} of {most}");
+        Ok(())
+    })
+}
+
+/// Fails if datagrams wait in a full queue, or are not counted.
+#[test]
+fn a_full_queue_drops_datagrams() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let link = Arc::new(Link::new(BYTES_PER_SECOND, QUEUE_BYTES));
+        let sink = UdpSocket::bind("127.0.0.1:0").await?;
+        let relay = relay(sink.local_addr()?, &link).await?;
+        let sender = UdpSocket::bind("127.0.0.1:0").await?;
+        for _ in 0..150 {
+            sender.send_to(&[7; 1_000], relay).await?;
+        }
+        let mut arrived = 0_u64;
+        let receive = async {
+            let mut buffer = [0; 2_000];
+            while sink.recv_from(&mut buffer).await.is_ok() {
+                arrived += 1;
+            }
+        };
+        or(receive, async {
+            Timer::after(Duration::from_millis(500)).await;
+        })
+        .await;
+        ensure!((60..140).contains(&arrived), "{arrived}");
+        ensure!(link.carried().there == 1_000 * arrived);
+        Ok(())
+    })
+}
