--- a/fulmarreel-node/tests/mesh/support.rs
+++ b/fulmarreel-node/tests/mesh/support.rs
@@ -19,6 +19,19 @@
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
+/// Where an instance runs.
+#[derive(Debug, Clone, Copy)]
+pub struct Place<'a> {
+    pub region: &'a str,
+    pub zone: &'a str,
+}
+
+/// The place of instances for which none is named.
+const HOME: Place<'_> = Place {
+    region: "r",
+    zone: "a",
+};
+
 /// One instance: a node, and the target beside it.
 pub struct Instance {
     pub process: Process,
@@ -29,6 +42,7 @@
     pub metrics: SocketAddr,
     pub service: String,
     pub backend: Backend,
+    zone: String,
     settings: PathBuf,
     beats: Option<Task<()>>,
 }
@@ -42,13 +56,24 @@
 impl Instance {
     /// Starts a node and a target, which announces itself.
     pub async fn start(store: SocketAddr, service: &str, version: &str) -> anyhow::Result<Self> {
+        Self::start_at(HOME, store, service, version).await
+    }
+
+    /// As [`Instance::start`], at a place of choice.
+    pub async fn start_at(
+        place: Place<'_>,
+        store: SocketAddr,
+        service: &str,
+        version: &str,
+    ) -> anyhow::Result<Self> {
+        let Place { region, zone } = place;
         let id = format!("i-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
         let backend = Backend::start(&id, version).await?;
         let (callers, ready) = (free_address()?, free_address()?);
         let (announcements, peers) = (free_address()?, free_address()?);
         let metrics = free_address()?;
         let settings = format!(
-            "node_name=n-{id}\nzone=a\nregion=r\nip=127.0.0.1\nlisten.outbound={callers}\n\
+            "node_name=n-{id}\nzone={zone}\nregion={region}\nip=127.0.0.1\nlisten.outbound={callers}\n\
             listen.ready={ready}\nlisten.control={announcements}\nport_range={0},{0}\n\
             app_addr={1}\nservice={service}\nplatform_spec.address={store}\n\
             bounds.grace_s=6\nheartbeat_s=1\n",
@@ -66,6 +91,7 @@
             metrics,
             service: service.to_owned(),
             backend,
+            zone: zone.to_owned(),
             settings: path,
             beats: None,
         };
@@ -118,9 +144,9 @@
     fn announcement(&self, state: &str) -> String {
         format!(
             "{{\"address\":\"{}\",\"born\":1,\"info\":{{\"service\":\"{}\",\"version\":\"{}\",\
-            \"zone\":\"a\",\"slots\":4}},\"status\":{{\"state\":\"{state}\",\"seq_no\":SEQ,\
+            \"zone\":\"{}\",\"slots\":4}},\"status\":{{\"state\":\"{state}\",\"seq_no\":SEQ,\
             \"cold_remaining_s\":0}}}}",
-            self.backend.endpoint, self.service, self.backend.version
+            self.backend.endpoint, self.service, self.backend.version, self.zone
         )
     }
 
@@ -159,19 +185,43 @@
 }
 
 /// Puts a configuration with a route `/SERVICE/` for lookups and `/SERVICE-do/` for bookings into
-/// force, for each service.
-pub fn configure(stand: &Stand, version: u64, services: &[&str]) {
-    let mut routes = Vec::new();
-    for service in services {
-        for (suffix, kind) in [("", "safe"), ("-do", "unsafe")] {
-            routes.push(format!(
-                "{{\"name\":\"{service}{suffix}\",\"host\":\"h.example\",\
-                \"prefix\":\"/{service}{suffix}/\",\"route_kind\":\"{kind}\",\"timeout_s\":3,\
-                \"target_latency_s\":1,\"priority\":1,\"service\":\"{service}\",\
-                \"max_attempts\":2}}"
-            ));
-        }
+/// force, for each service; returns the store's revision.
+pub fn configure(stand: &Stand, version: u64, services: &[&str]) -> u64 {
+    let routes = services.iter().flat_map(|service| both_routes(service));
+    put_config(stand, version, &routes.collect::<Vec<_>>(), services)
+}
+
+/// As [`configure`] for one service, with `idle` routes that nobody asks for, and a route
+/// `/added-N/` to the service for each version N up to this one.
+pub fn configure_with_idle(stand: &Stand, version: u64, service: &str, idle: usize) -> u64 {
+    let mut routes = both_routes(service).to_vec();
+    for number in 0..idle {
+        let (name, prefix) = (format!("idle-{number}"), format!("/area-{number}/orders/"));
+        routes.push(route(&name, "idle.example", &prefix, "safe", service));
     }
+    for number in 1..=version {
+        let (name, prefix) = (format!("added-{number}"), format!("/added-{number}/"));
+        routes.push(route(&name, "h.example", &prefix, "safe", service));
+    }
+    put_config(stand, version, &routes, &[service])
+}
+
+fn both_routes(service: &str) -> [String; 2] {
+    [("", "safe"), ("-do", "unsafe")].map(|(suffix, kind)| {
+        let name = format!("{service}{suffix}");
+        route(&name, "h.example", &format!("/{name}/"), kind, service)
+    })
+}
+
+fn route(name: &str, host: &str, prefix: &str, kind: &str, service: &str) -> String {
+    format!(
+        "{{\"name\":\"{name}\",\"host\":\"{host}\",\"prefix\":\"{prefix}\",\
+        \"route_kind\":\"{kind}\",\"timeout_s\":3,\"target_latency_s\":1,\"priority\":1,\
+        \"service\":\"{service}\",\"max_attempts\":2}}"
+    )
+}
+
+fn put_config(stand: &Stand, version: u64, routes: &[String], services: &[&str]) -> u64 {
     let routes = routes.join(",");
     let services = services
         .iter()
@@ -179,7 +229,7 @@
     let services = services.collect::<Vec<_>>().join(",");
     let config =
         format!("{{\"version\":{version},\"routes\":[{routes}],\"services\":[{services}]}}");
-    stand.put("op/config", config.as_bytes());
+    stand.put("op/config", config.as_bytes())
 }
 
 /// Sends one request on a connection of its own.
