feat(distribution): mirrors learn from one another at the cost of what changed

A mirror keeps its last 512 removals and, for each value of 4 KiB or more, the chunks of its last 8 versions. From these it answers a peer with what changed since the peer's revision, and large values as pieces of the version that the peer holds. A peer that may have missed a removal gets all items.

An update is taken in whole or not at all: one that begins after the own revision, a delta of another version and a result with another hash are errors. A listing no longer brings back an item whose later removal is known.

--- a/fulmarreel-distribution/src/mirror.rs
+++ b/fulmarreel-distribution/src/mirror/mod.rs
@@ -1,5 +1,19 @@
 //! What one node knows of the store: every item, up to one revision, which never falls.
+//!
+//! A mirror learns from the store by [`Mirror::replace`] and [`Mirror::apply`], and from another
+//! mirror by [`Mirror::pull`], [`Mirror::update_for`] and [`Mirror::take`].
 
+mod delta;
+mod error;
+mod exchange;
+mod history;
+mod removals;
+
+pub use delta::Fault;
+pub use error::Error;
+
+use history::History;
+use removals::Removals;
 use std::collections::BTreeMap;
 
 /// One item.
@@ -23,10 +37,12 @@
 }
 
 /// What one node knows of the store.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Default)]
 pub struct Mirror {
     revision: u64,
     items: BTreeMap<String, Item>,
+    removals: Removals,
+    history: History,
 }
 
 impl Mirror {
@@ -61,6 +77,7 @@
             return false;
         }
         let mut items = items;
+        items.retain(|key, item| !self.is_removed_since(key, item.revision));
         for (key, known) in &self.items {
             let newer = known.revision > revision;
             if newer
@@ -73,6 +90,11 @@
         }
         self.revision = revision;
         self.items = items;
+        self.removals.restart(revision);
+        self.history.retain(|key| self.items.contains_key(key));
+        for (key, item) in &self.items {
+            self.history.insert(key, item.revision, &item.value);
+        }
         true
     }
 
@@ -80,18 +102,38 @@
     pub fn apply(&mut self, revision: u64, changes: Vec<Change>) -> bool {
         let mut changed = false;
         for change in changes {
-            let known = self.items.get(&change.key).map_or(0, |item| item.revision);
-            if change.revision <= known || change.revision <= self.revision {
+            if !self.is_new(&change.key, change.revision) {
                 continue;
             }
             changed = true;
-            let (key, revision) = (change.key, change.revision);
-            match change.value {
-                Some(value) => _ = self.items.insert(key, Item { revision, value }),
-                None => _ = self.items.remove(&key),
-            }
+            self.set(change);
         }
         self.revision = self.revision.max(revision);
         changed
     }
+
+    /// Whether a change of a key is later than what is known of the key.
+    fn is_new(&self, key: &str, revision: u64) -> bool {
+        let known = self.items.get(key).map_or(0, |item| item.revision);
+        revision > known.max(self.revision) && !self.is_removed_since(key, revision)
+    }
+
+    /// Whether a key is known to be removed at or after a revision.
+    fn is_removed_since(&self, key: &str, revision: u64) -> bool {
+        let removed = self.removals.get(key);
+        removed.is_some_and(|removed| removed >= revision)
+    }
+
+    fn set(&mut self, change: Change) {
+        let (key, revision) = (change.key, change.revision);
+        if let Some(value) = change.value {
+            self.removals.remove(&key);
+            self.history.insert(&key, revision, &value);
+            self.items.insert(key, Item { revision, value });
+        } else {
+            self.history.remove(&key);
+            self.items.remove(&key);
+            self.removals.insert(key, revision);
+        }
+    }
 }
