test(distribution): mirrors that learn from a store and from one another

Generated schedules let four mirrors learn by listings (some read in pages), batches of changes and updates of one another that are lost, repeated, late or cut off by a restart, and check after each step that every mirror holds what the store held at its revision and that no item falls back.

Each of 14 faults put into the code by hand made a test fail: forgotten removals, accepted gaps, deltas of another version, copies wrongly merged and others. A 15th, the early end where an update is not newer, changes nothing that a caller sees: later checks pass such an update over.

--- a/fulmarreel-distribution/tests/mirror.rs
+++ b/fulmarreel-distribution/tests/mirror.rs
@@ -1,5 +1,10 @@
 //! What one node knows of the store.
 
+mod mirror {
+    mod exchange;
+    mod schedule;
+}
+
 use fulmarreel_distribution::{
     Mirror,
     mirror::{Change, Item},
