fix(node): two readers of the store a region, deltas for everyone else

Cause: each of 36 nodes of a region fetched each change of the configuration (142 KB, 189 KB as the store sends it) over the one link between the regions: 6.8 MB a change, one change each 0.62 s, over 7.5 MB/s. The delay was made longer by its own cure: a node that heard of a higher revision left its watch and began it anew; over half of the bytes that golfo received (69 of 129 MB) belonged to waits that were left.

Now two nodes of each region read the store, without an election; the others hear of a change in one or two hops and pull it, large values as deltas. A change crosses the link twice whatever the region's size, and no watch is left because a link is slow.

--- a/fulmarreel-distribution/src/lib.rs
+++ b/fulmarreel-distribution/src/lib.rs
@@ -14,14 +14,18 @@
 pub mod entry;
 pub mod fanout;
 pub mod freshness;
+pub mod knowledge;
 pub mod log;
 pub mod mirror;
 pub mod pace;
+pub mod readers;
 pub mod readiness;
 pub mod verdict;
 
 pub use catalog::Catalog;
 pub use entry::Entry;
+pub use knowledge::Knowledge;
 pub use log::Log;
 pub use mirror::Mirror;
+pub use readers::Readers;
 pub use verdict::{Verdict, Verdicts};
--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -1,40 +1,41 @@
-//! Short word between nodes over UDP.
+//! Notices between nodes, over UDP: contact with the store, and what moves need.
 
 use super::{sync, takeover::Moves, world::World};
+use fulmarreel_distribution::fanout::branches;
 use fulmarreel_wire::{
     PROTOCOL,
-    notice::{Datagram, MAX_DATAGRAM_BYTES, Notice},
+    notice::{Contact, Datagram, MAX_DATAGRAM_BYTES, Notice},
 };
-use smol::{Timer, net::UdpSocket};
+use smol::{Timer, future::or, lock::Mutex, net::UdpSocket};
 use std::{
     io,
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-/// How often a node says up to which revision it knows the store.
+/// How often a node tells some others up to which revision it knows the store.
 const REVISION_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// How long the store itself has to bring a revision that a peer knows, and once more after the
-/// watch was begun anew.
-const STORE_FIRST: Duration = Duration::from_millis(400);
+/// How often a reader of the store tells its region that it is in contact.
+const CONTACT_INTERVAL: Duration = Duration::from_millis(300);
 
-/// How often it is looked whether the revision has risen.
+/// Age of the last contact from which on a reader is silent, so that others take its place.
+const CONTACT_LIMIT: Duration = Duration::from_millis(1_700);
+
+/// How often it is looked whether something is to be told.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Nodes of the own region that are told.
-const FAN_OUT: usize = 2;
+/// How long the region's readers have to bring a revision that some other node knows.
+const READERS_FIRST: Duration = Duration::from_millis(400);
 
 /// The node's datagram socket.
 #[derive(Debug)]
 pub struct Notices {
     world: Arc<World>,
     socket: UdpSocket,
-    pulling: AtomicBool,
+    /// Held while this node learns from another one.
+    pulling: Mutex<()>,
 }
 
 impl Notices {
@@ -45,7 +46,7 @@
     /// The address cannot be bound.
     pub async fn bind(world: Arc<World>) -> io::Result<Arc<Self>> {
         let socket = UdpSocket::bind(world.settings().peers).await?;
-        let pulling = AtomicBool::new(false);
+        let pulling = Mutex::default();
         Ok(Arc::new(Self {
             world,
             socket,
@@ -79,38 +80,72 @@
         }
     }
 
-    /// Says up to which revision the store is known, now and then and when it rises, until the process
-    /// ends.
+    /// Tells others what is known of the store, until the process ends.
     pub async fn tell(self: Arc<Self>) {
-        let mut told = (0, Instant::now());
+        let mut contact = (0, Instant::now());
+        let mut gossip = Instant::now();
         loop {
-            Timer::after(LOOK_INTERVAL).await;
-            let revision = self.world.revision();
-            if revision == 0 || (revision == told.0 && told.1.elapsed() < REVISION_INTERVAL) {
-                continue;
+            or(self.world.news(), async {
+                Timer::after(LOOK_INTERVAL).await;
+            })
+            .await;
+            self.world.decide_duty();
+            let (now, revision) = (Instant::now(), self.world.revision());
+            if revision > contact.0 || now >= contact.1 {
+                contact = (revision, now + CONTACT_INTERVAL);
+                self.tell_region(revision).await;
             }
-            let risen = revision > told.0;
-            told = (revision, Instant::now());
-            self.tell_some(true, FAN_OUT, revision).await;
-            if risen {
-                self.tell_some(false, 1, revision).await;
+            if now >= gossip && revision > 0 {
+                gossip = now + REVISION_INTERVAL.mul_f64(0.5 + fastrand::f64());
+                self.tell_some(revision).await;
+            }
+        }
+    }
+
+    /// Tells the nodes of the own region, in branches, that this node is in contact with the store.
+    async fn tell_region(&self, revision: u64) {
+        let age = self.world.contact_age();
+        let Some(age) = age.filter(|age| self.world.reads() && *age < CONTACT_LIMIT) else {
+            return;
+        };
+        let mut near = self.others(true);
+        fastrand::shuffle(&mut near);
+        for branch in branches(&near) {
+            let mut members = branch.members.into_iter();
+            let Some(first) = members.next() else {
+                continue;
+            };
+            let contact = Contact {
+                reader: self.world.settings().peers,
+                revision,
+                age_ms: millis(age),
+                pass_on: members.collect(),
+            };
+            self.send(first, Notice::Contact(contact)).await;
+        }
+    }
+
+    /// Tells one random node of the own region, and a reader one of another region.
+    async fn tell_some(&self, revision: u64) {
+        let far = if self.world.reads() {
+            self.others(false)
+        } else {
+            Vec::new()
+        };
+        for nodes in [self.others(true), far] {
+            if let Some(to) = fastrand::choice(&nodes) {
+                self.send(*to, Notice::Revision(revision)).await;
             }
         }
     }
 
-    /// Tells some random nodes of the own region, or of others.
-    async fn tell_some(&self, near: bool, count: usize, revision: u64) {
+    /// The other nodes of the own region, or those of other regions.
+    fn others(&self, near: bool) -> Vec<SocketAddr> {
         let own = self.world.settings().peers;
         let view = self.world.view();
-        let nodes = view
-            .nodes
-            .iter()
-            .filter(|node| node.1 == near && node.0 != own);
-        let nodes: Vec<SocketAddr> = nodes.map(|node| node.0).collect();
-        for _ in 0..count.min(nodes.len()) {
-            let to = nodes[fastrand::usize(..nodes.len())];
-            self.send(to, Notice::Revision(revision)).await;
-        }
+        let nodes = view.nodes.iter();
+        let others = nodes.filter(|node| node.1 == near && node.0 != own);
+        others.map(|node| node.0).collect()
     }
 
     /// Takes in notices until the process ends.
@@ -134,33 +169,69 @@
     }
 
     fn take(self: &Arc<Self>, moves: &Moves, datagram: Datagram) {
+        let from = datagram.from;
         match datagram.notice {
-            Notice::Revision(revision) => self.catch_up(datagram.from, revision),
-            Notice::Tally(tally) => moves.hear(datagram.from, tally),
+            Notice::Revision(revision) => self.hear_revision(from, revision),
+            Notice::Contact(contact) => self.hear_contact(from, contact),
+            Notice::Tally(tally) => moves.hear(from, tally),
             Notice::Share(share) => moves.follow(&share),
             Notice::Bad { service, order } => moves.condemn(&service, order),
         }
     }
 
-    /// Takes over what a peer knows, unless the store itself brings it soon.
-    fn catch_up(self: &Arc<Self>, peer: SocketAddr, revision: u64) {
+    /// Learns what a peer knows, unless the region's readers bring it soon.
+    fn hear_revision(self: &Arc<Self>, peer: SocketAddr, revision: u64) {
         self.world.hear(revision);
-        if revision <= self.world.revision() || self.pulling.swap(true, Ordering::AcqRel) {
+        if revision <= self.world.revision() {
             return;
         }
         let notices = Arc::clone(self);
         crate::runtime::spawn(async move {
-            Timer::after(STORE_FIRST).await;
-            if revision > notices.world.revision() {
-                notices.world.fall_behind();
-                Timer::after(STORE_FIRST).await;
+            Timer::after(READERS_FIRST).await;
+            notices.catch_up(peer, revision).await;
+        });
+    }
+
+    /// Takes in a reader's contact with the store, learns what is new, and passes the word on.
+    fn hear_contact(self: &Arc<Self>, from: SocketAddr, contact: Contact) {
+        self.world.hear(contact.revision);
+        self.world.hear_reader(contact.reader);
+        let notices = Arc::clone(self);
+        let began = Instant::now();
+        crate::runtime::spawn(async move {
+            for peer in [from, contact.reader] {
+                notices.catch_up(peer, contact.revision).await;
+            }
+            let age = Duration::from_millis(u64::from(contact.age_ms)) + began.elapsed();
+            if notices.world.revision() >= contact.revision {
+                notices.world.confirm(age);
             }
-            if revision > notices.world.revision()
-                && let Err(error) = sync::pull(&notices.world, peer).await
-            {
-                log::info!(peer:% = peer; "pull: {error}");
+            let passed = Contact {
+                age_ms: millis(age),
+                pass_on: Vec::new(),
+                ..contact
+            };
+            for to in &contact.pass_on {
+                notices.send(*to, Notice::Contact(passed.clone())).await;
             }
-            notices.pulling.store(false, Ordering::Release);
         });
     }
+
+    /// Learns what a peer knows, where this node does not know a revision yet.
+    async fn catch_up(&self, peer: SocketAddr, revision: u64) {
+        if revision <= self.world.revision() {
+            return;
+        }
+        let _one = self.pulling.lock().await;
+        if revision <= self.world.revision() {
+            return;
+        }
+        if let Err(error) = sync::pull(&self.world, peer).await {
+            log::info!(peer:% = peer, revision; "pull: {error}");
+        }
+    }
+}
+
+fn millis(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
 }
--- a/fulmarreel-node/src/mesh/run.rs
+++ b/fulmarreel-node/src/mesh/run.rs
@@ -71,7 +71,6 @@
         async move { announce::handle(&world, &server, conn).await }
     });
     spawn(sync::run(Arc::clone(&world)));
-    spawn(sync::probe(Arc::clone(&world)));
     spawn(announce::publish(Arc::clone(&world), Arc::clone(&server)));
     spawn(Arc::clone(&notices).tell());
     spawn(Arc::clone(&notices).receive(Arc::clone(&moves)));
--- a/fulmarreel-node/src/mesh/serve/peer.rs
+++ b/fulmarreel-node/src/mesh/serve/peer.rs
@@ -31,7 +31,7 @@
             return Ok(());
         }
         match hello.purpose {
-            Purpose::Snapshot => return sync::send_snapshot(&self.world, tcp).await,
+            Purpose::Mirror => return sync::serve(&self.world, tcp).await,
             Purpose::Calls => {}
             Purpose::Sync | Purpose::Evidence => return Ok(()),
         }
--- /dev/null
+++ b/fulmarreel-node/src/mesh/sync/read.rs
@@ -0,0 +1,119 @@
+//! Reads the store, for the region and for a node that nobody tells.
+
+use crate::{mesh::world::World, telemetry::metrics};
+use fulmarreel_distribution::{
+    backoff::Backoff,
+    mirror::{Change, Item},
+};
+use fulmarreel_store::{Batch, Entry, Error, Event, Revision, Store, watch::Watch};
+use smol::{Timer, future::or};
+use std::{sync::Arc, time::Duration};
+
+/// How long the store holds a watch where nothing changes; its answer is the sign of contact.
+const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a change, so that changes in quick succession come together.
+const BATCH_PAUSE: Duration = Duration::from_millis(600);
+
+/// The longest pause after a failed call, the first time.
+const MIN_BACKOFF: Duration = Duration::from_millis(200);
+
+/// The longest such pause.
+const MAX_BACKOFF: Duration = Duration::from_millis(1_500);
+
+/// Reads the whole store once, then follows it whenever this node is one of its region's readers,
+/// until the process ends.
+pub async fn run(world: Arc<World>) {
+    let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
+    let mut lost = false;
+    loop {
+        if world.revision() > 0 {
+            world.reading(true).await;
+        }
+        let Err(error) = follow(&world, &mut backoff, &mut lost).await else {
+            continue;
+        };
+        metrics::store_watched("failed");
+        if matches!(error, Error::Compacted { .. }) {
+            log::info!("the store's history is gone, reading it anew");
+            if list(&world).await.is_ok() {
+                continue;
+            }
+        }
+        if !lost {
+            log::warn!(revision = world.revision(); "store lost: {error}");
+            lost = true;
+        }
+        Timer::after(backoff.next(&mut fastrand::Rng::new())).await;
+    }
+}
+
+/// Follows the store until a call fails or this node is no reader any more.
+async fn follow(world: &World, backoff: &mut Backoff, lost: &mut bool) -> Result<(), Error> {
+    if world.revision() == 0 {
+        return list(world).await;
+    }
+    let from = Revision(world.revision()).next();
+    let mut watch = world.store.watch("", from, WATCH_WAIT).await?;
+    let mut received = 0;
+    loop {
+        let next = or(async { watch.next().await.map(Some) }, async {
+            world.reading(false).await;
+            Ok(None)
+        });
+        let Some(batch) = next.await? else {
+            return Ok(());
+        };
+        if std::mem::take(lost) {
+            log::info!(revision = batch.revision.0; "store regained");
+        }
+        backoff.reset();
+        let bytes = watch.received() - std::mem::replace(&mut received, watch.received());
+        let changed = take(world, batch, bytes);
+        metrics::store_watched(if changed { "events" } else { "quiet" });
+        if changed {
+            Timer::after(BATCH_PAUSE).await;
+        }
+    }
+}
+
+/// Reads the whole store.
+async fn list(world: &World) -> Result<(), Error> {
+    let listing = world.store.list("").await?;
+    let items = listing.entries.into_iter().map(|entry| {
+        let Entry {
+            key,
+            value,
+            revision,
+            ..
+        } = entry;
+        let revision = revision.0;
+        (key, Item { revision, value })
+    });
+    world.replace(listing.revision.0, items.collect());
+    world.touch();
+    Ok(())
+}
+
+/// Takes in what a watch brought; whether there was any change.
+fn take(world: &World, batch: Batch, bytes: u64) -> bool {
+    let (revision, events) = (batch.revision.0, batch.events.len());
+    let changes = batch.events.into_iter().map(|event| match event {
+        Event::Put(entry) => Change {
+            key: entry.key,
+            revision: entry.revision.0,
+            value: Some(entry.value),
+        },
+        Event::Delete { key, revision } => Change {
+            key,
+            revision: revision.0,
+            value: None,
+        },
+    });
+    world.apply(revision, changes.collect());
+    world.touch();
+    if events > 0 {
+        log::info!(revision, events, bytes; "store changed");
+    }
+    events > 0
+}
--- a/fulmarreel-node/src/mesh/world.rs
+++ b/fulmarreel-node/src/mesh/world.rs
@@ -3,17 +3,16 @@
 use super::view::{Place, View};
 use crate::state::unix_millis;
 use fulmarreel_distribution::{
-    Mirror,
-    mirror::{Change, Item},
+    Knowledge, Mirror, Readers,
+    mirror::{self, Change, Item},
 };
 use fulmarreel_platform::{Settings, store};
+use fulmarreel_wire::mirror::Update;
 use smol::channel::{Receiver, Sender, bounded};
 use std::{
     collections::BTreeMap,
-    sync::{
-        Arc, Mutex, OnceLock, RwLock,
-        atomic::{AtomicU64, Ordering},
-    },
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, OnceLock, RwLock},
     time::{Duration, Instant},
 };
 
@@ -29,17 +28,18 @@
     view: RwLock<Arc<View>>,
     /// When the process ends at the latest, once it has been told to.
     end: OnceLock<Instant>,
-    /// When the store answered last with all that it had.
-    contact: Mutex<Option<Instant>>,
-    /// The highest revision that a peer said it knows.
-    heard: AtomicU64,
-    /// Word that a peer knows more of the store than the store has told.
-    behind: (Sender<()>, Receiver<()>),
+    knowledge: Mutex<Knowledge>,
+    readers: Mutex<Readers>,
+    /// Signals that this node begins or ceases to read the store.
+    duty: (Sender<()>, Receiver<()>),
+    /// Signals that the store has told something new.
+    news: (Sender<()>, Receiver<()>),
 }
 
 impl World {
     /// A node that knows nothing but its settings.
     pub fn new(settings: Settings) -> Self {
+        let readers = Readers::new(settings.peers, Instant::now(), fastrand::f64());
         Self {
             boot: unix_millis(),
             store: store::Client::new(settings.store, store::Options::default()),
@@ -47,9 +47,10 @@
             mirror: Mutex::default(),
             view: RwLock::default(),
             end: OnceLock::new(),
-            contact: Mutex::default(),
-            heard: AtomicU64::default(),
-            behind: bounded(1),
+            knowledge: Mutex::default(),
+            readers: Mutex::new(readers),
+            duty: bounded(1),
+            news: bounded(1),
         }
     }
 
@@ -98,37 +99,91 @@
         }
     }
 
+    /// Takes in what a peer knows beyond this node.
+    ///
+    /// # Errors
+    ///
+    /// The update does not fit what is known, which then stays as it was.
+    pub fn take(&self, update: Update) -> Result<(), mirror::Error> {
+        let mut mirror = self.mirror.lock().expect("mirror lock");
+        if mirror.take(update)? {
+            self.rebuild(&mirror);
+        }
+        Ok(())
+    }
+
     /// Notes that the store has just told all that it had.
     pub fn touch(&self) {
-        *self.contact.lock().expect("contact lock") = Some(Instant::now());
+        self.knowledge().touch(Instant::now());
+        // One signal that waits is enough.
+        let _ = self.news.0.try_send(());
     }
 
-    /// How long ago the store told all that it had; none where it never did.
-    pub fn contact_age(&self) -> Option<Duration> {
-        let contact = *self.contact.lock().expect("contact lock");
-        contact.map(|contact| contact.elapsed())
+    /// Waits until the store has told something.
+    pub async fn news(&self) {
+        // The sender lives as long as the receiver.
+        let _ = self.news.1.recv().await;
     }
 
-    /// Takes in up to which revision a peer knows the store.
+    /// Takes in up to which revision another node knows the store.
     pub fn hear(&self, revision: u64) {
-        self.heard.fetch_max(revision, Ordering::AcqRel);
+        self.knowledge().hear(revision, Instant::now());
+    }
+
+    /// Takes in that everything the store had `age` ago is known here.
+    pub fn confirm(&self, age: Duration) {
+        self.knowledge().confirm(age, Instant::now());
+    }
+
+    /// How long ago this node knew all that the store had; none where it never did.
+    pub fn contact_age(&self) -> Option<Duration> {
+        self.knowledge().age(Instant::now())
     }
 
     /// The highest revision of the store that is known to exist.
     pub fn heard(&self) -> u64 {
-        self.heard.load(Ordering::Acquire).max(self.revision())
+        let heard = self.knowledge().heard(Instant::now());
+        heard.max(self.revision())
+    }
+
+    /// Whether what this node knows of the store is recent enough to turn a request away for good.
+    pub fn is_current(&self) -> bool {
+        let revision = self.revision();
+        self.knowledge().is_current(revision, Instant::now())
+    }
+
+    /// Takes in that another node of the region reads the store.
+    pub fn hear_reader(&self, reader: SocketAddr) {
+        self.readers().hear(reader, Instant::now());
+    }
+
+    /// Decides anew whether this node reads the store for its region.
+    pub fn decide_duty(&self) {
+        let view = self.view();
+        let near = view.nodes.iter().filter(|node| node.1);
+        let members: Vec<SocketAddr> = near.map(|node| node.0).collect();
+        let lags = self.heard() > self.revision();
+        let mut readers = self.readers();
+        let before = readers.reads();
+        let reads = readers.decide(&members, lags, Instant::now());
+        if reads != before {
+            log::info!(reads, lags; "reader of the store");
+            // One signal that waits is enough.
+            let _ = self.duty.0.try_send(());
+        }
     }
 
-    /// Notes that a peer knows more of the store than the store has told this node.
-    pub fn fall_behind(&self) {
-        // One word that waits is enough.
-        let _ = self.behind.0.try_send(());
+    /// Whether this node reads the store.
+    pub fn reads(&self) -> bool {
+        self.readers().reads()
     }
 
-    /// Waits for such word.
-    pub async fn is_behind(&self) {
-        // The sender lives as long as the receiver.
-        let _ = self.behind.1.recv().await;
+    /// Waits until this node reads the store, or until it does not.
+    pub async fn reading(&self, wanted: bool) {
+        while self.reads() != wanted {
+            // The sender lives as long as the receiver.
+            let _ = self.duty.1.recv().await;
+        }
     }
 
     /// Notes that the process ends, at `end` at the latest.
@@ -147,6 +202,14 @@
         self.end.get().is_some()
     }
 
+    fn knowledge(&self) -> MutexGuard<'_, Knowledge> {
+        self.knowledge.lock().expect("knowledge lock")
+    }
+
+    fn readers(&self) -> MutexGuard<'_, Readers> {
+        self.readers.lock().expect("readers lock")
+    }
+
     fn rebuild(&self, mirror: &Mirror) {
         let settings = self.settings();
         let place = Place {
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -112,9 +112,10 @@
     counter!("fulmarreel_store_watches_total", "result" => result).increment(1);
 }
 
-/// Counts the bytes of what a peer knew of the store.
-pub fn snapshot_received(bytes: u64) {
-    counter!("fulmarreel_snapshot_received_bytes_total").increment(bytes);
+/// Counts an update of what is known of the store that a peer sent.
+pub fn update_received(bytes: u64) {
+    counter!("fulmarreel_updates_received_total").increment(1);
+    counter!("fulmarreel_updates_received_bytes_total").increment(bytes);
 }
 
 /// Counts a request that this node ended by itself before it was offered to a target.
--- a/fulmarreel-wire/src/hello.rs
+++ b/fulmarreel-wire/src/hello.rs
@@ -10,8 +10,8 @@
     Sync,
     /// Reports on the versions of a service.
     Evidence,
-    /// What the accepting node holds of the store; it is sent at once.
-    Snapshot,
+    /// What the accepting node knows of the store beyond the opening one.
+    Mirror,
 }
 
 /// The first message in each direction of a TCP connection between nodes.
--- a/fulmarreel-wire/src/notice.rs
+++ b/fulmarreel-wire/src/notice.rs
@@ -1,4 +1,4 @@
-//! Short word between nodes over UDP, and what a node holds of the store over TCP.
+//! Notices between nodes, over UDP.
 
 use crate::framing;
 use serde::{Deserialize, Serialize};
@@ -23,6 +23,8 @@
 pub enum Notice {
     /// The revision up to which the sender knows the store.
     Revision(u64),
+    /// A node of the receiver's region is in contact with the store.
+    Contact(Contact),
     /// What the sender has seen of both versions of a service that moves.
     Tally(Tally),
     /// The share of a service's new version, from the node that owns the move.
@@ -36,6 +38,19 @@
     },
 }
 
+/// A node's contact with the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// The node that reads the store.
+    pub reader: SocketAddr,
+    /// The revision up to which the sender knows the store.
+    pub revision: u64,
+    /// How long before the datagram was sent that was all that the store had, in milliseconds.
+    pub age_ms: u32,
+    /// Whom the receiver tells in turn.
+    pub pass_on: Vec<SocketAddr>,
+}
+
 /// What one node has seen of a move since its order; later ones replace earlier ones.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Tally {
@@ -80,27 +95,6 @@
     pub permille: u16,
 }
 
-/// What a node holds of the store.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// The revision up to which it is complete.
-    pub revision: u64,
-    /// Every item, in the order of their keys.
-    pub items: Vec<Item>,
-}
-
-/// One item of the store.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Item {
-    /// The whole key.
-    pub key: String,
-    /// The revision of its last write.
-    pub revision: u64,
-    /// Its value.
-    #[serde(with = "serde_bytes")]
-    pub value: Vec<u8>,
-}
-
 impl Datagram {
     /// The bytes to send.
     ///
