fix(node): what may be out of date turns nobody away for good

Cause: an answer that is final was given from knowledge of any age. Where a change may have been missed, 404 and 413 become 503 with Retry-After: the request did not run, and its caller comes back to a node that knows. One place decides it.

--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -12,6 +12,9 @@
 /// The part of the time left after which a caller is told to come back at the latest.
 const MAX_RETRY_PART: f64 = 0.3;
 
+/// How long a node that is behind takes to know more, as a rule.
+const CATCH_UP: Duration = Duration::from_millis(300);
+
 /// One in so many requests that went well at once is written to the log.
 const LOGGED_OF_GOOD: u64 = 16;
 
@@ -45,7 +48,8 @@
         }
     }
 
-    /// Turns a request away for good.
+    /// Turns a request away for good, unless that may rest on what is out of date: then it is refused
+    /// for now.
     pub(super) fn deny(
         &self,
         conn: Conn,
@@ -53,6 +57,11 @@
         reason: &'static str,
         revision: u64,
     ) -> Conn {
+        if !self.world.is_current() {
+            let reason = "a newer configuration may say otherwise";
+            self.log_early_end(&conn, Status::ServiceUnavailable, reason, revision);
+            return refuse(conn, reason, CATCH_UP);
+        }
         self.log_early_end(&conn, status, reason, revision);
         conn.with_status(status).with_body(reason).halt()
     }
