fix(http): a server's bytes without end are given up, within a bound on memory

Callers saw no answer from a node whose target, or whose store, sends bytes without end, for requests to other targets too. Three causes: an exchange read on as long as bytes were there and never gave way to other tasks, its own deadline's timer included; interim answers, trailers, the coding of chunks and answers to other requests were not counted at all; and one body might have 64 MiB in memory, however many were read at once.

A Quota now bounds the bytes of all answers that are read at once (a quarter of limits.memory_mb for the target's, 16 MiB for the store's) and those of one exchange (half of that), all that arrives counted. Nothing waits for room: over it the exchange ends with an error of its own. The first 64 KiB of each exchange are not counted, so that long answers leave room for short ones. Beside it, heads with the interim ones before them and trailers have 64 KiB, and 16 answers to other requests are passed over. After each 64 KiB that arrive without a pause, other tasks get their turn. What reads answers moves from the connection to a reader of one exchange.

--- a/fulmarreel-http/src/body.rs
+++ b/fulmarreel-http/src/body.rs
@@ -5,6 +5,9 @@
 /// The longest line that announces a chunk, in bytes.
 const MAX_CHUNK_LINE: usize = 256;
 
+/// The longest trailer, in bytes.
+const MAX_TRAILER: usize = 65_536;
+
 /// How the end of a body is found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Length {
@@ -28,6 +31,9 @@
     /// What stands before a chunk is no length.
     #[error("malformed chunk")]
     Chunk,
+    /// What follows the last chunk is too long.
+    #[error("a long trailer")]
+    Trailer,
 }
 
 impl Length {
@@ -73,6 +79,8 @@
     missing: usize,
     /// Whether the last chunk was seen, and its trailer follows.
     trailing: bool,
+    /// Bytes of the trailer so far.
+    trailer: usize,
 }
 
 impl Chunks {
@@ -118,6 +126,10 @@
                 if line.is_empty() {
                     break true;
                 }
+                self.trailer += end + 2;
+                if self.trailer > MAX_TRAILER {
+                    return Err(Error::Trailer);
+                }
                 continue;
             }
             match size(line)? {
--- a/fulmarreel-http/src/connection.rs
+++ b/fulmarreel-http/src/connection.rs
@@ -1,8 +1,9 @@
 //! One connection to a server.
 
 use crate::{
-    body::{self, Chunks, Length},
     message::{Header, Request, Response},
+    quota::{self, Quota},
+    reader::Reader,
 };
 use smol::{
     future::{self, FutureExt},
@@ -16,18 +17,6 @@
     time::{Duration, Instant},
 };
 
-/// The most headers of an answer.
-const MAX_HEADERS: usize = 64;
-
-/// The longest head of an answer, in bytes.
-const MAX_HEAD_BYTES: usize = 65_536;
-
-/// The longest body of an answer, in bytes.
-const MAX_BODY_BYTES: usize = 67_108_864;
-
-/// Bytes that are read at once.
-const READ_BYTES: usize = 16_384;
-
 /// Probes without an answer after which a host counts as silent.
 const PROBES: u32 = 2;
 
@@ -56,6 +45,14 @@
         /// What is wrong with it.
         reason: String,
     },
+    /// More arrived than may be held.
+    #[error("{peer}: {source}")]
+    NoRoom {
+        /// The server.
+        peer: SocketAddr,
+        /// Which bound it would pass.
+        source: quota::Error,
+    },
 }
 
 /// One connection to a server; dropped, it is closed.
@@ -113,7 +110,8 @@
     }
 
     /// Sends a request and reads the answer to it; an answer that `is_answer` refuses belongs to
-    /// another request and is passed over.
+    /// another request and is passed over. All bytes that arrive count towards the quota until the
+    /// exchange ends.
     ///
     /// # Errors
     ///
@@ -122,6 +120,7 @@
         &mut self,
         request: &Request<'_>,
         is_answer: impl Fn(u16, &[Header]) -> bool,
+        quota: &Quota,
     ) -> Result<Response, Error> {
         if !self.reusable || self.has_ended().await {
             self.reusable = false;
@@ -142,7 +141,8 @@
         let mut write = std::pin::pin!(write);
         let mut written = false;
         let (response, keep) = {
-            let mut read = std::pin::pin!(self.own_answer(request.method, is_answer));
+            let mut reader = Reader::new(&mut self.tcp, self.peer, &mut self.buffer, quota);
+            let mut read = std::pin::pin!(reader.own_answer(request.method, is_answer));
             loop {
                 if written {
                     break read.as_mut().await?;
@@ -168,140 +168,4 @@
         let read = async { Some(self.tcp.read(&mut byte).await) };
         read.or(async { None }).await.is_some()
     }
-
-    /// Reads answers up to the one to the present request.
-    async fn own_answer(
-        &mut self,
-        method: &str,
-        is_answer: impl Fn(u16, &[Header]) -> bool,
-    ) -> Result<(Response, bool), Error> {
-        loop {
-            let (response, keep) = self.answer(method).await?;
-            if is_answer(response.status, &response.headers) {
-                return Ok((response, keep));
-            }
-            if !keep {
-                return Err(self.malformed("an answer to another request"));
-            }
-        }
-    }
-
-    /// Reads one answer; whether the connection can be used after it.
-    async fn answer(&mut self, method: &str) -> Result<(Response, bool), Error> {
-        let (status, headers, http_11) = loop {
-            let head = self.head().await?;
-            // Interim answers are followed by the final one.
-            if head.0 >= 200 {
-                break head;
-            }
-        };
-        let length = Length::of(method, status, &headers)
-            .map_err(|error| self.malformed(&error.to_string()))?;
-        let body = match length {
-            Length::Known(bytes) => self.known(bytes).await?,
-            Length::Chunked => self.chunked().await?,
-            Length::UntilClose => self.until_close().await?,
-        };
-        let closes = headers.iter().any(|header| {
-            header.name.eq_ignore_ascii_case("connection")
-                && header.value.trim_ascii().eq_ignore_ascii_case(b"close")
-        });
-        let keep = http_11 && !closes && length != Length::UntilClose;
-        let response = Response {
-            status,
-            headers,
-            body,
-        };
-        Ok((response, keep))
-    }
-
-    async fn head(&mut self) -> Result<(u16, Vec<Header>, bool), Error> {
-        loop {
-            if !self.buffer.is_empty() {
-                let mut parsed = [httparse::EMPTY_HEADER; MAX_HEADERS];
-                let mut head = httparse::Response::new(&mut parsed);
-                match head.parse(&self.buffer) {
-                    Ok(httparse::Status::Complete(bytes)) => {
-                        let status = head.code.unwrap_or(0);
-                        let headers = head.headers.iter().map(|header| Header {
-                            name: header.name.to_owned(),
-                            value: header.value.to_vec(),
-                        });
-                        let headers = headers.collect();
-                        let http_11 = head.version == Some(1);
-                        self.buffer.drain(..bytes);
-                        return Ok((status, headers, http_11));
-                    }
-                    Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_HEAD_BYTES => {}
-                    Ok(httparse::Status::Partial) => return Err(self.malformed("a long head")),
-                    Err(error) => return Err(self.malformed(&error.to_string())),
-                }
-            }
-            if self.read().await? == 0 {
-                return Err(self.lost(io::ErrorKind::UnexpectedEof.into()));
-            }
-        }
-    }
-
-    async fn known(&mut self, bytes: usize) -> Result<Vec<u8>, Error> {
-        if bytes > MAX_BODY_BYTES {
-            return Err(self.malformed("a body that is too long"));
-        }
-        while self.buffer.len() < bytes {
-            if self.read().await? == 0 {
-                return Err(self.lost(io::ErrorKind::UnexpectedEof.into()));
-            }
-        }
-        let rest = self.buffer.split_off(bytes);
-        Ok(std::mem::replace(&mut self.buffer, rest))
-    }
-
-    async fn chunked(&mut self) -> Result<Vec<u8>, Error> {
-        let mut chunks = Chunks::default();
-        let mut body = Vec::new();
-        loop {
-            let ended = chunks
-                .take(&mut self.buffer, &mut body)
-                .map_err(|error: body::Error| self.malformed(&error.to_string()))?;
-            if ended {
-                return Ok(body);
-            }
-            if body.len() > MAX_BODY_BYTES {
-                return Err(self.malformed("a body that is too long"));
-            }
-            if self.read().await? == 0 {
-                return Err(self.lost(io::ErrorKind::UnexpectedEof.into()));
-            }
-        }
-    }
-
-    async fn until_close(&mut self) -> Result<Vec<u8>, Error> {
-        while self.read().await? > 0 {
-            if self.buffer.len() > MAX_BODY_BYTES {
-                return Err(self.malformed("a body that is too long"));
-            }
-        }
-        Ok(std::mem::take(&mut self.buffer))
-    }
-
-    async fn read(&mut self) -> Result<usize, Error> {
-        let start = self.buffer.len();
-        self.buffer.resize(start + READ_BYTES, 0);
-        let read = self.tcp.read(&mut self.buffer[start..]).await;
-        let count = *read.as_ref().unwrap_or(&0);
-        self.buffer.truncate(start + count);
-        read.map_err(|source| self.lost(source))
-    }
-
-    fn lost(&self, source: io::Error) -> Error {
-        let peer = self.peer;
-        Error::Lost { peer, source }
-    }
-
-    fn malformed(&self, reason: &str) -> Error {
-        Error::Malformed {
-            peer: self.peer,
-            reason: reason.to_owned(),
-        }
-    }
 }
--- a/fulmarreel-http/tests/exchange.rs
+++ b/fulmarreel-http/tests/exchange.rs
@@ -1,6 +1,6 @@
 //! What an exchange makes of what a server sends.
 
-use fulmarreel_http::{Connection, Error, Request, Response};
+use fulmarreel_http::{Connection, Error, Quota, Request, Response};
 use rstest::rstest;
 use smol::{
     Timer,
@@ -9,6 +9,9 @@
 };
 use std::{io, net::SocketAddr, time::Duration};
 
+/// Bytes of answers that may be held.
+const QUOTA: usize = 8_388_608;
+
 /// A server that answers each request on its first connection with the next bytes, and closes the
 /// connection after the last.
 async fn server(answers: Vec<&'static [u8]>) -> io::Result<SocketAddr> {
@@ -40,7 +43,9 @@
         let answered = fulmarreel_http::message::find(headers, "x-id");
         answered.is_none_or(|answered| answered == id.as_bytes())
     };
-    connection.exchange(&request, is_own).await
+    connection
+        .exchange(&request, is_own, &Quota::new(QUOTA))
+        .await
 }
 
 /// Fails if a body is cut short, taken too long, or handed on with its coding.
--- a/fulmarreel-node/src/mesh/endpoint.rs
+++ b/fulmarreel-node/src/mesh/endpoint.rs
@@ -1,6 +1,6 @@
 //! The own target's endpoint over HTTP.
 
-use fulmarreel_http::{Connection, Error as HttpError, Request, Response};
+use fulmarreel_http::{Connection, Error as HttpError, Quota, Request, Response};
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::Open;
 use smol::{Timer, future::or};
@@ -52,6 +52,8 @@
 #[derive(Debug)]
 pub struct Endpoint {
     address: SocketAddr,
+    /// What the target's answers may hold while they are read.
+    quota: Quota,
     idle: Mutex<Vec<Idle>>,
 }
 
@@ -62,10 +64,11 @@
 }
 
 impl Endpoint {
-    /// The endpoint at that address.
-    pub fn new(address: SocketAddr) -> Self {
+    /// The endpoint at that address, whose answers may hold what the quota allows.
+    pub fn new(address: SocketAddr, quota: Quota) -> Self {
         Self {
             address,
+            quota,
             idle: Mutex::default(),
         }
     }
@@ -117,7 +120,7 @@
             let exchanged = or(
                 async {
                     connection
-                        .exchange(&message, is_own)
+                        .exchange(&message, is_own, &self.quota)
                         .await
                         .map_err(Error::Lost)
                 },
@@ -157,7 +160,8 @@
             body: &[],
         };
         let asked = async {
-            let response = connection.exchange(&question, |_, _| true).await?;
+            let exchange = connection.exchange(&question, |_, _| true, &self.quota);
+            let response = exchange.await?;
             Ok(response)
         };
         let response = or(asked, async {
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -16,7 +16,7 @@
 };
 use fulmarreel_balance::admission::Patience;
 use fulmarreel_call::Opener;
-use fulmarreel_http::Response;
+use fulmarreel_http::{Quota, Response};
 use fulmarreel_membership::{Announcement, announcement::Register};
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::{Failure, Frame, Head, Header, Open, Refusal};
@@ -34,6 +34,9 @@
 /// How often a silent target and idle sessions are looked for.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The target's answers may hold one part in so many of the process's memory while they are read.
+const ANSWERS_PART: usize = 4;
+
 /// The node in front of its target.
 #[derive(Debug)]
 pub struct Server {
@@ -72,11 +75,12 @@
 impl Server {
     /// A server of requests to the own target.
     pub fn new(world: Arc<World>) -> Self {
-        let endpoint = world.settings().endpoint;
+        let settings = world.settings();
+        let quota = Quota::new(settings.memory / ANSWERS_PART);
         Self {
             world,
             gate: Arc::default(),
-            endpoint: Endpoint::new(endpoint),
+            endpoint: Endpoint::new(settings.endpoint, quota),
             register: Mutex::new(Own {
                 register: Register::default(),
                 heard: Instant::now(),
--- a/fulmarreel-node/tests/mesh/backend.rs
+++ b/fulmarreel-node/tests/mesh/backend.rs
@@ -12,6 +12,9 @@
     time::Duration,
 };
 
+/// Bytes of a flood that are written at once.
+const FLOOD_BYTES: usize = 65_536;
+
 /// How it answers.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Manner {
@@ -25,6 +28,18 @@
     pub shed: bool,
     /// It says that it is not well, or leaving.
     pub unhealthy: bool,
+    /// It sends bytes without end in place of an answer.
+    pub flood: Option<Flood>,
+}
+
+/// Bytes without end.
+#[derive(Debug, Clone, Copy)]
+pub struct Flood {
+    pub first: &'static [u8],
+    /// What is sent again and again until the connection is closed.
+    pub again: &'static [u8],
+    /// Time between two pieces; without any, as many as the connection takes.
+    pub pause: Duration,
 }
 
 /// A request that arrived, as text.
@@ -46,6 +61,8 @@
     /// Requests whose connection was closed while they ran.
     broken_off: usize,
     finished: usize,
+    /// Connections on which bytes without end are sent.
+    flooding: usize,
 }
 
 impl Backend {
@@ -84,6 +101,11 @@
         self.lock().finished
     }
 
+    /// Connections on which bytes without end are sent.
+    pub fn flooding(&self) -> usize {
+        self.lock().flooding
+    }
+
     fn lock(&self) -> MutexGuard<'_, Shared> {
         self.shared.lock().expect("no holder panics")
     }
@@ -120,6 +142,12 @@
                 return Ok(());
             }
             self.lock().finished += 1;
+            if let Some(flood) = manner.flood {
+                self.lock().flooding += 1;
+                let ended = send_without_end(&mut tcp, flood).await;
+                self.lock().flooding -= 1;
+                return ended;
+            }
             if manner.lose {
                 return Ok(());
             }
@@ -162,6 +190,20 @@
     }
 }
 
+/// Sends bytes until the connection is closed.
+async fn send_without_end(tcp: &mut TcpStream, flood: Flood) -> io::Result<()> {
+    tcp.write_all(flood.first).await?;
+    let many = flood.again.repeat(FLOOD_BYTES.div_ceil(flood.again.len()));
+    loop {
+        if flood.pause.is_zero() {
+            tcp.write_all(&many).await?;
+        } else {
+            tcp.write_all(flood.again).await?;
+            Timer::after(flood.pause).await;
+        }
+    }
+}
+
 /// The value of a header of a request.
 pub fn header<'a>(request: &'a str, name: &str) -> Option<&'a str> {
     let mut lines = request.lines().filter_map(|line| line.split_once(": "));
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -1,6 +1,7 @@
 //! Nodes on the users' platform, as processes, against stand-ins of its store and targets.
 
 mod backend;
+mod endless;
 mod explain;
 mod frames;
 mod moves;
--- a/fulmarreel-node/tests/mesh/support.rs
+++ b/fulmarreel-node/tests/mesh/support.rs
@@ -17,6 +17,9 @@
 /// How long anything may take that is waited for.
 pub const PATIENCE: Duration = Duration::from_secs(15);
 
+/// The memory that a node is granted, in megabytes.
+pub const MEMORY_MB: u64 = 88;
+
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 /// One instance: a node, and the target beside it.
@@ -51,7 +54,7 @@
             "node_name=n-{id}\nzone=a\nregion=r\nip=127.0.0.1\nlisten.outbound={callers}\n\
             listen.ready={ready}\nlisten.control={announcements}\nport_range={0},{0}\n\
             app_addr={1}\nservice={service}\nplatform_spec.address={store}\n\
-            bounds.grace_s=6\nheartbeat_s=1\n",
+            bounds.grace_s=6\nheartbeat_s=1\nlimits.memory_mb={MEMORY_MB}\n",
             peers.port(),
             backend.endpoint,
         );
