fix(node): a kept connection to the target is closed once it sends what nobody asked for

A target may send further bytes behind a whole answer. Where they come later than the answer, the connection was kept until the next request took it, however long that was; what arrived stayed in the kernel, where it counts as the node's memory. Idle connections past their time stayed open as long. Both are now looked for once a second.

--- a/fulmarreel-http/src/connection.rs
+++ b/fulmarreel-http/src/connection.rs
@@ -104,6 +104,12 @@
         self.reusable
     }
 
+    /// Whether the server has neither closed the connection nor sent what nobody asked for; told at
+    /// once.
+    pub fn is_quiet(&mut self) -> bool {
+        !future::block_on(self.has_ended())
+    }
+
     /// When the last exchange ended.
     pub fn idle_since(&self) -> Instant {
         self.idle_since
--- a/fulmarreel-node/src/mesh/endpoint.rs
+++ b/fulmarreel-node/src/mesh/endpoint.rs
@@ -175,6 +175,14 @@
         Ok(well)
     }
 
+    /// Closes connections that have been idle for too long, and those on which the target sends what
+    /// nobody asked for.
+    pub fn close_unusable(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.lock().expect("idle lock");
+        idle.retain_mut(|idle| idle.until > now && idle.connection.is_quiet());
+    }
+
     /// Closes idle connections; the target behind them may have changed.
     pub fn close_idle(&self) {
         self.idle.lock().expect("idle lock").clear();
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -31,7 +31,7 @@
 /// Announcement intervals after which a silent target is withdrawn.
 const SILENT_INTERVALS: u32 = 5;
 
-/// How often a silent target and idle sessions are looked for.
+/// How often a silent target, idle sessions and unusable connections are looked for.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The target's answers may hold one part in so many of the process's memory while they are read.
@@ -329,7 +329,8 @@
         changed
     }
 
-    /// Withdraws a silent target and forgets idle sessions, until the process ends.
+    /// Withdraws a silent target, forgets idle sessions and closes unusable connections, until the
+    /// process ends.
     async fn check(&self) {
         let mut last = Instant::now();
         loop {
@@ -352,6 +353,7 @@
             if silent {
                 self.target_changed(before.as_ref());
             }
+            self.endpoint.close_unusable();
             let (in_flight, slots) = self.gate.load();
             metrics::slots(in_flight, slots);
             let mut sessions = self.sessions.lock().expect("sessions lock");
--- a/fulmarreel-node/tests/mesh/endless.rs
+++ b/fulmarreel-node/tests/mesh/endless.rs
@@ -208,6 +208,29 @@
     })
 }
 
+/// Fails if bytes behind a whole answer spoil it, or its connection is kept.
+#[rstest]
+#[case::fast(Duration::ZERO)]
+#[case::slow(Duration::from_millis(300))]
+fn bytes_behind_an_answer_end_its_connection(#[case] pause: Duration) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (_stand, caller, target) = start().await?;
+        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+        set_flood(&target, answer, b"a", pause);
+        // At once: each has a connection of its own.
+        let to = caller.callers;
+        let asked = (0..REQUESTS).map(|number| smol::spawn(ask(to, number)));
+        for asked in asked.collect::<Vec<_>>() {
+            let status = asked.await?;
+            ensure!(status == 200, "{status}");
+        }
+        Timer::after(DEADLINE + SLACK).await;
+        let open = target.backend.flooding();
+        ensure!(open == 0, "{open} connections open");
+        Ok(())
+    })
+}
+
 /// The status of the answer to a sound request; 0 if there is none in time.
 async fn status_of(instance: &Instance, path: &str) -> anyhow::Result<u16> {
     let asked = async {
