--- a/fulmarreel-node/tests/mesh/endless.rs
+++ b/fulmarreel-node/tests/mesh/endless.rs
@@ -7,7 +7,7 @@
 use anyhow::{Context, ensure};
 use fulmarreel_testing::{kv::Stand, process::Process};
 use rstest::rstest;
-use smol::{Timer, future};
+use smol::{Timer, future, io::AsyncWriteExt, net::TcpStream};
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
@@ -231,6 +231,56 @@
     })
 }
 
+const CHUNKED_REQUEST: &[u8] =
+    b"POST /s/ HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Fails if a caller's request without end is read on, kept in memory, handed to a target, or keeps
+/// the node from serving others.
+#[rstest]
+#[case::path(b"GET /s/", b"a")]
+#[case::header_lines(b"GET /s/ HTTP/1.1\r\nHost: h.example\r\n", b"x: y\r\n")]
+#[case::header_line(b"GET /s/ HTTP/1.1\r\nHost: h.example\r\nx: ", b"y")]
+#[case::empty_lines(b"", b"\r\n")]
+#[case::chunks(
+    CHUNKED_REQUEST,
+    b"40\r\n0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\r\n"
+)]
+#[case::size_line(CHUNKED_REQUEST, b"0")]
+#[case::trailers(
+    b"POST /s/ HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    b"t: u\r\n"
+)]
+#[case::long(
+    b"POST /s/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 60000000\r\n\r\n",
+    b"a"
+)]
+fn a_request_without_end_is_given_up(
+    #[case] first: &'static [u8],
+    #[case] again: &'static [u8],
+) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (stand, caller, target) = start().await?;
+        limit_requests(&stand, &caller).await?;
+        let arrivals = target.backend.arrivals().len();
+        let floods = (0..REQUESTS).map(|_| smol::spawn(flood_node(caller.callers, first, again)));
+        let floods: Vec<_> = floods.collect();
+        Timer::after(Duration::from_millis(100)).await;
+        let sound = status_of(&caller, "/s/").await?;
+        let mut taken = Vec::new();
+        for flood in floods {
+            taken.push(flood.await?);
+        }
+        let peak = peak_memory(&caller.process)?;
+        println!("sound {sound}, {peak} kB at most, {taken:?} bytes until closed");
+        ensure!(taken.iter().all(Option::is_some), "not closed: {taken:?}");
+        ensure!(sound == 200, "sound: {sound}");
+        let arrived = target.backend.arrivals().len() - arrivals;
+        ensure!(arrived == 1, "{arrived} arrived");
+        ensure!(peak <= MEMORY_MB * 1_024 * 3 / 4, "{peak} kB in memory");
+        Ok(())
+    })
+}
+
 /// The status of the answer to a sound request; 0 if there is none in time.
 async fn status_of(instance: &Instance, path: &str) -> anyhow::Result<u16> {
     let asked = async {
@@ -243,3 +293,40 @@
     })
     .await
 }
+
+/// Puts a limit of one megabyte on requests' bodies, and of 16 KiB on their heads.
+async fn limit_requests(stand: &Stand, caller: &Instance) -> anyhow::Result<()> {
+    let config = stand.get("op/config").context("no configuration")?;
+    let config = String::from_utf8(config)?.replace(
+        "{\"version\":1,",
+        "{\"version\":2,\"limits\":{\"max_body_bytes\":1000000,\"max_header_bytes\":16384},",
+    );
+    stand.put("op/config", config.as_bytes());
+    eventually("configured", || async {
+        caller.log().is_ok_and(|log| log.contains("\"version\":2"))
+    })
+    .await
+}
+
+/// Sends bytes to a node until it closes the connection; how many, or none if it does not.
+async fn flood_node(
+    node: SocketAddr,
+    first: &'static [u8],
+    again: &'static [u8],
+) -> anyhow::Result<Option<usize>> {
+    let mut tcp = TcpStream::connect(node).await?;
+    tcp.write_all(first).await?;
+    let many = again.repeat(16_384 / again.len());
+    let mut sent = 0;
+    let flood = async {
+        while tcp.write_all(&many).await.is_ok() {
+            sent += many.len();
+        }
+        true
+    };
+    let closed = future::or(flood, async {
+        Timer::after(DEADLINE + SLACK).await;
+        false
+    });
+    Ok(closed.await.then_some(sent))
+}
