test(node): the deployment of endless.rs waits for both nodes to know both services

Before, only one of the two services was waited for at each node; now both are. What the tests demand is unchanged.

--- a/fulmarreel-node/tests/mesh/endless.rs
+++ b/fulmarreel-node/tests/mesh/endless.rs
@@ -65,8 +65,10 @@
     let target = Instance::start(stand.address(), "s", "v1").await?;
     caller.wait_ready().await?;
     target.wait_ready().await?;
-    caller.wait_served("/s/").await?;
-    target.wait_served("/own/").await?;
+    for instance in [&caller, &target] {
+        instance.wait_served("/s/").await?;
+        instance.wait_served("/own/").await?;
+    }
     announce_slots(&target, 18).await?;
     Ok((stand, caller, target))
 }
