--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -16,7 +16,7 @@
 };
 use fulmarreel_balance::admission::Patience;
 use fulmarreel_call::Opener;
-use fulmarreel_http::Response;
+use fulmarreel_http::{Quota, Response};
 use fulmarreel_membership::{Announcement, announcement::Register};
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::{Failure, Frame, Head, Header, Open, Refusal};
@@ -31,9 +31,12 @@
 /// Announcement intervals after which a silent target is withdrawn.
 const SILENT_INTERVALS: u32 = 5;
 
-/// How often a silent target and idle sessions are looked for.
+/// How often a silent target, idle sessions and unusable connections are looked for.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The target's answers may hold one part in so many of the process's memory while they are read.
+const ANSWERS_PART: usize = 4;
+
 /// The node in front of its target.
 #[derive(Debug)]
 pub struct Server {
@@ -72,11 +75,12 @@
 impl Server {
     /// A server of requests to the own target.
     pub fn new(world: Arc<World>) -> Self {
-        let endpoint = world.settings().endpoint;
+        let settings = world.settings();
+        let quota = Quota::new(settings.memory / ANSWERS_PART);
         Self {
             world,
             gate: Arc::default(),
-            endpoint: Endpoint::new(endpoint),
+            endpoint: Endpoint::new(settings.endpoint, quota),
             register: Mutex::new(Own {
                 register: Register::default(),
                 heard: Instant::now(),
@@ -325,7 +329,8 @@
         changed
     }
 
-    /// Withdraws a silent target and forgets idle sessions, until the process ends.
+    /// Withdraws a silent target, forgets idle sessions and closes unusable connections, until the
+    /// process ends.
     async fn check(&self) {
         let mut last = Instant::now();
         loop {
@@ -348,6 +353,7 @@
             if silent {
                 self.target_changed(before.as_ref());
             }
+            self.endpoint.close_unusable();
             let (in_flight, slots) = self.gate.load();
             metrics::slots(in_flight, slots);
             let mut sessions = self.sessions.lock().expect("sessions lock");
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod distribution;
+mod endless;
 mod explain;
 mod frames;
 mod moves;
