fix(node): a reader announces itself by its own contact with the store only

Nobody read for two thirds of the time; in an own run nodes that were well learned of changes 2.4 and 2.7 s late.

A reader counts itself in contact only by what it receives from the store itself, within a second of a call; it says at once when that ends, and a node that is stopping reads no more. The first answer to a new reader comes at once, and further ranks wait for it. A history that cannot be read in one answer is read as a listing. Datagrams that waited for a paused process count for nothing; a pull has a limit as a whole.

--- /dev/null
+++ b/fulmarreel-distribution/src/contact.rs
@@ -0,0 +1,32 @@
+//! Whether the store answers a node that reads it.
+//!
+//! Only what the node itself receives counts: a reader that went by the word of others would announce
+//! itself on their contact and push them out. An answer that comes slowly is contact.
+
+use std::time::{Duration, Instant};
+
+/// How long the store holds a watch where nothing changes; its answer is the sign of contact.
+pub const WATCH_WAIT: Duration = Duration::from_millis(700);
+
+/// How much later than that an answer begins to arrive.
+const ANSWER_LIMIT: Duration = Duration::from_millis(300);
+
+/// One node's contact with the store.
+#[derive(Debug, Default)]
+pub struct Contact {
+    /// Until when the store counts as answering without a further sign.
+    until: Option<Instant>,
+}
+
+impl Contact {
+    /// Notes that the store has answered, or that a call follows at once on an answer, or that bytes
+    /// of an answer arrive.
+    pub fn mark(&mut self, now: Instant) {
+        self.until = Some(now + WATCH_WAIT + ANSWER_LIMIT);
+    }
+
+    /// Whether the store answers, as far as this node can tell.
+    pub fn holds(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+}
--- a/fulmarreel-distribution/src/knowledge.rs
+++ b/fulmarreel-distribution/src/knowledge.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 /// Age of the last contact with the store from which on a change may have been missed.
-const RECENT: Duration = Duration::from_millis(2_000);
+const RECENT: Duration = Duration::from_millis(1_800);
 
 /// How long word of a higher revision counts; it is repeated while it is true.
 const WORD_LIFETIME: Duration = Duration::from_secs(4);
--- a/fulmarreel-distribution/src/lib.rs
+++ b/fulmarreel-distribution/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod backoff;
 pub mod catalog;
+pub mod contact;
 pub mod duty;
 pub mod entry;
 pub mod fanout;
@@ -23,6 +24,7 @@
 pub mod verdict;
 
 pub use catalog::Catalog;
+pub use contact::Contact;
 pub use entry::Entry;
 pub use knowledge::Knowledge;
 pub use log::Log;
--- a/fulmarreel-distribution/src/readers.rs
+++ b/fulmarreel-distribution/src/readers.rs
@@ -17,13 +17,13 @@
 pub const READERS: usize = 2;
 
 /// How long a reader counts after its last announcement.
-const LIFETIME: Duration = Duration::from_millis(1_000);
+const LIFETIME: Duration = Duration::from_millis(900);
 
 /// How much longer each further rank waits before it begins to read.
-const RANK_WAIT: Duration = Duration::from_millis(40);
+const RANK_WAIT: Duration = Duration::from_millis(120);
 
 /// Ranks that begin to read in quick succession.
-const QUICK_RANKS: u32 = 6;
+const QUICK_RANKS: u32 = 5;
 
 /// How much longer each rank after those waits, so that a store that is down is not called by all.
 const LATE_RANK_WAIT: Duration = Duration::from_millis(200);
@@ -76,17 +76,28 @@
         }
     }
 
+    /// Takes in that another node does not read the store any more, or cannot.
+    pub fn forget(&mut self, reader: SocketAddr) {
+        self.live.remove(&reader);
+    }
+
     /// Whether this node reads the store.
     pub fn reads(&self) -> bool {
         self.reads
     }
 
+    /// Has this node read no more, since it is about to end.
+    pub fn leave(&mut self) -> bool {
+        self.change(false);
+        self.reads
+    }
+
     /// Decides anew whether this node reads the store. `members` are the region's nodes, `lags`
     /// says whether this node knows less than it has heard of.
     pub fn decide(&mut self, members: &[SocketAddr], lags: bool, now: Instant) -> bool {
         self.live.retain(|_, until| *until > now);
         let own = self.own;
-        let wait = wait(rank(own, members));
+        let wait = wait(self.rank(members));
         self.lags_since = lags.then(|| self.lags_since.unwrap_or(now));
         let lags_since = self.lags_since;
         // One after the other, since all lag at once where a link is slow.
@@ -106,6 +117,15 @@
         self.reads
     }
 
+    /// This node's place among those that may begin to read.
+    fn rank(&self, members: &[SocketAddr]) -> u32 {
+        let candidates = members
+            .iter()
+            .filter(|member| !self.live.contains_key(member));
+        let before = candidates.filter(|member| order(member, &self.own).is_lt());
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
     /// Whether there are too few readers, as far as a node can tell.
     fn is_short(&self, now: Instant) -> bool {
         now >= self.listens_until && self.live.len() < READERS
@@ -134,11 +154,6 @@
     key(one).cmp(&key(other))
 }
 
-fn rank(own: SocketAddr, members: &[SocketAddr]) -> u32 {
-    let before = members.iter().filter(|member| order(member, &own).is_lt());
-    u32::try_from(before.count()).unwrap_or(u32::MAX)
-}
-
 fn wait(rank: u32) -> Duration {
     let quick = rank.min(QUICK_RANKS);
     RANK_WAIT * quick + LATE_RANK_WAIT * (rank - quick)
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -13,7 +13,7 @@
 const MAX_RETRY_PART: f64 = 0.3;
 
 /// How long a node that is behind takes to know more, as a rule.
-const CATCH_UP: Duration = Duration::from_millis(300);
+const CATCH_UP: Duration = Duration::from_millis(150);
 
 /// One in so many requests that went well at once is written to the log.
 const LOGGED_OF_GOOD: u64 = 16;
@@ -57,7 +57,8 @@
         reason: &'static str,
         revision: u64,
     ) -> Conn {
-        if !self.world.is_current() {
+        let newest = self.world.view().table.as_ref().map(|table| table.revision);
+        if newest > Some(revision) || !self.world.is_current() {
             let reason = "a newer configuration may say otherwise";
             self.log_early_end(&conn, Status::ServiceUnavailable, reason, revision);
             return refuse(conn, reason, CATCH_UP);
--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -1,6 +1,6 @@
 //! Notices between nodes, over UDP: contact with the store, and what moves need.
 
-use super::{sync, takeover::Moves, world::World};
+use super::{sync::pull, takeover::Moves, world::World};
 use fulmarreel_distribution::fanout::branches;
 use fulmarreel_wire::{
     PROTOCOL,
@@ -10,7 +10,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::Arc,
+    sync::{self, Arc},
     time::{Duration, Instant},
 };
 
@@ -20,15 +20,38 @@
 /// How often a reader of the store tells its region that it is in contact.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Age of the last contact from which on a reader is silent, so that others take its place.
-const CONTACT_LIMIT: Duration = Duration::from_millis(1_700);
-
 /// How often it is looked whether something is to be told.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// A gap between two looks from which on this process was paused: datagrams that waited meanwhile are
+/// older than they say.
+const PAUSE_LIMIT: Duration = Duration::from_millis(500);
+
+/// How long after a pause such datagrams are passed over; those that count are repeated.
+const SETTLING: Duration = Duration::from_millis(200);
+
 /// How long the region's readers have to bring a revision that some other node knows.
 const READERS_FIRST: Duration = Duration::from_millis(400);
 
+/// What a node has told its region last.
+#[derive(Debug)]
+struct Told {
+    reads: bool,
+    revision: u64,
+    /// When that is told again.
+    again: Instant,
+}
+
+impl Default for Told {
+    fn default() -> Self {
+        Self {
+            reads: false,
+            revision: 0,
+            again: Instant::now(),
+        }
+    }
+}
+
 /// The node's datagram socket.
 #[derive(Debug)]
 pub struct Notices {
@@ -36,6 +59,10 @@
     socket: UdpSocket,
     /// Held while this node learns from another one.
     pulling: Mutex<()>,
+    /// When it was looked last whether something is to be told.
+    looked: sync::Mutex<Instant>,
+    /// Until when datagrams may have waited.
+    settles_until: sync::Mutex<Option<Instant>>,
 }
 
 impl Notices {
@@ -51,6 +78,8 @@
             world,
             socket,
             pulling,
+            looked: sync::Mutex::new(Instant::now()),
+            settles_until: sync::Mutex::default(),
         }))
     }
 
@@ -82,19 +111,17 @@
 
     /// Tells others what is known of the store, until the process ends.
     pub async fn tell(self: Arc<Self>) {
-        let mut contact = (0, Instant::now());
+        let mut told = Told::default();
         let mut gossip = Instant::now();
         loop {
             or(self.world.news(), async {
                 Timer::after(LOOK_INTERVAL).await;
             })
             .await;
+            self.look();
             self.world.decide_duty();
+            self.tell_region(&mut told).await;
             let (now, revision) = (Instant::now(), self.world.revision());
-            if revision > contact.0 || now >= contact.1 {
-                contact = (revision, now + CONTACT_INTERVAL);
-                self.tell_region(revision).await;
-            }
             if now >= gossip && revision > 0 {
                 gossip = now + REVISION_INTERVAL.mul_f64(0.5 + fastrand::f64());
                 self.tell_some(revision).await;
@@ -102,12 +129,47 @@
         }
     }
 
-    /// Tells the nodes of the own region, in branches, that this node is in contact with the store.
-    async fn tell_region(&self, revision: u64) {
-        let age = self.world.contact_age();
-        let Some(age) = age.filter(|age| self.world.reads() && *age < CONTACT_LIMIT) else {
-            return;
-        };
+    /// Notes that this process runs, or did not for a while.
+    fn look(&self) {
+        let now = Instant::now();
+        if self.was_paused(now) {
+            let mut settles_until = self.settles_until.lock().expect("settling lock");
+            *settles_until = Some(now + SETTLING);
+        }
+        *self.looked.lock().expect("look lock") = now;
+    }
+
+    fn was_paused(&self, now: Instant) -> bool {
+        let looked = *self.looked.lock().expect("look lock");
+        now.saturating_duration_since(looked) > PAUSE_LIMIT
+    }
+
+    /// Whether datagrams that arrive now may have waited for this process.
+    fn settles(&self) -> bool {
+        let now = Instant::now();
+        let until = *self.settles_until.lock().expect("settling lock");
+        self.was_paused(now) || until.is_some_and(|until| now < until)
+    }
+
+    /// Tells the nodes of the own region that this node is in contact with the store, now and then and
+    /// where it knows more, and once that it is no more.
+    async fn tell_region(&self, told: &mut Told) {
+        let (now, revision) = (Instant::now(), self.world.revision());
+        let reads = self.world.is_reader();
+        let is_due = revision > told.revision || now >= told.again;
+        if told.reads != reads || (reads && is_due) {
+            *told = Told {
+                reads,
+                revision,
+                again: now + CONTACT_INTERVAL,
+            };
+            self.announce(reads, revision).await;
+        }
+    }
+
+    /// Announces to the nodes of the own region, in branches, whether this node reads the store.
+    async fn announce(&self, reads: bool, revision: u64) {
+        let age = self.world.contact_age().unwrap_or(Duration::MAX);
         let mut near = self.others(true);
         fastrand::shuffle(&mut near);
         for branch in branches(&near) {
@@ -117,6 +179,7 @@
             };
             let contact = Contact {
                 reader: self.world.settings().peers,
+                reads,
                 revision,
                 age_ms: millis(age),
                 pass_on: members.collect(),
@@ -195,26 +258,33 @@
     /// Takes in a reader's contact with the store, learns what is new, and passes the word on.
     fn hear_contact(self: &Arc<Self>, from: SocketAddr, contact: Contact) {
         self.world.hear(contact.revision);
-        self.world.hear_reader(contact.reader);
+        if self.settles() {
+            return;
+        }
+        self.world.hear_reader(contact.reader, contact.reads);
         let notices = Arc::clone(self);
+        crate::runtime::spawn(async move { notices.follow(from, contact).await });
+    }
+
+    async fn follow(&self, from: SocketAddr, contact: Contact) {
         let began = Instant::now();
-        crate::runtime::spawn(async move {
-            for peer in [from, contact.reader] {
-                notices.catch_up(peer, contact.revision).await;
-            }
-            let age = Duration::from_millis(u64::from(contact.age_ms)) + began.elapsed();
-            if notices.world.revision() >= contact.revision {
-                notices.world.confirm(age);
-            }
-            let passed = Contact {
-                age_ms: millis(age),
-                pass_on: Vec::new(),
-                ..contact
-            };
-            for to in &contact.pass_on {
-                notices.send(*to, Notice::Contact(passed.clone())).await;
-            }
-        });
+        self.catch_up(from, contact.revision).await;
+        if from != contact.reader {
+            self.catch_up(contact.reader, contact.revision).await;
+        }
+        let age = Duration::from_millis(u64::from(contact.age_ms)) + began.elapsed();
+        if contact.reads && self.world.revision() >= contact.revision {
+            self.world.confirm(age);
+        }
+        let near = self.others(true);
+        let passed = Contact {
+            age_ms: millis(age),
+            pass_on: Vec::new(),
+            ..contact
+        };
+        for to in contact.pass_on.iter().filter(|to| near.contains(to)) {
+            self.send(*to, Notice::Contact(passed.clone())).await;
+        }
     }
 
     /// Learns what a peer knows, where this node does not know a revision yet.
@@ -226,7 +296,7 @@
         if revision <= self.world.revision() {
             return;
         }
-        if let Err(error) = sync::pull(&self.world, peer).await {
+        if let Err(error) = pull(&self.world, peer).await {
             log::info!(peer:% = peer, revision; "pull: {error}");
         }
     }
--- a/fulmarreel-node/src/mesh/sync/pull.rs
+++ b/fulmarreel-node/src/mesh/sync/pull.rs
@@ -14,6 +14,9 @@
 /// How long another node may send nothing, once the connection is open.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// How long all of an update may take to arrive.
+const TRANSFER_LIMIT: Duration = Duration::from_secs(10);
+
 /// Sends a peer what it lacks of the store.
 ///
 /// # Errors
@@ -42,7 +45,7 @@
 /// The peer cannot be reached, is silent, or sends no update that fits.
 pub async fn pull(world: &World, peer: SocketAddr) -> io::Result<()> {
     let asked = world.read(|mirror| mirror.pull());
-    let update = fetch(world, peer, &asked).await?;
+    let update = within(TRANSFER_LIMIT, fetch(world, peer, &asked)).await?;
     let Err(error) = world.take(update) else {
         return Ok(());
     };
@@ -51,7 +54,7 @@
         whole: true,
         ..asked
     };
-    let update = fetch(world, peer, &whole).await?;
+    let update = within(TRANSFER_LIMIT, fetch(world, peer, &whole)).await?;
     world.take(update).map_err(invalid)
 }
 
--- a/fulmarreel-node/src/mesh/sync/read.rs
+++ b/fulmarreel-node/src/mesh/sync/read.rs
@@ -3,17 +3,21 @@
 use crate::{mesh::world::World, telemetry::metrics};
 use fulmarreel_distribution::{
     backoff::Backoff,
+    contact::WATCH_WAIT,
     mirror::{Change, Item},
 };
 use fulmarreel_store::{Batch, Entry, Error, Event, Revision, Store, watch::Watch};
 use smol::{Timer, future::or};
-use std::{sync::Arc, time::Duration};
-
-/// How long the store holds a watch where nothing changes; its answer is the sign of contact.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 /// Pause after a change, so that changes in quick succession come together.
-const BATCH_PAUSE: Duration = Duration::from_millis(600);
+const BATCH_PAUSE: Duration = Duration::from_millis(500);
 
 /// The longest pause after a failed call, the first time.
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
@@ -21,21 +25,33 @@
 /// The longest such pause.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_500);
 
+/// Waits for changes in a row that fail before the whole store is read in their place: the history may
+/// be longer than what one answer can bring.
+const MAX_UNREAD: u32 = 2;
+
+/// How often it is looked whether an answer arrives.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Reads the whole store once, then follows it whenever this node is one of its region's readers,
 /// until the process ends.
 pub async fn run(world: Arc<World>) {
     let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
     let mut lost = false;
+    let mut unread = 0;
     loop {
         if world.revision() > 0 {
             world.reading(true).await;
         }
         let Err(error) = follow(&world, &mut backoff, &mut lost).await else {
+            unread = 0;
             continue;
         };
         metrics::store_watched("failed");
-        if matches!(error, Error::Compacted { .. }) {
-            log::info!("the store's history is gone, reading it anew");
+        let answered = matches!(error, Error::Unanswered { .. } | Error::Malformed { .. });
+        unread = if answered { unread + 1 } else { 0 };
+        if matches!(error, Error::Compacted { .. }) || unread >= MAX_UNREAD {
+            log::info!("the store's history cannot be read, reading the whole store: {error}");
+            unread = 0;
             if list(&world).await.is_ok() {
                 continue;
             }
@@ -54,10 +70,13 @@
         return list(world).await;
     }
     let from = Revision(world.revision()).next();
-    let mut watch = world.store.watch("", from, WATCH_WAIT).await?;
-    let mut received = 0;
+    // The first answer comes at once, so that others soon hear that this node reads.
+    let mut watch = world.store.watch("", from, Duration::ZERO).await?;
+    let received = watch.counter();
     loop {
-        let next = or(async { watch.next().await.map(Some) }, async {
+        let before = received.load(Ordering::Relaxed);
+        let next = or(watch.next(), observe(world, &received));
+        let next = or(async { next.await.map(Some) }, async {
             world.reading(false).await;
             Ok(None)
         });
@@ -68,11 +87,25 @@
             log::info!(revision = batch.revision.0; "store regained");
         }
         backoff.reset();
-        let bytes = watch.received() - std::mem::replace(&mut received, watch.received());
+        watch.set_wait(WATCH_WAIT);
+        let bytes = received.load(Ordering::Relaxed) - before;
         let changed = take(world, batch, bytes);
         metrics::store_watched(if changed { "events" } else { "quiet" });
         if changed {
             Timer::after(BATCH_PAUSE).await;
+            world.mark_contact();
+        }
+    }
+}
+
+/// Notes contact with the store while an answer arrives; never ends.
+async fn observe<T>(world: &World, received: &AtomicU64) -> T {
+    let mut last = received.load(Ordering::Relaxed);
+    loop {
+        Timer::after(PROGRESS_INTERVAL).await;
+        let now = received.load(Ordering::Relaxed);
+        if now > std::mem::replace(&mut last, now) {
+            world.mark_contact();
         }
     }
 }
--- a/fulmarreel-node/src/mesh/world.rs
+++ b/fulmarreel-node/src/mesh/world.rs
@@ -3,7 +3,7 @@
 use super::view::{Place, View};
 use crate::state::unix_millis;
 use fulmarreel_distribution::{
-    Knowledge, Mirror, Readers,
+    Contact, Knowledge, Mirror, Readers,
     mirror::{self, Change, Item},
 };
 use fulmarreel_platform::{Settings, store};
@@ -29,6 +29,7 @@
     /// When the process ends at the latest, once it has been told to.
     end: OnceLock<Instant>,
     knowledge: Mutex<Knowledge>,
+    contact: Mutex<Contact>,
     readers: Mutex<Readers>,
     /// Signals that this node begins or ceases to read the store.
     duty: (Sender<()>, Receiver<()>),
@@ -48,6 +49,7 @@
             view: RwLock::default(),
             end: OnceLock::new(),
             knowledge: Mutex::default(),
+            contact: Mutex::default(),
             readers: Mutex::new(readers),
             duty: bounded(1),
             news: bounded(1),
@@ -115,10 +117,25 @@
     /// Notes that the store has just told all that it had.
     pub fn touch(&self) {
         self.knowledge().touch(Instant::now());
+        self.mark_contact();
         // One signal that waits is enough.
         let _ = self.news.0.try_send(());
     }
 
+    /// Notes a sign that the store answers this node.
+    pub fn mark_contact(&self) {
+        let mut contact = self.contact.lock().expect("contact lock");
+        contact.mark(Instant::now());
+    }
+
+    /// Whether this node reads the store and is in contact with it.
+    pub fn is_reader(&self) -> bool {
+        let contact = self.contact.lock().expect("contact lock");
+        let holds = contact.holds(Instant::now());
+        drop(contact);
+        holds && self.reads() && !self.is_stopping()
+    }
+
     /// Waits until the store has told something.
     pub async fn news(&self) {
         // The sender lives as long as the receiver.
@@ -152,9 +169,14 @@
         self.knowledge().is_current(revision, Instant::now())
     }
 
-    /// Takes in that another node of the region reads the store.
-    pub fn hear_reader(&self, reader: SocketAddr) {
-        self.readers().hear(reader, Instant::now());
+    /// Takes in whether another node of the region reads the store.
+    pub fn hear_reader(&self, reader: SocketAddr, reads: bool) {
+        let mut readers = self.readers();
+        if reads {
+            readers.hear(reader, Instant::now());
+        } else {
+            readers.forget(reader);
+        }
     }
 
     /// Decides anew whether this node reads the store for its region.
@@ -165,7 +187,11 @@
         let lags = self.heard() > self.revision();
         let mut readers = self.readers();
         let before = readers.reads();
-        let reads = readers.decide(&members, lags, Instant::now());
+        let reads = if self.is_stopping() {
+            readers.leave()
+        } else {
+            readers.decide(&members, lags, Instant::now())
+        };
         if reads != before {
             log::info!(reads, lags; "reader of the store");
             // One signal that waits is enough.
--- a/fulmarreel-node/tests/mesh/distribution.rs
+++ b/fulmarreel-node/tests/mesh/distribution.rs
@@ -14,6 +14,7 @@
     PROTOCOL,
     notice::{Datagram, Notice},
 };
+use rstest::rstest;
 use smol::{
     Task, Timer,
     lock::{Mutex, MutexGuard},
@@ -60,6 +61,8 @@
     stand: Stand,
     link: Arc<Link>,
     nodes: Vec<Instance>,
+    /// The ways of the other region's nodes to the store; they are the last of the nodes.
+    ways: Vec<Arc<Control>>,
     /// When each version was written, from version 1 on.
     written: sync::Mutex<Vec<Instant>>,
     _alone: MutexGuard<'static, ()>,
@@ -97,7 +100,7 @@
         let (stand, link) = (Stand::start()?, Arc::new(link));
         configure_with_idle(&stand, 1, "s", IDLE_ROUTES);
         let written = sync::Mutex::new(vec![Instant::now()]);
-        let nodes = start_nodes(&stand, &link).await?;
+        let (nodes, ways) = start_nodes(&stand, &link).await?;
         for node in &nodes {
             node.wait_served("/added-1/").await?;
         }
@@ -105,6 +108,7 @@
             stand,
             link,
             nodes,
+            ways,
             written,
             _alone: alone,
         })
@@ -184,7 +188,10 @@
     }
 }
 
-async fn start_nodes(stand: &Stand, link: &Arc<Link>) -> anyhow::Result<Vec<Instance>> {
+async fn start_nodes(
+    stand: &Stand,
+    link: &Arc<Link>,
+) -> anyhow::Result<(Vec<Instance>, Vec<Arc<Control>>)> {
     let (near, far) = (
         Place {
             region: "near",
@@ -199,12 +206,27 @@
     for _ in 0..NEAR_NODES {
         nodes.push(Instance::start_at(near, stand.address(), "s", "v1").await?);
     }
+    let mut ways = Vec::new();
     for _ in 0..FAR_NODES {
-        let way = free_address()?;
-        start_on(way, stand.address(), Arc::default(), link).await?;
+        let (way, control) = (free_address()?, Arc::new(Control::default()));
+        start_on(way, stand.address(), Arc::clone(&control), link).await?;
         nodes.push(Instance::start_at(far, way, "s", "v1").await?);
+        ways.push(control);
     }
-    Ok(nodes)
+    Ok((nodes, ways))
+}
+
+/// How often a node has begun or ceased to read the store, and whether it reads now.
+fn reader_changes(node: &Instance) -> anyhow::Result<(usize, bool)> {
+    let log = node.log()?;
+    let lines: Vec<&str> = log
+        .lines()
+        .filter(|line| line.contains("\"reader of the store\""))
+        .collect();
+    let reads = lines
+        .last()
+        .is_some_and(|line| line.contains("\"reads\":true"));
+    Ok((lines.len(), reads))
 }
 
 /// Changes the configuration for about ten seconds; fails if a node denies or refuses requests for
@@ -254,6 +276,67 @@
     smol::block_on(no_added_route_is_denied(Link::unlimited()))
 }
 
+/// Fails if readers that have lost the store keep others from reading it (nobody of a region read for
+/// two thirds of the time, and lags came near 2 s).
+#[rstest]
+#[case::cut(true)]
+#[case::silent(false)]
+fn a_region_whose_readers_lose_the_store_follows_by_others(
+    #[case] refused: bool,
+) -> anyhow::Result<()> {
+    const CHANGES: usize = 12;
+    const SETTLING: Duration = Duration::from_secs(4);
+    const LIMIT: Duration = Duration::from_secs(2);
+    smol::block_on(async {
+        let deployment = Arc::new(Deployment::start(Link::unlimited()).await?);
+        Timer::after(SETTLING).await;
+        let mut well = (0..NEAR_NODES).collect::<Vec<_>>();
+        let mut before = 0;
+        for (index, way) in deployment.ways.iter().enumerate() {
+            let (changes, reads) = reader_changes(&deployment.nodes[NEAR_NODES + index])?;
+            if !reads {
+                well.push(NEAR_NODES + index);
+                before += changes;
+                continue;
+            }
+            if refused {
+                way.set(Fault {
+                    cut: true,
+                    ..Fault::default()
+                });
+            } else {
+                way.swallow_open_connections();
+            }
+        }
+        ensure!(well.len() == NEAR_NODES + FAR_NODES - 2, "{well:?}");
+        let asking: Vec<Task<anyhow::Result<Record>>> = well
+            .iter()
+            .map(|node| {
+                let (node, deployment) = (*node, Arc::clone(&deployment));
+                smol::spawn(async move {
+                    let node = &deployment.nodes[node];
+                    deployment.ask(node, CHANGES + 1).await
+                })
+            })
+            .collect();
+        deployment.change(CHANGES).await;
+        let mut total = Record::default();
+        for node in asking {
+            total = total.add(&node.await?);
+        }
+        let mut changes = 0;
+        for node in well.iter().filter(|node| **node >= NEAR_NODES) {
+            changes += reader_changes(&deployment.nodes[*node])?.0;
+        }
+        let seen = format!("{total:?}, readers changed {} times", changes - before);
+        println!("{seen}");
+        ensure!(total.unknown == 0 && total.lag < LIMIT, "{seen}");
+        // Two take over; a third may begin and stop.
+        ensure!(changes - before <= 4, "{seen}");
+        Ok(())
+    })
+}
+
 /// Fails if each node of a region fetches each change from the store's region for itself.
 #[test]
 fn a_change_crosses_the_link_between_regions_a_few_times_only() -> anyhow::Result<()> {
--- a/fulmarreel-wire/src/notice.rs
+++ b/fulmarreel-wire/src/notice.rs
@@ -23,7 +23,7 @@
 pub enum Notice {
     /// The revision up to which the sender knows the store.
     Revision(u64),
-    /// A node of the receiver's region is in contact with the store.
+    /// A node of the receiver's region reads the store, or ceases to.
     Contact(Contact),
     /// What the sender has seen of both versions of a service that moves.
     Tally(Tally),
@@ -43,6 +43,8 @@
 pub struct Contact {
     /// The node that reads the store.
     pub reader: SocketAddr,
+    /// Whether it does, and the store answers it.
+    pub reads: bool,
     /// The revision up to which the sender knows the store.
     pub revision: u64,
     /// How long before the datagram was sent that was all that the store had, in milliseconds.
