fix(node): limits of open connections follow the configuration

After the operator raised them, an open connection was closed by the former idle time, and a longer head was refused for good (431) by a limit that was out of date.

The idle limit is read when it matters; heads are read up to 128 KiB whatever the configuration said at the time. an_open_connection_follows_a_raised_idle_limit failed before ('closed by the former limit').

--- a/fulmarreel-node/src/mesh/listen.rs
+++ b/fulmarreel-node/src/mesh/listen.rs
@@ -1,6 +1,7 @@
 //! Connections of callers.
 
 use super::{caller::Caller, transport::Transport, world::World};
+use fulmarreel_route::Limits;
 use smol::net::{TcpListener, TcpStream};
 use std::{io, sync::Arc, time::Duration};
 use trillium::Conn;
@@ -9,8 +10,9 @@
 /// Time beyond the callers' own limit for which an idle connection is kept.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
-/// Bytes of a head beyond the configured limit, for the request line.
-const HEAD_SLACK: usize = 16_384;
+/// Bytes of a head that are read whatever the configured limit: it may be raised while a connection is
+/// open, and a head that is refused ends its request for good.
+const HEAD_BYTES: usize = 131_072;
 
 /// Accepts callers until the task is dropped.
 ///
@@ -28,18 +30,16 @@
 }
 
 fn serve(world: &Arc<World>, caller: &Arc<Caller>, tcp: TcpStream) {
-    let view = world.view();
-    let limits = view.table.as_ref().map(|table| table.limits);
-    let limits = limits.unwrap_or_default();
-    let caller = Arc::clone(caller);
+    let head_bytes = limits(world).head_bytes.max(HEAD_BYTES);
+    let (world, caller) = (Arc::clone(world), Arc::clone(caller));
     crate::runtime::spawn(async move {
         if let Err(error) = tcp.set_nodelay(true) {
             log::debug!("caller: {error}");
         }
-        let config = HttpConfig::default().with_head_max_len(limits.head_bytes + HEAD_SLACK);
+        let config = HttpConfig::default().with_head_max_len(head_bytes);
         let mut context = HttpContext::new();
         context.set_config(config);
-        let transport = Transport::new(tcp, limits.idle + IDLE_SLACK);
+        let transport = Transport::new(tcp, move || limits(&world).idle + IDLE_SLACK);
         let watcher = transport.watcher();
         let served = Arc::new(context).run(transport, |conn| async {
             let conn: Conn = conn.into();
@@ -50,3 +50,10 @@
         }
     });
 }
+
+/// The limits of the configuration that is known now.
+fn limits(world: &World) -> Limits {
+    let view = world.view();
+    let limits = view.table.as_ref().map(|table| table.limits);
+    limits.unwrap_or_default()
+}
--- a/fulmarreel-node/src/mesh/transport.rs
+++ b/fulmarreel-node/src/mesh/transport.rs
@@ -25,10 +25,13 @@
 
 /// A caller's connection.
 #[derive(Debug)]
-pub struct Transport {
+pub struct Transport<I> {
     tcp: TcpStream,
     ahead: Ahead,
-    idle: Duration,
+    /// How long the connection may be idle, as of now.
+    idle: I,
+    /// When a byte was read or written last.
+    active: Instant,
     timer: Timer,
 }
 
@@ -39,17 +42,25 @@
     ahead: Ahead,
 }
 
-impl Transport {
+impl<I: Fn() -> Duration> Transport<I> {
     /// A connection that ends after `idle` without a byte of its caller.
-    pub fn new(tcp: TcpStream, idle: Duration) -> Self {
+    pub fn new(tcp: TcpStream, idle: I) -> Self {
         Self {
             tcp,
             ahead: Ahead::default(),
-            timer: Timer::after(idle),
+            active: Instant::now(),
+            timer: Timer::after(idle()),
             idle,
         }
     }
 
+    /// Notes that the connection is in use.
+    fn stay(&mut self) {
+        self.active = Instant::now();
+        let until = self.active + (self.idle)();
+        self.timer.set_at(until);
+    }
+
     /// A watcher of the connection.
     pub fn watcher(&self) -> Watcher {
         Watcher {
@@ -83,7 +94,7 @@
     }
 }
 
-impl AsyncRead for Transport {
+impl<I: Fn() -> Duration + Unpin> AsyncRead for Transport<I> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -100,10 +111,18 @@
             }
         }
         if let Poll::Ready(read) = Pin::new(&mut self.tcp).poll_read(cx, buffer) {
-            let until = Instant::now() + self.idle;
-            self.timer.set_at(until);
+            self.stay();
             return Poll::Ready(read);
         }
+        if Pin::new(&mut self.timer).poll(cx).is_pending() {
+            return Poll::Pending;
+        }
+        // The limit may have been raised since the timer was set.
+        if self.active + (self.idle)() <= Instant::now() {
+            return Poll::Ready(Ok(0));
+        }
+        let until = self.active + (self.idle)();
+        self.timer.set_at(until);
         match Pin::new(&mut self.timer).poll(cx) {
             Poll::Ready(_) => Poll::Ready(Ok(0)),
             Poll::Pending => Poll::Pending,
@@ -111,14 +130,13 @@
     }
 }
 
-impl AsyncWrite for Transport {
+impl<I: Fn() -> Duration + Unpin> AsyncWrite for Transport<I> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let until = Instant::now() + self.idle;
-        self.timer.set_at(until);
+        self.stay();
         Pin::new(&mut self.tcp).poll_write(cx, bytes)
     }
 
@@ -131,4 +149,4 @@
     }
 }
 
-impl trillium::Transport for Transport {}
+impl<I: Fn() -> Duration + Send + Sync + Unpin + 'static> trillium::Transport for Transport<I> {}
--- a/fulmarreel-node/tests/mesh/path.rs
+++ b/fulmarreel-node/tests/mesh/path.rs
@@ -1,12 +1,13 @@
 //! Requests from their arrival to their answer.
 
 use crate::{
-    backend::{Manner, header},
+    backend::{self, Manner, header},
     support::{Instance, call, configure, eventually, open},
 };
 use anyhow::ensure;
 use fulmarreel_testing::kv::Stand;
 use rstest::rstest;
+use smol::io::AsyncWriteExt;
 use std::time::Duration;
 
 /// A caller's instance and two targets of `s`.
@@ -236,3 +237,34 @@
         Ok(())
     })
 }
+
+/// A configuration of `s` with an idle limit, in seconds.
+fn limit_idle(stand: &Stand, version: u64, seconds: f64) -> anyhow::Result<()> {
+    configure(stand, version, &["s", "own"]);
+    let config = stand.get("op/config").unwrap_or_default();
+    let config = String::from_utf8(config)?;
+    let limits = format!("{{\"limits\":{{\"idle_timeout_s\":{seconds}}},");
+    stand.put("op/config", config.replacen('{', &limits, 1).as_bytes());
+    Ok(())
+}
+
+/// Fails if an open connection is closed by an idle limit that was raised since it was accepted.
+#[test]
+fn an_open_connection_follows_a_raised_idle_limit() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (stand, caller, _one, _two) = start().await?;
+        limit_idle(&stand, 2, 1.0)?;
+        // The platform's limit is one second short of the node's own.
+        smol::Timer::after(Duration::from_millis(1_500)).await;
+        let headers = [("X-Request-Id", "r-1")];
+        let mut tcp = open(caller.callers, "GET", "/s/", "h.example", &headers, "").await?;
+        ensure!(backend::read(&mut tcp).await?.is_some(), "no first answer");
+        limit_idle(&stand, 3, 20.0)?;
+        smol::Timer::after(Duration::from_millis(4_000)).await;
+        let request = "GET /s/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r-2\r\n\r\n";
+        tcp.write_all(request.as_bytes()).await?;
+        let answer = backend::read(&mut tcp).await?;
+        ensure!(answer.is_some(), "closed by the former limit");
+        Ok(())
+    })
+}
