fix(node): a node's part of the repeats follows the number of nodes

One that had started with few entries known could repeat for its whole life what was granted to all of them (BUDGET), one that knew of many that are gone too little.

The part is taken anew at each request; what was repeated still counts.

--- a/fulmarreel-balance/src/budget.rs
+++ b/fulmarreel-balance/src/budget.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Changes how much may be repeated; what was repeated so far still counts.
+    pub fn set_options(&mut self, options: Options) {
+        self.options = options;
+    }
+
     /// Notes a request that is no repeat.
     pub fn earn(&mut self, now: Instant) {
         self.part(now).requests += 1;
--- a/fulmarreel-balance/tests/balance/budget.rs
+++ b/fulmarreel-balance/tests/balance/budget.rs
@@ -165,3 +165,23 @@
         chain.called.check();
     }
 }
+
+/// Fails if a budget keeps the part that it had when fewer nodes were known (BUDGET).
+#[test]
+fn a_budget_shrinks_as_more_nodes_are_known() {
+    let options = |nodes: f64| Options {
+        ratio: 0.0,
+        slack: SLACK / nodes,
+        window: WINDOW,
+    };
+    let mut budget = Budget::new(options(2.0));
+    let now = Instant::now();
+    budget.earn(now);
+    assert!(budget.spend(now, Ground::Rejected));
+    budget.set_options(options(28.0));
+    let later = (1..).map(|step| now + Duration::from_millis(step));
+    let spent = later
+        .take_while(|now| budget.spend(*now, Ground::Rejected))
+        .count();
+    assert_eq!(spent, 1, "two of 56 repeats are each of 28 nodes' part");
+}
--- a/fulmarreel-node/src/mesh/caller/answer.rs
+++ b/fulmarreel-node/src/mesh/caller/answer.rs
@@ -191,19 +191,23 @@
     }
 
     fn budget<T>(&self, service: &str, work: impl FnOnce(&mut Budget) -> T) -> T {
-        let mut budgets = self.budgets.lock().expect("budgets lock");
-        if let Some(budget) = budgets.get_mut(service) {
-            return work(budget);
-        }
         let settings = self.world.settings();
         // Each node takes its part of what all may spend.
         let nodes = self.world.view().nodes.len().max(1) as f64;
-        let budget = Budget::new(Options {
+        let options = Options {
             ratio: settings.retry_ratio * RETRY_PART,
             slack: settings.retry_slack * RETRY_PART / nodes,
             window: settings.retry_window,
-        });
-        work(budgets.entry(service.to_owned()).or_insert(budget))
+        };
+        let mut budgets = self.budgets.lock().expect("budgets lock");
+        let budget = match budgets.get_mut(service) {
+            Some(budget) => budget,
+            None => budgets
+                .entry(service.to_owned())
+                .or_insert_with(|| Budget::new(options)),
+        };
+        budget.set_options(options);
+        work(budget)
     }
 }
 
