fix(node): an entry that is on its way is not written again

Found by the review by reading: a node that did not see its own entry after four seconds wrote it again, and each write is a change for all nodes, in just the time in which changes are slow.

An entry is written again only where another value is wanted, or where the store is known beyond the write. Not shown by a failing test; the tests of entries pass.

--- a/fulmarreel-node/src/mesh/announce.rs
+++ b/fulmarreel-node/src/mesh/announce.rs
@@ -23,8 +23,20 @@
 /// How often the node's own entry is looked for in what is known of the store.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Looks that a written entry is waited for.
-const MAX_LOOKS: u32 = 16;
+/// What was written last of the node's own entry.
+#[derive(Debug, Default)]
+struct Written {
+    revision: u64,
+    value: Vec<u8>,
+}
+
+impl Written {
+    /// Whether a value was written and is not known yet; written twice, it would only be one more
+    /// change for all nodes.
+    fn is_on_its_way(&self, value: &[u8], known: u64) -> bool {
+        known < self.revision && self.value == value
+    }
+}
 
 /// Serves one message of the own target; it is answered whether or not it is of use.
 pub async fn handle(world: &World, server: &Server, mut conn: Conn) -> Conn {
@@ -83,6 +95,7 @@
     let key = format!("{}{}", keys::NODES, world.settings().instance);
     let mut pause = MIN_PAUSE;
     let mut resumed = false;
+    let mut written = Written::default();
     loop {
         if !resumed && world.revision() > 0 {
             resumed = true;
@@ -97,6 +110,7 @@
         let wanted = serde_json::to_vec(&entry);
         if let (true, Ok(wanted)) = (ready, wanted)
             && known.as_deref() != Some(&wanted)
+            && !written.is_on_its_way(&wanted, world.revision())
             && (entry.target.is_some() || known.is_none())
         {
             let transaction = Transaction::new().put(&key, &wanted);
@@ -104,8 +118,11 @@
                 Ok(outcome) => {
                     log::info!(instance = world.settings().instance.as_str(); "own entry written");
                     pause = MIN_PAUSE;
-                    if let Outcome::Written(revision) = outcome {
-                        wait_for(&world, revision).await;
+                    if let Outcome::Written(Revision(revision)) = outcome {
+                        written = Written {
+                            revision,
+                            value: wanted,
+                        };
                     }
                 }
                 Err(error) => {
@@ -150,17 +167,6 @@
     }
 }
 
-/// Waits for a while until the store is known up to a revision, so that what was written there is
-/// not written twice.
-async fn wait_for(world: &World, revision: Revision) {
-    for _ in 0..MAX_LOOKS {
-        if world.revision() >= revision.0 {
-            return;
-        }
-        Timer::after(LOOK_INTERVAL).await;
-    }
-}
-
 fn entry(world: &World, server: &Server) -> Node {
     let settings = world.settings();
     Node {
