fix(node): word that waited while the process was stopped is not new

Callers could get a final 404 from a node that had just woken up from a freeze: datagrams and watch answers that had waited in its sockets counted as of their reading, so that the node took itself for current though it lacked changes of over 3 s ago.

Knowledge now sees pauses of 0.5 s or more by its own calls (the node observes at each look, 100 ms) and dates what is read within 0.5 s after one to the pause's beginning. A word's date is taken when it is received, before a pull that may take seconds.

Cost: a node says "come back" instead of "no such route" for up to about a second and a half after a freeze, worked out.

--- a/fulmarreel-distribution/src/knowledge.rs
+++ b/fulmarreel-distribution/src/knowledge.rs
@@ -11,6 +11,20 @@
 /// How long word of a higher revision counts; it is repeated while it is true.
 const WORD_LIFETIME: Duration = Duration::from_secs(4);
 
+/// Time between two observations from which on the process may have been stopped.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// How long messages that waited during a pause may still be read after it.
+const BACKLOG: Duration = Duration::from_millis(500);
+
+/// A time in which the process did not run, and messages waited.
+#[derive(Debug)]
+struct Pause {
+    since: Instant,
+    /// Until when messages that waited may still be read.
+    backlog_until: Instant,
+}
+
 /// How recent a node's knowledge of the store is.
 #[derive(Debug, Default)]
 pub struct Knowledge {
@@ -20,17 +34,44 @@
     heard: u64,
     /// Until when that counts.
     heard_until: Option<Instant>,
+    /// When the process was last seen to run.
+    observed: Option<Instant>,
+    pause: Option<Pause>,
 }
 
 impl Knowledge {
+    /// Notes that the process runs; to be called much more often than every half second.
+    pub fn observe(&mut self, now: Instant) {
+        let last = self.observed.replace(now).unwrap_or(now);
+        let ongoing = self.pause.take().filter(|pause| last < pause.backlog_until);
+        self.pause = if now >= last + PAUSE {
+            Some(Pause {
+                since: ongoing.map_or(last, |pause| pause.since),
+                backlog_until: now + BACKLOG,
+            })
+        } else {
+            ongoing
+        };
+    }
+
+    /// The time to which word of that age refers at the latest, where it is read now: after a pause of
+    /// the process it may have waited to be read.
+    pub fn date(&mut self, age: Duration, now: Instant) -> Option<Instant> {
+        self.observe(now);
+        let pause = self.pause.as_ref();
+        let pause = pause.filter(|pause| now < pause.backlog_until);
+        pause.map_or(now, |pause| pause.since).checked_sub(age)
+    }
+
     /// Notes that the store itself has told all that it has.
     pub fn touch(&mut self, now: Instant) {
-        self.confirmed = self.confirmed.max(Some(now));
+        let date = self.date(Duration::ZERO, now);
+        self.confirmed = self.confirmed.max(date);
     }
 
-    /// Notes that everything the store had `age` ago is known.
-    pub fn confirm(&mut self, age: Duration, now: Instant) {
-        self.confirmed = self.confirmed.max(now.checked_sub(age));
+    /// Notes that everything the store had at a time, as told by [`Knowledge::date`], is known.
+    pub fn confirm(&mut self, date: Instant) {
+        self.confirmed = self.confirmed.max(Some(date));
     }
 
     /// Takes in up to which revision another node knows the store.
--- a/fulmarreel-distribution/tests/distribution.rs
+++ b/fulmarreel-distribution/tests/distribution.rs
@@ -4,6 +4,7 @@
     mod catalog;
     mod duty;
     mod fanout;
+    mod knowledge;
     mod log;
     mod pace;
     mod readiness;
--- /dev/null
+++ b/fulmarreel-distribution/tests/distribution/knowledge.rs
@@ -0,0 +1,76 @@
+//! How recent a node's knowledge of the store is.
+
+use fulmarreel_distribution::Knowledge;
+use std::time::{Duration, Instant};
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Lets a process run from one time to another.
+fn observe(knowledge: &mut Knowledge, from: Instant, to: Instant) {
+    let mut now = from;
+    while now < to {
+        knowledge.observe(now);
+        now += ms(100);
+    }
+}
+
+fn began() -> Instant {
+    Instant::now() + Duration::from_secs(100)
+}
+
+#[test]
+fn a_node_that_was_never_in_contact_is_not_current() {
+    let now = began();
+    let mut knowledge = Knowledge::default();
+    assert_eq!(knowledge.age(now), None);
+    assert!(!knowledge.is_current(9, now));
+    knowledge.hear(9, now);
+    assert!(!knowledge.is_current(9, now));
+}
+
+#[test]
+fn own_contact_and_the_readers_word_count_from_their_time_on() {
+    let now = began();
+    let mut knowledge = Knowledge::default();
+    let date = knowledge.date(ms(1_500), now).unwrap();
+    knowledge.confirm(date);
+    assert!(knowledge.is_current(1, now + ms(500)));
+    assert!(!knowledge.is_current(1, now + ms(501)));
+    knowledge.touch(now);
+    assert!(knowledge.is_current(1, now + ms(2_000)));
+    assert!(!knowledge.is_current(1, now + ms(2_001)));
+    knowledge.confirm(date);
+    assert_eq!(knowledge.age(now), Some(ms(0)));
+}
+
+#[test]
+fn a_higher_revision_counts_until_it_is_known_or_forgotten() {
+    let now = began();
+    let mut knowledge = Knowledge::default();
+    knowledge.touch(now);
+    knowledge.hear(8, now);
+    knowledge.hear(5, now);
+    assert!(!knowledge.is_current(7, now));
+    assert!(knowledge.is_current(8, now));
+    let later = now + ms(4_000);
+    assert_eq!(knowledge.heard(later - ms(1)), 8);
+    assert_eq!(knowledge.heard(later), 0);
+}
+
+/// Fails if a message that waited while the process was stopped counts as of its reading.
+#[test]
+fn word_that_waited_for_a_stopped_process_is_as_old_as_the_stop() {
+    let now = began();
+    let mut knowledge = Knowledge::default();
+    observe(&mut knowledge, now, now + ms(1_000));
+    let woken = now + ms(10_000);
+    let date = knowledge.date(ms(0), woken).unwrap();
+    assert_eq!(date, now + ms(900));
+    knowledge.touch(woken + ms(100));
+    assert!(!knowledge.is_current(1, woken + ms(100)));
+    observe(&mut knowledge, woken, woken + ms(700));
+    knowledge.touch(woken + ms(700));
+    assert!(knowledge.is_current(1, woken + ms(700)));
+}
--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -196,18 +196,20 @@
     fn hear_contact(self: &Arc<Self>, from: SocketAddr, contact: Contact) {
         self.world.hear(contact.revision);
         self.world.hear_reader(contact.reader);
+        let age = Duration::from_millis(u64::from(contact.age_ms));
+        let Some(date) = self.world.date(age) else {
+            return;
+        };
         let notices = Arc::clone(self);
-        let began = Instant::now();
         crate::runtime::spawn(async move {
             for peer in [from, contact.reader] {
                 notices.catch_up(peer, contact.revision).await;
             }
-            let age = Duration::from_millis(u64::from(contact.age_ms)) + began.elapsed();
             if notices.world.revision() >= contact.revision {
-                notices.world.confirm(age);
+                notices.world.confirm(date);
             }
             let passed = Contact {
-                age_ms: millis(age),
+                age_ms: millis(date.elapsed()),
                 pass_on: Vec::new(),
                 ..contact
             };
--- a/fulmarreel-node/src/mesh/world.rs
+++ b/fulmarreel-node/src/mesh/world.rs
@@ -130,9 +130,14 @@
         self.knowledge().hear(revision, Instant::now());
     }
 
-    /// Takes in that everything the store had `age` ago is known here.
-    pub fn confirm(&self, age: Duration) {
-        self.knowledge().confirm(age, Instant::now());
+    /// The time to which word of that age refers at the latest, where it is received now.
+    pub fn date(&self, age: Duration) -> Option<Instant> {
+        self.knowledge().date(age, Instant::now())
+    }
+
+    /// Takes in that everything the store had at a time is known here.
+    pub fn confirm(&self, date: Instant) {
+        self.knowledge().confirm(date);
     }
 
     /// How long ago this node knew all that the store had; none where it never did.
@@ -159,6 +164,7 @@
 
     /// Decides anew whether this node reads the store for its region.
     pub fn decide_duty(&self) {
+        self.knowledge().observe(Instant::now());
         let view = self.view();
         let near = view.nodes.iter().filter(|node| node.1);
         let members: Vec<SocketAddr> = near.map(|node| node.0).collect();
