fix(distribution): readers that the store does not answer take turns

A reader stops 3.5 s after its own last contact, a new one at its first failed call or after 2.5 s, and waits for its turn by rank, one node each 0.4 s a region.

Table test few_at_a_time_try_a_store_that_is_away: at most 3 of 40 nodes read at any look from 5 s on in an outage of 35 s, and two read again 3 s after it.

--- a/fulmarreel-distribution/src/readers.rs
+++ b/fulmarreel-distribution/src/readers.rs
@@ -3,7 +3,8 @@
 //! Two nodes of each region keep a watch on the store and announce up to which revision they know
 //! it; everyone else learns changes from them. No election is needed: a node that misses readers
 //! begins to read, earlier the better its rank, and one that hears of enough readers before itself
-//! stops.
+//! stops. One that the store does not answer stops too, until its turn comes again: while the store
+//! is away, a few nodes at a time try.
 
 use std::{
     cmp::Ordering,
@@ -25,8 +26,9 @@
 /// Ranks that begin to read in quick succession.
 const QUICK_RANKS: u32 = 6;
 
-/// How much longer each rank after those waits, so that a store that is down is not called by all.
-const LATE_RANK_WAIT: Duration = Duration::from_millis(200);
+/// How much longer each rank after those waits, and between the turns of two nodes that try again, so
+/// that a store that is down is not called by all.
+const LATE_RANK_WAIT: Duration = Duration::from_millis(400);
 
 /// How long a node that has just started listens first: readers do not know it yet.
 const JOIN_WAIT: Duration = Duration::from_millis(1_200);
@@ -40,6 +42,15 @@
 /// How long a node may know less than it has heard of before it reads for itself.
 const LAG_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// How long a new reader may wait for its first contact; the longest that a call takes.
+const TRIAL: Duration = Duration::from_millis(2_500);
+
+/// How long a reader goes on after its last contact with the store.
+const CONTACT_LIFETIME: Duration = Duration::from_millis(3_500);
+
+/// Time between two decisions from which on the process may have been stopped.
+const PAUSE: Duration = Duration::from_millis(500);
+
 /// What one node knows of its region's readers, and whether it reads itself.
 #[derive(Debug)]
 pub struct Readers {
@@ -49,10 +60,20 @@
     reads: bool,
     /// Until when a node that has just started does not begin to read.
     listens_until: Instant,
-    /// Since when there are too few readers, or, for a reader, enough others.
-    since: Option<Instant>,
+    /// When it was last decided.
+    decided: Instant,
+    /// Since when there are too few other readers.
+    short_since: Option<Instant>,
+    /// Since when enough others read that come before this reader.
+    spare_since: Option<Instant>,
     /// Since when this node knows less than it has heard of.
     lags_since: Option<Instant>,
+    /// Whether the store has answered since this node began to read.
+    has_contact: bool,
+    /// Until when a reader goes on without further contact.
+    tries_until: Instant,
+    /// Until when a node does not try again that the store did not answer.
+    rests_until: Instant,
 }
 
 impl Readers {
@@ -64,8 +85,13 @@
             live: BTreeMap::new(),
             reads: false,
             listens_until: now + JOIN_WAIT + JOIN_SPREAD.mul_f64(spread),
-            since: None,
+            decided: now,
+            short_since: None,
+            spare_since: None,
             lags_since: None,
+            has_contact: false,
+            tries_until: now,
+            rests_until: now,
         }
     }
 
@@ -81,53 +107,84 @@
         self.reads
     }
 
+    /// Takes in that the store has answered this node.
+    pub fn touch(&mut self, now: Instant) {
+        self.has_contact = true;
+        self.tries_until = now + CONTACT_LIFETIME;
+    }
+
+    /// Takes in that a call to the store has failed.
+    pub fn miss(&mut self, now: Instant) {
+        if !self.has_contact {
+            self.tries_until = now;
+        }
+    }
+
     /// Decides anew whether this node reads the store. `members` are the region's nodes, `lags`
     /// says whether this node knows less than it has heard of.
     pub fn decide(&mut self, members: &[SocketAddr], lags: bool, now: Instant) -> bool {
         self.live.retain(|_, until| *until > now);
-        let own = self.own;
-        let wait = wait(rank(own, members));
-        self.lags_since = lags.then(|| self.lags_since.unwrap_or(now));
-        let lags_since = self.lags_since;
-        // One after the other, since all lag at once where a link is slow.
-        if lags_since.is_some_and(|since| since + LAG_LIMIT + wait <= now) {
-            self.change(true);
-            return true;
-        }
-        if self.reads {
-            let before = self.live.keys();
-            let before = before.filter(|reader| order(reader, &own).is_lt()).count();
-            if self.lasts(before >= READERS, HANDOVER, now) {
-                self.change(false);
-            }
-        } else if self.lasts(self.is_short(now), wait, now) {
-            self.change(true);
+        let rank = rank(self.own, members);
+        self.look(lags, now);
+        if self.reads && now >= self.tries_until {
+            self.reads = false;
+            self.rests_until = self.next_turn(rank, members.len(), now);
+        } else if self.reads && !lags && lasts(self.spare_since, HANDOVER, now) {
+            self.reads = false;
+        } else if !self.reads && now >= self.rests_until && self.is_wanted(rank, now) {
+            self.begin(now);
         }
         self.reads
     }
 
-    /// Whether there are too few readers, as far as a node can tell.
-    fn is_short(&self, now: Instant) -> bool {
-        now >= self.listens_until && self.live.len() < READERS
+    /// Notes since when there is a reason to begin or to stop.
+    fn look(&mut self, lags: bool, now: Instant) {
+        let decided = std::mem::replace(&mut self.decided, now);
+        if now >= decided + PAUSE {
+            // Nodes that wake up together would all begin at once.
+            self.short_since = None;
+            self.lags_since = None;
+        }
+        let is_short = now >= self.listens_until && self.live.len() < READERS;
+        let before = self.live.keys();
+        let before = before.filter(|reader| order(reader, &self.own).is_lt());
+        let is_spare = self.reads && before.count() >= READERS;
+        self.short_since = is_short.then(|| self.short_since.unwrap_or(now));
+        self.spare_since = is_spare.then(|| self.spare_since.unwrap_or(now));
+        self.lags_since = lags.then(|| self.lags_since.unwrap_or(now));
     }
 
-    /// Whether something has held for that long.
-    fn lasts(&mut self, holds: bool, wait: Duration, now: Instant) -> bool {
-        if !holds {
-            self.since = None;
-            return false;
-        }
-        now >= *self.since.get_or_insert(now) + wait
+    /// Whether this node is to begin to read; one after the other, since all miss readers, or lag
+    /// where a link is slow, at once.
+    fn is_wanted(&self, rank: u32, now: Instant) -> bool {
+        let wait = wait(rank);
+        lasts(self.short_since, wait, now) || lasts(self.lags_since, LAG_LIMIT + wait, now)
     }
 
-    fn change(&mut self, reads: bool) {
-        if self.reads != reads {
-            self.reads = reads;
-            self.since = None;
+    fn begin(&mut self, now: Instant) {
+        self.reads = true;
+        self.has_contact = false;
+        self.tries_until = now + TRIAL;
+    }
+
+    /// When a node that the store did not answer tries again: one of its region after the other.
+    fn next_turn(&self, rank: u32, members: usize, now: Instant) -> Instant {
+        let members = u32::try_from(members).unwrap_or(u32::MAX).max(1);
+        let round = LATE_RANK_WAIT.saturating_mul(members);
+        let first_round = wait(members) + LATE_RANK_WAIT.saturating_mul(rank);
+        let mut turn = self.short_since.unwrap_or(now) + first_round;
+        while turn <= now {
+            turn += round;
         }
+        turn
     }
 }
 
+/// Whether something has held for that long.
+fn lasts(since: Option<Instant>, wait: Duration, now: Instant) -> bool {
+    since.is_some_and(|since| since + wait <= now)
+}
+
 /// An order of nodes that all agree on and that favours no address range.
 fn order(one: &SocketAddr, other: &SocketAddr) -> Ordering {
     let key = |address: &SocketAddr| (xxh3_64(address.to_string().as_bytes()), *address);
--- a/fulmarreel-distribution/tests/distribution.rs
+++ b/fulmarreel-distribution/tests/distribution.rs
@@ -7,6 +7,7 @@
     mod knowledge;
     mod log;
     mod pace;
+    mod readers;
     mod readiness;
     mod schedule;
 }
--- a/fulmarreel-node/src/mesh/sync/read.rs
+++ b/fulmarreel-node/src/mesh/sync/read.rs
@@ -34,6 +34,7 @@
             continue;
         };
         metrics::store_watched("failed");
+        world.miss();
         if matches!(error, Error::Compacted { .. }) {
             log::info!("the store's history is gone, reading it anew");
             if list(&world).await.is_ok() {
--- a/fulmarreel-node/src/mesh/world.rs
+++ b/fulmarreel-node/src/mesh/world.rs
@@ -114,11 +114,18 @@
 
     /// Notes that the store has just told all that it had.
     pub fn touch(&self) {
-        self.knowledge().touch(Instant::now());
+        let now = Instant::now();
+        self.knowledge().touch(now);
+        self.readers().touch(now);
         // One signal that waits is enough.
         let _ = self.news.0.try_send(());
     }
 
+    /// Notes that a call to the store has failed.
+    pub fn miss(&self) {
+        self.readers().miss(Instant::now());
+    }
+
     /// Waits until the store has told something.
     pub async fn news(&self) {
         // The sender lives as long as the receiver.
