--- a/fulmarreel-distribution/src/contact.rs
+++ b/fulmarreel-distribution/src/contact.rs
@@ -1,4 +1,4 @@
-//! Whether the store answers a node that reads it.
+//! Whether the store answers a node that reads it, and when the node says so.
 //!
 //! Only what the node itself receives counts: a reader that went by the word of others would announce
 //! itself on their contact and push them out. An answer that comes slowly is contact.
@@ -30,3 +30,33 @@
         self.until.is_some_and(|until| now < until)
     }
 }
+
+/// How often a reader announces that it is in contact.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(300);
+
+/// What a node has announced last to its region.
+#[derive(Debug, Default)]
+pub struct Announcement {
+    reads: bool,
+    revision: u64,
+    /// When that is announced again.
+    again: Option<Instant>,
+}
+
+impl Announcement {
+    /// Whether a node announces now that it reads the store or, once, that it does not any more:
+    /// where it knows more than it has announced, and now and then.
+    pub fn is_due(&mut self, reads: bool, revision: u64, now: Instant) -> bool {
+        let is_old = self.again.is_none_or(|again| now >= again);
+        let has_news = revision > self.revision || is_old;
+        if self.reads == reads && !(reads && has_news) {
+            return false;
+        }
+        *self = Self {
+            reads,
+            revision,
+            again: Some(now + ANNOUNCEMENT_INTERVAL),
+        };
+        true
+    }
+}
--- a/fulmarreel-distribution/src/lib.rs
+++ b/fulmarreel-distribution/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod verdict;
 
 pub use catalog::Catalog;
-pub use contact::Contact;
+pub use contact::{Announcement, Contact};
 pub use entry::Entry;
 pub use knowledge::Knowledge;
 pub use log::Log;
--- a/fulmarreel-node/src/mesh/sync/read.rs
+++ b/fulmarreel-node/src/mesh/sync/read.rs
@@ -47,6 +47,7 @@
             continue;
         };
         metrics::store_watched("failed");
+        world.miss();
         let answered = matches!(error, Error::Unanswered { .. } | Error::Malformed { .. });
         unread = if answered { unread + 1 } else { 0 };
         if matches!(error, Error::Compacted { .. }) || unread >= MAX_UNREAD {
