--- a/fulmarreel-distribution/tests/distribution.rs
+++ b/fulmarreel-distribution/tests/distribution.rs
@@ -4,8 +4,10 @@
     mod catalog;
     mod duty;
     mod fanout;
+    mod knowledge;
     mod log;
     mod pace;
+    mod readers;
     mod readiness;
     mod schedule;
 }
--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -1,7 +1,7 @@
 //! Notices between nodes, over UDP: contact with the store, and what moves need.
 
 use super::{sync::pull, takeover::Moves, world::World};
-use fulmarreel_distribution::fanout::branches;
+use fulmarreel_distribution::{Announcement, fanout::branches};
 use fulmarreel_wire::{
     PROTOCOL,
     notice::{Contact, Datagram, MAX_DATAGRAM_BYTES, Notice},
@@ -10,48 +10,19 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{self, Arc},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 /// How often a node tells some others up to which revision it knows the store.
 const REVISION_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// How often a reader of the store tells its region that it is in contact.
-const CONTACT_INTERVAL: Duration = Duration::from_millis(300);
-
 /// How often it is looked whether something is to be told.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// A gap between two looks from which on this process was paused: datagrams that waited meanwhile are
-/// older than they say.
-const PAUSE_LIMIT: Duration = Duration::from_millis(500);
-
-/// How long after a pause such datagrams are passed over; those that count are repeated.
-const SETTLING: Duration = Duration::from_millis(200);
-
 /// How long the region's readers have to bring a revision that some other node knows.
 const READERS_FIRST: Duration = Duration::from_millis(400);
 
-/// What a node has told its region last.
-#[derive(Debug)]
-struct Told {
-    reads: bool,
-    revision: u64,
-    /// When that is told again.
-    again: Instant,
-}
-
-impl Default for Told {
-    fn default() -> Self {
-        Self {
-            reads: false,
-            revision: 0,
-            again: Instant::now(),
-        }
-    }
-}
-
 /// The node's datagram socket.
 #[derive(Debug)]
 pub struct Notices {
@@ -59,10 +30,6 @@
     socket: UdpSocket,
     /// Held while this node learns from another one.
     pulling: Mutex<()>,
-    /// When it was looked last whether something is to be told.
-    looked: sync::Mutex<Instant>,
-    /// Until when datagrams may have waited.
-    settles_until: sync::Mutex<Option<Instant>>,
 }
 
 impl Notices {
@@ -78,8 +45,6 @@
             world,
             socket,
             pulling,
-            looked: sync::Mutex::new(Instant::now()),
-            settles_until: sync::Mutex::default(),
         }))
     }
 
@@ -111,17 +76,19 @@
 
     /// Tells others what is known of the store, until the process ends.
     pub async fn tell(self: Arc<Self>) {
-        let mut told = Told::default();
+        let mut announcement = Announcement::default();
         let mut gossip = Instant::now();
         loop {
             or(self.world.news(), async {
                 Timer::after(LOOK_INTERVAL).await;
             })
             .await;
-            self.look();
             self.world.decide_duty();
-            self.tell_region(&mut told).await;
             let (now, revision) = (Instant::now(), self.world.revision());
+            let reads = self.world.is_reader();
+            if announcement.is_due(reads, revision, now) {
+                self.announce(reads, revision).await;
+            }
             if now >= gossip && revision > 0 {
                 gossip = now + REVISION_INTERVAL.mul_f64(0.5 + fastrand::f64());
                 self.tell_some(revision).await;
@@ -129,44 +96,6 @@
         }
     }
 
-    /// Notes that this process runs, or did not for a while.
-    fn look(&self) {
-        let now = Instant::now();
-        if self.was_paused(now) {
-            let mut settles_until = self.settles_until.lock().expect("settling lock");
-            *settles_until = Some(now + SETTLING);
-        }
-        *self.looked.lock().expect("look lock") = now;
-    }
-
-    fn was_paused(&self, now: Instant) -> bool {
-        let looked = *self.looked.lock().expect("look lock");
-        now.saturating_duration_since(looked) > PAUSE_LIMIT
-    }
-
-    /// Whether datagrams that arrive now may have waited for this process.
-    fn settles(&self) -> bool {
-        let now = Instant::now();
-        let until = *self.settles_until.lock().expect("settling lock");
-        self.was_paused(now) || until.is_some_and(|until| now < until)
-    }
-
-    /// Tells the nodes of the own region that this node is in contact with the store, now and then and
-    /// where it knows more, and once that it is no more.
-    async fn tell_region(&self, told: &mut Told) {
-        let (now, revision) = (Instant::now(), self.world.revision());
-        let reads = self.world.is_reader();
-        let is_due = revision > told.revision || now >= told.again;
-        if told.reads != reads || (reads && is_due) {
-            *told = Told {
-                reads,
-                revision,
-                again: now + CONTACT_INTERVAL,
-            };
-            self.announce(reads, revision).await;
-        }
-    }
-
     /// Announces to the nodes of the own region, in branches, whether this node reads the store.
     async fn announce(&self, reads: bool, revision: u64) {
         let age = self.world.contact_age().unwrap_or(Duration::MAX);
@@ -257,28 +186,31 @@
 
     /// Takes in a reader's contact with the store, learns what is new, and passes the word on.
     fn hear_contact(self: &Arc<Self>, from: SocketAddr, contact: Contact) {
-        self.world.hear(contact.revision);
-        if self.settles() {
-            return;
+        let world = &self.world;
+        world.hear(contact.revision);
+        // What waited while this process was paused refers to before that.
+        if let Some(sent) = world.date(Duration::ZERO) {
+            world.hear_reader(contact.reader, contact.reads, sent);
         }
-        self.world.hear_reader(contact.reader, contact.reads);
+        let known = world.date(Duration::from_millis(u64::from(contact.age_ms)));
         let notices = Arc::clone(self);
-        crate::runtime::spawn(async move { notices.follow(from, contact).await });
+        crate::runtime::spawn(async move { notices.follow(from, contact, known).await });
     }
 
-    async fn follow(&self, from: SocketAddr, contact: Contact) {
-        let began = Instant::now();
+    async fn follow(&self, from: SocketAddr, contact: Contact, known: Option<Instant>) {
         self.catch_up(from, contact.revision).await;
         if from != contact.reader {
             self.catch_up(contact.reader, contact.revision).await;
         }
-        let age = Duration::from_millis(u64::from(contact.age_ms)) + began.elapsed();
-        if contact.reads && self.world.revision() >= contact.revision {
-            self.world.confirm(age);
+        if let Some(known) = known
+            && contact.reads
+            && self.world.revision() >= contact.revision
+        {
+            self.world.confirm(known);
         }
         let near = self.others(true);
         let passed = Contact {
-            age_ms: millis(age),
+            age_ms: known.map_or(u32::MAX, |known| millis(known.elapsed())),
             pass_on: Vec::new(),
             ..contact
         };
--- a/fulmarreel-node/src/mesh/world.rs
+++ b/fulmarreel-node/src/mesh/world.rs
@@ -124,8 +124,14 @@
 
     /// Notes a sign that the store answers this node.
     pub fn mark_contact(&self) {
-        let mut contact = self.contact.lock().expect("contact lock");
-        contact.mark(Instant::now());
+        let now = Instant::now();
+        self.contact.lock().expect("contact lock").mark(now);
+        self.readers().touch(now);
+    }
+
+    /// Notes that a call to the store has failed.
+    pub fn miss(&self) {
+        self.readers().miss(Instant::now());
     }
 
     /// Whether this node reads the store and is in contact with it.
@@ -147,9 +153,14 @@
         self.knowledge().hear(revision, Instant::now());
     }
 
-    /// Takes in that everything the store had `age` ago is known here.
-    pub fn confirm(&self, age: Duration) {
-        self.knowledge().confirm(age, Instant::now());
+    /// The time to which word of that age refers at the latest, where it is received now.
+    pub fn date(&self, age: Duration) -> Option<Instant> {
+        self.knowledge().date(age, Instant::now())
+    }
+
+    /// Takes in that everything the store had at a time is known here.
+    pub fn confirm(&self, date: Instant) {
+        self.knowledge().confirm(date);
     }
 
     /// How long ago this node knew all that the store had; none where it never did.
@@ -169,11 +180,11 @@
         self.knowledge().is_current(revision, Instant::now())
     }
 
-    /// Takes in whether another node of the region reads the store.
-    pub fn hear_reader(&self, reader: SocketAddr, reads: bool) {
+    /// Takes in whether another node of the region read the store at that time.
+    pub fn hear_reader(&self, reader: SocketAddr, reads: bool, at: Instant) {
         let mut readers = self.readers();
         if reads {
-            readers.hear(reader, Instant::now());
+            readers.hear(reader, at);
         } else {
             readers.forget(reader);
         }
@@ -181,6 +192,7 @@
 
     /// Decides anew whether this node reads the store for its region.
     pub fn decide_duty(&self) {
+        self.knowledge().observe(Instant::now());
         let view = self.view();
         let near = view.nodes.iter().filter(|node| node.1);
         let members: Vec<SocketAddr> = near.map(|node| node.0).collect();
