refactor: the field's terms for origins of calls, causes of retries and queue deadlines

Opener to Origin, Ground to Cause, Patience to QueueDeadlines, LAST_WORD to SHUTDOWN_MARGIN, MIN_PATIENCE to MIN_QUEUE_PART. No change of behaviour.

--- a/fulmarreel-balance/src/admission.rs
+++ b/fulmarreel-balance/src/admission.rs
@@ -43,7 +43,7 @@
 
 /// How long a call waits for a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Patience {
+pub struct QueueDeadlines {
     /// By when it wants a slot; it is refused where it cannot expect one.
     pub wanted: Instant,
     /// When it gives up.
@@ -54,7 +54,7 @@
 #[derive(Debug, Clone, Copy)]
 enum Due {
     End(Instant),
-    Start(Patience),
+    Start(QueueDeadlines),
 }
 
 /// A call that waits.
@@ -120,7 +120,7 @@
         self.enter(now, Due::End(deadline), 0, call)
     }
 
-    /// Takes a call in that waits for a slot as its patience allows, queues it or refuses it; of the
+    /// Takes a call in that waits for a slot as its deadlines allows, queues it or refuses it; of the
     /// calls that wait, those of the lowest rank go first.
     ///
     /// A call that finds nobody waiting, and one that passes less urgent ones, wait until the latest
@@ -131,10 +131,10 @@
         &mut self,
         now: Instant,
         rank: u8,
-        patience: Patience,
+        deadlines: QueueDeadlines,
         call: T,
     ) -> Arrival<T> {
-        self.enter(now, Due::Start(patience), rank, call)
+        self.enter(now, Due::Start(deadlines), rank, call)
     }
 
     fn enter(&mut self, now: Instant, due: Due, rank: u8, call: T) -> Arrival<T> {
@@ -150,7 +150,7 @@
                 let ahead = self.ahead(rank, by);
                 (by, by, now + self.wait(rank, ahead) + self.mean_held <= by)
             }
-            Due::Start(Patience { wanted, latest }) => {
+            Due::Start(QueueDeadlines { wanted, latest }) => {
                 let ahead = self.ahead(rank, wanted);
                 let patient = self.waiting.is_empty() || self.passes_others(rank, now);
                 let until = if patient { latest } else { wanted };
--- a/fulmarreel-balance/src/budget.rs
+++ b/fulmarreel-balance/src/budget.rs
@@ -39,7 +39,7 @@
 
 /// What became of a request at the target before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ground {
+pub enum Cause {
     /// It was not run.
     Rejected,
     /// It ran and failed, or may have run.
@@ -83,7 +83,7 @@
     }
 
     /// Takes one repeat; false where none is left.
-    pub fn spend(&mut self, now: Instant, ground: Ground) -> bool {
+    pub fn spend(&mut self, now: Instant, cause: Cause) -> bool {
         let window = self.options.window;
         self.part(now);
         let whole = |part: &&Part| now.saturating_duration_since(part.start) <= window;
@@ -93,11 +93,11 @@
         let after_run: u32 = self.parts.iter().map(|part| part.after_run).sum();
         let fits = |count: u32, allowed: f64| f64::from(count) + 1.0 <= allowed;
         let left = fits(repeats, allowed)
-            && (ground == Ground::Rejected || fits(after_run, allowed * RUN_SHARE));
+            && (cause == Cause::Rejected || fits(after_run, allowed * RUN_SHARE));
         if left {
             let part = self.part(now);
             part.repeats += 1;
-            part.after_run += u32::from(ground == Ground::Run);
+            part.after_run += u32::from(cause == Cause::Run);
         }
         left
     }
--- a/fulmarreel-balance/tests/balance/budget.rs
+++ b/fulmarreel-balance/tests/balance/budget.rs
@@ -1,4 +1,4 @@
-use fulmarreel_balance::budget::{Budget, Ground, Options};
+use fulmarreel_balance::budget::{Budget, Cause, Options};
 use proptest::prelude::*;
 use std::time::{Duration, Instant};
 
@@ -25,7 +25,7 @@
     for request in 0..1_000 {
         let now = start + Duration::from_millis(request * 10);
         budget.earn(now);
-        retries += u32::from(budget.spend(now, Ground::Rejected));
+        retries += u32::from(budget.spend(now, Cause::Rejected));
     }
     assert!((100..=110).contains(&retries), "{retries}");
 }
@@ -38,10 +38,10 @@
         budget.earn(start + Duration::from_millis(request * 50));
     }
     let now = start + Duration::from_secs(5);
-    let spent = (0..20).filter(|_| budget.spend(now, Ground::Run)).count();
+    let spent = (0..20).filter(|_| budget.spend(now, Cause::Run)).count();
     assert_eq!(spent, 5);
     let spent = (0..20)
-        .filter(|_| budget.spend(now, Ground::Rejected))
+        .filter(|_| budget.spend(now, Cause::Rejected))
         .count();
     assert_eq!(spent, 6);
 }
@@ -108,7 +108,7 @@
         if !rejects() {
             return true;
         }
-        if budget.spend(now, Ground::Rejected) {
+        if budget.spend(now, Cause::Rejected) {
             self.called.repeats.push(at);
             return !rejects();
         }
@@ -131,7 +131,7 @@
                 .count()
                 == 0
         };
-        if !run(self, false) && self.nodes[node].0.spend(now, Ground::Run) {
+        if !run(self, false) && self.nodes[node].0.spend(now, Cause::Run) {
             run(self, true);
         }
     }
@@ -177,11 +177,11 @@
     let mut budget = Budget::new(options(2.0));
     let now = Instant::now();
     budget.earn(now);
-    assert!(budget.spend(now, Ground::Rejected));
+    assert!(budget.spend(now, Cause::Rejected));
     budget.set_options(options(28.0));
     let later = (1..).map(|step| now + Duration::from_millis(step));
     let spent = later
-        .take_while(|now| budget.spend(*now, Ground::Rejected))
+        .take_while(|now| budget.spend(*now, Cause::Rejected))
         .count();
     assert_eq!(spent, 1, "two of 56 repeats are each of 28 nodes' part");
 }
--- a/fulmarreel-balance/tests/ranked.rs
+++ b/fulmarreel-balance/tests/ranked.rs
@@ -1,12 +1,12 @@
 //! Calls of several ranks at one target.
 
-use fulmarreel_balance::admission::{Admission, Arrival, Patience, Release};
+use fulmarreel_balance::admission::{Admission, Arrival, QueueDeadlines, Release};
 use std::time::{Duration, Instant};
 
 const HELD: Duration = Duration::from_millis(600);
 
-fn patience(now: Instant, wanted_ms: u64, latest_ms: u64) -> Patience {
-    Patience {
+fn deadlines(now: Instant, wanted_ms: u64, latest_ms: u64) -> QueueDeadlines {
+    QueueDeadlines {
         wanted: now + Duration::from_millis(wanted_ms),
         latest: now + Duration::from_millis(latest_ms),
     }
@@ -15,7 +15,7 @@
 /// Two slots, both taken, by calls that hold theirs for [`HELD`].
 fn full(now: Instant) -> Admission<&'static str> {
     let mut admission = Admission::new(2);
-    let long = patience(now, 10_000, 10_000);
+    let long = deadlines(now, 10_000, 10_000);
     admission.arrive_ranked(now, 2, long, "first");
     admission.finish(now, HELD);
     admission.arrive_ranked(now, 2, long, "a");
@@ -29,12 +29,12 @@
 fn an_urgent_call_passes_those_that_wait() {
     let now = Instant::now();
     let mut admission = full(now);
-    let soon = patience(now, 5_000, 5_000);
+    let soon = deadlines(now, 5_000, 5_000);
     assert_eq!(
         admission.arrive_ranked(now, 2, soon, "usual"),
         Arrival::Queued
     );
-    let later = patience(now, 9_000, 9_000);
+    let later = deadlines(now, 9_000, 9_000);
     assert_eq!(
         admission.arrive_ranked(now, 1, later, "urgent"),
         Arrival::Queued
@@ -50,13 +50,13 @@
     let now = Instant::now();
     let mut admission = full(now);
     // Where nobody waits, a call waits on, as long as its limit allows.
-    let short = patience(now, 100, 1_000);
+    let short = deadlines(now, 100, 1_000);
     assert_eq!(admission.arrive_ranked(now, 2, short, "c"), Arrival::Queued);
     assert_eq!(
         admission.arrive_ranked(now, 2, short, "d"),
         Arrival::Refused("d")
     );
-    let hopeless = patience(now, 100, 200);
+    let hopeless = deadlines(now, 100, 200);
     let mut admission = full(now);
     assert_eq!(
         admission.arrive_ranked(now, 2, hopeless, "e"),
@@ -70,7 +70,7 @@
 fn an_urgent_call_waits_until_its_limit() {
     let now = Instant::now();
     let mut admission = full(now);
-    let short = patience(now, 100, 1_000);
+    let short = deadlines(now, 100, 1_000);
     assert_eq!(admission.arrive_ranked(now, 1, short, "c"), Arrival::Queued);
     assert_eq!(admission.arrive_ranked(now, 1, short, "d"), Arrival::Queued);
 }
@@ -80,7 +80,7 @@
 fn a_call_that_gave_up_is_released_as_expired() {
     let now = Instant::now();
     let mut admission = full(now);
-    let short = patience(now, 400, 400);
+    let short = deadlines(now, 400, 400);
     assert_eq!(admission.arrive_ranked(now, 2, short, "c"), Arrival::Queued);
     let later = now + Duration::from_millis(500);
     assert_eq!(admission.finish(later, HELD), [Release::Expired("c")]);
@@ -92,7 +92,7 @@
 fn usual_calls_take_no_room_from_urgent_ones() {
     let now = Instant::now();
     let mut admission = full(now);
-    let long = patience(now, 10_000, 10_000);
+    let long = deadlines(now, 10_000, 10_000);
     let mut queued = 0;
     while admission.arrive_ranked(now, 2, long, "usual") == Arrival::Queued {
         queued += 1;
@@ -111,7 +111,7 @@
     let start = Instant::now();
     let mut admission = full(start);
     let mut now = start;
-    let long = patience(start, 60_000, 60_000);
+    let long = deadlines(start, 60_000, 60_000);
     for _ in 0..3 {
         admission.arrive_ranked(now, 2, long, "usual");
     }
@@ -123,7 +123,7 @@
         }
         admission.finish(now, Duration::from_millis(50));
     }
-    let soon = patience(now, 600, 60_000);
+    let soon = deadlines(now, 600, 60_000);
     admission.arrive_ranked(now, 2, soon, "usual");
     assert_eq!(
         admission.arrive_ranked(now, 2, soon, "late"),
@@ -137,9 +137,9 @@
 fn only_a_call_that_finds_nobody_waiting_goes_on_to_its_limit() {
     let now = Instant::now();
     let mut admission = full(now);
-    let late = patience(now, 5_000, 6_000);
+    let late = deadlines(now, 5_000, 6_000);
     assert_eq!(admission.arrive_ranked(now, 2, late, "c"), Arrival::Queued);
-    let early = patience(now, 100, 6_000);
+    let early = deadlines(now, 100, 6_000);
     assert_eq!(
         admission.arrive_ranked(now, 2, early, "d"),
         Arrival::Refused("d")
--- a/fulmarreel-call/src/ledger.rs
+++ b/fulmarreel-call/src/ledger.rs
@@ -1,4 +1,4 @@
-//! The calls of one opener at the node in front of their target.
+//! The calls of one origin at the node in front of their target.
 //!
 //! Memory is bounded: the calls that are queued or running are bounded by admission, kept answers
 //! by their bytes, and calls that ended are forgotten after [`KEEP`]. Of the forgotten ones only
@@ -13,18 +13,18 @@
 /// How long a call that ended can still be asked for.
 pub const KEEP: Duration = Duration::from_secs(5);
 
-/// Bytes of answers that are kept for one opener.
+/// Bytes of answers that are kept for one origin.
 pub const MAX_KEPT_BYTES: usize = 262_144;
 
 /// Why a call was not opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
-    /// It arrived on a connection that its opener has replaced.
-    #[error("generation {given}, the opener's present one is {present}")]
+    /// It arrived on a connection that its origin has replaced.
+    #[error("generation {given}, the origin's present one is {present}")]
     Replaced {
         /// Of the connection that it arrived on.
         given: u64,
-        /// Of the opener's newest connection.
+        /// Of the origin's newest connection.
         present: u64,
     },
     /// A call of that sequence was opened before.
@@ -70,7 +70,7 @@
     Fenced,
 }
 
-/// The calls of one opener; `A` is a whole answer.
+/// The calls of one origin; `A` is a whole answer.
 #[derive(Debug)]
 pub struct Ledger<A> {
     generation: u64,
@@ -95,10 +95,10 @@
 }
 
 impl<A> Ledger<A> {
-    /// Notes a connection of the opener; calls of lower generations are no longer opened. False
+    /// Notes a connection of the origin; calls of lower generations are no longer opened. False
     /// where a later connection is known.
     ///
-    /// `resumed` says that the opener opened calls here before. Where this ledger knows nothing of
+    /// `resumed` says that the origin opened calls here before. Where this ledger knows nothing of
     /// that, it was forgotten, and no call that is asked for is said to be not run.
     pub fn connect(&mut self, generation: u64, resumed: bool) -> bool {
         if generation <= self.generation {
--- a/fulmarreel-call/src/opener.rs
+++ b/fulmarreel-call/src/origin.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-/// One process that opens calls; a restart at the same address is another opener.
+/// One process that opens calls; a restart at the same address is another origin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Opener {
+pub struct Origin {
     /// Where the process accepts peers.
     pub address: SocketAddr,
     /// When it started, in milliseconds since the Unix epoch.
--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -27,7 +27,7 @@
 use exchange::{Answer, Exchange};
 use fulmarreel_balance::{
     Budget,
-    budget::{Ground, Options},
+    budget::{Cause, Options},
 };
 use fulmarreel_call::retry::{self, End, Next};
 use load::Loads;
@@ -289,16 +289,16 @@
             retried_above: request.attempt > 0,
             attempts: tried.len() as u8,
         };
-        let ground = match end {
-            End::Unknown => Ground::Run,
-            _ => Ground::Rejected,
+        let cause = match end {
+            End::Unknown => Cause::Run,
+            _ => Cause::Rejected,
         };
         match retry::decide(call, end) {
             Next::Stop => false,
             Next::Retry => true,
             _ if self.choose(destination, tried).is_none() => false,
             Next::RetryOnBudget => {
-                self.budget(destination, |budget| budget.spend(Instant::now(), ground))
+                self.budget(destination, |budget| budget.spend(Instant::now(), cause))
             }
         }
     }
--- a/fulmarreel-node/src/mesh/caller/answer.rs
+++ b/fulmarreel-node/src/mesh/caller/answer.rs
@@ -6,12 +6,12 @@
         exchange::{Attempt, Exchange},
         view::Target,
     },
-    serve::opener::Kept,
+    serve::session::Kept,
     telemetry::metrics,
 };
 use fulmarreel_balance::{
     Budget,
-    budget::{Ground, Options},
+    budget::{Cause, Options},
 };
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::Open;
@@ -28,10 +28,10 @@
 const RETRY_PART: f64 = 0.5;
 
 /// Time before a process's end at which it refuses what still waits for a slot.
-const LAST_WORD: Duration = Duration::from_millis(600);
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(600);
 
 /// The part of its objective within which a request wants a slot at the least.
-const MIN_PATIENCE: f64 = 0.2;
+const MIN_QUEUE_PART: f64 = 0.2;
 
 /// The part of its usual time that a request may take beyond that, in how long it waits for a slot.
 const SPREAD: f64 = 1.0;
@@ -96,7 +96,7 @@
                 return last.hinted(tried);
             }
             open.remaining_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-            (open.wanted_ms, open.latest_ms) = self.patience(request, &target);
+            (open.wanted_ms, open.latest_ms) = self.queue_deadlines(request, &target);
             let exchange = Exchange {
                 server: &self.server,
                 pool: &self.pool,
@@ -113,7 +113,7 @@
                 Attempt::Answered(kept) if is_not_run(&kept) => {
                     tried.reached += 1;
                     last = last.or_not_run("the target did not run it", Duration::ZERO);
-                    if !self.may_reach_another(request, tried, Ground::Rejected) {
+                    if !self.may_reach_another(request, tried, Cause::Rejected) {
                         return last.hinted(tried);
                     }
                 }
@@ -123,7 +123,7 @@
                     let again = failed
                         && request.route.idempotent
                         && self.is_worth_another(request)
-                        && self.may_reach_another(request, tried, Ground::Run);
+                        && self.may_reach_another(request, tried, Cause::Run);
                     last = End::Answered(kept);
                     if !again {
                         return last;
@@ -148,7 +148,7 @@
                     }
                     let again = request.route.idempotent
                         && !late
-                        && self.may_reach_another(request, tried, Ground::Run);
+                        && self.may_reach_another(request, tried, Cause::Run);
                     if !again {
                         return last;
                     }
@@ -159,17 +159,17 @@
 
     /// Within how many milliseconds a request wants a slot of a target, and after how many it no
     /// longer waits: by when its answer can be expected within its objective, and within its limit.
-    fn patience(&self, request: &Request<'_>, target: &Target) -> (u32, u32) {
+    fn queue_deadlines(&self, request: &Request<'_>, target: &Target) -> (u32, u32) {
         let now = Instant::now();
         let work = self.targets.candidate(target, request.route).work;
         let objective = request.route.objective;
         let left = |until: Instant| until.saturating_duration_since(now + work);
         // Where the process ends before, what waits is refused while that can still be said.
-        let end = self.world.end().map(|end| end - LAST_WORD);
+        let end = self.world.end().map(|end| end - SHUTDOWN_MARGIN);
         let limit = end.map_or(request.limit, |end| end.min(request.limit));
         let latest = left(limit);
         let wanted = left((request.started + objective) - work.mul_f64(SPREAD))
-            .max(objective.mul_f64(MIN_PATIENCE))
+            .max(objective.mul_f64(MIN_QUEUE_PART))
             .min(latest);
         let ms = |wait: Duration| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
         (ms(wanted), ms(latest))
@@ -182,11 +182,11 @@
     }
 
     /// Whether a request may go to a further target after one that it may have reached.
-    fn may_reach_another(&self, request: &Request<'_>, tried: &Tried, ground: Ground) -> bool {
+    fn may_reach_another(&self, request: &Request<'_>, tried: &Tried, cause: Cause) -> bool {
         tried.reached < request.route.max_attempts
             && tried.addresses.len() < MAX_OFFERS
             && self.budget(request.service, |budget| {
-                budget.spend(Instant::now(), ground)
+                budget.spend(Instant::now(), cause)
             })
     }
 
--- a/fulmarreel-node/src/mesh/exchange.rs
+++ b/fulmarreel-node/src/mesh/exchange.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     peer::{Connection, Event, Pool},
-    serve::opener::Kept,
+    serve::session::Kept,
 };
 use fulmarreel_wire::call::{self, Chunk, Failure, Frame, Head, Open, Refusal, chunks};
 use smol::{Timer, channel::Receiver, future::or};
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -10,12 +10,12 @@
 use crate::{
     serve::{
         gate::{Gate, Permit},
-        opener::{Kept, Session},
+        session::{Kept, Session},
     },
     telemetry::metrics,
 };
-use fulmarreel_balance::admission::Patience;
-use fulmarreel_call::Opener;
+use fulmarreel_balance::admission::QueueDeadlines;
+use fulmarreel_call::Origin;
 use fulmarreel_http::{Quota, Response};
 use fulmarreel_membership::{Announcement, announcement::Register};
 use fulmarreel_platform::request;
@@ -44,9 +44,9 @@
     gate: Arc<Gate>,
     endpoint: Endpoint,
     register: Mutex<Own>,
-    sessions: Mutex<HashMap<Opener, Arc<Session>>>,
-    /// Requests that are with the target and may be broken off, by opener and sequence.
-    running: Mutex<HashMap<(Opener, u64), Sender<()>>>,
+    sessions: Mutex<HashMap<Origin, Arc<Session>>>,
+    /// Requests that are with the target and may be broken off, by origin and sequence.
+    running: Mutex<HashMap<(Origin, u64), Sender<()>>>,
 }
 
 /// The own target and when it was last heard.
@@ -211,11 +211,11 @@
         self.target_for(open)
             .map_err(|reason| refused(reason, Duration::ZERO))?;
         let within = |ms: u32| now + Duration::from_millis(u64::from(ms));
-        let patience = Patience {
+        let deadlines = QueueDeadlines {
             wanted: within(open.wanted_ms),
             latest: within(open.latest_ms),
         };
-        let permit = self.gate.enter_ranked(open.rank, patience).await;
+        let permit = self.gate.enter_ranked(open.rank, deadlines).await;
         let permit = permit.map_err(|reason| {
             let (load, slots) = self.gate.load();
             let backlog = self.gate.backlog();
--- a/fulmarreel-node/src/mesh/serve/peer.rs
+++ b/fulmarreel-node/src/mesh/serve/peer.rs
@@ -6,10 +6,10 @@
     peer::{Identity, stream},
     serve::{
         link::{Event, Link, QUEUED_FRAMES},
-        opener::{Kept, Session},
+        session::{Kept, Session},
     },
 };
-use fulmarreel_call::Opener;
+use fulmarreel_call::Origin;
 use fulmarreel_wire::{
     Hello, PROTOCOL, Purpose,
     call::{Failed, Failure, Frame, Open, Refused},
@@ -40,14 +40,14 @@
             boot: self.world.boot,
         };
         let (generation, resumed) = stream::greet(&mut tcp, own).await?;
-        let opener = Opener {
+        let origin = Origin {
             address: hello.address,
             boot: hello.boot,
         };
         let (outgoing, frames) = bounded::<Frame>(QUEUED_FRAMES);
         let session = {
             let mut sessions = self.sessions.lock().expect("sessions lock");
-            Arc::clone(sessions.entry(opener).or_default())
+            Arc::clone(sessions.entry(origin).or_default())
         };
         if !session.connect(generation, resumed, outgoing.clone()) {
             return Ok(());
@@ -58,14 +58,14 @@
         crate::runtime::spawn(stream::pump_calls(tcp.clone(), frames));
         // The callers' node keeps the configured limit of bodies.
         let link = Link::new(session, outgoing.clone(), generation, u64::MAX);
-        let ended = self.follow(opener, link, tcp).await;
+        let ended = self.follow(origin, link, tcp).await;
         outgoing.close();
         ended
     }
 
     async fn follow(
         self: &Arc<Self>,
-        opener: Opener,
+        origin: Origin,
         mut link: Link,
         tcp: TcpStream,
     ) -> io::Result<()> {
@@ -74,16 +74,16 @@
             match link.next(&mut tcp).await? {
                 Event::Opened(open, body) => {
                     let (server, session) = (Arc::clone(self), Arc::clone(&link.session));
-                    crate::runtime::spawn(server.serve(opener, session, open, body));
+                    crate::runtime::spawn(server.serve(origin, session, open, body));
                 }
-                Event::Cancelled { sequence, late } if late => self.break_off((opener, sequence)),
+                Event::Cancelled { sequence, late } if late => self.break_off((origin, sequence)),
                 Event::Cancelled { .. } | Event::Credit { .. } => {}
             }
         }
     }
 
     /// Has a request that may be repeated broken off at its target.
-    fn break_off(&self, key: (Opener, u64)) {
+    fn break_off(&self, key: (Origin, u64)) {
         let running = self.running.lock().expect("running lock").remove(&key);
         if let Some(running) = running {
             // The request may have ended this moment.
@@ -94,13 +94,13 @@
     /// Serves one request of a peer to its end.
     async fn serve(
         self: Arc<Self>,
-        opener: Opener,
+        origin: Origin,
         session: Arc<Session>,
         open: Open,
         body: Vec<u8>,
     ) {
         let sequence = open.sequence;
-        let key = (opener, sequence);
+        let key = (origin, sequence);
         let (cancel, cancelled) = bounded(1);
         let hand_over = || {
             let mut ledger = session.ledger.lock().expect("ledger lock");
--- a/fulmarreel-node/src/serve/call.rs
+++ b/fulmarreel-node/src/serve/call.rs
@@ -3,7 +3,7 @@
 use super::{
     Server,
     gate::Permit,
-    opener::{Kept, Session},
+    session::{Kept, Session},
 };
 use crate::target::{self, Answer};
 use fulmarreel_wire::call::{
--- a/fulmarreel-node/src/serve/connection.rs
+++ b/fulmarreel-node/src/serve/connection.rs
@@ -9,7 +9,7 @@
     rollout::report,
     sync,
 };
-use fulmarreel_call::Opener;
+use fulmarreel_call::Origin;
 use fulmarreel_wire::{Hello, PROTOCOL, Purpose, call::Frame};
 use smol::{channel::bounded, io::BufReader, net::TcpStream};
 use std::{io, sync::Arc};
@@ -34,12 +34,12 @@
             boot: self.state.boot,
         };
         let (generation, resumed) = stream::greet(&mut tcp, own).await?;
-        let opener = Opener {
+        let origin = Origin {
             address: hello.address,
             boot: hello.boot,
         };
         let (outgoing, frames) = bounded::<Frame>(QUEUED_FRAMES);
-        let session = self.session(opener);
+        let session = self.session(origin);
         if !session.connect(generation, resumed, outgoing.clone()) {
             return Ok(());
         }
--- a/fulmarreel-node/src/serve/gate.rs
+++ b/fulmarreel-node/src/serve/gate.rs
@@ -1,6 +1,6 @@
 //! The slots of the own target, as tasks wait for them.
 
-use fulmarreel_balance::admission::{Admission, Arrival, Patience, Release};
+use fulmarreel_balance::admission::{Admission, Arrival, QueueDeadlines, Release};
 use fulmarreel_wire::call::Refusal;
 use smol::{
     Timer,
@@ -44,7 +44,7 @@
             .await
     }
 
-    /// Waits for a slot as its patience allows; of the calls that wait, those of the lowest rank go
+    /// Waits for a slot as its deadlines allows; of the calls that wait, those of the lowest rank go
     /// first.
     ///
     /// # Errors
@@ -53,12 +53,12 @@
     pub async fn enter_ranked(
         self: &Arc<Self>,
         rank: u8,
-        patience: Patience,
+        deadlines: QueueDeadlines,
     ) -> Result<Permit, Refusal> {
         let wait =
-            self.wait(|admission, now, call| admission.arrive_ranked(now, rank, patience, call));
+            self.wait(|admission, now, call| admission.arrive_ranked(now, rank, deadlines, call));
         or(wait, async {
-            Timer::at(patience.latest).await;
+            Timer::at(deadlines.latest).await;
             Err(Refusal::Overloaded)
         })
         .await
--- a/fulmarreel-node/src/serve/link.rs
+++ b/fulmarreel-node/src/serve/link.rs
@@ -1,6 +1,6 @@
-//! The frames of one connection of an opener: calls that arrive in parts, and what becomes of them.
+//! The frames of one connection of an origin: calls that arrive in parts, and what becomes of them.
 
-use super::opener::{Kept, Session};
+use super::session::{Kept, Session};
 use crate::peer::stream;
 use fulmarreel_call::{Fate, ledger::Cancellation};
 use fulmarreel_wire::call::{Chunk, Frame, Open, Refusal, Refused, State};
@@ -27,13 +27,13 @@
 pub(crate) enum Event {
     /// A call is here whole, and its ledger has taken it.
     Opened(Open, Vec<u8>),
-    /// A call was cancelled, and its opener knows whether that came in time.
+    /// A call was cancelled, and its origin knows whether that came in time.
     Cancelled {
         sequence: u64,
         /// Whether it was handed over before.
         late: bool,
     },
-    /// The opener takes so many further bytes of an answer.
+    /// The origin takes so many further bytes of an answer.
     Credit { sequence: u64, bytes: u32 },
 }
 
--- a/fulmarreel-node/src/serve/mod.rs
+++ b/fulmarreel-node/src/serve/mod.rs
@@ -4,14 +4,14 @@
 mod connection;
 pub(crate) mod gate;
 pub(crate) mod link;
-pub(crate) mod opener;
+pub(crate) mod session;
 
 use crate::{rollout::Moves, state::State, target::Client};
-use fulmarreel_call::Opener;
+use fulmarreel_call::Origin;
 use fulmarreel_membership::Target;
 use fulmarreel_wire::call::{Frame, Refusal};
 use gate::Gate;
-use opener::Session;
+use session::Session;
 use smol::{Timer, net::TcpListener, stream::StreamExt};
 use std::{
     collections::HashMap,
@@ -36,7 +36,7 @@
     moves: Arc<Moves>,
     client: Client,
     gate: Arc<Gate>,
-    sessions: Mutex<HashMap<Opener, Arc<Session>>>,
+    sessions: Mutex<HashMap<Origin, Arc<Session>>>,
     target: RwLock<Option<Target>>,
     /// Whether this process is about to end.
     ending: AtomicBool,
@@ -151,8 +151,8 @@
         }
     }
 
-    fn session(&self, opener: Opener) -> Arc<Session> {
+    fn session(&self, origin: Origin) -> Arc<Session> {
         let mut sessions = self.sessions.lock().expect("sessions lock");
-        Arc::clone(sessions.entry(opener).or_default())
+        Arc::clone(sessions.entry(origin).or_default())
     }
 }
--- a/fulmarreel-node/src/serve/opener.rs
+++ b/fulmarreel-node/src/serve/session.rs
@@ -16,7 +16,7 @@
     pub body: Vec<u8>,
 }
 
-/// What is kept for one opener, over all its connections.
+/// What is kept for one origin, over all its connections.
 #[derive(Debug, Default)]
 pub(crate) struct Session {
     pub ledger: Mutex<Ledger<Arc<Kept>>>,
@@ -27,7 +27,7 @@
 }
 
 impl Session {
-    /// Takes a connection as the opener's newest; false where a later one is known.
+    /// Takes a connection as the origin's newest; false where a later one is known.
     pub fn connect(&self, generation: u64, resumed: bool, outgoing: Sender<Frame>) -> bool {
         let mut ledger = self.ledger.lock().expect("ledger lock");
         if !ledger.connect(generation, resumed) {
