--- a/fulmarreel-distribution/src/catalog.rs
+++ b/fulmarreel-distribution/src/catalog.rs
@@ -1,7 +1,7 @@
-//! Which document of each service is in force.
+//! Which document of each service is active.
 //!
-//! A document is in force as a whole once every service and version that it names has a target that
-//! this node knows. Until then the earlier one stays in force.
+//! A document is active as a whole once every service and version that it names has a target that
+//! this node knows. Until then the earlier one stays active.
 
 use fulmarreel_document::{Document, parse};
 use std::{
@@ -47,7 +47,7 @@
     }
 }
 
-/// Why the newest revision of a service's document is not in force.
+/// Why the newest revision of a service's document is not active.
 #[derive(Debug, Clone)]
 pub enum Held {
     /// It is no document.
@@ -86,20 +86,20 @@
 /// What became of an offered value.
 #[derive(Debug)]
 pub enum Outcome {
-    /// It is the newest that was seen; [`Catalog::settle`] decides whether it is in force.
+    /// It is the newest that was seen; [`Catalog::settle`] decides whether it is active.
     Taken,
     /// A revision at least as new is known.
     Older,
-    /// It is no document; the one in force before stays.
+    /// It is no document; the active one stays.
     Malformed(Refusal),
 }
 
-/// A document that came into force or left it.
+/// A document that became active or left it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Change {
     /// The service.
     pub service: String,
-    /// The revision now in force; none where the service's document was deleted.
+    /// The active revision; none where the service's document was deleted.
     pub revision: Option<u64>,
 }
 
@@ -190,7 +190,7 @@
         }
     }
 
-    /// Puts documents in force that the known targets allow; says which.
+    /// Makes documents active that the known targets allow; says which.
     pub fn settle(&mut self, targets: &Targets) -> Vec<Change> {
         let mut changes = Vec::new();
         for (service, slot) in &mut self.slots {
@@ -220,13 +220,13 @@
         changes
     }
 
-    /// The documents in force.
+    /// The active documents.
     pub fn in_force(&self) -> impl Iterator<Item = (&str, &Revised)> {
         let slots = self.slots.iter();
         slots.filter_map(|(service, slot)| Some((service.as_str(), slot.in_force.as_ref()?)))
     }
 
-    /// Services whose newest revision is not in force, and why.
+    /// Services whose newest revision is not active, and why.
     pub fn held(&self) -> impl Iterator<Item = (&str, &Held)> {
         let slots = self.slots.iter();
         slots.filter_map(|(service, slot)| Some((service.as_str(), slot.held.as_ref()?)))
--- a/fulmarreel-distribution/src/lib.rs
+++ b/fulmarreel-distribution/src/lib.rs
@@ -1,9 +1,9 @@
-//! Distribution decisions: which revision of each entry is known and in force, and who passes what
+//! Distribution decisions: which revision of each entry is known and active, and who passes what
 //! to whom, without I/O.
 //!
 //! [`Log`] holds every distributed key at the highest revision seen, [`Verdicts`] the versions that
 //! were taken back; both only grow, so that loss, repetition and order do not matter. [`Catalog`]
-//! decides which document is in force. [`Mirror`] holds the whole of a small store, where one
+//! decides which document is active. [`Mirror`] holds the whole of a small store, where one
 //! configuration is all there is to distribute.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
--- a/fulmarreel-distribution/tests/distribution/catalog.rs
+++ b/fulmarreel-distribution/tests/distribution/catalog.rs
@@ -1,4 +1,4 @@
-//! Which document is in force.
+//! Which document is active.
 
 use fulmarreel_distribution::{
     Catalog,
@@ -49,7 +49,7 @@
     assert_eq!(in_force(&catalog), Some((5, "v1".to_owned())));
 }
 
-/// Fails with a malformed value put in the place of the one in force.
+/// Fails with a malformed value put in the place of the active one.
 #[rstest]
 #[case::no_text("\u{0}{")]
 #[case::cut(r#"{ "service": "reservas", "version": "v2""#)]
--- a/fulmarreel-distribution/tests/distribution/schedule.rs
+++ b/fulmarreel-distribution/tests/distribution/schedule.rs
@@ -15,7 +15,7 @@
     log: Log,
     catalog: Catalog,
     targets: Targets,
-    /// The revision in force last, by service.
+    /// The active revision last, by service.
     seen: BTreeMap<String, u64>,
 }
 
@@ -42,7 +42,7 @@
         self.check(history);
     }
 
-    /// Revisions in force only rise, and each is the whole document of its revision.
+    /// Active revisions only rise, and each is the whole document of its revision.
     fn check(&mut self, history: &[Entry]) {
         self.catalog.settle(&self.targets);
         for (service, revised) in self.catalog.in_force() {
--- a/fulmarreel-document/src/check.rs
+++ b/fulmarreel-document/src/check.rs
@@ -1,6 +1,6 @@
 //! Rules that take more than the document itself: the clock, and the other documents.
 //!
-//! Nodes do not apply them: a document that was accepted stays in force whatever the deadline.
+//! Nodes do not apply them: a document that was accepted stays active whatever the deadline.
 
 use crate::{
     Document, Service, raw,
--- a/fulmarreel-node/src/admin/belief.rs
+++ b/fulmarreel-node/src/admin/belief.rs
@@ -21,12 +21,12 @@
     /// How long ago a watcher of the region was in contact with the store.
     store_contact_age_ms: Option<u64>,
     documents: BTreeMap<String, Document>,
-    /// Services whose newest document is not in force, and why.
+    /// Services whose newest document is not active, and why.
     held: BTreeMap<String, String>,
     members: Vec<Member>,
 }
 
-/// A document in force.
+/// An active document.
 #[derive(Debug, Serialize)]
 struct Document {
     revision: u64,
@@ -36,7 +36,7 @@
     taken_back: Vec<String>,
 }
 
-/// The move of a document in force.
+/// The move of an active document.
 #[derive(Debug, Serialize)]
 struct Shift {
     to: String,
@@ -103,7 +103,7 @@
 }
 
 impl Shift {
-    /// The declared move with the step of it that is in force on this node.
+    /// The declared move with the step of it that is active on this node.
     fn of(service: &Service, moves: &Moves) -> Option<Self> {
         let to = service.document.shift()?.to().to_string();
         let known = moves.get(service.document.service().as_str());
--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -145,7 +145,7 @@
         };
         let view = self.state.view();
         let Some(mut destination) = route::resolve(&view, &self.moves, &request) else {
-            let reason = "no document in force has this route";
+            let reason = "no active document has this route";
             return respond::refuse(conn, Status::NotFound, reason);
         };
         let request = request.with_timeout(destination.route.timeout());
--- a/fulmarreel-node/src/ingress/route.rs
+++ b/fulmarreel-node/src/ingress/route.rs
@@ -49,7 +49,7 @@
     }
 }
 
-/// Finds where a request goes by the documents in force.
+/// Finds where a request goes by the active documents.
 pub(super) fn resolve<'a>(
     view: &'a View,
     moves: &Moves,
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -55,7 +55,7 @@
 /// What requests are routed by.
 #[derive(Debug, Default)]
 pub struct View {
-    /// The configuration in force; none where nothing was read.
+    /// The active configuration; none where nothing was read.
     pub table: Option<Arc<Table>>,
     /// Targets by service.
     pub targets: HashMap<String, Vec<Arc<Target>>>,
@@ -123,7 +123,7 @@
     }
 }
 
-/// The configuration that the mirror holds; one that cannot be read leaves the last in force.
+/// The configuration that the mirror holds; one that cannot be read leaves the last active.
 fn table(mirror: &Mirror, last: &View) -> Option<Arc<Table>> {
     let item = mirror.get(config::KEY);
     let Some(item) = item else {
@@ -142,7 +142,7 @@
                 version = table.version,
                 bytes = item.value.len(),
                 decode_us = began.elapsed().as_micros() as u64;
-                "configuration in force"
+                "active configuration"
             );
             Some(Arc::new(table))
         }
--- a/fulmarreel-node/src/mesh/world.rs
+++ b/fulmarreel-node/src/mesh/world.rs
@@ -56,7 +56,7 @@
         }
     }
 
-    /// The settings in force.
+    /// The active settings.
     pub fn settings(&self) -> Arc<Settings> {
         Arc::clone(&self.settings.read().expect("settings lock"))
     }
--- a/fulmarreel-node/src/rollout/follow.rs
+++ b/fulmarreel-node/src/rollout/follow.rs
@@ -1,4 +1,4 @@
-//! Moves follow the documents in force and what is published of them.
+//! Moves follow the active documents and what is published of them.
 
 use super::{Gathered, Move, Moves, Progress};
 use crate::{
@@ -33,7 +33,7 @@
 }
 
 impl Moves {
-    /// Keeps a move for each document in force that declares one; `nodes` is the fleet's size.
+    /// Keeps a move for each active document that declares one; `nodes` is the fleet's size.
     pub fn follow(&self, view: &state::View, nodes: u32, now: Timestamp) {
         let mut kept = HashMap::new();
         for (name, service) in view.services() {
--- a/fulmarreel-node/src/rollout/mod.rs
+++ b/fulmarreel-node/src/rollout/mod.rs
@@ -34,7 +34,7 @@
 /// How long one call to the store may take.
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Every move that a document in force declares, by service.
+/// Every move that an active document declares, by service.
 #[derive(Debug, Default)]
 pub struct Moves {
     moves: RwLock<HashMap<String, Arc<Move>>>,
@@ -87,7 +87,7 @@
 }
 
 impl Moves {
-    /// The move of a service, if its document in force declares one.
+    /// The move of a service, if its active document declares one.
     pub fn get(&self, service: &str) -> Option<Arc<Move>> {
         let moves = self.moves.read().expect("moves lock");
         moves.get(service).map(Arc::clone)
--- a/fulmarreel-node/src/rollout/owner/mod.rs
+++ b/fulmarreel-node/src/rollout/owner/mod.rs
@@ -51,7 +51,7 @@
     comparison: Comparison,
     /// Nodes that have reported within a second lately.
     reporters: u32,
-    /// Whether the step in force is still to be written.
+    /// Whether the active step is still to be written.
     unpublished: bool,
 }
 
@@ -104,7 +104,7 @@
 }
 
 impl Duties {
-    /// Gives up what no document in force declares any more; the leases lapse by themselves.
+    /// Gives up what no active document declares any more; the leases lapse by themselves.
     fn forget(&mut self, running: &[Arc<super::Move>]) {
         let declared = |service: &String, revision: Option<u64>| {
             running.iter().any(|entry| {
--- a/fulmarreel-node/src/rollout/owner/publish.rs
+++ b/fulmarreel-node/src/rollout/owner/publish.rs
@@ -8,7 +8,7 @@
 use fulmarreel_rollout::{Publication, State as Step};
 use fulmarreel_store::{Error, Outcome, Store, Transaction, keys::Key};
 
-/// Writes a step, and puts it in force here once it is written; returns whether this node still
+/// Writes a step, and makes it active here once it is written; returns whether this node still
 /// owns the move.
 pub async fn publish<S: Store>(
     state: &State,
--- a/fulmarreel-node/src/state/documents.rs
+++ b/fulmarreel-node/src/state/documents.rs
@@ -1,4 +1,4 @@
-//! Distributed entries, verdicts and what they put in force.
+//! Distributed entries, verdicts and what they make active.
 
 use super::{Entry, Published, State, Verdict};
 use crate::telemetry::{Decision, decision::Kind};
@@ -39,7 +39,7 @@
 pub enum Reason {
     /// The node has not heard enough since its start.
     Unready(Unready),
-    /// A service's newest document is not in force.
+    /// A service's newest document is not active.
     Held(Held),
 }
 
@@ -115,7 +115,7 @@
         moves.get(service).cloned()
     }
 
-    /// Services whose newest document is not in force, and why.
+    /// Services whose newest document is not active, and why.
     pub fn held(&self) -> BTreeMap<String, Reason> {
         let documents = self.documents.lock().expect("documents lock");
         let held = documents.held();
--- a/fulmarreel-node/src/state/mod.rs
+++ b/fulmarreel-node/src/state/mod.rs
@@ -116,7 +116,7 @@
         };
         for change in documents.settle(&targets.known()) {
             let reason = match change.revision {
-                Some(_) => "in force: every service and version that it names has a target",
+                Some(_) => "active: every service and version that it names has a target",
                 None => "deleted",
             };
             Decision {
--- a/fulmarreel-node/src/state/view.rs
+++ b/fulmarreel-node/src/state/view.rs
@@ -15,7 +15,7 @@
 /// One service at one moment.
 #[derive(Debug)]
 pub struct Service {
-    /// The document in force.
+    /// The active document.
     pub document: Arc<Document>,
     /// Its revision in the store.
     pub revision: u64,
@@ -118,12 +118,12 @@
         Self { services }
     }
 
-    /// The service of that name, where a document of it is in force.
+    /// The service of that name, where a document of it is active.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
     }
 
-    /// Every service with a document in force.
+    /// Every service with an active document.
     pub fn services(&self) -> impl Iterator<Item = (&str, &Service)> {
         self.services
             .iter()
--- a/fulmarreel-node/src/telemetry/decision.rs
+++ b/fulmarreel-node/src/telemetry/decision.rs
@@ -42,7 +42,7 @@
     Admit,
     /// A target is taken into the set or removed from it.
     Place,
-    /// A document is put into force, or waits.
+    /// A document becomes active, or waits.
     Document,
     /// A version's share of the calls changes.
     Shift,
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -133,7 +133,7 @@
     gauge!("fulmarreel_store_revision_heard").set(heard as f64);
 }
 
-/// Sets the store's revision at which the configuration in force was written; 0 where there is none.
+/// Sets the store's revision at which the active configuration was written; 0 where there is none.
 pub fn configuration(revision: u64) {
     gauge!("fulmarreel_configuration_revision").set(revision as f64);
 }
@@ -148,7 +148,7 @@
     counter!("fulmarreel_log_lines_dropped_total").increment(1);
 }
 
-/// Sets the revision of the document in force.
+/// Sets the revision of the active document.
 pub fn document(service: &str, revision: u64) {
     gauge!("fulmarreel_document_revision", "service" => service.to_owned()).set(revision as f64);
 }
@@ -172,7 +172,7 @@
     gauge!("fulmarreel_ready").set(if ready { 1.0 } else { 0.0 });
 }
 
-/// Sets how many services' newest documents are not in force.
+/// Sets how many services' newest documents are not active.
 pub fn held(count: usize) {
     gauge!("fulmarreel_documents_held").set(count as f64);
 }
--- a/fulmarreel-node/src/telemetry/mod.rs
+++ b/fulmarreel-node/src/telemetry/mod.rs
@@ -1,7 +1,7 @@
 //! What operators see of a node: log lines, decisions and metrics.
 //!
 //! Any module logs with the macros of `log`; typed fields go before the message:
-//! `log::info!(service = name, revision = 7; "document in force")`. A routing or placement decision
+//! `log::info!(service = name, revision = 7; "active document")`. A routing or placement decision
 //! is logged as a [`Decision`], and a call's end is counted with [`metrics::call_ended`].
 
 pub mod decision;
--- a/fulmarreel-node/tests/distribution/history.rs
+++ b/fulmarreel-node/tests/distribution/history.rs
@@ -1,4 +1,4 @@
-//! What was in force on every node, as a history.
+//! What was active on every node, as a history.
 
 use super::support::{ZONES, document, key, knows, revision, views};
 use fulmarreel_testing::process::{
@@ -30,11 +30,11 @@
                     fleet.delete(&key(service)).await?;
                 }
                 7 | 14 => {
-                    // Malformed: the earlier one stays in force.
+                    // Malformed: the earlier one stays active.
                     fleet.put(&key(service), "{ \"service\": ").await?;
                 }
                 9 | 12 => {
-                    // Names a version without any target: must not come into force.
+                    // Names a version without any target: must not become active.
                     fleet
                         .put(&key(service), &document(service, "v9", round))
                         .await?;
--- a/fulmarreel-node/tests/distribution/support.rs
+++ b/fulmarreel-node/tests/distribution/support.rs
@@ -50,7 +50,7 @@
     view["ready"] == true && known == members
 }
 
-/// The revision in force.
+/// The active revision.
 pub fn revision(view: &Value, service: &str) -> Option<u64> {
     view["documents"][service]["revision"].as_u64()
 }
--- a/fulmarreel-node/tests/mesh/store.rs
+++ b/fulmarreel-node/tests/mesh/store.rs
@@ -18,7 +18,7 @@
     time::{Duration, Instant},
 };
 
-/// Time by which a configuration is in force at a node that the store does not serve.
+/// Time by which a configuration is active at a node that the store does not serve.
 const OUTER_LIMIT: Duration = Duration::from_secs(7);
 
 /// A way to the store that can go silent: connections stay open, and nothing passes.
@@ -80,7 +80,7 @@
         silent.store(true, Ordering::Relaxed);
         configure(&stand, 2, &["s", "t"]);
         let written = Instant::now();
-        eventually("in force", || async {
+        eventually("active", || async {
             let answer = cut.request("GET", "/t/", "r-1").await;
             answer.is_ok_and(|answer| answer.status != 404)
         })
@@ -110,7 +110,7 @@
         }
         stand.set_faults(Faults::default());
         configure(&stand, 2, &["s", "own", "t"]);
-        eventually("in force", || async {
+        eventually("active", || async {
             let answer = caller.request("GET", "/t/", "r").await;
             answer.is_ok_and(|answer| answer.status != 404)
         })
@@ -118,7 +118,7 @@
     })
 }
 
-/// Fails if a configuration that cannot be read takes the place of the one in force, or the
+/// Fails if a configuration that cannot be read takes the place of the active one, or the
 /// history's loss leaves a node with an old one.
 #[test]
 fn what_cannot_be_read_leaves_the_last_in_force() -> anyhow::Result<()> {
@@ -135,7 +135,7 @@
         ensure!(answer.status == 200, "{}", answer.text);
         configure(&stand, 3, &["s", "t"]);
         stand.compact();
-        eventually("in force", || async {
+        eventually("active", || async {
             let answer = one.request("GET", "/t/", "r").await;
             answer.is_ok_and(|answer| answer.status != 404)
         })
--- a/fulmarreel-node/tests/moves/faults.rs
+++ b/fulmarreel-node/tests/moves/faults.rs
@@ -131,7 +131,7 @@
     })
 }
 
-/// The shares in percent that nodes say are in force, over some time.
+/// The shares in percent that nodes say are active, over some time.
 async fn shares_for(mesh: &Mesh, time: Duration) -> anyhow::Result<Vec<f64>> {
     let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
     let deadline = std::time::Instant::now() + time;
--- a/fulmarreel-node/tests/moves/fencing.rs
+++ b/fulmarreel-node/tests/moves/fencing.rs
@@ -74,7 +74,7 @@
     Ok(Publication::decode(&entry.value)?)
 }
 
-/// A step that the store did not take is not in force here either, and the ownership is kept.
+/// A step that the store did not take is not active here either, and the ownership is kept.
 ///
 /// Fails where a step counts before the store has it: seen with `entry.take` put before the write
 /// in `owner::publish`.
--- a/fulmarreel-rollout/examples/policy/case.rs
+++ b/fulmarreel-rollout/examples/policy/case.rs
@@ -113,7 +113,7 @@
     /// How far the first owner's clock is ahead, in seconds.
     #[serde(default)]
     pub clock_ahead_seconds: i64,
-    /// Seconds until a published step is in force on the nodes.
+    /// Seconds until a published step is active on the nodes.
     #[serde(default = "one_second")]
     pub spread_seconds: u64,
 }
--- a/fulmarreel-rollout/examples/policy/fleet.rs
+++ b/fulmarreel-rollout/examples/policy/fleet.rs
@@ -39,7 +39,7 @@
     guards: Option<Guards>,
 }
 
-/// What is in force during one second.
+/// What is active during one second.
 #[derive(Debug, Clone, Copy)]
 pub struct Force {
     /// Share of the new version.
--- a/fulmarreel-rollout/src/compare/absorb.rs
+++ b/fulmarreel-rollout/src/compare/absorb.rs
@@ -10,7 +10,7 @@
 
 impl Comparison {
     /// Takes in all evidence that has come since the last tick, one item for each sum that a zone
-    /// has sent; the step is the one in force.
+    /// has sent; the step is the active one.
     pub fn absorb(&mut self, evidence: &[Evidence], step: u64, now: Timestamp) {
         let elapsed = self.tick(now);
         if self.step.step != step {
--- a/fulmarreel-testing/examples/quickstart/verdict.rs
+++ b/fulmarreel-testing/examples/quickstart/verdict.rs
@@ -20,7 +20,7 @@
 /// What was watched beside the calls.
 #[derive(Debug)]
 pub struct Watched {
-    /// The longest time until a change was in force at every node.
+    /// The longest time until a change was active at every node.
     pub convergence: Duration,
     /// How long the restart of a node took, if it left in order.
     pub restarted: anyhow::Result<Duration>,
--- a/fulmarreel-testing/examples/quickstart/watch.rs
+++ b/fulmarreel-testing/examples/quickstart/watch.rs
@@ -32,7 +32,7 @@
 }
 
 /// Applies a document; returns the longest time from the start of the command line until a node
-/// had the new revision in force.
+/// had the new active revision.
 pub async fn convergence(
     cli: &Cli,
     path: &Path,
@@ -74,7 +74,7 @@
     anyhow::bail!("{node}: no new revision of {service} after {PATIENCE:?}")
 }
 
-/// The revision of a service's document in force; 0 where there is none.
+/// The revision of a service's active document; 0 where there is none.
 async fn revision(client: &Client, node: SocketAddr, service: &str) -> anyhow::Result<u64> {
     let mut conn = client
         .get(format!("http://{node}/view"))
--- a/fulmarreel-testing/src/kv/mod.rs
+++ b/fulmarreel-testing/src/kv/mod.rs
@@ -73,7 +73,7 @@
         self.address
     }
 
-    /// Replaces the faults in force.
+    /// Replaces the active faults.
     pub fn set_faults(&self, faults: Faults) {
         lock(&self.shared).faults = faults;
     }
--- a/fulmarreel-testing/src/process/fleet/history.rs
+++ b/fulmarreel-testing/src/process/fleet/history.rs
@@ -1,4 +1,4 @@
-//! What nodes had in force over time, and whether that keeps the promises.
+//! What was active on nodes over time, and whether that keeps the promises.
 
 use super::http;
 use anyhow::ensure;
@@ -21,9 +21,9 @@
     pub node: SocketAddr,
     /// The service.
     pub service: String,
-    /// The revision in force.
+    /// The active revision.
     pub revision: u64,
-    /// The version that the document in force names.
+    /// The version that the active document names.
     pub version: String,
     /// Versions with a target on that node.
     pub targets: Vec<String>,
@@ -101,7 +101,7 @@
         .collect()
 }
 
-/// Checks that each node's revisions only rise, restarts included, and that whatever is in force is
+/// Checks that each node's revisions only rise, restarts included, and that whatever is active is
 /// an accepted document: `accepted` gives the version of each service and revision.
 ///
 /// # Errors
@@ -114,7 +114,7 @@
         let version = accepted.get(&key);
         ensure!(
             version == Some(&look.version),
-            "in force, but accepted was {version:?}: {look:?}"
+            "active, but accepted was {version:?}: {look:?}"
         );
         let before = highest.entry((look.node, &look.service)).or_default();
         ensure!(
--- a/fulmarreel-testing/src/store/fault.rs
+++ b/fulmarreel-testing/src/store/fault.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 
-/// Faults in force; all off by default.
+/// Active faults; all off by default.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
--- a/fulmarreel-testing/src/store/mod.rs
+++ b/fulmarreel-testing/src/store/mod.rs
@@ -109,7 +109,7 @@
         self.addr
     }
 
-    /// Replaces the faults in force.
+    /// Replaces the active faults.
     pub fn set_faults(&self, faults: Faults) {
         lock(&self.shared).set_faults(faults);
     }
--- a/fulmarreel/src/cli/arguments.rs
+++ b/fulmarreel/src/cli/arguments.rs
@@ -20,7 +20,7 @@
   apply [--revision N] PATH...        write documents, each by compare-and-swap
   delete --revision N SERVICE         delete a document
   get [SERVICE...]                    show documents (a single one: its text)
-  status [SERVICE...]                 show documents in force and their moves
+  status [SERVICE...]                 show active documents and their moves
   wait [--timeout SECONDS] SERVICE    wait until the service's move is over
   history [SERVICE...]                show the outcomes of moves
   explain ID FILE...                  say what became of a request, from logs of nodes
