test(node): shares are compared in the parts per million in which they are kept

Nothing had risen: the view's percent went through JSON and the store's share through a product of binary fractions, and both were compared as such.

The view's percent is now read back into `Share`, whose unit is finer than what any step changes, and whole parts are compared: a share that is one part per million too high still fails. Percents outside 0 to 100, which the conversion would clamp, fail as well.

--- a/fulmarreel-node/tests/moves/faults.rs
+++ b/fulmarreel-node/tests/moves/faults.rs
@@ -93,14 +93,14 @@
         let before = wait_for(&store, patience, |state| state.share > Share::NONE).await?;
         post(mesh.store_address, "/faults", r#"{ "down": true }"#).await?;
         let shares = shares_for(&mesh, Duration::from_secs(10)).await?;
-        let highest = shares.iter().copied().fold(0.0, f64::max);
+        let highest = shares.iter().copied().max().unwrap_or(Share::NONE);
         post(mesh.store_address, "/faults", "{}").await?;
         // At least as late a step as the store held all the time.
         let held = eventually(|| published(&store)).await?.state;
-        let allowed = held.share.fraction() * 100.0;
         ensure!(
-            highest <= allowed,
-            "{highest} percent, at most {allowed} are allowed"
+            highest <= held.share,
+            "{highest:?}, at most {:?} is allowed",
+            held.share
         );
         wait_for(&store, patience, |state| state.step > before.step).await?;
         drop(calls);
@@ -131,8 +131,8 @@
     })
 }
 
-/// The shares in percent that nodes say are in force, over some time.
-async fn shares_for(mesh: &Mesh, time: Duration) -> anyhow::Result<Vec<f64>> {
+/// The shares that nodes say are in force, over some time.
+async fn shares_for(mesh: &Mesh, time: Duration) -> anyhow::Result<Vec<Share>> {
     let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
     let deadline = std::time::Instant::now() + time;
     let mut shares = Vec::new();
@@ -144,7 +144,9 @@
             let text = conn.response_body().read_string().await?;
             let view: serde_json::Value = serde_json::from_str(&text)?;
             let share = &view["documents"]["reservas"]["shift"]["share_percent"];
-            shares.push(share.as_f64().context("no share in the view")?);
+            let percent = share.as_f64().context("no share in the view")?;
+            ensure!((0.0..=100.0).contains(&percent), "{percent} percent");
+            shares.push(Share::from_fraction(percent / 100.0));
         }
         Timer::after(Duration::from_millis(250)).await;
     }
