feat(rollout): a share of a short move expires, and bad needs no owner

Callers of a bad version: 231 of 1,426 calls where 193 are allowed (owner cut off 3 s after the order), 452 of 2,329 where 283 are (owner killed, store away). The share that a node was told first held for good, nobody but the owner knew all counts, and the next owner went on by the clock.

`brief::Member` is one node's part in a move, without I/O: it deals calls out by the owner's word, which expires after 1 s and then falls step by step to none; it reports to the owner and, once it has called the new version, to three standbys, any of which says when the version is bad; who knows that answers words and reports with it. The owner (`brief::Ramp`) raises a share only when most nodes say that they follow the present one, after a stay, with calls and no doubt, and within what an unproven version may get; it falls silent where it hears too few nodes, and resigns where they do not follow for 2.5 s. A step that was stood is known to every node, so that the next owner goes on there and not by the clock. Reports name their process: a restart loses nothing that was told. A second look at the calls since the share changed finds faults that earlier good calls would hide.

tests/fleet plays whole fleets in virtual time: the owner killed, frozen, mute, deaf, cut off, delayed, datagrams lost, half of the others killed, the store away; versions bad at once, later, above a load, on one route, failing or slow.

--- a/fulmarreel-rollout/src/brief/mod.rs
+++ b/fulmarreel-rollout/src/brief/mod.rs
@@ -3,17 +3,36 @@
 //! The sequential tests of [`compare`](crate::compare) want minutes. A move of seconds keeps to a
 //! small share for two fifths of its time, so that a fault shows while few calls can be harmed, and
 //! then rises in quick steps. Each step bounds what a fault that begins there can harm.
-
+//!
+//! Each node has a [`Member`]. It deals out calls by the owner's [`Word`] until that expires, and
+//! reports what it has seen. The owner raises the share on what the nodes report; a few standbys get
+//! the same reports, and any of them says when the version is bad.
+
+mod agent;
+mod member;
+mod pool;
+mod ramp;
+mod verdict;
+mod word;
+
+pub use agent::{Agent, Call};
+pub use member::{Action, Member, Message, Parcel, Recipient, Roster};
+pub use pool::{Pool, Report};
+pub use verdict::verdict;
+pub use word::Word;
+
+use ramp::{Decision, Ramp};
 use std::{collections::HashMap, time::Duration};
-
-/// Steps: from which part of the move's time on which part of the calls goes to the new version.
-const STEPS: [(f64, f64); 6] = [
-    (0.0, 0.05),
-    (0.40, 0.12),
-    (0.48, 0.30),
-    (0.56, 0.60),
-    (0.64, 0.85),
-    (0.70, 1.0),
+use word::PARTS;
+
+/// Steps: from which part of the move's time on how many calls in a thousand go to the new version.
+const STEPS: [(f64, u16); 6] = [
+    (0.0, 50),
+    (0.40, 120),
+    (0.48, 300),
+    (0.56, 600),
+    (0.64, 850),
+    (0.70, PARTS),
 ];
 
 /// The part of the move's time from which on the move is complete.
@@ -22,21 +41,6 @@
 /// Time that is left of the limit for the order to reach its owner and for the outcome to be written.
 const RESERVE: Duration = Duration::from_millis(1_500);
 
-/// Failed calls to the new version without which no verdict falls.
-const MIN_FAILED: u32 = 4;
-
-/// The part of the new version's calls that fail from which on it is bad.
-const FAILED_PART: f64 = 0.12;
-
-/// Slow calls to the new version without which no verdict falls.
-const MIN_SLOW: u32 = 6;
-
-/// The part of the new version's calls that fail or are slow from which on it is bad.
-const SLOW_PART: f64 = 0.30;
-
-/// How many times the old version's part of bad calls the new one's must be.
-const EXCESS: f64 = 3.0;
-
 /// How calls of one version went.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -79,45 +83,65 @@
         self.slow += other.slow;
     }
 
+    /// What came after earlier counts.
+    fn since(self, earlier: Self) -> Self {
+        Self {
+            calls: self.calls.saturating_sub(earlier.calls),
+            failed: self.failed.saturating_sub(earlier.failed),
+            slow: self.slow.saturating_sub(earlier.slow),
+        }
+    }
+
     fn part(self, bad: u32) -> f64 {
         f64::from(bad) / f64::from(self.calls.max(1))
     }
 }
 
+impl Pair {
+    /// What came after earlier counts.
+    fn since(self, earlier: Self) -> Self {
+        Self {
+            old: self.old.since(earlier.old),
+            new: self.new.since(earlier.new),
+        }
+    }
+}
+
 /// What a move comes to after `elapsed` of its `limit`.
 pub fn step(evidence: &Evidence, elapsed: Duration, limit: Duration) -> Step {
     if let Some(counts) = verdict(evidence) {
         return Step::TakeBack(counts);
     }
+    match due(elapsed, limit) {
+        None => Step::Complete,
+        Some(step) => Step::Share(f64::from(permille(step)) / f64::from(PARTS)),
+    }
+}
+
+/// The step that is due after `elapsed` of a move's `limit`; none where the move is to be complete.
+fn due(elapsed: Duration, limit: Duration) -> Option<usize> {
     let usable = limit.saturating_sub(RESERVE).max(limit / 2);
     let part = elapsed.as_secs_f64() / usable.as_secs_f64().max(0.001);
-    if part >= COMPLETE {
-        return Step::Complete;
-    }
-    let due = STEPS.iter().rev().find(|(from, _)| part >= *from);
-    Step::Share(due.map_or(0.0, |(_, share)| *share))
+    let is_due = |(from, _): &&(f64, u16)| part >= *from;
+    (part < COMPLETE).then(|| STEPS.iter().take_while(is_due).count())
 }
 
-/// The counts on which the new version is bad, over all routes or on one of them.
-pub fn verdict(evidence: &Evidence) -> Option<Counts> {
-    let mut total = Pair::default();
-    for pair in evidence.values() {
-        total.old.add(pair.old);
-        total.new.add(pair.new);
-    }
-    let routes = evidence.values().copied();
-    routes.chain([total]).find(is_bad).map(|pair| pair.new)
+/// A step's share, in calls in a thousand; step 0 is none.
+fn permille(step: usize) -> u16 {
+    let index = step.checked_sub(1);
+    index.map_or(0, |index| STEPS[index].1)
+}
+
+/// The last step whose share is not above one, in calls in a thousand.
+fn step_of(share: u16) -> usize {
+    let steps = 0..=STEPS.len();
+    steps
+        .rev()
+        .find(|step| permille(*step) <= share)
+        .unwrap_or(0)
 }
 
-fn is_bad(pair: &Pair) -> bool {
-    let Pair { old, new } = *pair;
-    let failed = new.part(new.failed);
-    let fails = new.failed >= MIN_FAILED
-        && failed >= FAILED_PART
-        && failed >= EXCESS * old.part(old.failed);
-    let bad = new.failed + new.slow;
-    let late = new.part(bad);
-    let slow =
-        bad >= MIN_SLOW && late >= SLOW_PART && late >= EXCESS * old.part(old.failed + old.slow);
-    fails || slow
+/// The next smaller share, in calls in a thousand.
+fn lower(share: u16) -> u16 {
+    permille(step_of(share.saturating_sub(1)))
 }
--- /dev/null
+++ b/fulmarreel-rollout/tests/fleet/main.rs
@@ -0,0 +1,7 @@
+//! Moves of seconds over a whole fleet, in virtual time.
+
+mod bounds;
+mod plan;
+mod play;
+mod store;
+mod version;
