fix(node): moves follow words that expire, and any standby says that a version is bad

Cause: `Moves::follow` kept the largest share that it had ever been told, counts went to the owner alone, and the owner told nothing while it waited for the store. Besides, answers of targets younger than 4.5 s were never slow, so that a slow version of a move of 10 s was at 30% before the first answer counted.

`mesh::takeover` now joins `rollout::brief::Member` to requests, datagrams and the store. Words say who tells them and expire; tallies name their process, the share in use and what was found sound; three standbys by rank hold them as well; the lease is renewed beside the words. A version that has taken over is told by datagram too, so that no node falls back to targets that are stopped. Answers of cold targets count as slow from 8 times the usual on.

Costs: while a move runs each node that has called the new version sends up to four tallies each 250 ms, where it was one; nodes that have not called it send one, as before.

Logs: `share in use` with the share, the owner's revision and address and the word's age at each change, and `the move's owner is taken to be lost`. Metrics: fulmarreel_share, fulmarreel_share_word_age_seconds and fulmarreel_share_owner_revision on the platform.

--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -173,9 +173,12 @@
         match datagram.notice {
             Notice::Revision(revision) => self.hear_revision(from, revision),
             Notice::Contact(contact) => self.hear_contact(from, contact),
-            Notice::Tally(tally) => moves.hear(from, tally),
-            Notice::Share(share) => moves.follow(&share),
-            Notice::Bad { service, order } => moves.condemn(&service, order),
+            Notice::Tally(_) | Notice::Share(_) | Notice::Bad { .. } | Notice::Completed { .. } => {
+                if let Some(answer) = moves.take(from, datagram.notice) {
+                    let notices = Arc::clone(self);
+                    crate::runtime::spawn(async move { notices.send(from, answer).await });
+                }
+            }
         }
     }
 
--- a/fulmarreel-node/src/mesh/takeover/mod.rs
+++ b/fulmarreel-node/src/mesh/takeover/mod.rs
@@ -1,45 +1,39 @@
 //! Moves of services to new versions, by the operator's orders.
 //!
-//! One node owns a move by a key under a lease. It adds up what all nodes have seen of both
-//! versions, decides by [`brief`], and tells every node the share; what has come of the move it
-//! writes on condition that the key is still the one that it created. A node that fails alone stops
-//! its own use of the version at once, and no node raises a share that it was not told.
+//! One node owns a move by a key under a lease. What each node says, and what follows from what it is
+//! told, is decided by its [`Member`]; here that meets requests ([`Moves`]), the store ([`owner`])
+//! and datagrams.
 
+mod duty;
 mod owner;
+mod words;
 
-use super::{
-    keys::{self, Owner},
-    notices::Notices,
-    view::{self, View},
-    world::World,
-};
+pub use duty::run;
+
+use super::view::View;
+use crate::telemetry::metrics;
 use fulmarreel_platform::order::State;
-use fulmarreel_rollout::brief::{self, Evidence};
-use fulmarreel_wire::notice::{self, Notice, Share, Tally};
-use owner::Ownership;
-use smol::Timer;
+use fulmarreel_rollout::brief::{Action, Call, Counts, Member, Parcel, Roster};
+use fulmarreel_wire::notice::Notice;
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::Mutex,
     time::{Duration, Instant},
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-/// How often moves are looked after.
-const TICK: Duration = Duration::from_millis(250);
-
-/// How long each further node waits for those before it to own a move.
-const STANDBY_WAIT: Duration = Duration::from_millis(700);
-
 /// How many times the usual time a request takes to count as slow.
 const SLOW_RATIO: f64 = 4.0;
 
-/// How long a target that is new to this node counts as cold, and its answers not as slow.
+/// How many times the usual time it takes at a target that is cold.
+const COLD_SLOW_RATIO: f64 = 8.0;
+
+/// How long a target that is new to this node counts as cold.
 const COLD: Duration = Duration::from_millis(4_500);
 
-/// A thousand parts.
-const PERMILLE: f64 = 1_000.0;
+/// Calls in a thousand that are all.
+const ALL: u16 = 1_000;
 
 /// Which version a request goes to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -83,12 +77,14 @@
 #[derive(Debug)]
 struct Live {
     order: u64,
-    share: f64,
-    /// Deals requests out by the share.
-    credit: f64,
-    bad: bool,
-    own: Evidence,
-    heard: HashMap<SocketAddr, Vec<notice::Route>>,
+    version: String,
+    member: Member<SocketAddr>,
+    /// Whose word was followed last.
+    teller: Option<SocketAddr>,
+    /// The share that was logged last, in calls in a thousand.
+    logged: u16,
+    /// Whether it was logged that the owner is silent.
+    is_silent: bool,
 }
 
 impl Side {
@@ -104,32 +100,53 @@
 
 impl Sample<'_> {
     fn is_slow(&self) -> bool {
-        let late = |usual: Duration| self.took > usual.mul_f64(SLOW_RATIO);
-        self.age > COLD && self.usual.is_some_and(late)
+        let is_cold = self.age <= COLD;
+        let ratio = if is_cold { COLD_SLOW_RATIO } else { SLOW_RATIO };
+        self.usual
+            .is_some_and(|usual| self.took > usual.mul_f64(ratio))
     }
 }
 
 impl Live {
-    fn new(order: u64) -> Self {
+    fn new(order: u64, version: &str, boot: u64) -> Self {
         Self {
             order,
-            share: 0.0,
-            credit: fastrand::f64(),
-            bad: false,
-            own: Evidence::default(),
-            heard: HashMap::new(),
+            version: version.to_owned(),
+            member: Member::new(boot, fastrand::f64(), Instant::now()),
+            teller: None,
+            logged: 0,
+            is_silent: false,
         }
     }
 
-    /// What all nodes have seen, this one included.
-    fn evidence(&self) -> Evidence {
-        let mut sum = self.own.clone();
-        for route in self.heard.values().flatten() {
-            let pair = sum.entry(route.route).or_default();
-            pair.old.add(counts(route.old));
-            pair.new.add(counts(route.new));
+    /// Which word is followed: its owner's revision and its number.
+    fn told_number(&self) -> Option<(u64, u32)> {
+        let told = self.member.agent().told();
+        told.map(|told| (told.word.owner, told.word.number))
+    }
+
+    /// Tells the share that this node uses, on whose word, and how old that is.
+    fn tell(&mut self, service: &str, now: Instant) {
+        let permille = self.member.agent().permille(now);
+        let told = self.member.agent().told();
+        let age = told.map_or(Duration::ZERO, |told| now - told.since);
+        let owner = told.map_or(0, |told| told.word.owner);
+        let is_silent = told.is_some_and(|told| now >= told.expires);
+        let (order, version) = (self.order, self.version.as_str());
+        let teller = self
+            .teller
+            .map_or_else(String::new, |node| node.to_string());
+        let age_ms = age.as_millis() as u64;
+        if is_silent && !self.is_silent && !self.member.agent().is_condemned() {
+            log::warn!(service, version, order, owner, teller = teller.as_str(), age_ms; "the move's owner is taken to be lost");
+        }
+        if permille != self.logged {
+            log::info!(service, version, order, permille, owner, teller = teller.as_str(), age_ms; "share in use");
         }
-        sum
+        self.is_silent = is_silent;
+        self.logged = permille;
+        metrics::share(service, version, f64::from(permille) / f64::from(ALL));
+        metrics::share_word(service, version, age, owner);
     }
 }
 
@@ -156,24 +173,20 @@
             Some(State::RolledBack) => return Side::Old { new },
             Some(State::Running) | None => {}
         }
-        let Some(live) = live.filter(|live| !live.bad && live.share > 0.0) else {
+        let Some(live) = live.filter(|_| runs(true)) else {
             return Side::Old { new };
         };
-        if !runs(true) {
-            return Side::Old { new };
-        }
-        if live.share >= 1.0 {
-            return Side::New { new };
-        }
-        if !first {
-            return Side::Old { new };
-        }
-        live.credit += live.share;
-        if live.credit >= 1.0 {
-            live.credit -= 1.0;
-            return Side::New { new };
+        let now = Instant::now();
+        let goes_to_new = match live.member.agent().permille(now) {
+            0 => false,
+            ALL.. => true,
+            _ => first && live.member.deal(now),
+        };
+        if goes_to_new {
+            Side::New { new }
+        } else {
+            Side::Old { new }
         }
-        Side::Old { new }
     }
 
     /// Takes in how a target dealt with a request.
@@ -187,50 +200,37 @@
         let Some(live) = live.get_mut(service) else {
             return;
         };
-        let Sample { route, failed, .. } = *sample;
-        let slow = !failed && sample.is_slow();
-        let pair = live.own.entry(xxh3_64(route.as_bytes())).or_default();
-        let counts = if new { &mut pair.new } else { &mut pair.old };
-        counts.calls += 1;
-        counts.failed += u32::from(failed);
-        counts.slow += u32::from(slow);
-        if !live.bad && brief::verdict(&live.own).is_some() {
+        let call = Call {
+            route: xxh3_64(sample.route.as_bytes()),
+            new,
+            failed: sample.failed,
+            slow: !sample.failed && sample.is_slow(),
+        };
+        if live.member.record(call) {
             log::warn!(service, order = live.order; "the new version fails here, it is not used further");
-            live.bad = true;
         }
     }
 
-    /// Takes in what another node has seen.
-    pub fn hear(&self, from: SocketAddr, tally: Tally) {
+    /// Takes in what another node says of a move; returns what is to be answered.
+    pub fn take(&self, from: SocketAddr, notice: Notice) -> Option<Notice> {
+        let (service, order, message) = words::message(notice)?;
         let mut live = self.live.lock().expect("moves lock");
-        let live = live.get_mut(&tally.service);
-        if let Some(live) = live.filter(|live| live.order == tally.order) {
-            live.heard.insert(from, tally.routes);
+        let live = live.get_mut(&service).filter(|live| live.order == order)?;
+        let now = Instant::now();
+        let known = live.member.agent().is_condemned();
+        let number = live.told_number();
+        let answer = live.member.take(from, message, now);
+        if live.member.agent().is_condemned() && !known {
+            log::warn!(service = service.as_str(), order, peer:% = from; "the new version is bad");
         }
-    }
-
-    /// Follows the owner's word.
-    pub fn follow(&self, share: &Share) {
-        let mut live = self.live.lock().expect("moves lock");
-        let live = live.get_mut(&share.service);
-        if let Some(live) = live.filter(|live| live.order == share.order) {
-            // Word that arrives late lowers nothing.
-            live.share = live.share.max(f64::from(share.permille) / PERMILLE);
-        }
-    }
-
-    /// Takes in that a version is bad.
-    pub fn condemn(&self, service: &str, order: u64) {
-        let mut live = self.live.lock().expect("moves lock");
-        let live = live.get_mut(service);
-        if let Some(live) = live.filter(|live| live.order == order && !live.bad) {
-            log::warn!(service, order; "the new version is bad");
-            live.bad = true;
+        if live.told_number() != number {
+            live.teller = Some(from);
         }
+        answer.map(|answer| words::notice(&service, order, answer))
     }
 
     /// Keeps a record for each move under way.
-    fn sync(&self, view: &View) {
+    fn sync(&self, view: &View, boot: u64) {
         let mut live = self.live.lock().expect("moves lock");
         live.retain(|service, live| {
             let declared = view.moves.get(service);
@@ -241,130 +241,45 @@
             if !is_over && !live.contains_key(service) {
                 let version = declared.version.as_str();
                 log::info!(service = service.as_str(), version, order = declared.order; "move ordered");
-                live.insert(service.clone(), Live::new(declared.order));
+                live.insert(service.clone(), Live::new(declared.order, version, boot));
             }
         }
     }
 
-    fn with<T>(&self, service: &str, work: impl FnOnce(&mut Live) -> T) -> Option<T> {
-        let mut live = self.live.lock().expect("moves lock");
-        live.get_mut(service).map(work)
-    }
-
-    /// What this node has seen, to be sent to the owner.
-    fn tally(&self, service: &str) -> Option<Tally> {
+    /// What is to be told of a move, and what this node does at the store where it is the owner.
+    fn look(
+        &self,
+        service: &str,
+        roster: &Roster<'_, SocketAddr>,
+    ) -> Option<(Vec<Parcel<SocketAddr>>, Option<Action>)> {
         self.with(service, |live| {
-            let routes = live.own.iter().map(|(route, pair)| notice::Route {
-                route: *route,
-                old: wire(pair.old),
-                new: wire(pair.new),
-            });
-            Tally {
-                service: service.to_owned(),
-                order: live.order,
-                routes: routes.collect(),
+            let known = live.member.found();
+            let number = live.told_number();
+            let looked = live.member.look(roster, Instant::now());
+            if let (None, Some(counts)) = (known, live.member.found()) {
+                let Counts { calls, failed, slow } = counts;
+                log::warn!(service, order = live.order, calls, failed, slow; "the new version is bad by all nodes' calls");
             }
-        })
-    }
-}
-
-/// What one node does for the moves under way.
-struct Duty {
-    world: Arc<World>,
-    moves: Arc<Moves>,
-    notices: Arc<Notices>,
-    /// Moves that this node owns, by service.
-    owned: HashMap<String, Ownership>,
-    /// Since when a move has no owner, by service.
-    vacant: HashMap<String, Instant>,
-}
-
-/// Looks after moves until the process ends.
-pub async fn run(world: Arc<World>, moves: Arc<Moves>, notices: Arc<Notices>) {
-    let mut duty = Duty {
-        world,
-        moves,
-        notices,
-        owned: HashMap::new(),
-        vacant: HashMap::new(),
-    };
-    loop {
-        Timer::after(TICK).await;
-        let view = duty.world.view();
-        duty.moves.sync(&view);
-        duty.owned.retain(|service, ownership| {
-            let declared = view.moves.get(service);
-            declared.is_some_and(|declared| declared.order == ownership.order)
-        });
-        for (service, declared) in &view.moves {
-            duty.look_after(&view, service, declared).await;
-        }
-    }
-}
-
-impl Duty {
-    async fn look_after(&mut self, view: &View, service: &str, declared: &view::Move) {
-        if matches!(declared.state, Some(State::Completed | State::RolledBack)) {
-            if let Some(ownership) = self.owned.remove(service) {
-                owner::give_up(&self.world, &ownership).await;
-            }
-            return;
-        }
-        if let Some(ownership) = self.owned.get_mut(service) {
-            let parts = (&*self.world, &*self.moves, &*self.notices);
-            if !owner::decide(parts, service, declared, ownership).await {
-                self.owned.remove(service);
-            }
-            return;
-        }
-        match self.owner(service) {
-            Some(owner) if owner.address != self.world.settings().peers => {
-                self.vacant.remove(service);
-                if let Some(tally) = self.moves.tally(service) {
-                    self.notices.send(owner.address, Notice::Tally(tally)).await;
-                }
+            if live.told_number() != number {
+                live.teller = Some(roster.own);
             }
-            // A former process of this node may have left its key, which lapses.
-            Some(_) => {}
-            None => self.stand_by(view, service, declared).await,
-        }
-    }
-
-    /// Claims a move without an owner, once those that come before this node have had their time.
-    async fn stand_by(&mut self, view: &View, service: &str, declared: &view::Move) {
-        let since = self.vacant.entry(service.to_owned());
-        let since = *since.or_insert_with(Instant::now);
-        let patience = STANDBY_WAIT * owner::rank(&self.world, view, service);
-        if since.elapsed() < patience || self.world.is_stopping() {
-            return;
-        }
-        if let Some(ownership) = owner::claim(&self.world, service, declared).await {
-            self.owned.insert(service.to_owned(), ownership);
-        }
-        self.vacant.remove(service);
-    }
-
-    fn owner(&self, service: &str) -> Option<Owner> {
-        let key = format!("{}{service}", keys::OWNERS);
-        self.world.read(|mirror| {
-            let item = mirror.get(&key)?;
-            serde_json::from_slice(&item.value).ok()
+            looked
         })
     }
-}
 
-fn counts(counts: notice::Counts) -> brief::Counts {
-    brief::Counts {
-        calls: counts.calls,
-        failed: counts.failed,
-        slow: counts.slow,
+    /// Takes in how a move ended.
+    fn end(&self, service: &str, state: State) {
+        self.with(service, |live| match state {
+            State::Completed => live.member.complete(),
+            State::RolledBack => {
+                live.member.condemn();
+            }
+            State::Running => {}
+        });
     }
-}
 
-fn wire(counts: brief::Counts) -> notice::Counts {
-    notice::Counts {
-        calls: counts.calls,
-        failed: counts.failed,
-        slow: counts.slow,
+    fn with<T>(&self, service: &str, work: impl FnOnce(&mut Live) -> T) -> Option<T> {
+        let mut live = self.live.lock().expect("moves lock");
+        live.get_mut(service).map(work)
     }
 }
--- a/fulmarreel-node/src/mesh/takeover/owner.rs
+++ b/fulmarreel-node/src/mesh/takeover/owner.rs
@@ -1,60 +1,87 @@
-//! The node that owns a move: its key, its decisions, and what it writes.
+//! The node that owns a move: its key, its lease, and what it writes.
 
-use super::{Moves, PERMILLE};
 use crate::{
     mesh::{
         keys::{self, Owner, Start},
-        notices::Notices,
-        view::{self, View},
+        view,
         world::World,
     },
+    runtime,
     state::unix_millis,
 };
 use fulmarreel_platform::order::{self, Outcome, State};
-use fulmarreel_rollout::brief::{self, Step};
 use fulmarreel_store::{Error, Lease, Outcome as Commit, Revision, Store, Transaction};
-use fulmarreel_wire::notice::{Notice, Share};
 use smol::Timer;
 use std::{
-    net::SocketAddr,
+    sync::{Arc, Mutex, Weak},
     time::{Duration, Instant},
 };
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// The lifetime of an owner's lease, without its renewal.
 const LEASE: Duration = Duration::from_millis(3_000);
 
-/// Age of a lease from which on it is renewed.
-const RENEWAL_AGE: Duration = Duration::from_millis(1_000);
+/// How often a lease is renewed.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Pause after a call to the store that failed.
-const STORE_PAUSE: Duration = Duration::from_millis(300);
+pub(super) const STORE_PAUSE: Duration = Duration::from_millis(300);
 
-/// What an owner needs to write.
+/// A move that this node owns.
 #[derive(Debug)]
 pub(super) struct Ownership {
     pub order: u64,
-    lease: Lease,
     /// The revision that created the owner's key.
-    created: Revision,
-    renewed: Instant,
+    pub created: Revision,
     /// When the move began.
-    start: Instant,
-    state: Option<State>,
+    pub start: Instant,
+    tenure: Arc<Tenure>,
+    /// When the outcome may be written again, after a call to the store that failed.
+    next_write: Instant,
 }
 
-/// This node's place among those that may own a service's move, from 0.
-pub(super) fn rank(world: &World, view: &View, service: &str) -> u32 {
-    let seed = xxh3_64(service.as_bytes());
-    let score = |address: SocketAddr| xxh3_64_with_seed(address.to_string().as_bytes(), seed);
-    let own = score(world.settings().peers);
-    let before = view.nodes.iter().filter(|node| score(node.0) > own).count();
-    u32::try_from(before).unwrap_or(u32::MAX)
+/// An owner's lease.
+#[derive(Debug)]
+struct Tenure {
+    lease: Lease,
+    until: Mutex<Option<Instant>>,
+}
+
+impl Ownership {
+    /// Whether the lease holds, as far as this node knows.
+    pub(super) fn is_leased(&self) -> bool {
+        let until = *self.tenure.until.lock().expect("tenure lock");
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Whether the store has said that the lease has lapsed.
+    pub(super) fn has_lapsed(&self) -> bool {
+        self.tenure.until.lock().expect("tenure lock").is_none()
+    }
+}
+
+/// Renews a lease until it lapses or nobody holds it; words to other nodes do not wait for the store.
+async fn renew(world: Arc<World>, tenure: Weak<Tenure>) {
+    loop {
+        Timer::after(RENEWAL_INTERVAL).await;
+        let Some(tenure) = tenure.upgrade() else {
+            return;
+        };
+        let asked = Instant::now();
+        match world.store.keep_alive(tenure.lease).await {
+            Ok(_) => *tenure.until.lock().expect("tenure lock") = Some(asked + LEASE),
+            Err(Error::Expired { .. }) => {
+                log::info!("the owner's lease has lapsed");
+                *tenure.until.lock().expect("tenure lock") = None;
+                return;
+            }
+            Err(error) => log::warn!("lease not renewed: {error}"),
+        }
+    }
 }
 
 /// Tries to own a move.
 pub(super) async fn claim(
-    world: &World,
+    world: &Arc<World>,
     service: &str,
     declared: &view::Move,
 ) -> Option<Ownership> {
@@ -62,14 +89,13 @@
         Ok(ownership) => ownership,
         Err(error) => {
             log::warn!(service; "move not claimed: {error}");
-            Timer::after(STORE_PAUSE.mul_f64(1.0 + fastrand::f64())).await;
             None
         }
     }
 }
 
 async fn try_claim(
-    world: &World,
+    world: &Arc<World>,
     service: &str,
     declared: &view::Move,
 ) -> Result<Option<Ownership>, Error> {
@@ -108,13 +134,17 @@
             let elapsed = Duration::from_millis(unix_millis().saturating_sub(start.at));
             let elapsed = elapsed.min(declared.limit);
             let now = Instant::now();
+            let tenure = Arc::new(Tenure {
+                lease,
+                until: Mutex::new(Some(renewed + LEASE)),
+            });
+            runtime::spawn(renew(Arc::clone(world), Arc::downgrade(&tenure)));
             Ok(Some(Ownership {
                 order: declared.order,
-                lease,
                 created,
-                renewed,
                 start: now.checked_sub(elapsed).unwrap_or(now),
-                state: declared.state,
+                tenure,
+                next_write: now,
             }))
         }
         Commit::Conflict(_) => {
@@ -138,109 +168,43 @@
     })
 }
 
-/// Renews the lease, decides, and says what follows; whether this node may still own the move.
-pub(super) async fn decide(
-    (world, moves, notices): (&World, &Moves, &Notices),
-    service: &str,
-    declared: &view::Move,
-    ownership: &mut Ownership,
-) -> bool {
-    if ownership.renewed.elapsed() > RENEWAL_AGE {
-        let asked = Instant::now();
-        match world.store.keep_alive(ownership.lease).await {
-            Ok(_) => ownership.renewed = asked,
-            Err(Error::Expired { .. }) => {
-                log::info!(service; "the owner's lease has lapsed");
-                return false;
-            }
-            Err(error) => log::warn!(service; "lease not renewed: {error}"),
-        }
-    }
-    let holds = ownership.renewed.elapsed() < LEASE;
-    let evidence = moves
-        .with(service, |live| live.evidence())
-        .unwrap_or_default();
-    match brief::step(&evidence, ownership.start.elapsed(), declared.limit) {
-        Step::TakeBack(counts) => {
-            if ownership.state != Some(State::RolledBack) {
-                log::warn!(
-                    service,
-                    order = declared.order,
-                    calls = counts.calls,
-                    failed = counts.failed,
-                    slow = counts.slow;
-                    "the new version is taken back"
-                );
-            }
-            moves.condemn(service, declared.order);
-            ownership.state = Some(State::RolledBack);
-            let bad = Notice::Bad {
-                service: service.to_owned(),
-                order: declared.order,
-            };
-            notices.send_all(&bad).await;
-            write(world, service, declared, ownership, State::RolledBack).await
-        }
-        // Without a lease that holds no share rises and no move ends.
-        Step::Share(_) | Step::Complete if !holds => true,
-        Step::Complete if !has_target(&world.view(), service, declared) => true,
-        Step::Complete => write(world, service, declared, ownership, State::Completed).await,
-        Step::Share(share) => {
-            if !has_target(&world.view(), service, declared) {
-                return true;
-            }
-            let share = Share {
-                service: service.to_owned(),
-                order: declared.order,
-                permille: (share * PERMILLE) as u16,
-            };
-            moves.follow(&share);
-            notices.send_all(&Notice::Share(share)).await;
-            true
-        }
-    }
-}
-
-fn has_target(view: &View, service: &str, declared: &view::Move) -> bool {
-    let mut targets = view.targets(service).iter();
-    targets.any(|target| target.version == declared.version)
-}
-
-/// Writes what has come of a move; whether this node may still own it.
-async fn write(
+/// Writes what has come of a move; none where that is not known to be written, and false where
+/// another node owns the move.
+pub(super) async fn write(
     world: &World,
     service: &str,
     declared: &view::Move,
-    ownership: &Ownership,
+    ownership: &mut Ownership,
     state: State,
-) -> bool {
+) -> Option<bool> {
+    if Instant::now() < ownership.next_write {
+        return None;
+    }
     let version = declared.version.clone();
-    let Ok(outcome) = order::encode_outcome(&Outcome { version, state }) else {
-        return true;
-    };
+    let outcome = order::encode_outcome(&Outcome { version, state }).ok()?;
     let transaction = Transaction::new()
         .when_revision(&format!("{}{service}", keys::OWNERS), ownership.created)
         .put(&format!("{}{service}", order::OUTCOMES), &outcome);
     match world.store.commit(&transaction).await {
         Ok(Commit::Written(revision)) => {
             log::info!(service, order = declared.order, revision = revision.0, state:? = state; "move ended");
-            true
+            Some(true)
         }
         Ok(Commit::Conflict(_)) => {
             log::info!(service; "another node owns the move");
-            false
+            Some(false)
         }
         Err(error) => {
             log::warn!(service; "outcome not written: {error}");
-            Timer::after(STORE_PAUSE).await;
-            true
+            ownership.next_write = Instant::now() + STORE_PAUSE;
+            None
         }
     }
 }
 
-/// Ends the lease of a move that is over.
+/// Ends the lease of a move that is over, or is left to another node.
 pub(super) async fn give_up(world: &World, ownership: &Ownership) {
-    if let Err(error) = world.store.revoke(ownership.lease).await {
+    if let Err(error) = world.store.revoke(ownership.tenure.lease).await {
         // It lapses by itself.
         log::info!("lease of a move: {error}");
     }
--- a/fulmarreel-rollout/src/brief/agent.rs
+++ b/fulmarreel-rollout/src/brief/agent.rs
@@ -45,10 +45,15 @@
     urgent: bool,
 }
 
+/// A word that a node follows or has followed.
 #[derive(Debug, Clone, Copy)]
-struct Told {
-    word: Word,
-    expires: Instant,
+pub struct Told {
+    /// The word.
+    pub word: Word,
+    /// When it came.
+    pub since: Instant,
+    /// When it expires or has expired.
+    pub expires: Instant,
 }
 
 /// What a node holds of the new version.
@@ -60,6 +65,8 @@
     StoppedHere,
     /// The calls of all nodes do.
     Bad,
+    /// It has taken over, and the old one may be gone.
+    Completed,
 }
 
 impl Agent {
@@ -80,7 +87,15 @@
     ///
     /// Without a newer word the share falls step by step to none.
     pub fn permille(&self, now: Instant) -> u16 {
-        let Some(told) = self.word.filter(|_| self.standing == Standing::Open) else {
+        match self.standing {
+            Standing::Open => self.told_permille(now),
+            Standing::StoppedHere | Standing::Bad => 0,
+            Standing::Completed => PARTS,
+        }
+    }
+
+    fn told_permille(&self, now: Instant) -> u16 {
+        let Some(told) = self.word else {
             return 0;
         };
         let mut permille = told.word.permille;
@@ -92,9 +107,9 @@
         permille
     }
 
-    /// The word that was followed last, and when it expires or has expired.
-    pub fn word(&self) -> Option<(Word, Instant)> {
-        self.word.map(|told| (told.word, told.expires))
+    /// The word that was followed last.
+    pub fn told(&self) -> Option<&Told> {
+        self.word.as_ref()
     }
 
     /// Whether a call goes to the new version.
@@ -117,6 +132,7 @@
         self.proven = self.proven.max(word.proven);
         self.word = Some(Told {
             word,
+            since: now,
             expires: now + WORD_LIFE,
         });
     }
@@ -144,11 +160,23 @@
 
     /// Takes in that the version is bad; returns whether that is news.
     pub fn condemn(&mut self) -> bool {
-        let is_news = self.standing != Standing::Bad;
-        self.standing = Standing::Bad;
+        let is_news = matches!(self.standing, Standing::Open | Standing::StoppedHere);
+        if is_news {
+            self.standing = Standing::Bad;
+        }
         is_news
     }
 
+    /// Takes in that the version has taken over.
+    pub fn complete(&mut self) {
+        self.standing = Standing::Completed;
+    }
+
+    /// Whether the version is known to have taken over.
+    pub fn is_completed(&self) -> bool {
+        self.standing == Standing::Completed
+    }
+
     /// Whether the version is known to be bad by the calls of all nodes.
     pub fn is_condemned(&self) -> bool {
         self.standing == Standing::Bad
--- a/fulmarreel-rollout/src/brief/member.rs
+++ b/fulmarreel-rollout/src/brief/member.rs
@@ -13,9 +13,9 @@
 /// How often a node says what it has to say.
 const INTERVAL: Duration = Duration::from_millis(250);
 
-/// How often a node tells all others that the version is bad, for datagrams get lost; later it
-/// tells those that show that they do not know.
-const BAD_TELLINGS: u8 = 4;
+/// How often a node tells all others how the move ends, for datagrams get lost; later it tells those
+/// that show that they do not know.
+const END_TELLINGS: u8 = 4;
 
 /// Processes whose calls a standby has to know to speak for all of them.
 const MIN_CALLERS: usize = 2;
@@ -29,6 +29,8 @@
     Word(Word),
     /// The version is bad.
     Bad,
+    /// The version has taken over.
+    Completed,
 }
 
 /// Who is told.
@@ -79,7 +81,7 @@
     ramp: Option<Ramp>,
     is_urgent: bool,
     next: Instant,
-    bad_tellings: u8,
+    end_tellings: u8,
     found: Option<Counts>,
 }
 
@@ -92,7 +94,7 @@
             ramp: None,
             is_urgent: false,
             next: now,
-            bad_tellings: 0,
+            end_tellings: 0,
             found: None,
         }
     }
@@ -134,9 +136,16 @@
                 self.is_urgent |= self.agent.condemn();
                 None
             }
+            Message::Completed => {
+                self.agent.complete();
+                None
+            }
             Message::Report(_) | Message::Word(_) if self.agent.is_condemned() => {
                 Some(Message::Bad)
             }
+            Message::Report(_) | Message::Word(_) if self.agent.is_completed() => {
+                Some(Message::Completed)
+            }
             Message::Report(report) => {
                 self.is_urgent |= self.pool.hear(from, report, now);
                 None
@@ -148,6 +157,19 @@
         }
     }
 
+    /// Takes in that the outcome was written, or read from the store: the version has taken over.
+    pub fn complete(&mut self) {
+        if !self.agent.is_completed() && self.ramp.is_some() {
+            self.end_tellings = END_TELLINGS;
+        }
+        self.agent.complete();
+    }
+
+    /// Takes in that the version is bad, as was read from the store.
+    pub fn condemn(&mut self) {
+        self.agent.condemn();
+    }
+
     /// Whether [`Member::look`] is due.
     pub fn is_due(&mut self, now: Instant) -> bool {
         self.is_urgent |= self.agent.take_urgent();
@@ -165,6 +187,9 @@
         if is_regular {
             self.next = now + INTERVAL;
         }
+        if self.agent.is_completed() {
+            return (self.tell_completed(), None);
+        }
         self.pool.hear(roster.own, self.agent.report(now), now);
         let evidence = self.pool.evidence();
         let recent = self.pool.recent(&evidence, self.agent.permille(now), now);
@@ -176,7 +201,7 @@
             && self.agent.condemn()
         {
             self.found = Some(counts);
-            self.bad_tellings = BAD_TELLINGS;
+            self.end_tellings = END_TELLINGS;
         }
         if self.agent.is_condemned() {
             return self.look_condemned(roster, is_regular);
@@ -195,14 +220,22 @@
         (receivers.map(parcel).collect(), None)
     }
 
+    fn tell_completed(&mut self) -> Vec<Parcel<A>> {
+        if self.end_tellings == 0 {
+            return Vec::new();
+        }
+        self.end_tellings -= 1;
+        vec![(Recipient::All, Message::Completed)]
+    }
+
     fn look_condemned(
         &mut self,
         roster: &Roster<'_, A>,
         is_regular: bool,
     ) -> (Vec<Parcel<A>>, Option<Action>) {
         let action = self.ramp.is_some().then_some(Action::RollBack);
-        if self.bad_tellings > 0 || (action.is_some() && is_regular) {
-            self.bad_tellings = self.bad_tellings.saturating_sub(1);
+        if self.end_tellings > 0 || (action.is_some() && is_regular) {
+            self.end_tellings = self.end_tellings.saturating_sub(1);
             return (vec![(Recipient::All, Message::Bad)], action);
         }
         let owner = roster.owner.filter(|owner| *owner != roster.own);
@@ -234,7 +267,7 @@
         };
         match ramp.decide(fleet, now) {
             Decision::Tell(word) => {
-                let said = self.agent.word().map(|(said, _)| said.permille);
+                let said = self.agent.told().map(|told| told.word.permille);
                 if !is_regular && said == Some(word.permille) {
                     return (Vec::new(), None);
                 }
--- a/fulmarreel-rollout/src/brief/mod.rs
+++ b/fulmarreel-rollout/src/brief/mod.rs
@@ -15,7 +15,7 @@
 mod verdict;
 mod word;
 
-pub use agent::{Agent, Call};
+pub use agent::{Agent, Call, Told};
 pub use member::{Action, Member, Message, Parcel, Recipient, Roster};
 pub use pool::{Pool, Report};
 pub use verdict::verdict;
--- a/fulmarreel-rollout/tests/fleet/bounds.rs
+++ b/fulmarreel-rollout/tests/fleet/bounds.rs
@@ -170,6 +170,15 @@
         prop_assert!(in_time, "{report:?}");
     }
 
+    /// Fails if nodes that learn late of a move's end from the store fall back to targets that are stopped.
+    #[test]
+    fn no_call_goes_to_a_version_that_was_stopped(
+        plan in plan(Just(good()), vec(mild_trouble(), 0..3)),
+    ) {
+        let report = play(&plan);
+        prop_assert!(report.lost == 0, "{report:?}");
+    }
+
     /// Fails if a good version is late whose first owner dies early.
     #[test]
     fn a_good_version_is_complete_in_time_under_a_second_owner(
--- a/fulmarreel-rollout/tests/fleet/plan.rs
+++ b/fulmarreel-rollout/tests/fleet/plan.rs
@@ -61,6 +61,8 @@
     pub calls: u32,
     /// Those to the new version.
     pub new: u32,
+    /// Those to the old version after it was stopped.
+    pub lost: u32,
     /// When the move was written as complete.
     pub completed: Option<Duration>,
     /// When it was written as taken back.
--- a/fulmarreel-rollout/tests/fleet/play.rs
+++ b/fulmarreel-rollout/tests/fleet/play.rs
@@ -301,6 +301,8 @@
             Some(Outcome::RolledBack) => false,
             None => node.member.deal(now),
         };
+        let is_old_gone = matches!(self.store.outcome, Some((Outcome::Completed, _)));
+        self.report.lost += u32::from(is_old_gone && !new);
         let boot = node.boot;
         let is_within = passed < self.plan.limit;
         self.report.calls += u32::from(is_within);
@@ -397,8 +399,14 @@
             return;
         };
         match action {
-            Some(Action::Complete) => self.store.end(revision, Outcome::Completed, now),
-            Some(Action::RollBack) => self.store.end(revision, Outcome::RolledBack, now),
+            Some(Action::Complete) => {
+                if self.store.end(revision, Outcome::Completed, now) {
+                    self.nodes[index].member.complete();
+                }
+            }
+            Some(Action::RollBack) => {
+                self.store.end(revision, Outcome::RolledBack, now);
+            }
             Some(Action::Resign) if self.store.resign(revision, now) => {
                 self.nodes[index].owns = None;
                 self.nodes[index].member.disown();
--- a/fulmarreel-rollout/tests/fleet/store.rs
+++ b/fulmarreel-rollout/tests/fleet/store.rs
@@ -8,6 +8,9 @@
 /// How long nodes take to learn of a change.
 const NEWS: Duration = Duration::from_millis(150);
 
+/// How long they take to learn how a move ended, at worst.
+const OUTCOME_NEWS: Duration = Duration::from_millis(3_000);
+
 /// How a move ended.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Outcome {
@@ -88,12 +91,14 @@
         is_done
     }
 
-    /// Writes how the move ended.
-    pub fn end(&mut self, revision: u64, outcome: Outcome, now: Instant) {
+    /// Writes how the move ended; whether that was done.
+    pub fn end(&mut self, revision: u64, outcome: Outcome, now: Instant) -> bool {
         let is_owner = self.owner.is_some_and(|key| key.revision == revision);
-        if !self.is_away && is_owner && self.outcome.is_none() {
+        let is_done = !self.is_away && is_owner && self.outcome.is_none();
+        if is_done {
             self.outcome = Some((outcome, now));
         }
+        is_done
     }
 
     /// The owner's key as nodes know it.
@@ -104,7 +109,7 @@
 
     /// How the move ended, as nodes know it.
     pub fn known_outcome(&self, now: Instant) -> Option<Outcome> {
-        let seen = self.outcome.filter(|(_, at)| *at + NEWS <= now);
+        let seen = self.outcome.filter(|(_, at)| *at + OUTCOME_NEWS <= now);
         seen.map(|(outcome, _)| outcome)
     }
 }
--- a/fulmarreel-wire/src/notice.rs
+++ b/fulmarreel-wire/src/notice.rs
@@ -36,6 +36,13 @@
         /// The revision of the order to move.
         order: u64,
     },
+    /// The new version has taken over, and the old one may be gone.
+    Completed {
+        /// The service.
+        service: String,
+        /// The revision of the order to move.
+        order: u64,
+    },
 }
 
 /// A node's contact with the store.
@@ -51,13 +58,21 @@
     pub pass_on: Vec<SocketAddr>,
 }
 
-/// What one node has seen of a move since its order; later ones replace earlier ones.
+/// What one process of a node has seen of a move since its order; later ones replace earlier ones.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Tally {
     /// The service.
     pub service: String,
     /// The revision of the order to move.
     pub order: u64,
+    /// Names the sender's process: counts of later ones are added.
+    pub boot: u64,
+    /// The revision that made the node whose word the sender follows the owner; 0 where none is.
+    pub owner: u64,
+    /// Calls in a thousand that the sender lets go to the new version.
+    pub permille: u16,
+    /// The largest share at which the sender knows the new version to have been found sound.
+    pub proven: u16,
     /// The counts by route.
     pub routes: Vec<Route>,
 }
@@ -91,8 +106,14 @@
     pub service: String,
     /// The revision of the order to move.
     pub order: u64,
+    /// The revision that made the sender the owner.
+    pub owner: u64,
+    /// Counts the sender's words.
+    pub number: u32,
     /// Calls in a thousand that go to the new version.
     pub permille: u16,
+    /// The largest share at which the new version was found sound.
+    pub proven: u16,
 }
 
 impl Datagram {
