--- a/fulmarreel-node/tests/mesh/moves.rs
+++ b/fulmarreel-node/tests/mesh/moves.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     backend::Manner,
-    support::{Instance, configure, eventually},
+    support::{Instance, call, configure, eventually},
 };
-use anyhow::ensure;
+use anyhow::{Context, ensure};
 use fulmarreel_testing::kv::Stand;
 use smol::Timer;
 use std::time::{Duration, Instant};
@@ -114,3 +114,52 @@
         Ok(())
     })
 }
+
+/// The share of `s` that a node uses, by its metrics; none before it has told one.
+async fn share(instance: &Instance) -> anyhow::Result<Option<f64>> {
+    let metrics = call(instance.metrics, "GET", "/metrics", "node", &[], "").await?;
+    let line = "fulmarreel_share{service=\"s\",version=\"v2\"} ";
+    let mut values = metrics.text.lines().filter_map(|it| it.strip_prefix(line));
+    Ok(values.next().map(str::parse).transpose()?)
+}
+
+/// Fails if a node keeps the share that it was told by an owner that says nothing any more: a bad
+/// version kept its share for 13 s.
+#[test]
+fn a_share_falls_when_its_owner_is_silent() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let stand = Stand::start()?;
+        configure(&stand, 1, &["s", "own"]);
+        let owner = Instance::start(stand.address(), "own", "v1").await?;
+        owner.wait_ready().await?;
+        let order = format!(
+            "{{\"service\":\"s\",\"target_version\":\"v2\",\"duration_s\":{}}}",
+            2 * LIMIT_S
+        );
+        stand.put("op/rollout/s", order.as_bytes());
+        eventually("owned", || async {
+            stand.get("fulmarreel/owners/s").is_some()
+        })
+        .await?;
+        let caller = Instance::start(stand.address(), "own", "v1").await?;
+        let _old = Instance::start(stand.address(), "s", "v1").await?;
+        let _new = Instance::start(stand.address(), "s", "v2").await?;
+        caller.wait_served("/s/").await?;
+        eventually("a share", || async {
+            matches!(share(&caller).await, Ok(Some(share)) if share > 0.0)
+        })
+        .await?;
+        owner.process.signal("STOP")?;
+        // Before the owner's lease lapses, so that no other one has told a share.
+        Timer::after(Duration::from_millis(2_000)).await;
+        let held = share(&caller).await?.context("no share")?;
+        owner.process.signal("CONT")?;
+        ensure!(held == 0.0, "still {held}");
+        let log = caller.log()?;
+        ensure!(
+            log.contains("the move's owner is taken to be lost"),
+            "{log}"
+        );
+        Ok(())
+    })
+}
