--- /dev/null
+++ b/fulmarreel-rollout/tests/member.rs
@@ -0,0 +1,195 @@
+//! One node's part in a move of seconds.
+
+use fulmarreel_rollout::brief::{
+    Action, Call, Counts, Evidence, Member, Message, Pair, Recipient, Report, Roster, Word,
+};
+use std::time::{Duration, Instant};
+
+const OWN: u32 = 1;
+const OWNER: u32 = 2;
+const NODES: usize = 10;
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn roster(owner: u32) -> Roster<'static, u32> {
+    Roster {
+        own: OWN,
+        owner: Some(owner),
+        standbys: &[OWN],
+        nodes: NODES,
+        is_leased: true,
+        has_targets: true,
+    }
+}
+
+fn word(owner: u64, number: u32, permille: u16) -> Message {
+    Message::Word(Word {
+        owner,
+        number,
+        permille,
+        proven: 0,
+    })
+}
+
+fn report(boot: u64, calls: u32, failed: u32) -> Message {
+    let counts = |calls, failed| Counts {
+        calls,
+        failed,
+        slow: 0,
+    };
+    let pair = Pair {
+        old: counts(200, 0),
+        new: counts(calls, failed),
+    };
+    Message::Report(Report {
+        boot,
+        owner: 0,
+        permille: 0,
+        proven: 0,
+        evidence: Evidence::from([(1, pair)]),
+    })
+}
+
+fn call(route: u64, failed: bool) -> Call {
+    Call {
+        route,
+        new: true,
+        failed,
+        slow: false,
+    }
+}
+
+/// Fails if a share outlives its word, or falls at once.
+#[test]
+fn a_share_falls_step_by_step_without_a_newer_word() {
+    let start = Instant::now();
+    let mut member: Member<u32> = Member::new(1, 0.0, start);
+    member.take(OWNER, word(5, 1, 300), start);
+    let shares: Vec<u16> = [0, 999, 1_000, 1_250, 1_500, 60_000]
+        .map(|millis| {
+            member
+                .agent()
+                .permille(start + Duration::from_millis(millis))
+        })
+        .to_vec();
+    assert_eq!(shares, [300, 300, 120, 50, 0, 0]);
+}
+
+/// Fails if a word that was overtaken, or one of a former owner, counts.
+#[test]
+fn an_overtaken_word_changes_nothing() {
+    let now = Instant::now();
+    let mut member: Member<u32> = Member::new(1, 0.0, now);
+    member.take(OWNER, word(5, 7, 120), now);
+    member.take(OWNER, word(5, 6, 600), now);
+    member.take(OWNER, word(4, 90, 1_000), now);
+    assert_eq!(member.agent().permille(now), 120);
+    member.take(OWNER, word(6, 1, 50), now);
+    assert_eq!(member.agent().permille(now), 50);
+}
+
+/// Fails if what a node had told before its restart is forgotten.
+#[test]
+fn a_restart_loses_nothing_that_was_told() {
+    let now = Instant::now();
+    let mut member: Member<u32> = Member::new(1, 0.0, now);
+    member.take(3, report(1, 6, 2), now);
+    assert!(
+        member
+            .look(&roster(OWNER), now)
+            .0
+            .iter()
+            .all(|parcel| parcel.1 != Message::Bad)
+    );
+    member.take(3, report(2, 6, 2), now);
+    let (parcels, action) = member.look(&roster(OWNER), now);
+    assert_eq!(parcels, [(Recipient::All, Message::Bad)]);
+    assert_eq!(action, None);
+}
+
+/// Fails if one node's bad path condemns a version for all.
+#[test]
+fn a_standby_does_not_speak_for_all_on_its_own_calls() {
+    let now = Instant::now();
+    let mut member: Member<u32> = Member::new(1, 0.0, now);
+    member.take(OWNER, word(5, 1, 50), now);
+    for _ in 0..10 {
+        member.record(call(1, true));
+    }
+    assert_eq!(member.agent().permille(now), 0);
+    let (parcels, _) = member.look(&roster(OWNER), now);
+    assert!(
+        parcels.iter().all(|parcel| parcel.1 != Message::Bad),
+        "{parcels:?}"
+    );
+}
+
+/// Fails if a node that knows how a move ends leaves others without that.
+#[test]
+fn who_knows_the_end_answers_with_it() {
+    let now = Instant::now();
+    let mut member: Member<u32> = Member::new(1, 0.0, now);
+    member.take(OWNER, Message::Bad, now);
+    assert_eq!(member.take(OWNER, word(5, 1, 50), now), Some(Message::Bad));
+    assert_eq!(member.agent().permille(now), 0);
+    let mut member: Member<u32> = Member::new(1, 0.0, now);
+    member.take(OWNER, Message::Completed, now);
+    assert_eq!(
+        member.take(3, report(1, 1, 0), now),
+        Some(Message::Completed)
+    );
+    assert_eq!(member.agent().permille(now + LIMIT), 1_000);
+}
+
+/// Fails if a report of many routes does not fit a datagram, or leaves calls out.
+#[test]
+fn a_report_names_few_routes_and_loses_no_call() {
+    let now = Instant::now();
+    let mut member: Member<u32> = Member::new(1, 0.0, now);
+    for route in 1..=800 {
+        member.record(call(route, false));
+    }
+    for _ in 0..3 {
+        member.record(call(700, true));
+    }
+    let report = member.agent().report(now);
+    let calls: u32 = report.evidence.values().map(|pair| pair.new.calls).sum();
+    assert!(report.evidence.len() <= 31, "{}", report.evidence.len());
+    assert_eq!(calls, 803);
+    assert_eq!(report.evidence[&700].new.failed, 3);
+}
+
+/// Fails if an owner raises a share or completes a move on the word of nodes that do not follow it,
+/// or keeps the move for itself.
+#[test]
+fn an_owner_that_nobody_follows_resigns() {
+    let start = Instant::now();
+    let mut member: Member<u32> = Member::new(1, 0.0, start);
+    member.own(5, start, start + LIMIT);
+    let mut resigned = None;
+    for tick in 0..300 {
+        let passed = Duration::from_millis(50) * tick;
+        for node in 2..=10 {
+            member.take(node, report(u64::from(node), 20, 0), start + passed);
+        }
+        let (_, action) = member.look(&roster(OWN), start + passed);
+        assert_ne!(action, Some(Action::Complete), "{passed:?}");
+        assert!(member.agent().permille(start + passed) <= 50, "{passed:?}");
+        if action == Some(Action::Resign) {
+            resigned = resigned.or(Some(passed));
+        }
+    }
+    assert_eq!(resigned, Some(Duration::from_millis(2_500)));
+}
+
+/// Fails if an owner that hears nobody goes on telling its share.
+#[test]
+fn an_owner_that_hears_nobody_falls_silent() {
+    let start = Instant::now();
+    let mut member: Member<u32> = Member::new(1, 0.0, start);
+    member.own(5, start, start + LIMIT);
+    for tick in 0..40 {
+        let now = start + Duration::from_millis(50) * tick;
+        let (parcels, _) = member.look(&roster(OWN), now);
+        assert!(parcels.is_empty(), "{parcels:?}");
+    }
+}
