--- a/fulmarreel-rollout/tests/fleet/main.rs
+++ b/fulmarreel-rollout/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Moves of seconds over a whole fleet, in virtual time.
 
 mod bounds;
+mod draw;
 mod plan;
 mod play;
 mod store;
