--- a/fulmarreel-distribution/tests/mirror/schedule.rs
+++ b/fulmarreel-distribution/tests/mirror/schedule.rs
@@ -200,14 +200,14 @@
 }
 
 /// A store, its mirrors and what is under way among them.
-struct World {
+struct Cluster {
     store: Store,
     peers: Vec<Peer>,
     pulls: Vec<Message<Pull>>,
     updates: Vec<Message<(Update, u64)>>,
 }
 
-impl World {
+impl Cluster {
     fn new() -> Self {
         Self {
             store: Store::new(),
@@ -352,9 +352,9 @@
     /// Whatever is lost, repeated or late, each mirror holds what the store held at its revision.
     #[test]
     fn each_mirror_holds_the_stores_state_at_its_revision(steps in vec(step(), 1..150)) {
-        let mut world = World::new();
+        let mut cluster = Cluster::new();
         for step in steps {
-            world.run(step);
+            cluster.run(step);
         }
     }
 }
--- a/fulmarreel-node/src/mesh/announce.rs
+++ b/fulmarreel-node/src/mesh/announce.rs
@@ -1,9 +1,9 @@
 //! What the own target says of itself.
 
 use super::{
+    context::Context,
     keys::{self, Node},
     serve::Server,
-    world::World,
 };
 use fulmarreel_platform::heartbeat;
 use fulmarreel_store::{Outcome, Revision, Store, Transaction};
@@ -39,7 +39,7 @@
 }
 
 /// Serves one message of the own target; it is answered whether or not it is of use.
-pub async fn handle(world: &World, server: &Server, mut conn: Conn) -> Conn {
+pub async fn handle(context: &Context, server: &Server, mut conn: Conn) -> Conn {
     let path = conn.path().to_owned();
     let Some(id) = heartbeat::id(&path) else {
         return conn
@@ -51,7 +51,7 @@
         Method::Put => {
             let body = conn.request_body().with_max_len(MAX_BODY_BYTES);
             let body = body.read_bytes().await.unwrap_or_default();
-            take(world, server, id, &body);
+            take(context, server, id, &body);
             answered(conn)
         }
         Method::Delete => {
@@ -70,7 +70,7 @@
         .ok("{}")
 }
 
-fn take(world: &World, server: &Server, id: &str, body: &[u8]) {
+fn take(context: &Context, server: &Server, id: &str, body: &[u8]) {
     let announcement = match heartbeat::decode(id, body) {
         Ok(announcement) => announcement,
         Err(error) => {
@@ -78,7 +78,7 @@
             return;
         }
     };
-    let settings = world.settings();
+    let settings = context.settings();
     if announcement.service != settings.service || announcement.endpoint != settings.endpoint {
         log::warn!(
             target = id,
@@ -91,32 +91,32 @@
 }
 
 /// Keeps the node's own entry in the store as it should be, until the process is told to end.
-pub async fn publish(world: Arc<World>, server: Arc<Server>) {
-    let key = format!("{}{}", keys::NODES, world.settings().instance);
+pub async fn publish(context: Arc<Context>, server: Arc<Server>) {
+    let key = format!("{}{}", keys::NODES, context.settings().instance);
     let mut pause = MIN_PAUSE;
     let mut resumed = false;
     let mut written = Written::default();
     loop {
-        if !resumed && world.revision() > 0 {
+        if !resumed && context.revision() > 0 {
             resumed = true;
-            resume(&world, &server, &key).await;
+            resume(&context, &server, &key).await;
         }
-        if world.is_stopping() {
+        if context.is_stopping() {
             return;
         }
-        let entry = entry(&world, &server);
-        let known = world.read(|mirror| mirror.get(&key).map(|item| item.value.clone()));
-        let ready = world.revision() > 0;
+        let entry = entry(&context, &server);
+        let known = context.read(|mirror| mirror.get(&key).map(|item| item.value.clone()));
+        let ready = context.revision() > 0;
         let wanted = serde_json::to_vec(&entry);
         if let (true, Ok(wanted)) = (ready, wanted)
             && known.as_deref() != Some(&wanted)
-            && !written.is_on_its_way(&wanted, world.revision())
+            && !written.is_on_its_way(&wanted, context.revision())
             && (entry.target.is_some() || known.is_none())
         {
             let transaction = Transaction::new().put(&key, &wanted);
-            match world.store.commit(&transaction).await {
+            match context.store.commit(&transaction).await {
                 Ok(outcome) => {
-                    log::info!(instance = world.settings().instance.as_str(); "own entry written");
+                    log::info!(instance = context.settings().instance.as_str(); "own entry written");
                     pause = MIN_PAUSE;
                     if let Outcome::Written(Revision(revision)) = outcome {
                         written = Written {
@@ -137,18 +137,18 @@
 }
 
 /// Takes up the target of a former process of this node: its next announcement may be seconds away.
-async fn resume(world: &World, server: &Server, key: &str) {
-    let known = world.read(|mirror| {
+async fn resume(context: &Context, server: &Server, key: &str) {
+    let known = context.read(|mirror| {
         let item = mirror.get(key)?;
         serde_json::from_slice::<Node>(&item.value).ok()
     });
     let Some(target) = known.and_then(|node| node.target) else {
         return;
     };
-    let view = world.view();
+    let view = context.view();
     let path = view.table.as_ref();
     let path = path.and_then(|table| table.health_paths.get(&target.service));
-    if target.service == world.settings().service
+    if target.service == context.settings().service
         && let Some(path) = path
     {
         server.resume(target, path).await;
@@ -157,18 +157,18 @@
 
 /// Takes the node's own entry away where its target has ended; a node that only starts again keeps
 /// it.
-pub async fn retire(world: &World, server: &Server) {
+pub async fn retire(context: &Context, server: &Server) {
     if server.target().is_some_and(|target| !target.leaving) {
         return;
     }
-    let key = format!("{}{}", keys::NODES, world.settings().instance);
-    if let Err(error) = world.store.commit(&Transaction::new().delete(&key)).await {
+    let key = format!("{}{}", keys::NODES, context.settings().instance);
+    if let Err(error) = context.store.commit(&Transaction::new().delete(&key)).await {
         log::warn!("own entry not taken away: {error}");
     }
 }
 
-fn entry(world: &World, server: &Server) -> Node {
-    let settings = world.settings();
+fn entry(context: &Context, server: &Server) -> Node {
+    let settings = context.settings();
     Node {
         address: settings.peers,
         zone: settings.zone.clone(),
--- a/fulmarreel-node/src/mesh/caller/answer.rs
+++ b/fulmarreel-node/src/mesh/caller/answer.rs
@@ -79,7 +79,7 @@
         };
         self.budget(request.service, |budget| budget.earn(Instant::now()));
         loop {
-            let view = self.world.view();
+            let view = self.context.view();
             let chosen = self.choose(&view, request, tried);
             let Some((target, side)) = chosen else {
                 return last.hinted(tried);
@@ -102,7 +102,7 @@
                 pool: &self.pool,
                 targets: &self.targets,
                 target: &target,
-                own: self.world.settings().peers,
+                own: self.context.settings().peers,
                 limit: request.limit,
             };
             let flight = self.targets.begin(target.address);
@@ -165,7 +165,7 @@
         let objective = request.route.objective;
         let left = |until: Instant| until.saturating_duration_since(now + work);
         // Where the process ends before, what waits is refused while that can still be said.
-        let end = self.world.end().map(|end| end - SHUTDOWN_MARGIN);
+        let end = self.context.end().map(|end| end - SHUTDOWN_MARGIN);
         let limit = end.map_or(request.limit, |end| end.min(request.limit));
         let latest = left(limit);
         let wanted = left((request.started + objective) - work.mul_f64(SPREAD))
@@ -191,9 +191,9 @@
     }
 
     fn budget<T>(&self, service: &str, work: impl FnOnce(&mut Budget) -> T) -> T {
-        let settings = self.world.settings();
+        let settings = self.context.settings();
         // Each node takes its part of what all may spend.
-        let nodes = self.world.view().nodes.len().max(1) as f64;
+        let nodes = self.context.view().nodes.len().max(1) as f64;
         let options = Options {
             ratio: settings.retry_ratio * RETRY_PART,
             slack: settings.retry_slack * RETRY_PART / nodes,
--- a/fulmarreel-node/src/mesh/caller/choose.rs
+++ b/fulmarreel-node/src/mesh/caller/choose.rs
@@ -81,7 +81,7 @@
 
     fn candidate(&self, target: &Target, request: &Request<'_>) -> Candidate {
         let mut candidate = self.targets.candidate(target, request.route);
-        if candidate.tier == Tier::Zone && target.address == self.world.settings().peers {
+        if candidate.tier == Tier::Zone && target.address == self.context.settings().peers {
             candidate.load = u32::from(self.server.load().0);
         }
         candidate
--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -4,7 +4,9 @@
 mod choose;
 mod respond;
 
-use super::{serve::Server, takeover::Moves, targets::Targets, transport::Watcher, world::World};
+use super::{
+    context::Context, serve::Server, takeover::Moves, targets::Targets, transport::Watcher,
+};
 use crate::peer::{Identity, Pool};
 use answer::Tried;
 use fulmarreel_balance::Budget;
@@ -35,7 +37,7 @@
 /// Serves requests of callers.
 #[derive(Debug)]
 pub struct Caller {
-    world: Arc<World>,
+    context: Arc<Context>,
     server: Arc<Server>,
     moves: Arc<Moves>,
     targets: Arc<Targets>,
@@ -72,16 +74,16 @@
 
 impl Caller {
     /// A handler of requests.
-    pub fn new(world: Arc<World>, server: Arc<Server>, moves: Arc<Moves>) -> Self {
+    pub fn new(context: Arc<Context>, server: Arc<Server>, moves: Arc<Moves>) -> Self {
         let own = Identity {
-            address: world.settings().peers,
-            boot: world.boot,
+            address: context.settings().peers,
+            boot: context.boot,
         };
         let pool = Arc::new(Pool::new(own));
         let watched = Arc::clone(&pool);
         crate::runtime::spawn(async move { watched.watch().await });
         Self {
-            world,
+            context,
             server,
             moves,
             targets: Arc::default(),
@@ -114,7 +116,7 @@
         self.in_flight.fetch_add(1, Ordering::AcqRel);
         let _counted = Counted(&self.in_flight);
         let conn = self.serve(conn, watcher).await;
-        if self.world.is_stopping() {
+        if self.context.is_stopping() {
             return conn.with_response_header(KnownHeaderName::Connection, "close");
         }
         conn
@@ -123,13 +125,13 @@
     async fn serve(&self, mut conn: Conn, watcher: &Watcher) -> Conn {
         let started = Instant::now();
         if self.closed.load(Ordering::Acquire) {
-            let end = self.world.end().unwrap_or(started);
+            let end = self.context.end().unwrap_or(started);
             let until = end.saturating_duration_since(started);
             let reason = "this node is stopping";
             self.log_early_end(&conn, Status::ServiceUnavailable, reason, 0);
             return refuse(conn, reason, until + RESTART);
         }
-        let view = self.world.view();
+        let view = self.context.view();
         let Some(table) = &view.table else {
             let reason = "no configuration is known yet";
             self.log_early_end(&conn, Status::ServiceUnavailable, reason, 0);
@@ -195,7 +197,7 @@
         }
         headers.push(Header {
             name: request::CALLER_SERVICE.to_owned(),
-            value: self.world.settings().service.clone().into_bytes(),
+            value: self.context.settings().service.clone().into_bytes(),
         });
         Open {
             sequence: 0,
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -57,8 +57,13 @@
         reason: &'static str,
         revision: u64,
     ) -> Conn {
-        let newest = self.world.view().table.as_ref().map(|table| table.revision);
-        if newest > Some(revision) || !self.world.is_current() {
+        let newest = self
+            .context
+            .view()
+            .table
+            .as_ref()
+            .map(|table| table.revision);
+        if newest > Some(revision) || !self.context.is_current() {
             let reason = "a newer configuration may say otherwise";
             self.log_early_end(&conn, Status::ServiceUnavailable, reason, revision);
             return refuse(conn, reason, CATCH_UP);
@@ -79,15 +84,15 @@
     ) {
         metrics::request_ended(status as u16, reason);
         let id = conn.request_headers().get_str(request::ID);
-        let age = self.world.contact_age().map(|age| age.as_millis() as u64);
+        let age = self.context.contact_age().map(|age| age.as_millis() as u64);
         log::info!(
             id = id.unwrap_or_default(),
             host = conn.host().unwrap_or_default(),
             path = conn.path(),
             status = status as u16,
             revision,
-            known = self.world.revision(),
-            heard = self.world.heard(),
+            known = self.context.revision(),
+            heard = self.context.heard(),
             contact_age_ms = age;
             "{reason}"
         );
--- a/fulmarreel-node/src/mesh/world.rs
+++ b/fulmarreel-node/src/mesh/context.rs
@@ -18,7 +18,7 @@
 
 /// What every part of the node shares.
 #[derive(Debug)]
-pub struct World {
+pub struct Context {
     settings: RwLock<Arc<Settings>>,
     /// When this process started, in milliseconds since the Unix epoch.
     pub boot: u64,
@@ -37,7 +37,7 @@
     news: (Sender<()>, Receiver<()>),
 }
 
-impl World {
+impl Context {
     /// A node that knows nothing but its settings.
     pub fn new(settings: Settings) -> Self {
         let readers = Readers::new(settings.peers, Instant::now(), fastrand::f64());
--- a/fulmarreel-node/src/mesh/listen.rs
+++ b/fulmarreel-node/src/mesh/listen.rs
@@ -1,6 +1,6 @@
 //! Connections of callers.
 
-use super::{caller::Caller, transport::Transport, world::World};
+use super::{caller::Caller, context::Context, transport::Transport};
 use fulmarreel_route::Limits;
 use smol::net::{TcpListener, TcpStream};
 use std::{io, sync::Arc, time::Duration};
@@ -19,29 +19,29 @@
 /// # Errors
 ///
 /// The address cannot be bound.
-pub async fn listen(world: Arc<World>, caller: Arc<Caller>) -> io::Result<()> {
-    let listener = TcpListener::bind(world.settings().callers).await?;
+pub async fn listen(context: Arc<Context>, caller: Arc<Caller>) -> io::Result<()> {
+    let listener = TcpListener::bind(context.settings().callers).await?;
     loop {
         match listener.accept().await {
-            Ok((tcp, _)) => serve(&world, &caller, tcp),
+            Ok((tcp, _)) => serve(&context, &caller, tcp),
             Err(error) => log::warn!("accept: {error}"),
         }
     }
 }
 
-fn serve(world: &Arc<World>, caller: &Arc<Caller>, tcp: TcpStream) {
-    let head_bytes = limits(world).head_bytes.max(HEAD_BYTES);
-    let (world, caller) = (Arc::clone(world), Arc::clone(caller));
+fn serve(context: &Arc<Context>, caller: &Arc<Caller>, tcp: TcpStream) {
+    let head_bytes = limits(context).head_bytes.max(HEAD_BYTES);
+    let (context, caller) = (Arc::clone(context), Arc::clone(caller));
     crate::runtime::spawn(async move {
         if let Err(error) = tcp.set_nodelay(true) {
             log::debug!("caller: {error}");
         }
         let config = HttpConfig::default().with_head_max_len(head_bytes);
-        let mut context = HttpContext::new();
-        context.set_config(config);
-        let transport = Transport::new(tcp, move || limits(&world).idle + IDLE_SLACK);
+        let mut http = HttpContext::new();
+        http.set_config(config);
+        let transport = Transport::new(tcp, move || limits(&context).idle + IDLE_SLACK);
         let watcher = transport.watcher();
-        let served = Arc::new(context).run(transport, |conn| async {
+        let served = Arc::new(http).run(transport, |conn| async {
             let conn: Conn = conn.into();
             caller.handle(conn, &watcher).await.into_inner()
         });
@@ -52,8 +52,8 @@
 }
 
 /// The limits of the configuration that is known now.
-fn limits(world: &World) -> Limits {
-    let view = world.view();
+fn limits(context: &Context) -> Limits {
+    let view = context.view();
     let limits = view.table.as_ref().map(|table| table.limits);
     limits.unwrap_or_default()
 }
--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -1,6 +1,6 @@
 //! Notices between nodes, over UDP: contact with the store, and what moves need.
 
-use super::{sync::pull, takeover::Moves, world::World};
+use super::{context::Context, sync::pull, takeover::Moves};
 use fulmarreel_distribution::{Announcement, fanout::branches};
 use fulmarreel_wire::{
     PROTOCOL,
@@ -26,7 +26,7 @@
 /// The node's datagram socket.
 #[derive(Debug)]
 pub struct Notices {
-    world: Arc<World>,
+    context: Arc<Context>,
     socket: UdpSocket,
     /// Held while this node learns from another one.
     pulling: Mutex<()>,
@@ -38,11 +38,11 @@
     /// # Errors
     ///
     /// The address cannot be bound.
-    pub async fn bind(world: Arc<World>) -> io::Result<Arc<Self>> {
-        let socket = UdpSocket::bind(world.settings().peers).await?;
+    pub async fn bind(context: Arc<Context>) -> io::Result<Arc<Self>> {
+        let socket = UdpSocket::bind(context.settings().peers).await?;
         let pulling = Mutex::default();
         Ok(Arc::new(Self {
-            world,
+            context,
             socket,
             pulling,
         }))
@@ -52,7 +52,7 @@
     pub async fn send(&self, to: SocketAddr, notice: Notice) {
         let datagram = Datagram {
             protocol: PROTOCOL,
-            from: self.world.settings().peers,
+            from: self.context.settings().peers,
             notice,
         };
         let sent = match datagram.encode() {
@@ -66,8 +66,8 @@
 
     /// Sends a notice to every other node.
     pub async fn send_all(&self, notice: &Notice) {
-        let own = self.world.settings().peers;
-        for (address, _) in &self.world.view().nodes {
+        let own = self.context.settings().peers;
+        for (address, _) in &self.context.view().nodes {
             if *address != own {
                 self.send(*address, notice.clone()).await;
             }
@@ -79,13 +79,13 @@
         let mut announcement = Announcement::default();
         let mut gossip = Instant::now();
         loop {
-            or(self.world.news(), async {
+            or(self.context.news(), async {
                 Timer::after(LOOK_INTERVAL).await;
             })
             .await;
-            self.world.decide_duty();
-            let (now, revision) = (Instant::now(), self.world.revision());
-            let reads = self.world.is_reader();
+            self.context.decide_duty();
+            let (now, revision) = (Instant::now(), self.context.revision());
+            let reads = self.context.is_reader();
             if announcement.is_due(reads, revision, now) {
                 self.announce(reads, revision).await;
             }
@@ -98,7 +98,7 @@
 
     /// Announces to the nodes of the own region, in branches, whether this node reads the store.
     async fn announce(&self, reads: bool, revision: u64) {
-        let age = self.world.contact_age().unwrap_or(Duration::MAX);
+        let age = self.context.contact_age().unwrap_or(Duration::MAX);
         let mut near = self.others(true);
         fastrand::shuffle(&mut near);
         for branch in branches(&near) {
@@ -107,7 +107,7 @@
                 continue;
             };
             let contact = Contact {
-                reader: self.world.settings().peers,
+                reader: self.context.settings().peers,
                 reads,
                 revision,
                 age_ms: millis(age),
@@ -119,7 +119,7 @@
 
     /// Tells one random node of the own region, and a reader one of another region.
     async fn tell_some(&self, revision: u64) {
-        let far = if self.world.reads() {
+        let far = if self.context.reads() {
             self.others(false)
         } else {
             Vec::new()
@@ -133,8 +133,8 @@
 
     /// The other nodes of the own region, or those of other regions.
     fn others(&self, near: bool) -> Vec<SocketAddr> {
-        let own = self.world.settings().peers;
-        let view = self.world.view();
+        let own = self.context.settings().peers;
+        let view = self.context.view();
         let nodes = view.nodes.iter();
         let others = nodes.filter(|node| node.1 == near && node.0 != own);
         others.map(|node| node.0).collect()
@@ -176,8 +176,8 @@
 
     /// Learns what a peer knows, unless the region's readers bring it soon.
     fn hear_revision(self: &Arc<Self>, peer: SocketAddr, revision: u64) {
-        self.world.hear(revision);
-        if revision <= self.world.revision() {
+        self.context.hear(revision);
+        if revision <= self.context.revision() {
             return;
         }
         let notices = Arc::clone(self);
@@ -187,15 +187,15 @@
         });
     }
 
-    /// Takes in a reader's contact with the store, learns what is new, and passes the word on.
+    /// Takes in a reader's contact with the store, learns what is new, and passes it on.
     fn hear_contact(self: &Arc<Self>, from: SocketAddr, contact: Contact) {
-        let world = &self.world;
-        world.hear(contact.revision);
+        let context = &self.context;
+        context.hear(contact.revision);
         // What waited while this process was paused refers to before that.
-        if let Some(sent) = world.date(Duration::ZERO) {
-            world.hear_reader(contact.reader, contact.reads, sent);
+        if let Some(sent) = context.date(Duration::ZERO) {
+            context.hear_reader(contact.reader, contact.reads, sent);
         }
-        let known = world.date(Duration::from_millis(u64::from(contact.age_ms)));
+        let known = context.date(Duration::from_millis(u64::from(contact.age_ms)));
         let notices = Arc::clone(self);
         crate::runtime::spawn(async move { notices.follow(from, contact, known).await });
     }
@@ -207,9 +207,9 @@
         }
         if let Some(known) = known
             && contact.reads
-            && self.world.revision() >= contact.revision
+            && self.context.revision() >= contact.revision
         {
-            self.world.confirm(known);
+            self.context.confirm(known);
         }
         let near = self.others(true);
         let passed = Contact {
@@ -224,14 +224,14 @@
 
     /// Learns what a peer knows, where this node does not know a revision yet.
     async fn catch_up(&self, peer: SocketAddr, revision: u64) {
-        if revision <= self.world.revision() {
+        if revision <= self.context.revision() {
             return;
         }
         let _one = self.pulling.lock().await;
-        if revision <= self.world.revision() {
+        if revision <= self.context.revision() {
             return;
         }
-        if let Err(error) = pull(&self.world, peer).await {
+        if let Err(error) = pull(&self.context, peer).await {
             log::info!(peer:% = peer, revision; "pull: {error}");
         }
     }
--- a/fulmarreel-node/src/mesh/ready.rs
+++ b/fulmarreel-node/src/mesh/ready.rs
@@ -1,6 +1,6 @@
 //! Readiness and metrics.
 
-use super::world::World;
+use super::context::Context;
 use crate::telemetry::metrics;
 use trillium::{Conn, Method, Status};
 
@@ -8,16 +8,16 @@
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 
 /// Serves one question of the platform.
-pub fn handle(world: &World, conn: Conn) -> Conn {
+pub fn handle(context: &Context, conn: Conn) -> Conn {
     match (conn.method(), conn.path()) {
-        (Method::Get, "/-/ready") if is_ready(world) => conn.ok("ready\n"),
+        (Method::Get, "/-/ready") if is_ready(context) => conn.ok("ready\n"),
         (Method::Get, "/-/ready") => conn
             .with_status(Status::ServiceUnavailable)
             .with_body("not ready\n")
             .halt(),
         (Method::Get, "/metrics") => conn
             .with_response_header(trillium::KnownHeaderName::ContentType, METRICS_TYPE)
-            .ok(rendered(world)),
+            .ok(rendered(context)),
         _ => conn
             .with_status(Status::NotFound)
             .with_body("expected GET /-/ready or /metrics\n")
@@ -26,11 +26,11 @@
 }
 
 /// All metrics as text, those that are read off the moment set first.
-fn rendered(world: &World) -> String {
-    let view = world.view();
-    metrics::ready(is_ready(world));
-    metrics::store_known(world.revision(), world.heard());
-    if let Some(age) = world.contact_age() {
+fn rendered(context: &Context) -> String {
+    let view = context.view();
+    metrics::ready(is_ready(context));
+    metrics::store_known(context.revision(), context.heard());
+    if let Some(age) = context.contact_age() {
         metrics::store_contact_age(age);
     }
     metrics::configuration(view.table.as_ref().map_or(0, |table| table.revision));
@@ -46,6 +46,6 @@
     metrics::render()
 }
 
-fn is_ready(world: &World) -> bool {
-    !world.is_stopping() && world.view().table.is_some()
+fn is_ready(context: &Context) -> bool {
+    !context.is_stopping() && context.view().table.is_some()
 }
--- a/fulmarreel-node/src/mesh/run.rs
+++ b/fulmarreel-node/src/mesh/run.rs
@@ -3,6 +3,7 @@
 use super::{
     announce,
     caller::Caller,
+    context::Context,
     listen::listen,
     notices::Notices,
     ready,
@@ -10,7 +11,6 @@
     stop, sync,
     takeover::{self, Moves},
     targets::Targets,
-    world::World,
 };
 use crate::{peer::Pool, runtime, telemetry::metrics};
 use fulmarreel_platform::Settings;
@@ -47,48 +47,48 @@
         "started"
     );
     let (ready_at, announced_at) = (settings.ready, settings.announcements);
-    let world = Arc::new(World::new(settings));
+    let context = Arc::new(Context::new(settings));
     let moves = Arc::new(Moves::default());
-    let server = Arc::new(Server::new(Arc::clone(&world)));
+    let server = Arc::new(Server::new(Arc::clone(&context)));
     let caller = Arc::new(Caller::new(
-        Arc::clone(&world),
+        Arc::clone(&context),
         Arc::clone(&server),
         Arc::clone(&moves),
     ));
-    let notices = Notices::bind(Arc::clone(&world)).await?;
+    let notices = Notices::bind(Arc::clone(&context)).await?;
 
     let metrics_at = metrics_port.map(|port| SocketAddr::new(ready_at.ip(), port));
     for address in [Some(ready_at), metrics_at].into_iter().flatten() {
-        let asked = Arc::clone(&world);
+        let asked = Arc::clone(&context);
         serve(address, move |conn: Conn| {
-            let world = Arc::clone(&asked);
-            async move { ready::handle(&world, conn) }
+            let context = Arc::clone(&asked);
+            async move { ready::handle(&context, conn) }
         });
     }
-    let hearing = (Arc::clone(&world), Arc::clone(&server));
+    let hearing = (Arc::clone(&context), Arc::clone(&server));
     serve(announced_at, move |conn: Conn| {
-        let (world, server) = hearing.clone();
-        async move { announce::handle(&world, &server, conn).await }
+        let (context, server) = hearing.clone();
+        async move { announce::handle(&context, &server, conn).await }
     });
-    spawn(sync::run(Arc::clone(&world)));
-    spawn(announce::publish(Arc::clone(&world), Arc::clone(&server)));
+    spawn(sync::run(Arc::clone(&context)));
+    spawn(announce::publish(Arc::clone(&context), Arc::clone(&server)));
     spawn(Arc::clone(&notices).tell());
     spawn(Arc::clone(&notices).receive(Arc::clone(&moves)));
-    spawn(takeover::run(Arc::clone(&world), moves, notices));
-    spawn(stop::watch_settings(Arc::clone(&world)));
+    spawn(takeover::run(Arc::clone(&context), moves, notices));
+    spawn(stop::watch_settings(Arc::clone(&context)));
     let (targets, pool) = caller.reach();
-    spawn(probe(Arc::clone(&world), targets, pool));
+    spawn(probe(Arc::clone(&context), targets, pool));
 
     let serving = Arc::clone(&server).run();
-    let callers = listen(Arc::clone(&world), Arc::clone(&caller));
-    or(serving, or(callers, stop::run(world, server, caller))).await
+    let callers = listen(Arc::clone(&context), Arc::clone(&caller));
+    or(serving, or(callers, stop::run(context, server, caller))).await
 }
 
 /// Tries nodes that could not be reached, so that no request waits for them.
-async fn probe(world: Arc<World>, targets: Arc<Targets>, pool: Arc<Pool>) {
+async fn probe(context: Arc<Context>, targets: Arc<Targets>, pool: Arc<Pool>) {
     loop {
         Timer::after(PROBE_INTERVAL).await;
-        let view = world.view();
+        let view = context.view();
         targets.retain(|address| view.nodes.iter().any(|node| node.0 == address));
         for address in targets.probes(Instant::now()) {
             let (targets, pool) = (Arc::clone(&targets), Arc::clone(&pool));
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -3,9 +3,9 @@
 mod peer;
 
 use super::{
+    context::Context,
     endpoint::{self, Endpoint},
     keys,
-    world::World,
 };
 use crate::{
     serve::{
@@ -40,7 +40,7 @@
 /// The node in front of its target.
 #[derive(Debug)]
 pub struct Server {
-    world: Arc<World>,
+    context: Arc<Context>,
     gate: Arc<Gate>,
     endpoint: Endpoint,
     register: Mutex<Own>,
@@ -74,11 +74,11 @@
 
 impl Server {
     /// A server of requests to the own target.
-    pub fn new(world: Arc<World>) -> Self {
-        let settings = world.settings();
+    pub fn new(context: Arc<Context>) -> Self {
+        let settings = context.settings();
         let quota = Quota::new(settings.memory / ANSWERS_PART);
         Self {
-            world,
+            context,
             gate: Arc::default(),
             endpoint: Endpoint::new(settings.endpoint, quota),
             register: Mutex::new(Own {
@@ -96,7 +96,7 @@
     ///
     /// The address cannot be bound.
     pub async fn run(self: Arc<Self>) -> io::Result<()> {
-        let listener = TcpListener::bind(self.world.settings().peers).await?;
+        let listener = TcpListener::bind(self.context.settings().peers).await?;
         let checking = Arc::clone(&self);
         crate::runtime::spawn(async move { checking.check().await });
         let mut incoming = listener.incoming();
@@ -151,7 +151,7 @@
         let well = self.endpoint.takes_requests(health_path, &known.id).await;
         match well {
             Ok(true) if self.target().is_none() => {
-                let settings = self.world.settings();
+                let settings = self.context.settings();
                 self.announce(Announcement {
                     id: known.id,
                     // Whatever the target itself says comes later.
@@ -287,7 +287,7 @@
 
     /// The target that may run a request, or why there is none.
     fn target_for(&self, open: &Open) -> Result<Announcement, Refusal> {
-        if self.world.is_stopping() {
+        if self.context.is_stopping() {
             return Err(Refusal::Leaving);
         }
         let own = self.register.lock().expect("register lock");
@@ -335,7 +335,7 @@
         let mut last = Instant::now();
         loop {
             Timer::after(CHECK_INTERVAL).await;
-            let limit = self.world.settings().announcement_interval * SILENT_INTERVALS;
+            let limit = self.context.settings().announcement_interval * SILENT_INTERVALS;
             let before = self.target();
             let paused = last.elapsed() > CHECK_INTERVAL * 2;
             last = Instant::now();
@@ -374,7 +374,7 @@
 
     fn takes_requests(&self) -> bool {
         let target = self.target();
-        !self.world.is_stopping() && target.is_some_and(|target| !target.leaving)
+        !self.context.is_stopping() && target.is_some_and(|target| !target.leaving)
     }
 }
 
--- a/fulmarreel-node/src/mesh/serve/peer.rs
+++ b/fulmarreel-node/src/mesh/serve/peer.rs
@@ -31,13 +31,13 @@
             return Ok(());
         }
         match hello.purpose {
-            Purpose::Mirror => return sync::serve(&self.world, tcp).await,
+            Purpose::Mirror => return sync::serve(&self.context, tcp).await,
             Purpose::Calls => {}
             Purpose::Sync | Purpose::Evidence => return Ok(()),
         }
         let own = Identity {
-            address: self.world.settings().peers,
-            boot: self.world.boot,
+            address: self.context.settings().peers,
+            boot: self.context.boot,
         };
         let (generation, resumed) = stream::greet(&mut tcp, own).await?;
         let origin = Origin {
--- a/fulmarreel-node/src/mesh/stop.rs
+++ b/fulmarreel-node/src/mesh/stop.rs
@@ -1,6 +1,6 @@
 //! The planned end of a node, and changed settings.
 
-use super::{announce, caller::Caller, serve::Server, world::World};
+use super::{announce, caller::Caller, context::Context, serve::Server};
 use async_signal::{Signal, Signals};
 use fulmarreel_platform::Settings;
 use smol::{Timer, stream::StreamExt};
@@ -33,11 +33,15 @@
 /// # Errors
 ///
 /// The signals cannot be watched.
-pub async fn run(world: Arc<World>, server: Arc<Server>, caller: Arc<Caller>) -> io::Result<()> {
+pub async fn run(
+    context: Arc<Context>,
+    server: Arc<Server>,
+    caller: Arc<Caller>,
+) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     loop {
         match signals.next().await {
-            Some(Ok(Signal::Hup)) => reload(&world),
+            Some(Ok(Signal::Hup)) => reload(&context),
             Some(Ok(signal)) => {
                 log::info!(signal:? = signal; "stopping");
                 break;
@@ -47,10 +51,10 @@
         }
     }
     let start = Instant::now();
-    let end = start + world.settings().grace.saturating_sub(RESERVE);
-    world.stop(end);
+    let end = start + context.settings().grace.saturating_sub(RESERVE);
+    context.stop(end);
     server.leave();
-    let (retiring, target) = (Arc::clone(&world), Arc::clone(&server));
+    let (retiring, target) = (Arc::clone(&context), Arc::clone(&server));
     crate::runtime::spawn(async move { announce::retire(&retiring, &target).await });
     Timer::after(LINGER).await;
     while Instant::now() < start + LAST_CALL && server.in_flight() + caller.in_flight() > 0 {
@@ -69,16 +73,16 @@
 }
 
 /// Looks at the settings file until the process ends; it may change without a signal.
-pub async fn watch_settings(world: Arc<World>) {
+pub async fn watch_settings(context: Arc<Context>) {
     loop {
         Timer::after(SETTINGS_INTERVAL).await;
-        reload(&world);
+        reload(&context);
     }
 }
 
-fn reload(world: &World) {
+fn reload(context: &Context) {
     match Settings::load() {
-        Ok(settings) => world.reload(settings),
+        Ok(settings) => context.reload(settings),
         Err(error) => log::warn!("settings kept as they were: {error}"),
     }
 }
--- a/fulmarreel-node/src/mesh/sync/pull.rs
+++ b/fulmarreel-node/src/mesh/sync/pull.rs
@@ -1,6 +1,6 @@
 //! Learns from another node what changed in the store, and tells others.
 
-use crate::{mesh::world::World, peer::stream, telemetry::metrics};
+use crate::{mesh::context::Context, peer::stream, telemetry::metrics};
 use fulmarreel_wire::{
     Hello, PROTOCOL, Purpose,
     mirror::{Assembler, Part, Pull, Update, pack, parts, unpack},
@@ -22,9 +22,9 @@
 /// # Errors
 ///
 /// The connection failed, or the peer asks for nothing that can be read.
-pub async fn serve(world: &World, mut tcp: TcpStream) -> io::Result<()> {
+pub async fn serve(context: &Context, mut tcp: TcpStream) -> io::Result<()> {
     let asked: Pull = within(SILENCE_TIMEOUT, stream::read(&mut tcp)).await?;
-    let update = world.read(|mirror| {
+    let update = context.read(|mirror| {
         mirror.update_for(&asked).unwrap_or_else(|| Update {
             from: asked.after,
             revision: mirror.revision(),
@@ -43,10 +43,10 @@
 /// # Errors
 ///
 /// The peer cannot be reached, is silent, or sends no update that fits.
-pub async fn pull(world: &World, peer: SocketAddr) -> io::Result<()> {
-    let asked = world.read(|mirror| mirror.pull());
-    let update = within(TRANSFER_LIMIT, fetch(world, peer, &asked)).await?;
-    let Err(error) = world.take(update) else {
+pub async fn pull(context: &Context, peer: SocketAddr) -> io::Result<()> {
+    let asked = context.read(|mirror| mirror.pull());
+    let update = within(TRANSFER_LIMIT, fetch(context, peer, &asked)).await?;
+    let Err(error) = context.take(update) else {
         return Ok(());
     };
     log::info!(peer:% = peer, after = asked.after; "asked for whole values: {error}");
@@ -54,17 +54,17 @@
         whole: true,
         ..asked
     };
-    let update = within(TRANSFER_LIMIT, fetch(world, peer, &whole)).await?;
-    world.take(update).map_err(invalid)
+    let update = within(TRANSFER_LIMIT, fetch(context, peer, &whole)).await?;
+    context.take(update).map_err(invalid)
 }
 
-async fn fetch(world: &World, peer: SocketAddr, asked: &Pull) -> io::Result<Update> {
+async fn fetch(context: &Context, peer: SocketAddr, asked: &Pull) -> io::Result<Update> {
     let mut tcp = within(CONNECT_TIMEOUT, TcpStream::connect(peer)).await?;
     tcp.set_nodelay(true)?;
     let hello = Hello {
         protocol: PROTOCOL,
-        address: world.settings().peers,
-        boot: world.boot,
+        address: context.settings().peers,
+        boot: context.boot,
         purpose: Purpose::Mirror,
     };
     stream::write(&mut tcp, &hello).await?;
--- a/fulmarreel-node/src/mesh/sync/read.rs
+++ b/fulmarreel-node/src/mesh/sync/read.rs
@@ -1,6 +1,6 @@
 //! Reads the store, for the region and for a node that nobody tells.
 
-use crate::{mesh::world::World, telemetry::metrics};
+use crate::{mesh::context::Context, telemetry::metrics};
 use fulmarreel_distribution::{
     backoff::Backoff,
     contact::WATCH_WAIT,
@@ -34,31 +34,31 @@
 
 /// Reads the whole store once, then follows it whenever this node is one of its region's readers,
 /// until the process ends.
-pub async fn run(world: Arc<World>) {
+pub async fn run(context: Arc<Context>) {
     let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
     let mut lost = false;
     let mut unread = 0;
     loop {
-        if world.revision() > 0 {
-            world.reading(true).await;
+        if context.revision() > 0 {
+            context.reading(true).await;
         }
-        let Err(error) = follow(&world, &mut backoff, &mut lost).await else {
+        let Err(error) = follow(&context, &mut backoff, &mut lost).await else {
             unread = 0;
             continue;
         };
         metrics::store_watched("failed");
-        world.miss();
+        context.miss();
         let answered = matches!(error, Error::Unanswered { .. } | Error::Malformed { .. });
         unread = if answered { unread + 1 } else { 0 };
         if matches!(error, Error::Compacted { .. }) || unread >= MAX_UNREAD {
             log::info!("the store's history cannot be read, reading the whole store: {error}");
             unread = 0;
-            if list(&world).await.is_ok() {
+            if list(&context).await.is_ok() {
                 continue;
             }
         }
         if !lost {
-            log::warn!(revision = world.revision(); "store lost: {error}");
+            log::warn!(revision = context.revision(); "store lost: {error}");
             lost = true;
         }
         Timer::after(backoff.next(&mut fastrand::Rng::new())).await;
@@ -66,19 +66,19 @@
 }
 
 /// Follows the store until a call fails or this node is no reader any more.
-async fn follow(world: &World, backoff: &mut Backoff, lost: &mut bool) -> Result<(), Error> {
-    if world.revision() == 0 {
-        return list(world).await;
+async fn follow(context: &Context, backoff: &mut Backoff, lost: &mut bool) -> Result<(), Error> {
+    if context.revision() == 0 {
+        return list(context).await;
     }
-    let from = Revision(world.revision()).next();
+    let from = Revision(context.revision()).next();
     // The first answer comes at once, so that others soon hear that this node reads.
-    let mut watch = world.store.watch("", from, Duration::ZERO).await?;
+    let mut watch = context.store.watch("", from, Duration::ZERO).await?;
     let received = watch.counter();
     loop {
         let before = received.load(Ordering::Relaxed);
-        let next = or(watch.next(), observe(world, &received));
+        let next = or(watch.next(), observe(context, &received));
         let next = or(async { next.await.map(Some) }, async {
-            world.reading(false).await;
+            context.reading(false).await;
             Ok(None)
         });
         let Some(batch) = next.await? else {
@@ -90,30 +90,30 @@
         backoff.reset();
         watch.set_wait(WATCH_WAIT);
         let bytes = received.load(Ordering::Relaxed) - before;
-        let changed = take(world, batch, bytes);
+        let changed = take(context, batch, bytes);
         metrics::store_watched(if changed { "events" } else { "quiet" });
         if changed {
             Timer::after(BATCH_PAUSE).await;
-            world.mark_contact();
+            context.mark_contact();
         }
     }
 }
 
 /// Notes contact with the store while an answer arrives; never ends.
-async fn observe<T>(world: &World, received: &AtomicU64) -> T {
+async fn observe<T>(context: &Context, received: &AtomicU64) -> T {
     let mut last = received.load(Ordering::Relaxed);
     loop {
         Timer::after(PROGRESS_INTERVAL).await;
         let now = received.load(Ordering::Relaxed);
         if now > std::mem::replace(&mut last, now) {
-            world.mark_contact();
+            context.mark_contact();
         }
     }
 }
 
 /// Reads the whole store.
-async fn list(world: &World) -> Result<(), Error> {
-    let listing = world.store.list("").await?;
+async fn list(context: &Context) -> Result<(), Error> {
+    let listing = context.store.list("").await?;
     let items = listing.entries.into_iter().map(|entry| {
         let Entry {
             key,
@@ -124,13 +124,13 @@
         let revision = revision.0;
         (key, Item { revision, value })
     });
-    world.replace(listing.revision.0, items.collect());
-    world.touch();
+    context.replace(listing.revision.0, items.collect());
+    context.touch();
     Ok(())
 }
 
 /// Takes in what a watch brought; whether there was any change.
-fn take(world: &World, batch: Batch, bytes: u64) -> bool {
+fn take(context: &Context, batch: Batch, bytes: u64) -> bool {
     let (revision, events) = (batch.revision.0, batch.events.len());
     let changes = batch.events.into_iter().map(|event| match event {
         Event::Put(entry) => Change {
@@ -144,8 +144,8 @@
             value: None,
         },
     });
-    world.apply(revision, changes.collect());
-    world.touch();
+    context.apply(revision, changes.collect());
+    context.touch();
     if events > 0 {
         log::info!(revision, events, bytes; "store changed");
     }
--- a/fulmarreel-node/src/mesh/takeover/duty.rs
+++ b/fulmarreel-node/src/mesh/takeover/duty.rs
@@ -1,15 +1,14 @@
 //! What one node does for the moves under way.
 
 use super::{
-    Moves,
+    Moves, messages,
     owner::{self, Ownership},
-    words,
 };
 use crate::mesh::{
+    context::Context,
     keys::{self, Owner},
     notices::Notices,
     view::{self, View},
-    world::World,
 };
 use fulmarreel_platform::order::State;
 use fulmarreel_rollout::brief::{Action, Parcel, Recipient, Roster};
@@ -36,7 +35,7 @@
 
 /// What one node does for the moves under way.
 struct Duty {
-    world: Arc<World>,
+    context: Arc<Context>,
     moves: Arc<Moves>,
     notices: Arc<Notices>,
     /// Moves that this node owns, by service.
@@ -74,9 +73,9 @@
 }
 
 /// Looks after moves until the process ends.
-pub async fn run(world: Arc<World>, moves: Arc<Moves>, notices: Arc<Notices>) {
+pub async fn run(context: Arc<Context>, moves: Arc<Moves>, notices: Arc<Notices>) {
     let mut duty = Duty {
-        world,
+        context,
         moves,
         notices,
         owned: HashMap::new(),
@@ -85,8 +84,8 @@
     };
     loop {
         Timer::after(TICK).await;
-        let view = duty.world.view();
-        duty.moves.sync(&view, duty.world.boot);
+        let view = duty.context.view();
+        duty.moves.sync(&view, duty.context.boot);
         duty.owned.retain(|service, ownership| {
             let declared = view.moves.get(service);
             declared.is_some_and(|declared| declared.order == ownership.order)
@@ -102,7 +101,7 @@
         if let Some(state @ (State::Completed | State::RolledBack)) = declared.state {
             self.moves.end(service, state);
             if let Some(ownership) = self.owned.remove(service) {
-                owner::give_up(&self.world, &ownership).await;
+                owner::give_up(&self.context, &ownership).await;
             }
             return;
         }
@@ -149,7 +148,7 @@
         let mut targets = view.targets(service).iter();
         let ranked = self.ranks.of(view, service);
         let roster = Roster {
-            own: self.world.settings().peers,
+            own: self.context.settings().peers,
             owner,
             standbys: &ranked[..STANDBYS.min(ranked.len())],
             nodes: ranked.len(),
@@ -165,7 +164,7 @@
 
     async fn send(&self, service: &str, order: u64, parcel: Parcel<SocketAddr>) {
         let (recipient, message) = parcel;
-        let notice = words::notice(service, order, message);
+        let notice = messages::notice(service, order, message);
         match recipient {
             Recipient::One(node) => self.notices.send(node, notice).await,
             Recipient::All => self.notices.send_all(&notice).await,
@@ -181,7 +180,7 @@
             Action::RollBack => State::RolledBack,
             Action::Resign => return self.resign(service).await,
         };
-        match owner::write(&self.world, service, declared, ownership, state).await {
+        match owner::write(&self.context, service, declared, ownership, state).await {
             Some(true) => self.moves.end(service, state),
             Some(false) => {
                 self.owned.remove(service);
@@ -200,21 +199,21 @@
         self.moves.with(service, |live| live.member.disown());
         let since = Instant::now() + RESIGNED_WAIT;
         self.vacant.insert(service.to_owned(), since);
-        owner::give_up(&self.world, &ownership).await;
+        owner::give_up(&self.context, &ownership).await;
     }
 
     /// Claims a move without an owner, once those that come before this node have had their time.
     async fn stand_by(&mut self, view: &Arc<View>, service: &str, declared: &view::Move) {
-        let own = self.world.settings().peers;
+        let own = self.context.settings().peers;
         let nodes = self.ranks.of(view, service);
         let rank = nodes.iter().position(|node| *node == own);
         let rank = u32::try_from(rank.unwrap_or(nodes.len())).unwrap_or(u32::MAX);
         let now = Instant::now();
         let since = *self.vacant.entry(service.to_owned()).or_insert(now);
-        if now < since + STANDBY_WAIT * rank || self.world.is_stopping() {
+        if now < since + STANDBY_WAIT * rank || self.context.is_stopping() {
             return;
         }
-        if let Some(ownership) = owner::claim(&self.world, service, declared).await {
+        if let Some(ownership) = owner::claim(&self.context, service, declared).await {
             let (created, start) = (ownership.created.0, ownership.start);
             let deadline = start + declared.limit;
             let own = |live: &mut super::Live| live.member.own(created, start, deadline);
@@ -230,7 +229,7 @@
 
     fn owner(&self, service: &str) -> Option<Owner> {
         let key = format!("{}{service}", keys::OWNERS);
-        self.world.read(|mirror| {
+        self.context.read(|mirror| {
             let item = mirror.get(&key)?;
             serde_json::from_slice(&item.value).ok()
         })
--- a/fulmarreel-node/src/mesh/takeover/words.rs
+++ b/fulmarreel-node/src/mesh/takeover/messages.rs
@@ -1,6 +1,6 @@
 //! Moves' messages as notices, and back.
 
-use fulmarreel_rollout::brief::{Counts, Evidence, Message, Pair, Report, Word};
+use fulmarreel_rollout::brief::{Counts, Evidence, Grant, Message, Pair, Report};
 use fulmarreel_wire::notice::{self, Notice, Share, Tally};
 
 /// A message on a service's move by an order.
@@ -18,13 +18,13 @@
             proven: report.proven,
             routes: report.evidence.into_iter().map(route).collect(),
         }),
-        Message::Word(word) => Notice::Share(Share {
+        Message::Grant(grant) => Notice::Share(Share {
             service,
             order,
-            owner: word.owner,
-            number: word.number,
-            permille: word.permille,
-            proven: word.proven,
+            owner: grant.owner,
+            number: grant.number,
+            permille: grant.permille,
+            proven: grant.proven,
         }),
     }
 }
@@ -45,13 +45,13 @@
             Some((tally.service, tally.order, Message::Report(report)))
         }
         Notice::Share(share) => {
-            let word = Word {
+            let grant = Grant {
                 owner: share.owner,
                 number: share.number,
                 permille: share.permille,
                 proven: share.proven,
             };
-            Some((share.service, share.order, Message::Word(word)))
+            Some((share.service, share.order, Message::Grant(grant)))
         }
         Notice::Revision(_) | Notice::Contact(_) => None,
     }
--- a/fulmarreel-node/src/mesh/takeover/mod.rs
+++ b/fulmarreel-node/src/mesh/takeover/mod.rs
@@ -5,8 +5,8 @@
 //! and datagrams.
 
 mod duty;
+mod messages;
 mod owner;
-mod words;
 
 pub use duty::run;
 
@@ -79,7 +79,7 @@
     order: u64,
     version: String,
     member: Member<SocketAddr>,
-    /// Whose word was followed last.
+    /// Whose grant was followed last.
     teller: Option<SocketAddr>,
     /// The share that was logged last, in calls in a thousand.
     logged: u16,
@@ -119,18 +119,18 @@
         }
     }
 
-    /// Which word is followed: its owner's revision and its number.
+    /// Which grant is followed: its owner's revision and its number.
     fn told_number(&self) -> Option<(u64, u32)> {
         let told = self.member.agent().told();
-        told.map(|told| (told.word.owner, told.word.number))
+        told.map(|told| (told.grant.owner, told.grant.number))
     }
 
-    /// Tells the share that this node uses, on whose word, and how old that is.
+    /// Tells the share that this node uses, on whose grant, and how old that is.
     fn tell(&mut self, service: &str, now: Instant) {
         let permille = self.member.agent().permille(now);
         let told = self.member.agent().told();
         let age = told.map_or(Duration::ZERO, |told| now - told.since);
-        let owner = told.map_or(0, |told| told.word.owner);
+        let owner = told.map_or(0, |told| told.grant.owner);
         let is_silent = told.is_some_and(|told| now >= told.expires);
         let (order, version) = (self.order, self.version.as_str());
         let teller = self
@@ -146,7 +146,7 @@
         self.is_silent = is_silent;
         self.logged = permille;
         metrics::share(service, version, f64::from(permille) / f64::from(ALL));
-        metrics::share_word(service, version, age, owner);
+        metrics::share_grant(service, version, age, owner);
     }
 }
 
@@ -213,7 +213,7 @@
 
     /// Takes in what another node says of a move; returns what is to be answered.
     pub fn take(&self, from: SocketAddr, notice: Notice) -> Option<Notice> {
-        let (service, order, message) = words::message(notice)?;
+        let (service, order, message) = messages::message(notice)?;
         let mut live = self.live.lock().expect("moves lock");
         let live = live.get_mut(&service).filter(|live| live.order == order)?;
         let now = Instant::now();
@@ -226,7 +226,7 @@
         if live.told_number() != number {
             live.teller = Some(from);
         }
-        answer.map(|answer| words::notice(&service, order, answer))
+        answer.map(|answer| messages::notice(&service, order, answer))
     }
 
     /// Keeps a record for each move under way.
--- a/fulmarreel-node/src/mesh/takeover/owner.rs
+++ b/fulmarreel-node/src/mesh/takeover/owner.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     mesh::{
+        context::Context,
         keys::{self, Owner, Start},
         view,
-        world::World,
     },
     runtime,
     state::unix_millis,
@@ -59,15 +59,15 @@
     }
 }
 
-/// Renews a lease until it lapses or nobody holds it; words to other nodes do not wait for the store.
-async fn renew(world: Arc<World>, tenure: Weak<Tenure>) {
+/// Renews a lease until it lapses or nobody holds it; notices to other nodes do not wait for the store.
+async fn renew(context: Arc<Context>, tenure: Weak<Tenure>) {
     loop {
         Timer::after(RENEWAL_INTERVAL).await;
         let Some(tenure) = tenure.upgrade() else {
             return;
         };
         let asked = Instant::now();
-        match world.store.keep_alive(tenure.lease).await {
+        match context.store.keep_alive(tenure.lease).await {
             Ok(_) => *tenure.until.lock().expect("tenure lock") = Some(asked + LEASE),
             Err(Error::Expired { .. }) => {
                 log::info!("the owner's lease has lapsed");
@@ -81,11 +81,11 @@
 
 /// Tries to own a move.
 pub(super) async fn claim(
-    world: &Arc<World>,
+    context: &Arc<Context>,
     service: &str,
     declared: &view::Move,
 ) -> Option<Ownership> {
-    match try_claim(world, service, declared).await {
+    match try_claim(context, service, declared).await {
         Ok(ownership) => ownership,
         Err(error) => {
             log::warn!(service; "move not claimed: {error}");
@@ -95,20 +95,20 @@
 }
 
 async fn try_claim(
-    world: &Arc<World>,
+    context: &Arc<Context>,
     service: &str,
     declared: &view::Move,
 ) -> Result<Option<Ownership>, Error> {
     let renewed = Instant::now();
-    let lease = world
+    let lease = context
         .store
-        .grant(LEASE.max(world.settings().min_lease))
+        .grant(LEASE.max(context.settings().min_lease))
         .await?;
     let owner = Owner {
-        address: world.settings().peers,
-        boot: world.boot,
+        address: context.settings().peers,
+        boot: context.boot,
     };
-    let start = start(world, service, declared);
+    let start = start(context, service, declared);
     let (Ok(owner), Ok(start_value)) = (serde_json::to_vec(&owner), serde_json::to_vec(&start))
     else {
         return Ok(None);
@@ -128,7 +128,7 @@
     {
         transaction = transaction.put(&format!("{}{service}", order::OUTCOMES), &outcome);
     }
-    match world.store.commit_checked(&transaction).await? {
+    match context.store.commit_checked(&transaction).await? {
         Commit::Written(created) => {
             log::info!(service, order = declared.order, created = created.0; "this node owns the move");
             let elapsed = Duration::from_millis(unix_millis().saturating_sub(start.at));
@@ -138,7 +138,7 @@
                 lease,
                 until: Mutex::new(Some(renewed + LEASE)),
             });
-            runtime::spawn(renew(Arc::clone(world), Arc::downgrade(&tenure)));
+            runtime::spawn(renew(Arc::clone(context), Arc::downgrade(&tenure)));
             Ok(Some(Ownership {
                 order: declared.order,
                 created,
@@ -148,16 +148,16 @@
             }))
         }
         Commit::Conflict(_) => {
-            world.store.revoke(lease).await?;
+            context.store.revoke(lease).await?;
             Ok(None)
         }
     }
 }
 
 /// When the move began, as a former owner wrote it.
-fn start(world: &World, service: &str, declared: &view::Move) -> Start {
+fn start(context: &Context, service: &str, declared: &view::Move) -> Start {
     let key = format!("{}{service}", keys::STARTS);
-    let known = world.read(|mirror| {
+    let known = context.read(|mirror| {
         let item = mirror.get(&key)?;
         serde_json::from_slice::<Start>(&item.value).ok()
     });
@@ -171,7 +171,7 @@
 /// Writes what has come of a move; none where that is not known to be written, and false where
 /// another node owns the move.
 pub(super) async fn write(
-    world: &World,
+    context: &Context,
     service: &str,
     declared: &view::Move,
     ownership: &mut Ownership,
@@ -185,7 +185,7 @@
     let transaction = Transaction::new()
         .when_revision(&format!("{}{service}", keys::OWNERS), ownership.created)
         .put(&format!("{}{service}", order::OUTCOMES), &outcome);
-    match world.store.commit(&transaction).await {
+    match context.store.commit(&transaction).await {
         Ok(Commit::Written(revision)) => {
             log::info!(service, order = declared.order, revision = revision.0, state:? = state; "move ended");
             Some(true)
@@ -203,8 +203,8 @@
 }
 
 /// Ends the lease of a move that is over, or is left to another node.
-pub(super) async fn give_up(world: &World, ownership: &Ownership) {
-    if let Err(error) = world.store.revoke(ownership.tenure.lease).await {
+pub(super) async fn give_up(context: &Context, ownership: &Ownership) {
+    if let Err(error) = context.store.revoke(ownership.tenure.lease).await {
         // It lapses by itself.
         log::info!("lease of a move: {error}");
     }
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -191,12 +191,12 @@
     gauge!("fulmarreel_share", &labels).set(share);
 }
 
-/// Sets how old the word is that a share rests on, and the revision that made its sender the owner.
-pub fn share_word(service: &str, version: &str, age: Duration, owner: u64) {
+/// Sets how old the grant is that a share rests on, and the revision that made its sender the owner.
+pub fn share_grant(service: &str, version: &str, age: Duration, owner: u64) {
     let labels = [
         ("service", service.to_owned()),
         ("version", version.to_owned()),
     ];
-    gauge!("fulmarreel_share_word_age_seconds", &labels).set(age.as_secs_f64());
+    gauge!("fulmarreel_share_grant_age_seconds", &labels).set(age.as_secs_f64());
     gauge!("fulmarreel_share_owner_revision", &labels).set(owner as f64);
 }
--- a/fulmarreel-rollout/examples/policy/fleet.rs
+++ b/fulmarreel-rollout/examples/policy/fleet.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     case::{Case, Misleading, Report},
+    conditions::{Conditions, Made},
     guards::{Guards, SAMPLE},
     random::binomial,
-    world::{Conditions, Made},
 };
 use fastrand::Rng;
 use fulmarreel_document::shift::Timestamp;
--- a/fulmarreel-rollout/examples/policy/guards.rs
+++ b/fulmarreel-rollout/examples/policy/guards.rs
@@ -1,6 +1,6 @@
 //! The nodes' own guards over a fleet.
 
-use crate::world::Conditions;
+use crate::conditions::Conditions;
 use fastrand::Rng;
 use fulmarreel_document::shift::Timestamp;
 use fulmarreel_rollout::{Guard, evidence::Side, state::Phase};
--- a/fulmarreel-rollout/examples/policy/main.rs
+++ b/fulmarreel-rollout/examples/policy/main.rs
@@ -4,6 +4,7 @@
 //! --seed-base K [--threads T]` prints one line per case and driver, and last one JSON object.
 
 mod case;
+mod conditions;
 mod driver;
 mod fleet;
 mod guards;
@@ -11,7 +12,6 @@
 mod random;
 mod report;
 mod run;
-mod world;
 
 use anyhow::{Context, ensure};
 use case::Case;
--- a/fulmarreel-rollout/examples/policy/run.rs
+++ b/fulmarreel-rollout/examples/policy/run.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     case::{Case, START_MS, Verdict},
+    conditions::{Conditions, conditions, fault_shows},
     driver::{Driver, Published, Tick},
     fleet::{Fleet, Force},
-    world::{Conditions, conditions, fault_shows},
 };
 use fastrand::Rng;
 use fulmarreel_document::shift::Timestamp;
--- a/fulmarreel-rollout/src/brief/agent.rs
+++ b/fulmarreel-rollout/src/brief/agent.rs
@@ -1,15 +1,16 @@
-//! One node's part in a move: it deals out calls by the owner's word, and counts how they go.
+//! One node's part in a move: it deals out calls by the owner's grant, and counts how they go.
 
 use super::{
-    Counts, Evidence, Pair, Report, lower, verdict,
-    word::{PARTS, Word},
+    Counts, Evidence, Pair, Report,
+    grant::{Grant, PARTS},
+    lower, verdict,
 };
 use std::time::{Duration, Instant};
 
-/// How long the owner's word is good.
+/// How long the owner's grant is good.
 const WORD_LIFE: Duration = Duration::from_millis(1_000);
 
-/// How long each smaller step is kept once the owner's word has expired.
+/// How long each smaller step is kept once the owner's grant has expired.
 const FALL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Routes that a report names; the others are added up.
@@ -37,7 +38,7 @@
     boot: u64,
     /// Deals calls out by the share.
     credit: f64,
-    word: Option<Told>,
+    grant: Option<Told>,
     /// The largest share at which the new version is known to have been found sound.
     proven: u16,
     standing: Standing,
@@ -45,11 +46,11 @@
     urgent: bool,
 }
 
-/// A word that a node follows or has followed.
+/// A grant that a node follows or has followed.
 #[derive(Debug, Clone, Copy)]
 pub struct Told {
-    /// The word.
-    pub word: Word,
+    /// The grant.
+    pub grant: Grant,
     /// When it came.
     pub since: Instant,
     /// When it expires or has expired.
@@ -75,7 +76,7 @@
         Self {
             boot,
             credit,
-            word: None,
+            grant: None,
             proven: 0,
             standing: Standing::Open,
             own: Evidence::new(),
@@ -85,7 +86,7 @@
 
     /// Calls in a thousand that go to the new version now.
     ///
-    /// Without a newer word the share falls step by step to none.
+    /// Without a newer grant the share falls step by step to none.
     pub fn permille(&self, now: Instant) -> u16 {
         match self.standing {
             Standing::Open => self.told_permille(now),
@@ -95,10 +96,10 @@
     }
 
     fn told_permille(&self, now: Instant) -> u16 {
-        let Some(told) = self.word else {
+        let Some(told) = self.grant else {
             return 0;
         };
-        let mut permille = told.word.permille;
+        let mut permille = told.grant.permille;
         let mut until = told.expires;
         while permille > 0 && now >= until {
             permille = lower(permille);
@@ -107,9 +108,9 @@
         permille
     }
 
-    /// The word that was followed last.
+    /// The grant that was followed last.
     pub fn told(&self) -> Option<&Told> {
-        self.word.as_ref()
+        self.grant.as_ref()
     }
 
     /// Whether a call goes to the new version.
@@ -122,16 +123,16 @@
         true
     }
 
-    /// Takes in the owner's word; one that was overtaken changes nothing.
-    pub fn follow(&mut self, word: Word, now: Instant) {
-        let known = self.word.map(|told| told.word);
-        if known.is_some_and(|known| !word.replaces(&known)) {
+    /// Takes in the owner's grant; one that was overtaken changes nothing.
+    pub fn follow(&mut self, grant: Grant, now: Instant) {
+        let known = self.grant.map(|told| told.grant);
+        if known.is_some_and(|known| !grant.replaces(&known)) {
             return;
         }
-        self.urgent |= known.is_none_or(|known| known.permille != word.permille);
-        self.proven = self.proven.max(word.proven);
-        self.word = Some(Told {
-            word,
+        self.urgent |= known.is_none_or(|known| known.permille != grant.permille);
+        self.proven = self.proven.max(grant.proven);
+        self.grant = Some(Told {
+            grant,
             since: now,
             expires: now + WORD_LIFE,
         });
@@ -191,7 +192,7 @@
     pub fn report(&self, now: Instant) -> Report {
         Report {
             boot: self.boot,
-            owner: self.word.map_or(0, |told| told.word.owner),
+            owner: self.grant.map_or(0, |told| told.grant.owner),
             permille: self.permille(now),
             proven: self.proven,
             evidence: self.short_evidence(),
--- a/fulmarreel-rollout/src/brief/member.rs
+++ b/fulmarreel-rollout/src/brief/member.rs
@@ -1,7 +1,7 @@
 //! One node's whole part in a move: what it tells whom, and what it does on what it is told.
 
 use super::{
-    Agent, Call, Counts, Decision, Evidence, Pool, Ramp, Report, Word,
+    Agent, Call, Counts, Decision, Evidence, Grant, Pool, Ramp, Report,
     ramp::Fleet,
     verdict::{recent_verdict, verdict},
 };
@@ -25,8 +25,8 @@
 pub enum Message {
     /// What the sender has seen.
     Report(Report),
-    /// The owner's word.
-    Word(Word),
+    /// The owner's grant.
+    Grant(Grant),
     /// The version is bad.
     Bad,
     /// The version has taken over.
@@ -140,18 +140,18 @@
                 self.agent.complete();
                 None
             }
-            Message::Report(_) | Message::Word(_) if self.agent.is_condemned() => {
+            Message::Report(_) | Message::Grant(_) if self.agent.is_condemned() => {
                 Some(Message::Bad)
             }
-            Message::Report(_) | Message::Word(_) if self.agent.is_completed() => {
+            Message::Report(_) | Message::Grant(_) if self.agent.is_completed() => {
                 Some(Message::Completed)
             }
             Message::Report(report) => {
                 self.is_urgent |= self.pool.hear(from, report, now);
                 None
             }
-            Message::Word(word) => {
-                self.agent.follow(word, now);
+            Message::Grant(grant) => {
+                self.agent.follow(grant, now);
                 None
             }
         }
@@ -266,13 +266,13 @@
             is_leased: roster.is_leased,
         };
         match ramp.decide(fleet, now) {
-            Decision::Tell(word) => {
-                let said = self.agent.told().map(|told| told.word.permille);
-                if !is_regular && said == Some(word.permille) {
+            Decision::Tell(grant) => {
+                let said = self.agent.told().map(|told| told.grant.permille);
+                if !is_regular && said == Some(grant.permille) {
                     return (Vec::new(), None);
                 }
-                self.agent.follow(word, now);
-                (vec![(Recipient::All, Message::Word(word))], None)
+                self.agent.follow(grant, now);
+                (vec![(Recipient::All, Message::Grant(grant))], None)
             }
             Decision::Wait => (Vec::new(), None),
             Decision::Resign => (Vec::new(), Some(Action::Resign)),
--- a/fulmarreel-rollout/src/brief/mod.rs
+++ b/fulmarreel-rollout/src/brief/mod.rs
@@ -4,26 +4,26 @@
 //! small share for two fifths of its time, so that a fault shows while few calls can be harmed, and
 //! then rises in quick steps. Each step bounds what a fault that begins there can harm.
 //!
-//! Each node has a [`Member`]. It deals out calls by the owner's [`Word`] until that expires, and
+//! Each node has a [`Member`]. It deals out calls by the owner's [`Grant`] until that expires, and
 //! reports what it has seen. The owner raises the share on what the nodes report; a few standbys get
 //! the same reports, and any of them says when the version is bad.
 
 mod agent;
+mod grant;
 mod member;
 mod pool;
 mod ramp;
 mod verdict;
-mod word;
 
 pub use agent::{Agent, Call, Told};
+pub use grant::Grant;
 pub use member::{Action, Member, Message, Parcel, Recipient, Roster};
 pub use pool::{Pool, Report};
 pub use verdict::verdict;
-pub use word::Word;
 
+use grant::PARTS;
 use ramp::{Decision, Ramp};
 use std::{collections::HashMap, time::Duration};
-use word::PARTS;
 
 /// Steps: from which part of the move's time on how many calls in a thousand go to the new version.
 const STEPS: [(f64, u16); 6] = [
--- a/fulmarreel-rollout/src/brief/pool.rs
+++ b/fulmarreel-rollout/src/brief/pool.rs
@@ -18,7 +18,7 @@
 pub struct Report {
     /// Names the process, so that what an earlier one of the node has seen is kept.
     pub boot: u64,
-    /// The revision that made the node whose word is followed the owner; 0 where none is.
+    /// The revision that made the node whose grant is followed the owner; 0 where none is.
     pub owner: u64,
     /// Calls in a thousand that go to the new version.
     pub permille: u16,
--- a/fulmarreel-rollout/src/brief/ramp.rs
+++ b/fulmarreel-rollout/src/brief/ramp.rs
@@ -1,9 +1,10 @@
 //! The owner's decisions: how far the share may rise on what has been reported.
 
 use super::{
-    Evidence, STEPS, due, permille, step_of,
+    Evidence, STEPS, due,
+    grant::{Grant, PARTS},
+    permille, step_of,
     verdict::is_doubtful,
-    word::{PARTS, Word},
 };
 use std::time::{Duration, Instant};
 
@@ -66,7 +67,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
     /// Tells every node the share.
-    Tell(Word),
+    Tell(Grant),
     /// Tells nothing, so that shares fall: too few nodes are in contact.
     Wait,
     /// Leaves the move to another owner, which may be in contact.
@@ -86,7 +87,7 @@
     /// Steps up to which the version has been found sound.
     proven: usize,
     stay: Option<Stay>,
-    /// When this node resigns unless most nodes follow its word before.
+    /// When this node resigns unless most nodes follow its grant before.
     resigns: Option<Instant>,
 }
 
@@ -211,7 +212,7 @@
 
     fn tell(&mut self) -> Decision {
         self.number += 1;
-        Decision::Tell(Word {
+        Decision::Tell(Grant {
             owner: self.owner,
             number: self.number,
             permille: self.permille(),
--- a/fulmarreel-rollout/tests/member.rs
+++ b/fulmarreel-rollout/tests/member.rs
@@ -1,7 +1,7 @@
 //! One node's part in a move of seconds.
 
 use fulmarreel_rollout::brief::{
-    Action, Call, Counts, Evidence, Member, Message, Pair, Recipient, Report, Roster, Word,
+    Action, Call, Counts, Evidence, Grant, Member, Message, Pair, Recipient, Report, Roster,
 };
 use std::time::{Duration, Instant};
 
@@ -21,8 +21,8 @@
     }
 }
 
-fn word(owner: u64, number: u32, permille: u16) -> Message {
-    Message::Word(Word {
+fn grant(owner: u64, number: u32, permille: u16) -> Message {
+    Message::Grant(Grant {
         owner,
         number,
         permille,
@@ -58,12 +58,12 @@
     }
 }
 
-/// Fails if a share outlives its word, or falls at once.
+/// Fails if a share outlives its grant, or falls at once.
 #[test]
-fn a_share_falls_step_by_step_without_a_newer_word() {
+fn a_share_falls_step_by_step_without_a_newer_grant() {
     let start = Instant::now();
     let mut member: Member<u32> = Member::new(1, 0.0, start);
-    member.take(OWNER, word(5, 1, 300), start);
+    member.take(OWNER, grant(5, 1, 300), start);
     let shares: Vec<u16> = [0, 999, 1_000, 1_250, 1_500, 60_000]
         .map(|millis| {
             member
@@ -74,16 +74,16 @@
     assert_eq!(shares, [300, 300, 120, 50, 0, 0]);
 }
 
-/// Fails if a word that was overtaken, or one of a former owner, counts.
+/// Fails if a grant that was overtaken, or one of a former owner, counts.
 #[test]
-fn an_overtaken_word_changes_nothing() {
+fn an_overtaken_grant_changes_nothing() {
     let now = Instant::now();
     let mut member: Member<u32> = Member::new(1, 0.0, now);
-    member.take(OWNER, word(5, 7, 120), now);
-    member.take(OWNER, word(5, 6, 600), now);
-    member.take(OWNER, word(4, 90, 1_000), now);
+    member.take(OWNER, grant(5, 7, 120), now);
+    member.take(OWNER, grant(5, 6, 600), now);
+    member.take(OWNER, grant(4, 90, 1_000), now);
     assert_eq!(member.agent().permille(now), 120);
-    member.take(OWNER, word(6, 1, 50), now);
+    member.take(OWNER, grant(6, 1, 50), now);
     assert_eq!(member.agent().permille(now), 50);
 }
 
@@ -111,7 +111,7 @@
 fn a_standby_does_not_speak_for_all_on_its_own_calls() {
     let now = Instant::now();
     let mut member: Member<u32> = Member::new(1, 0.0, now);
-    member.take(OWNER, word(5, 1, 50), now);
+    member.take(OWNER, grant(5, 1, 50), now);
     for _ in 0..10 {
         member.record(call(1, true));
     }
@@ -129,7 +129,7 @@
     let now = Instant::now();
     let mut member: Member<u32> = Member::new(1, 0.0, now);
     member.take(OWNER, Message::Bad, now);
-    assert_eq!(member.take(OWNER, word(5, 1, 50), now), Some(Message::Bad));
+    assert_eq!(member.take(OWNER, grant(5, 1, 50), now), Some(Message::Bad));
     assert_eq!(member.agent().permille(now), 0);
     let mut member: Member<u32> = Member::new(1, 0.0, now);
     member.take(OWNER, Message::Completed, now);
@@ -158,7 +158,7 @@
     assert_eq!(report.evidence[&700].new.failed, 3);
 }
 
-/// Fails if an owner raises a share or completes a move on the word of nodes that do not follow it,
+/// Fails if an owner raises a share or completes a move on reports of nodes that do not follow it,
 /// or keeps the move for itself.
 #[test]
 fn an_owner_that_nobody_follows_resigns() {
--- a/fulmarreel-wire/src/notice.rs
+++ b/fulmarreel-wire/src/notice.rs
@@ -69,7 +69,7 @@
     pub order: u64,
     /// Names the sender's process: counts of later ones are added.
     pub boot: u64,
-    /// The revision that made the node whose word the sender follows the owner; 0 where none is.
+    /// The revision that made the node whose grant the sender follows the owner; 0 where none is.
     pub owner: u64,
     /// Calls in a thousand that the sender lets go to the new version.
     pub permille: u16,
@@ -110,7 +110,7 @@
     pub order: u64,
     /// The revision that made the sender the owner.
     pub owner: u64,
-    /// Counts the sender's words.
+    /// Counts the sender's grants.
     pub number: u32,
     /// Calls in a thousand that go to the new version.
     pub permille: u16,
