fix(membership): a target that ended before its node knew it does not come back

Cause: the end of an unknown start was remembered with birth 0, which fences no announcement. It is remembered with the time of the end now: whatever was born before that has ended.

The new test failed before and passes.

--- a/fulmarreel-membership/src/announcement.rs
+++ b/fulmarreel-membership/src/announcement.rs
@@ -62,14 +62,15 @@
         true
     }
 
-    /// Notes that a target ends; whether it was the current one.
-    pub fn end(&mut self, id: &str) -> bool {
+    /// Notes that a target ends at a time, in milliseconds since the Unix epoch; whether it was the
+    /// current one. Of a start that is not known, announcements may still be on their way.
+    pub fn end(&mut self, id: &str, at: u64) -> bool {
         let known = self.current.as_ref().filter(|known| known.id == id);
         let born = known.map(|known| known.born);
         if self.gone.len() == MAX_GONE {
             self.gone.remove(0);
         }
-        self.gone.push((id.to_owned(), born.unwrap_or(0)));
+        self.gone.push((id.to_owned(), born.unwrap_or(at)));
         if born.is_some() {
             self.current = None;
         }
--- a/fulmarreel-membership/tests/announcement.rs
+++ b/fulmarreel-membership/tests/announcement.rs
@@ -52,7 +52,7 @@
 fn an_ended_target_is_back_only_by_a_new_start() {
     let mut register = Register::default();
     assert!(register.announce(announcement("a", 10, 3)));
-    assert!(register.end("a"));
+    assert!(register.end("a", 20));
     assert!(!register.announce(announcement("a", 10, 4)));
     assert_eq!(register.current(), None);
     assert!(register.announce(announcement("a", 30, 1)));
@@ -62,6 +62,17 @@
 fn the_end_of_another_target_changes_nothing() {
     let mut register = Register::default();
     assert!(register.announce(announcement("a", 10, 3)));
-    assert!(!register.end("b"));
+    assert!(!register.end("b", 20));
     assert!(register.current().is_some());
 }
+
+/// Fails if an announcement that was on its way at the end of its sender brings that back at a node
+/// that had just started and did not know it (DRAIN).
+#[test]
+fn a_target_that_ended_before_it_was_known_does_not_come_back() {
+    let mut register = Register::default();
+    assert!(!register.end("a", 20));
+    assert!(!register.announce(announcement("a", 10, 4)));
+    assert_eq!(register.current(), None);
+    assert!(register.announce(announcement("a", 30, 1)));
+}
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -12,6 +12,7 @@
         gate::{Gate, Permit},
         session::{Kept, Session},
     },
+    state::unix_millis,
     telemetry::metrics,
 };
 use fulmarreel_balance::admission::QueueDeadlines;
@@ -176,7 +177,7 @@
         let before = self.target();
         let ended = {
             let mut own = self.register.lock().expect("register lock");
-            own.register.end(id)
+            own.register.end(id, unix_millis())
         };
         if ended {
             self.target_changed(before.as_ref());
