refactor(distribution): a node's rank among readers is counted only where it matters

Each node hashed and compared the addresses of its whole region at every look, ten times a second, though the rank is asked for only while readers are missing or the node lags. No change of behaviour: the tests of readers and the generated fleet pass unchanged.

--- a/fulmarreel-distribution/src/readers.rs
+++ b/fulmarreel-distribution/src/readers.rs
@@ -145,15 +145,13 @@
     /// says whether this node knows less than it has heard of.
     pub fn decide(&mut self, members: &[SocketAddr], lags: bool, now: Instant) -> bool {
         self.live.retain(|_, until| *until > now);
-        let count = u32::try_from(members.len()).unwrap_or(u32::MAX);
-        let wait = wait(self.rank(members), count);
         self.look(lags, now);
         if self.reads && now >= self.tries_until {
             self.reads = false;
             self.rests_until = self.next_turn(members, now);
         } else if self.reads && !lags && lasts(self.spare_since, HANDOVER, now) {
             self.reads = false;
-        } else if !self.reads && now >= self.rests_until && self.is_wanted(wait, now) {
+        } else if !self.reads && now >= self.rests_until && self.is_wanted(members, now) {
             self.begin(now);
         }
         self.reads
@@ -176,7 +174,11 @@
 
     /// Whether this node is to begin to read; one after the other, since all miss readers, or lag
     /// where a link is slow, at once.
-    fn is_wanted(&self, wait: Duration, now: Instant) -> bool {
+    fn is_wanted(&self, members: &[SocketAddr], now: Instant) -> bool {
+        if self.short_since.is_none() && self.lags_since.is_none() {
+            return false;
+        }
+        let wait = wait(self.rank(members), count(members));
         lasts(self.short_since, wait, now) || lasts(self.lags_since, LAG_LIMIT + wait, now)
     }
 
@@ -202,7 +204,7 @@
 
     /// When a node that the store did not answer tries again: one of its region after the other.
     fn next_turn(&self, members: &[SocketAddr], now: Instant) -> Instant {
-        let count = u32::try_from(members.len()).unwrap_or(u32::MAX).max(1);
+        let count = count(members).max(1);
         let round = TURN.saturating_mul(count);
         let place = TURN.saturating_mul(self.before(members.iter()));
         let mut turn = self.short_since.unwrap_or(now) + wait(count, count) + place;
@@ -213,6 +215,10 @@
     }
 }
 
+fn count(members: &[SocketAddr]) -> u32 {
+    u32::try_from(members.len()).unwrap_or(u32::MAX)
+}
+
 /// Whether something has held for that long.
 fn lasts(since: Option<Instant>, wait: Duration, now: Instant) -> bool {
     since.is_some_and(|since| since + wait <= now)
