refactor(node): one lookup of a version among targets, one of a decoded key

The moves asked twice in their own loops whether a target runs a version (View::runs now), and three places read and decoded a key of the mirror by themselves (Context::decoded). No change of behaviour.

--- a/fulmarreel-node/src/mesh/announce.rs
+++ b/fulmarreel-node/src/mesh/announce.rs
@@ -138,10 +138,7 @@
 
 /// Takes up the target of a former process of this node: its next announcement may be seconds away.
 async fn resume(context: &Context, server: &Server, key: &str) {
-    let known = context.read(|mirror| {
-        let item = mirror.get(key)?;
-        serde_json::from_slice::<Node>(&item.value).ok()
-    });
+    let known: Option<Node> = context.decoded(key);
     let Some(target) = known.and_then(|node| node.target) else {
         return;
     };
--- a/fulmarreel-node/src/mesh/context.rs
+++ b/fulmarreel-node/src/mesh/context.rs
@@ -8,6 +8,7 @@
 };
 use fulmarreel_platform::{Settings, store};
 use fulmarreel_wire::mirror::Update;
+use serde::de::DeserializeOwned;
 use smol::channel::{Receiver, Sender, bounded};
 use std::{
     collections::BTreeMap,
@@ -85,6 +86,11 @@
         read(&self.mirror.lock().expect("mirror lock"))
     }
 
+    /// The value of a key as far as the store is known; none where it cannot be read.
+    pub fn decoded<T: DeserializeOwned>(&self, key: &str) -> Option<T> {
+        self.read(|mirror| serde_json::from_slice(&mirror.get(key)?.value).ok())
+    }
+
     /// Takes in all items of the store as of a revision.
     pub fn replace(&self, revision: u64, items: BTreeMap<String, Item>) {
         let mut mirror = self.mirror.lock().expect("mirror lock");
@@ -153,7 +159,7 @@
         self.knowledge().hear(revision, Instant::now());
     }
 
-    /// The time to which word of that age refers at the latest, where it is received now.
+    /// The time to which a message of that age refers at the latest, where it is received now.
     pub fn date(&self, age: Duration) -> Option<Instant> {
         self.knowledge().date(age, Instant::now())
     }
--- a/fulmarreel-node/src/mesh/takeover/duty.rs
+++ b/fulmarreel-node/src/mesh/takeover/duty.rs
@@ -145,7 +145,6 @@
         declared: &view::Move,
         owner: Option<SocketAddr>,
     ) -> Option<Action> {
-        let mut targets = view.targets(service).iter();
         let ranked = self.ranks.of(view, service);
         let roster = Roster {
             own: self.context.settings().peers,
@@ -153,7 +152,7 @@
             standbys: &ranked[..STANDBYS.min(ranked.len())],
             nodes: ranked.len(),
             is_leased: self.owned.get(service).is_some_and(Ownership::is_leased),
-            has_targets: targets.any(|target| target.version == declared.version),
+            has_targets: view.runs(service, &declared.version),
         };
         let (parcels, action) = self.moves.look(service, &roster)?;
         for parcel in parcels {
@@ -228,10 +227,6 @@
     }
 
     fn owner(&self, service: &str) -> Option<Owner> {
-        let key = format!("{}{service}", keys::OWNERS);
-        self.context.read(|mirror| {
-            let item = mirror.get(&key)?;
-            serde_json::from_slice(&item.value).ok()
-        })
+        self.context.decoded(&format!("{}{service}", keys::OWNERS))
     }
 }
--- a/fulmarreel-node/src/mesh/takeover/mod.rs
+++ b/fulmarreel-node/src/mesh/takeover/mod.rs
@@ -157,23 +157,18 @@
             return Side::Any;
         };
         let new = declared.version.clone();
-        let runs = |wanted: bool| {
-            let targets = view.targets(service).iter();
-            targets
-                .into_iter()
-                .any(|target| (target.version == new) == wanted)
-        };
+        let runs_new = || view.runs(service, &new);
         let mut live = self.live.lock().expect("moves lock");
         let live = live
             .get_mut(service)
             .filter(|live| live.order == declared.order);
         match declared.state {
-            Some(State::Completed) if runs(true) => return Side::New { new },
+            Some(State::Completed) if runs_new() => return Side::New { new },
             Some(State::Completed) => return Side::Any,
             Some(State::RolledBack) => return Side::Old { new },
             Some(State::Running) | None => {}
         }
-        let Some(live) = live.filter(|_| runs(true)) else {
+        let Some(live) = live.filter(|_| runs_new()) else {
             return Side::Old { new };
         };
         let now = Instant::now();
--- a/fulmarreel-node/src/mesh/takeover/owner.rs
+++ b/fulmarreel-node/src/mesh/takeover/owner.rs
@@ -156,11 +156,7 @@
 
 /// When the move began, as a former owner wrote it.
 fn start(context: &Context, service: &str, declared: &view::Move) -> Start {
-    let key = format!("{}{service}", keys::STARTS);
-    let known = context.read(|mirror| {
-        let item = mirror.get(&key)?;
-        serde_json::from_slice::<Start>(&item.value).ok()
-    });
+    let known: Option<Start> = context.decoded(&format!("{}{service}", keys::STARTS));
     let known = known.filter(|start| start.order == declared.order);
     known.unwrap_or(Start {
         order: declared.order,
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -101,6 +101,12 @@
         self.targets.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether a target of a service runs a version.
+    pub fn runs(&self, service: &str, version: &str) -> bool {
+        let mut targets = self.targets(service).iter();
+        targets.any(|target| target.version == version)
+    }
+
     fn add(&mut self, node: Node, place: Place<'_>) {
         let near = node.region == place.region;
         self.nodes.push((node.address, near));
