refactor: calls of an evidence are counted in one place; names that the renaming had left

WORD_LIFE and WORD_LIFETIME are GRANT_LIFETIME and HEARD_LIFETIME, since what they bound is called so. No change of behaviour.

--- a/fulmarreel-distribution/src/contact.rs
+++ b/fulmarreel-distribution/src/contact.rs
@@ -1,6 +1,6 @@
 //! Whether the store answers a node that reads it, and when the node says so.
 //!
-//! Only what the node itself receives counts: a reader that went by the word of others would announce
+//! Only what the node itself receives counts: a reader that went by what others say would announce
 //! itself on their contact and push them out. An answer that comes slowly is contact.
 
 use std::time::{Duration, Instant};
--- a/fulmarreel-distribution/src/knowledge.rs
+++ b/fulmarreel-distribution/src/knowledge.rs
@@ -8,8 +8,8 @@
 /// Age of the last contact with the store from which on a change may have been missed.
 const RECENT: Duration = Duration::from_millis(1_800);
 
-/// How long word of a higher revision counts; it is repeated while it is true.
-const WORD_LIFETIME: Duration = Duration::from_secs(4);
+/// How long a higher revision counts that another node spoke of; it is repeated while it is true.
+const HEARD_LIFETIME: Duration = Duration::from_secs(4);
 
 /// Time between two observations from which on the process may have been stopped.
 const PAUSE: Duration = Duration::from_millis(500);
@@ -54,8 +54,8 @@
         };
     }
 
-    /// The time to which word of that age refers at the latest, where it is read now: after a pause of
-    /// the process it may have waited to be read.
+    /// The time to which a message of that age refers at the latest, where it is read now: after a pause
+    /// of the process it may have waited to be read.
     pub fn date(&mut self, age: Duration, now: Instant) -> Option<Instant> {
         self.observe(now);
         let pause = self.pause.as_ref();
@@ -78,7 +78,7 @@
     pub fn hear(&mut self, revision: u64, now: Instant) {
         if revision >= self.heard(now) {
             self.heard = revision;
-            self.heard_until = Some(now + WORD_LIFETIME);
+            self.heard_until = Some(now + HEARD_LIFETIME);
         }
     }
 
--- a/fulmarreel-rollout/src/brief/agent.rs
+++ b/fulmarreel-rollout/src/brief/agent.rs
@@ -1,14 +1,14 @@
 //! One node's part in a move: it deals out calls by the owner's grant, and counts how they go.
 
 use super::{
-    Counts, Evidence, Pair, Report,
+    Counts, Evidence, Pair, Report, calls_to_new,
     grant::{Grant, PARTS},
     lower, verdict,
 };
 use std::time::{Duration, Instant};
 
 /// How long the owner's grant is good.
-const WORD_LIFE: Duration = Duration::from_millis(1_000);
+const GRANT_LIFETIME: Duration = Duration::from_millis(1_000);
 
 /// How long each smaller step is kept once the owner's grant has expired.
 const FALL_INTERVAL: Duration = Duration::from_millis(250);
@@ -134,7 +134,7 @@
         self.grant = Some(Told {
             grant,
             since: now,
-            expires: now + WORD_LIFE,
+            expires: now + GRANT_LIFETIME,
         });
     }
 
@@ -201,7 +201,7 @@
 
     /// Whether this node has called the new version.
     pub fn has_called(&self) -> bool {
-        self.own.values().any(|pair| pair.new.calls > 0)
+        calls_to_new(&self.own) > 0
     }
 
     /// The evidence by route, of those where most calls to the new version went wrong.
--- a/fulmarreel-rollout/src/brief/mod.rs
+++ b/fulmarreel-rollout/src/brief/mod.rs
@@ -107,6 +107,17 @@
     }
 }
 
+/// All calls.
+fn calls(evidence: &Evidence) -> u32 {
+    let pairs = evidence.values();
+    pairs.map(|pair| pair.old.calls + pair.new.calls).sum()
+}
+
+/// Calls that went to the new version.
+fn calls_to_new(evidence: &Evidence) -> u32 {
+    evidence.values().map(|pair| pair.new.calls).sum()
+}
+
 /// What a move comes to after `elapsed` of its `limit`.
 pub fn step(evidence: &Evidence, elapsed: Duration, limit: Duration) -> Step {
     if let Some(counts) = verdict(evidence) {
--- a/fulmarreel-rollout/src/brief/ramp.rs
+++ b/fulmarreel-rollout/src/brief/ramp.rs
@@ -1,7 +1,7 @@
 //! The owner's decisions: how far the share may rise on what has been reported.
 
 use super::{
-    Evidence, STEPS, due,
+    Evidence, STEPS, calls, calls_to_new, due,
     grant::{Grant, PARTS},
     permille, step_of,
     verdict::is_doubtful,
@@ -236,12 +236,3 @@
         enough && now >= self.min_until
     }
 }
-
-fn calls(evidence: &Evidence) -> u32 {
-    let pairs = evidence.values();
-    pairs.map(|pair| pair.old.calls + pair.new.calls).sum()
-}
-
-fn calls_to_new(evidence: &Evidence) -> u32 {
-    evidence.values().map(|pair| pair.new.calls).sum()
-}
