--- a/fulmarreel-distribution/examples/delta.rs
+++ b/fulmarreel-distribution/examples/delta.rs
@@ -1,6 +1,8 @@
 //! The bytes and the time that a change of a large configuration costs two mirrors:
 //! `cargo run --release -p fulmarreel-distribution --example delta [ROUTES]`.
 
+mod support;
+
 use fulmarreel_distribution::{Mirror, mirror::Change};
 use fulmarreel_wire::mirror::{Pull, Update, pack, unpack};
 use std::{
@@ -46,30 +48,13 @@
 
 /// A configuration with these routes, each of about 190 bytes.
 fn config(routes: Vec<usize>) -> Vec<u8> {
-    let routes: Vec<String> = routes.into_iter().map(route).collect();
+    let routes: Vec<String> = routes
+        .into_iter()
+        .map(|index| support::route(index, 0))
+        .collect();
     format!("{{\"routes\":[{}]}}", routes.join(",")).into_bytes()
 }
 
-fn route(index: usize) -> String {
-    let mut random = fastrand::Rng::with_seed(index as u64);
-    let id: String = (0..12).map(|_| random.lowercase()).collect();
-    format!(
-        concat!(
-            r#"{{"id":"route-{}","host":"{}.mesh.example","prefix":"/api/v{}/{}","service":"svc-{}","#,
-            r#""timeout_ms":{},"retries":{},"route_kind":"safe","target_latency_s":0.{},"weight":{}}}"#
-        ),
-        index,
-        id,
-        random.u8(1..5),
-        id,
-        random.u16(0..200),
-        random.u16(100..5_000),
-        random.u8(0..4),
-        random.u16(100..999),
-        random.u8(1..100),
-    )
-}
-
 fn mirror(versions: &[&[u8]]) -> Mirror {
     let mut mirror = Mirror::default();
     for (revision, value) in (1..).zip(versions) {
--- a/fulmarreel-distribution/examples/spread/main.rs
+++ b/fulmarreel-distribution/examples/spread/main.rs
@@ -5,6 +5,8 @@
 
 #[path = "../../tests/spread/fleet/mod.rs"]
 mod fleet;
+#[path = "../support/mod.rs"]
+mod support;
 
 use fleet::{
     CONFIG, Fault, Fleet,
@@ -153,28 +155,8 @@
         let is_changed = (1..=changes)
             .rev()
             .find(|change| change * 37 % ROUTES == index);
-        route(index, is_changed.unwrap_or(0))
+        support::route(index, ROUTES * is_changed.unwrap_or(0))
     });
     let routes: Vec<String> = routes.collect();
     format!("{{\"routes\":[{}]}}", routes.join(",")).into_bytes()
 }
-
-fn route(index: usize, change: usize) -> String {
-    let mut random = fastrand::Rng::with_seed((index + ROUTES * change) as u64);
-    let id: String = (0..12).map(|_| random.lowercase()).collect();
-    format!(
-        concat!(
-            r#"{{"id":"route-{}","host":"{}.mesh.example","prefix":"/api/v{}/{}","service":"svc-{}","#,
-            r#""timeout_ms":{},"retries":{},"route_kind":"safe","target_latency_s":0.{},"weight":{}}}"#
-        ),
-        index,
-        id,
-        random.u8(1..5),
-        id,
-        random.u16(0..200),
-        random.u16(100..5_000),
-        random.u8(0..4),
-        random.u16(100..999),
-        random.u8(1..100),
-    )
-}
--- a/fulmarreel-distribution/tests/spread/schedule.rs
+++ b/fulmarreel-distribution/tests/spread/schedule.rs
@@ -268,20 +268,24 @@
     );
 }
 
-/// Nodes that wake up together while the store is away do not all call it.
-#[test]
-fn nodes_that_wake_up_together_take_turns() {
-    let span = |trouble, at, lasts| Span {
+/// A trouble at a time after the beginning and how long it lasts, in milliseconds.
+fn trouble(trouble: Trouble, at: u64, lasts: u64) -> Span {
+    Span {
         trouble,
         at: Duration::from_millis(at),
         lasts: Duration::from_millis(lasts),
-    };
+    }
+}
+
+/// Nodes that wake up together while the store is away do not all call it.
+#[test]
+fn nodes_that_wake_up_together_take_turns() {
     run(&Schedule {
         regions: [3, 17],
         seed: 5_564_314_573_124_032_855,
         spans: vec![
-            span(Trouble::FreezeMany(3, 9), 18_751, 2_800),
-            span(Trouble::Down, 16_506, 6_045),
+            trouble(Trouble::FreezeMany(3, 9), 18_751, 2_800),
+            trouble(Trouble::Down, 16_506, 6_045),
         ],
         writes: vec![0, 6_024],
     });
@@ -290,17 +294,12 @@
 /// Few nodes call a store that went away while one of them was stopped.
 #[test]
 fn few_call_a_store_that_goes_away_during_a_freeze() {
-    let span = |trouble, at, lasts| Span {
-        trouble,
-        at: Duration::from_millis(at),
-        lasts: Duration::from_millis(lasts),
-    };
     run(&Schedule {
         regions: [20, 15],
         seed: 6_293_374_223_720_719_649,
         spans: vec![
-            span(Trouble::Down, 21_655, 5_046),
-            span(Trouble::Freeze(1), 21_305, 2_169),
+            trouble(Trouble::Down, 21_655, 5_046),
+            trouble(Trouble::Freeze(1), 21_305, 2_169),
         ],
         writes: vec![15_219, 4_072, 7_872, 2_672, 2_672],
     });
@@ -309,16 +308,14 @@
 /// What waited for a process that was stopped does not make it take itself for current.
 #[test]
 fn a_node_that_wakes_up_does_not_take_old_word_for_new() {
-    let span = |node, at, lasts| Span {
-        trouble: Trouble::Freeze(node),
-        at: Duration::from_millis(at),
-        lasts: Duration::from_millis(lasts),
-    };
     for node in 0..8 {
         run(&Schedule {
             regions: [2, 6],
             seed: 16_928_887_041_629_531_922,
-            spans: vec![span(node, 11_000, 2_711), span(node, 17_666, 4_704)],
+            spans: vec![
+                trouble(Trouble::Freeze(node), 11_000, 2_711),
+                trouble(Trouble::Freeze(node), 17_666, 4_704),
+            ],
             writes: vec![3_396, 11_240, 16_520, 19_018],
         });
     }
--- a/fulmarreel-node/tests/mesh/endless.rs
+++ b/fulmarreel-node/tests/mesh/endless.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     backend::{Flood, Manner},
-    support::{Instance, MEMORY_MB, call, configure, eventually, open},
+    support::{Instance, MEMORY_MB, call, eventually, open, pair},
 };
 use anyhow::{Context, ensure};
 use fulmarreel_testing::{kv::Stand, process::Process};
@@ -62,11 +62,7 @@
 
 /// A caller's instance with a sound target of `own`, and one with a target of `s`.
 async fn start() -> anyhow::Result<(Stand, Instance, Instance)> {
-    let stand = Stand::start()?;
-    configure(&stand, 1, &["s", "own"]);
-    let caller = Instance::start(stand.address(), "own", "v1").await?;
-    let target = Instance::start(stand.address(), "s", "v1").await?;
-    caller.wait_ready().await?;
+    let (stand, caller, target) = pair().await?;
     target.wait_ready().await?;
     for instance in [&caller, &target] {
         instance.wait_served("/s/").await?;
--- a/fulmarreel-node/tests/mesh/explain.rs
+++ b/fulmarreel-node/tests/mesh/explain.rs
@@ -2,27 +2,15 @@
 
 use crate::{
     backend::Manner,
-    support::{Instance, call, configure, eventually},
+    support::{Instance, call, configure, eventually, pair},
 };
 use anyhow::ensure;
 use fulmarreel::explain::{Source, explain};
-use fulmarreel_testing::kv::Stand;
 use std::{
     sync::atomic::{AtomicU64, Ordering},
     time::Duration,
 };
 
-/// A caller's instance and the only target of `s`, which has four slots.
-async fn start() -> anyhow::Result<(Stand, Instance, Instance)> {
-    let stand = Stand::start()?;
-    configure(&stand, 1, &["s", "own"]);
-    let caller = Instance::start(stand.address(), "own", "v1").await?;
-    let target = Instance::start(stand.address(), "s", "v1").await?;
-    caller.wait_ready().await?;
-    caller.wait_served("/s/").await?;
-    Ok((stand, caller, target))
-}
-
 /// Waits until the logs of both nodes explain a request in these words.
 async fn explained(
     id: &str,
@@ -49,7 +37,7 @@
 #[test]
 fn a_refusal_leads_to_the_slots_that_were_taken() -> anyhow::Result<()> {
     smol::block_on(async {
-        let (_stand, caller, target) = start().await?;
+        let (_stand, caller, target) = pair().await?;
         target.backend.set_manner(Manner {
             delay: Duration::from_secs(2),
             ..Manner::default()
@@ -86,7 +74,7 @@
 #[test]
 fn an_unknown_outcome_leads_to_the_connection_that_was_lost() -> anyhow::Result<()> {
     smol::block_on(async {
-        let (_stand, caller, target) = start().await?;
+        let (_stand, caller, target) = pair().await?;
         target.backend.set_manner(Manner {
             lose: true,
             ..Manner::default()
@@ -102,7 +90,7 @@
 #[test]
 fn a_late_answer_leads_to_the_targets_own_time() -> anyhow::Result<()> {
     smol::block_on(async {
-        let (_stand, caller, target) = start().await?;
+        let (_stand, caller, target) = pair().await?;
         target.backend.set_manner(Manner {
             delay: Duration::from_millis(1_200),
             ..Manner::default()
@@ -122,7 +110,7 @@
 #[test]
 fn metrics_count_ends_at_their_own_address() -> anyhow::Result<()> {
     smol::block_on(async {
-        let (stand, caller, target) = start().await?;
+        let (stand, caller, target) = pair().await?;
         target.backend.set_manner(Manner {
             status: 500,
             ..Manner::default()
--- a/fulmarreel-node/tests/mesh/support.rs
+++ b/fulmarreel-node/tests/mesh/support.rs
@@ -235,6 +235,17 @@
     stand.put("op/config", config.as_bytes())
 }
 
+/// A store, a callers' instance with a target of `own`, and one with the only target of `s`.
+pub async fn pair() -> anyhow::Result<(Stand, Instance, Instance)> {
+    let stand = Stand::start()?;
+    configure(&stand, 1, &["s", "own"]);
+    let caller = Instance::start(stand.address(), "own", "v1").await?;
+    let target = Instance::start(stand.address(), "s", "v1").await?;
+    caller.wait_ready().await?;
+    caller.wait_served("/s/").await?;
+    Ok((stand, caller, target))
+}
+
 /// Sends one request on a connection of its own.
 pub async fn call(
     to: SocketAddr,
