--- a/fulmarreel-node/src/ingress/exchange.rs
+++ b/fulmarreel-node/src/ingress/exchange.rs
@@ -107,9 +107,10 @@
 impl Drop for Pending {
     fn drop(&mut self) {
         self.loads.end(self.target);
-        self.connection.forget(self.sequence);
-        if !self.ended {
-            self.connection.cancel(self.sequence);
+        if self.ended {
+            self.connection.forget(self.sequence);
+        } else {
+            self.connection.abandon(self.sequence);
         }
     }
 }
--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -175,7 +175,7 @@
             None
         });
         let Some(end) = ended.await else {
-            log::info!(id = id.as_str(), route = route.name.as_str(); "the caller left");
+            self.log_left(&request, &tried);
             return conn
                 .with_response_header(KnownHeaderName::Connection, "close")
                 .halt();
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -98,6 +98,21 @@
         );
     }
 
+    /// Logs that a request's caller left, and where the request was by then.
+    pub(super) fn log_left(&self, request: &Request<'_>, tried: &Tried) {
+        let target = tried.addresses.last().map(ToString::to_string);
+        log::info!(
+            id = request.id,
+            offers = tried.addresses.len(),
+            reached = tried.reached,
+            target = target.as_deref().unwrap_or(""),
+            route = request.route.name.as_str(),
+            allowed_ms = request.limit.saturating_duration_since(request.started).as_millis() as u64,
+            waited_ms = request.started.elapsed().as_millis() as u64;
+            "the caller left"
+        );
+    }
+
     pub(super) fn log_end(&self, request: &Request<'_>, end: &End, tried: &Tried) {
         let (outcome, status, reason) = match end {
             End::Answered(kept) => (Outcome::Answered, kept.head.status, "answered"),
--- a/fulmarreel-node/src/mesh/exchange.rs
+++ b/fulmarreel-node/src/mesh/exchange.rs
@@ -1,7 +1,7 @@
 //! One attempt of a request at one target.
 
 use super::{
-    serve::{Rejection, Server},
+    serve::{Rejection, Server, request_id},
     targets::Targets,
     view::Target,
 };
@@ -13,7 +13,7 @@
 use smol::{Timer, channel::Receiver, future::or};
 use std::{
     net::SocketAddr,
-    sync::Arc,
+    sync::{Arc, OnceLock},
     time::{Duration, Instant},
 };
 
@@ -81,9 +81,34 @@
 
 impl Drop for Pending {
     fn drop(&mut self) {
-        self.connection.forget(self.sequence);
-        if !self.ended {
-            self.connection.cancel(self.sequence);
+        if self.ended {
+            self.connection.forget(self.sequence);
+        } else {
+            self.connection.abandon(self.sequence);
+        }
+    }
+}
+
+/// When the caller of a request left, if it has.
+#[derive(Debug, Default)]
+struct Departure(OnceLock<Instant>);
+
+/// A caller that waits; dropped, it has left.
+#[derive(Debug, Default)]
+struct Presence(Arc<Departure>);
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        let _ = self.0.0.set(Instant::now());
+    }
+}
+
+impl Departure {
+    /// Logs what happened to a request whose caller has left.
+    fn log(&self, open: &Open, what: &str) {
+        if let Some(since) = self.0.get() {
+            let after_ms = since.elapsed().as_millis() as u64;
+            log::info!(id = request_id(open), after_ms; "{what}");
         }
     }
 }
@@ -134,15 +159,21 @@
             // What may not be repeated is run to its end, also where its caller leaves.
             let (server, open, body) = (Arc::clone(self.server), open.clone(), body.to_vec());
             let (sender, receiver) = smol::channel::bounded(1);
+            let presence = Presence::default();
+            let departure = Arc::clone(&presence.0);
             crate::runtime::spawn(async move {
-                let handled = server.handle(&open, &body, || true).await;
+                let hand_over = || {
+                    departure.log(&open, "handed over after its caller left");
+                    true
+                };
+                let handled = server.handle(&open, &body, hand_over).await;
+                departure.log(&open, "ended after its caller left");
                 // The caller may have left.
                 let _ = sender.try_send(handled);
             });
-            receiver
-                .recv()
-                .await
-                .unwrap_or(Err(Rejection::Failed(Failure::Forgotten)))
+            let handled = receiver.recv().await;
+            drop(presence);
+            handled.unwrap_or(Err(Rejection::Failed(Failure::Forgotten)))
         };
         match handled {
             Ok(kept) => Attempt::Answered(kept),
--- a/fulmarreel-node/src/mesh/run.rs
+++ b/fulmarreel-node/src/mesh/run.rs
@@ -27,6 +27,9 @@
 /// How often it is looked which nodes are to be probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// A delay of tasks that is logged.
+const LONG_DELAY: Duration = Duration::from_millis(250);
+
 /// Runs a node on the platform until it is told to stop, with metrics at a port of their own if one is
 /// given.
 ///
@@ -84,10 +87,15 @@
     or(serving, or(callers, stop::run(context, server, caller))).await
 }
 
-/// Tries nodes that could not be reached, so that no request waits for them.
+/// Tries nodes that could not be reached, so that no request waits for them. How late that task can run
+/// tells how late this node hears of anything.
 async fn probe(context: Arc<Context>, targets: Arc<Targets>, pool: Arc<Pool>) {
     loop {
-        Timer::after(PROBE_INTERVAL).await;
+        let delay = Timer::after(PROBE_INTERVAL).await.elapsed();
+        metrics::task_delayed(delay);
+        if delay >= LONG_DELAY {
+            log::info!(delay_ms = delay.as_millis() as u64; "tasks were delayed");
+        }
         let view = context.view();
         targets.retain(|address| view.nodes.iter().any(|node| node.0 == address));
         for address in targets.probes(Instant::now()) {
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -380,7 +380,7 @@
 }
 
 /// The caller's id of a request, by which the lines of all nodes join.
-fn request_id(open: &Open) -> &str {
+pub fn request_id(open: &Open) -> &str {
     let mut headers = open.headers.iter();
     let header = headers.find(|header| header.name.eq_ignore_ascii_case(request::ID));
     header.map_or("", |header| {
--- a/fulmarreel-node/src/mesh/serve/peer.rs
+++ b/fulmarreel-node/src/mesh/serve/peer.rs
@@ -60,6 +60,13 @@
         let link = Link::new(session, outgoing.clone(), generation, u64::MAX);
         let ended = self.follow(origin, link, tcp).await;
         outgoing.close();
+        let running = {
+            let running = self.running.lock().expect("running lock");
+            running.keys().filter(|key| key.0 == origin).count()
+        };
+        if running > 0 {
+            log::info!(peer:% = origin.address, generation, running; "connection of a node ended");
+        }
         ended
     }
 
@@ -102,6 +109,7 @@
         let sequence = open.sequence;
         let key = (origin, sequence);
         let (cancel, cancelled) = bounded(1);
+        let opened = Instant::now();
         let hand_over = || {
             let mut ledger = session.ledger.lock().expect("ledger lock");
             let handed_over = ledger.hand_over(sequence);
@@ -119,7 +127,8 @@
         self.running.lock().expect("running lock").remove(&key);
         match handled {
             None => {
-                log::info!(id = request_id(&open); "broken off, its caller left");
+                let after_ms = opened.elapsed().as_millis() as u64;
+                log::info!(id = request_id(&open), after_ms; "broken off, its caller left");
                 lose(&session, sequence, Failure::Deadline).await;
             }
             Some(Ok(kept)) => {
@@ -131,7 +140,10 @@
                 }
                 session.send(&kept).await;
             }
-            Some(Err(Rejection::Withdrawn)) => {}
+            Some(Err(Rejection::Withdrawn)) => {
+                let after_ms = opened.elapsed().as_millis() as u64;
+                log::info!(id = request_id(&open), after_ms; "withdrawn, its caller left");
+            }
             Some(Err(Rejection::Failed(reason))) => lose(&session, sequence, reason).await,
             Some(Err(Rejection::Refused {
                 reason,
--- a/fulmarreel-node/src/peer/connection.rs
+++ b/fulmarreel-node/src/peer/connection.rs
@@ -1,6 +1,7 @@
 //! One multiplexed connection.
 
 use super::{Identity, stream};
+use crate::telemetry::metrics::{self, AbandonedEnd};
 use fulmarreel_wire::{
     Hello, PROTOCOL, Purpose,
     call::{Chunk, Failed, Frame, Head, Refused, State},
@@ -35,6 +36,12 @@
 /// Silence, while calls wait, after which the connection is given up.
 const SILENCE_LIMIT: Duration = Duration::from_millis(700);
 
+/// How long the end of an abandoned call is waited for.
+const ABANDONED_LIMIT: Duration = Duration::from_secs(10);
+
+/// Time after its caller left from which on work that still went on is logged.
+const LATE_END: Duration = Duration::from_millis(250);
+
 /// What happened to a call on a connection.
 #[derive(Debug)]
 pub enum Event {
@@ -55,6 +62,18 @@
     },
 }
 
+impl Event {
+    /// How the work on an abandoned call ended, where this tells its end.
+    fn end_of_abandoned(&self) -> Option<AbandonedEnd> {
+        match self {
+            Self::Refused(_) => Some(AbandonedEnd::NotRun),
+            Self::Failed(_) => Some(AbandonedEnd::Failed),
+            Self::Head(_) => Some(AbandonedEnd::Answered),
+            Self::Chunk(_) | Self::State(_) | Self::Lost { .. } => None,
+        }
+    }
+}
+
 /// One multiplexed connection to a peer.
 #[derive(Debug)]
 pub struct Connection {
@@ -73,6 +92,8 @@
     waiting: HashMap<u64, Waiting>,
     /// Since when at least one call waits.
     since: Instant,
+    /// When calls were abandoned whose end the peer has not told yet.
+    abandoned: HashMap<u64, Instant>,
     closed: bool,
 }
 
@@ -136,6 +157,7 @@
             calls: Mutex::new(Calls {
                 waiting: HashMap::new(),
                 since: now,
+                abandoned: HashMap::new(),
                 closed: false,
             }),
             heard: Mutex::new(now),
@@ -199,6 +221,23 @@
         });
     }
 
+    /// Forgets a call whose caller left, and tells the peer so.
+    pub fn abandon(self: &Arc<Self>, sequence: u64) {
+        let now = Instant::now();
+        {
+            let mut calls = self.calls.lock().expect("calls lock");
+            calls.waiting.remove(&sequence);
+            // The end of some crosses the cancellation.
+            calls
+                .abandoned
+                .retain(|_, since| now.saturating_duration_since(*since) < ABANDONED_LIMIT);
+            if !calls.closed {
+                calls.abandoned.insert(sequence, now);
+            }
+        }
+        self.cancel(sequence);
+    }
+
     /// Closes the connection where calls wait and nothing was heard for too long, and asks for a
     /// sign of life before that.
     pub fn check(&self, now: Instant) {
@@ -229,6 +268,19 @@
             let written = call.written;
             let _ = call.events.try_send(Event::Lost { written });
         }
+        let untold = calls.abandoned.drain();
+        untold.for_each(|(call, since)| self.end_abandoned(call, AbandonedEnd::Untold, since));
+    }
+
+    /// Records the end of a call that was abandoned a while ago.
+    fn end_abandoned(&self, call: u64, end: AbandonedEnd, since: Instant) {
+        let after = since.elapsed();
+        metrics::abandoned_call_ended(end, after);
+        if after >= LATE_END {
+            let after_ms = after.as_millis() as u64;
+            let (peer, end) = (self.peer, end.name());
+            log::info!(call, peer:%, end, after_ms; "work went on after its caller left");
+        }
     }
 
     async fn read_frames(&self, tcp: TcpStream) {
@@ -263,10 +315,14 @@
                 return;
             }
         };
-        let calls = self.calls.lock().expect("calls lock");
+        let mut calls = self.calls.lock().expect("calls lock");
         if let Some(call) = calls.waiting.get(&sequence) {
             // The receiver may be gone: its caller hung up.
             let _ = call.events.try_send(event);
+        } else if let Some(end) = event.end_of_abandoned()
+            && let Some(since) = calls.abandoned.remove(&sequence)
+        {
+            self.end_abandoned(sequence, end, since);
         }
     }
 
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -44,6 +44,31 @@
     }
 }
 
+/// How the work on a call ended whose caller had left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AbandonedEnd {
+    /// It was not handed over, and never will be.
+    NotRun,
+    /// Its target was broken off, or failed it.
+    Failed,
+    /// Its target answered.
+    Answered,
+    /// The connection ended before the other node had said so.
+    Untold,
+}
+
+impl AbandonedEnd {
+    /// The end's name, as in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Failed => "failed",
+            Self::Answered => "answered",
+            Self::Untold => "untold",
+        }
+    }
+}
+
 /// Starts recording; to be called once, with the tasks' executor running.
 ///
 /// # Errors
@@ -92,6 +117,17 @@
     counter!("fulmarreel_retries_total", "service" => service.to_owned()).increment(1);
 }
 
+/// Records how long after its caller had left a call's work ended, as far as this node was told, and how.
+pub fn abandoned_call_ended(end: AbandonedEnd, after: Duration) {
+    histogram!("fulmarreel_abandoned_call_seconds", "end" => end.name())
+        .record(after.as_secs_f64());
+}
+
+/// Records how late a task that was due could run.
+pub fn task_delayed(delay: Duration) {
+    histogram!("fulmarreel_task_delay_seconds").record(delay.as_secs_f64());
+}
+
 /// Counts a call that this node refused on behalf of its target.
 pub fn call_refused(service: &str, reason: Refusal) {
     let labels = [
