test(node): failing tests of work that goes on for callers that left (GONE)

The stand-in of the own interface's target now notes calls whose connection is closed while they run.

--- a/fulmarreel-node/tests/calls.rs
+++ b/fulmarreel-node/tests/calls.rs
@@ -8,6 +8,8 @@
 mod kill;
 #[path = "calls/leave.rs"]
 mod leave;
+#[path = "calls/left.rs"]
+mod left;
 #[path = "calls/overload.rs"]
 mod overload;
 #[path = "calls/silence.rs"]
--- /dev/null
+++ b/fulmarreel-node/tests/calls/left.rs
@@ -0,0 +1,154 @@
+//! Callers that leave before their answer: what is still done for them.
+
+use super::support::{BOOKINGS, Bench, CALLERS, LOOKUPS, RESERVAS, control, get, mesh};
+use anyhow::ensure;
+use fulmarreel_testing::{
+    process::{Spec, eventually},
+    target::Control,
+};
+use rstest::rstest;
+use smol::{Timer, io::AsyncWriteExt, net::TcpStream};
+use std::time::Duration;
+
+/// Time after a caller has left within which work for it may go on.
+const WORK_LIMIT: Duration = Duration::from_millis(500);
+
+/// What a busy test machine may add to that.
+const SLACK: Duration = Duration::from_millis(250);
+
+/// Slots of the target.
+const SLOTS: u16 = 4;
+
+fn start(delay: Duration) -> anyhow::Result<Bench> {
+    let slots = SLOTS;
+    let mesh = mesh(&[Spec { slots, ..RESERVAS }])?;
+    let slow = Control {
+        delay_ms: delay.as_millis() as u64,
+        ..Control::default()
+    };
+    smol::block_on(control(mesh.instances[1].target_address, &slow))?;
+    Ok(mesh)
+}
+
+/// One call in HTTP.
+fn request(path: &str, name: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h\r\nX-Fulmarreel-Service: reservas\r\nX-Call-Name: {name}\r\n\
+        X-Fulmarreel-Deadline-Ms: 6000\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+/// Sends a call whose answer nobody has read yet.
+async fn send(mesh: &Bench, path: &str, name: &str) -> anyhow::Result<TcpStream> {
+    let mut tcp = TcpStream::connect(mesh.instances[CALLERS].callers).await?;
+    tcp.write_all(request(path, name).as_bytes()).await?;
+    Ok(tcp)
+}
+
+/// Has calls fill the target's slots.
+async fn fill(mesh: &Bench, path: &str) -> anyhow::Result<Vec<TcpStream>> {
+    let mut open = Vec::new();
+    for number in 0..SLOTS {
+        open.push(send(mesh, path, &format!("fill-{number}")).await?);
+    }
+    eventually(|| async {
+        ensure!(mesh.executions()?.len() == usize::from(SLOTS));
+        Ok(())
+    })
+    .await?;
+    Ok(open)
+}
+
+async fn broken_off(mesh: &Bench) -> anyhow::Result<u16> {
+    let count = get(mesh.instances[1].target_address, "/broken-off").await?;
+    Ok(count.parse()?)
+}
+
+#[rstest]
+#[case::one_call("")]
+#[case::pipelined(&request(LOOKUPS, "behind"))]
+fn a_lookup_whose_caller_left_is_broken_off(#[case] behind: &str) -> anyhow::Result<()> {
+    let mesh = start(Duration::from_secs(4))?;
+    smol::block_on(async {
+        let mut running = fill(&mesh, LOOKUPS).await?;
+        for tcp in &mut running {
+            tcp.write_all(behind.as_bytes()).await?;
+        }
+        Timer::after(Duration::from_millis(100)).await;
+        drop(running);
+        Timer::after(WORK_LIMIT + SLACK).await;
+        let ended = broken_off(&mesh).await?;
+        ensure!(ended == SLOTS, "{ended} of {SLOTS} broken off");
+        ensure!(!mesh.executions()?.contains_key("behind"));
+        Ok(())
+    })
+}
+
+#[test]
+fn a_lookup_for_a_node_that_is_gone_is_broken_off() -> anyhow::Result<()> {
+    let mesh = start(Duration::from_secs(4))?;
+    smol::block_on(async {
+        let _running = fill(&mesh, LOOKUPS).await?;
+        mesh.instances[CALLERS].node.signal("KILL")?;
+        Timer::after(WORK_LIMIT + SLACK).await;
+        let ended = broken_off(&mesh).await?;
+        ensure!(ended == SLOTS, "{ended} of {SLOTS} broken off");
+        Ok(())
+    })
+}
+
+/// Who leaves while a call waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Leaving {
+    Caller,
+    Node,
+}
+
+#[rstest]
+fn what_waits_for_a_slot_is_not_run_once_its_caller_or_node_is_gone(
+    #[values(LOOKUPS, BOOKINGS)] path: &str,
+    #[values(Leaving::Caller, Leaving::Node)] leaving: Leaving,
+) -> anyhow::Result<()> {
+    let work = Duration::from_millis(1_500);
+    let mesh = start(work)?;
+    smol::block_on(async {
+        let _filling = fill(&mesh, BOOKINGS).await?;
+        let waiting = send(&mesh, path, "left").await?;
+        Timer::after(Duration::from_millis(300)).await;
+        if leaving == Leaving::Node {
+            mesh.instances[CALLERS].node.signal("KILL")?;
+        }
+        drop(waiting);
+        Timer::after(work + WORK_LIMIT).await;
+        ensure!(
+            !mesh.executions()?.contains_key("left"),
+            "it was handed over"
+        );
+        Ok(())
+    })
+}
+
+#[rstest]
+#[case::lookup(LOOKUPS)]
+#[case::booking(BOOKINGS)]
+fn a_call_that_is_read_after_its_caller_left_is_not_run(#[case] path: &str) -> anyhow::Result<()> {
+    let mesh = start(Duration::from_millis(1_000))?;
+    smol::block_on(async {
+        let node = &mesh.instances[CALLERS].node;
+        // The connection to the target's node is open.
+        drop(fill(&mesh, BOOKINGS).await?);
+        Timer::after(Duration::from_millis(1_200)).await;
+        node.signal("STOP")?;
+        for number in 0..SLOTS {
+            drop(send(&mesh, path, &format!("left-{number}")).await?);
+        }
+        Timer::after(WORK_LIMIT + SLACK).await;
+        node.signal("CONT")?;
+        Timer::after(WORK_LIMIT * 2).await;
+        let executions = mesh.executions()?;
+        let sent = executions.keys().filter(|name| name.starts_with("left-"));
+        let sent = sent.count();
+        ensure!(sent == 0, "{sent} of {SLOTS} reached the target");
+        Ok(())
+    })
+}
--- /dev/null
+++ b/fulmarreel-node/tests/mesh/left.rs
@@ -0,0 +1,205 @@
+//! Callers that leave before their answer: what is still done for them.
+
+use crate::{
+    backend::{Manner, header},
+    support::{Instance, eventually, open, pair},
+};
+use anyhow::ensure;
+use fulmarreel_testing::kv::Stand;
+use rstest::rstest;
+use smol::{Timer, net::TcpStream};
+use std::time::{Duration, Instant};
+
+/// Time after a caller has left within which work for it may go on (GONE).
+const WORK_LIMIT: Duration = Duration::from_millis(500);
+
+/// What a busy test machine may add to that.
+const SLACK: Duration = Duration::from_millis(250);
+
+/// Slots of each target.
+const SLOTS: usize = 4;
+
+/// Two instances: the callers', and one whose target is the only one of `s`.
+struct Pair {
+    _stand: Stand,
+    caller: Instance,
+    other: Instance,
+}
+
+impl Pair {
+    async fn start() -> anyhow::Result<Self> {
+        let (stand, caller, other) = pair().await?;
+        caller.wait_served("/own/").await?;
+        Ok(Self {
+            _stand: stand,
+            caller,
+            other,
+        })
+    }
+
+    /// The instance whose target serves a path.
+    fn serving(&self, path: &str) -> &Instance {
+        if path.starts_with("/own") {
+            &self.caller
+        } else {
+            &self.other
+        }
+    }
+
+    /// Sends a request whose answer nobody has read yet.
+    async fn send(&self, path: &str, id: &str) -> anyhow::Result<TcpStream> {
+        let headers = [("X-Request-Id", id), ("X-Deadline-Ms", "3000")];
+        open(self.caller.callers, "POST", path, "h.example", &headers, "").await
+    }
+
+    /// Has requests that take `delay` fill the slots of a path's target.
+    async fn fill(&self, path: &str, delay: Duration) -> anyhow::Result<Vec<TcpStream>> {
+        let backend = &self.serving(path).backend;
+        backend.set_manner(Manner {
+            delay,
+            ..Manner::default()
+        });
+        let before = backend.arrivals().len();
+        let mut open = Vec::new();
+        for number in 0..SLOTS {
+            open.push(self.send(path, &format!("fill-{number}")).await?);
+        }
+        eventually("filled", || async {
+            backend.arrivals().len() == before + SLOTS
+        })
+        .await?;
+        Ok(open)
+    }
+}
+
+/// Whether a request of that id reached an instance's target.
+fn arrived(instance: &Instance, id: &str) -> bool {
+    let arrivals = instance.backend.arrivals();
+    let mut ids = arrivals.iter().map(|one| header(one, "x-request-id"));
+    ids.any(|known| known == Some(id))
+}
+
+#[rstest]
+#[case::lookup_at_the_own_target("/own/")]
+#[case::booking_at_the_own_target("/own-do/")]
+#[case::lookup_at_another_node("/s/")]
+#[case::booking_at_another_node("/s-do/")]
+fn what_waits_for_a_slot_is_not_run_once_its_caller_left(#[case] path: &str) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let pair = Pair::start().await?;
+        let serving = pair.serving(path);
+        let before = serving.backend.finished();
+        let _filling = pair.fill(path, Duration::from_millis(1_200)).await?;
+        let waiting = pair.send(path, "r-left").await?;
+        Timer::after(Duration::from_millis(200)).await;
+        drop(waiting);
+        eventually("slots free", || async {
+            serving.backend.finished() == before + SLOTS
+        })
+        .await?;
+        Timer::after(WORK_LIMIT).await;
+        ensure!(!arrived(serving, "r-left"), "it was handed over");
+        Ok(())
+    })
+}
+
+#[rstest]
+#[case::lookup_at_the_own_target("/own/")]
+#[case::booking_at_the_own_target("/own-do/")]
+#[case::lookup_at_another_node("/s/")]
+#[case::booking_at_another_node("/s-do/")]
+fn a_request_that_is_read_after_its_caller_left_is_not_run(
+    #[case] path: &str,
+) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let pair = Pair::start().await?;
+        pair.caller.wait_served(path).await?;
+        let serving = pair.serving(path);
+        pair.caller.process.signal("STOP")?;
+        for number in 0..SLOTS {
+            drop(pair.send(path, &format!("r-{number}")).await?);
+        }
+        Timer::after(WORK_LIMIT + SLACK).await;
+        pair.caller.process.signal("CONT")?;
+        pair.caller.wait_served(path).await?;
+        Timer::after(WORK_LIMIT).await;
+        let sent = (0..SLOTS).filter(|number| arrived(serving, &format!("r-{number}")));
+        let sent = sent.count();
+        ensure!(sent == 0, "{sent} of {SLOTS} reached the target");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_lookup_for_a_node_that_is_gone_is_broken_off() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let pair = Pair::start().await?;
+        let _running = pair.fill("/s/", Duration::from_secs(3)).await?;
+        pair.caller.process.signal("KILL")?;
+        Timer::after(WORK_LIMIT + SLACK).await;
+        let ended = pair.other.backend.broken_off();
+        ensure!(ended == SLOTS, "{ended} of {SLOTS} broken off");
+        Ok(())
+    })
+}
+
+#[rstest]
+#[case::lookup("/s/")]
+#[case::booking("/s-do/")]
+fn what_waits_for_a_slot_is_not_run_once_its_node_is_gone(
+    #[case] path: &str,
+) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let pair = Pair::start().await?;
+        let before = pair.other.backend.finished();
+        let _filling = pair.fill("/s-do/", Duration::from_millis(1_200)).await?;
+        let _waiting = pair.send(path, "r-left").await?;
+        Timer::after(Duration::from_millis(200)).await;
+        pair.caller.process.signal("KILL")?;
+        eventually("slots free", || async {
+            pair.other.backend.finished() == before + SLOTS
+        })
+        .await?;
+        Timer::after(WORK_LIMIT).await;
+        ensure!(!arrived(&pair.other, "r-left"), "it was handed over");
+        Ok(())
+    })
+}
+
+/// The callers' node takes the other one for silent and gives its lookups up while that stands still.
+#[test]
+fn a_lookup_on_a_connection_that_was_given_up_is_broken_off() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let pair = Pair::start().await?;
+        let _running = pair.fill("/s/", Duration::from_millis(2_800)).await?;
+        pair.other.process.signal("STOP")?;
+        Timer::after(Duration::from_millis(1_200)).await;
+        pair.other.process.signal("CONT")?;
+        let awake = Instant::now();
+        let ended = || pair.other.backend.broken_off();
+        while ended() < SLOTS && awake.elapsed() < WORK_LIMIT + SLACK {
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        ensure!(ended() == SLOTS, "{} of {SLOTS} broken off", ended());
+        Ok(())
+    })
+}
+
+#[rstest]
+#[case::own_target("/own/")]
+#[case::another_node("/s/")]
+fn callers_that_left_take_no_room_in_the_queue(#[case] path: &str) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let pair = Pair::start().await?;
+        let _filling = pair.fill(path, Duration::from_millis(700)).await?;
+        for number in 0..SLOTS {
+            let waiting = pair.send(path, &format!("r-left-{number}")).await?;
+            Timer::after(Duration::from_millis(50)).await;
+            drop(waiting);
+        }
+        Timer::after(Duration::from_millis(100)).await;
+        let answer = pair.caller.request("POST", path, "r-stays").await?;
+        ensure!(answer.status == 200, "{}", answer.text);
+        Ok(())
+    })
+}
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod explain;
 mod frames;
+mod left;
 mod moves;
 mod path;
 mod stop;
--- a/fulmarreel-testing/src/target/mod.rs
+++ b/fulmarreel-testing/src/target/mod.rs
@@ -60,6 +60,8 @@
     total: u64,
     running: u64,
     peak: u64,
+    /// Calls whose connection was closed while they ran.
+    broken_off: u64,
     file: Option<File>,
 }
 
@@ -108,6 +110,10 @@
             let peak = stand.executions.lock().expect("executions lock").peak;
             conn.ok(peak.to_string())
         }
+        (Method::Get, "/broken-off") => {
+            let broken_off = stand.executions.lock().expect("executions lock").broken_off;
+            conn.ok(broken_off.to_string())
+        }
         (Method::Post, "/control") => {
             let body = conn.request_body().read_bytes().await.unwrap_or_default();
             match serde_json::from_slice(&body) {
@@ -141,7 +147,14 @@
     let number = stand.count(name.as_deref());
     let running = Running(stand);
     if control.delay_ms > 0 {
-        Timer::after(Duration::from_millis(control.delay_ms)).await;
+        let work = Timer::after(Duration::from_millis(control.delay_ms));
+        if conn.cancel_on_disconnect(work).await.is_none() {
+            let mut executions = stand.executions.lock().expect("executions lock");
+            executions.broken_off += 1;
+            drop(executions);
+            drop(running);
+            return conn.halt();
+        }
     }
     drop(running);
     let mut conn = conn.with_response_header("x-version", stand.options.version.clone());
