fix(node): what waits at the own target ends with its caller

Callers saw: a booking whose caller had left was run, up to its whole limit later (GONE).

Cause: a request that may not be repeated got a task of its own as soon as it arrived at the own target, so that nothing breaks it off while it runs. But most of such a task's life may be the wait for a slot, and nobody withdrew it there; over another node the same request is fenced by the ledger.

Evidence: left::what_waits_for_a_slot_is_not_run_once_its_caller_left::case_2_booking_at_the_own_target failed in each run before ("it was handed over") and passes now; lookups and bookings at another node passed before and pass now.

Admission and execution are two steps now. The first belongs to the caller's task and is dropped with it, wherever the target is; only the second, which begins with the hand-over, goes on alone for what may not be repeated. The fence of requests of other nodes stands between the two steps, as it did.

--- a/fulmarreel-node/src/mesh/exchange.rs
+++ b/fulmarreel-node/src/mesh/exchange.rs
@@ -1,7 +1,7 @@
 //! One attempt of a request at one target.
 
 use super::{
-    serve::{Rejection, Server, request_id},
+    serve::{Admitted, Rejection, Server, request_id},
     targets::Targets,
     view::Target,
 };
@@ -151,29 +151,13 @@
         }
     }
 
-    /// Hands the request to this node's own target.
+    /// Hands the request to this node's own target. While it waits for a slot, it ends with its
+    /// caller.
     async fn run_here(&self, open: &Open, body: &[u8]) -> Attempt {
-        let handled = if open.idempotent {
-            self.server.handle(open, body, || true).await
-        } else {
-            // What may not be repeated is run to its end, also where its caller leaves.
-            let (server, open, body) = (Arc::clone(self.server), open.clone(), body.to_vec());
-            let (sender, receiver) = smol::channel::bounded(1);
-            let presence = Presence::default();
-            let departure = Arc::clone(&presence.0);
-            crate::runtime::spawn(async move {
-                let hand_over = || {
-                    departure.log(&open, "handed over after its caller left");
-                    true
-                };
-                let handled = server.handle(&open, &body, hand_over).await;
-                departure.log(&open, "ended after its caller left");
-                // The caller may have left.
-                let _ = sender.try_send(handled);
-            });
-            let handled = receiver.recv().await;
-            drop(presence);
-            handled.unwrap_or(Err(Rejection::Failed(Failure::Forgotten)))
+        let handled = match self.server.admit(open).await {
+            Ok(admitted) if open.idempotent => self.server.execute(admitted, open, body).await,
+            Ok(admitted) => self.run_to_its_end(admitted, open, body).await,
+            Err(rejection) => Err(rejection),
         };
         match handled {
             Ok(kept) => Attempt::Answered(kept),
@@ -181,11 +165,32 @@
                 reason,
                 retry_after,
             }) => refused(reason, retry_after),
-            Err(Rejection::Withdrawn) => refused(Refusal::Cancelled, Duration::ZERO),
             Err(Rejection::Failed(reason)) => failed(reason),
         }
     }
 
+    /// Runs what may not be repeated to its end, also where its caller leaves.
+    async fn run_to_its_end(
+        &self,
+        admitted: Admitted,
+        open: &Open,
+        body: &[u8],
+    ) -> Result<Kept, Rejection> {
+        let (server, open, body) = (Arc::clone(self.server), open.clone(), body.to_vec());
+        let (sender, receiver) = smol::channel::bounded(1);
+        let presence = Presence::default();
+        let departure = Arc::clone(&presence.0);
+        crate::runtime::spawn(async move {
+            let handled = server.execute(admitted, &open, &body).await;
+            departure.log(&open, "ended after its caller left");
+            // The caller may have left.
+            let _ = sender.try_send(handled);
+        });
+        let handled = receiver.recv().await;
+        drop(presence);
+        handled.unwrap_or(Err(Rejection::Failed(Failure::Forgotten)))
+    }
+
     async fn send(&self, connection: Arc<Connection>, open: &Open, body: &[u8]) -> Wait {
         let sequence = open.sequence;
         let events = connection.register(sequence);
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -67,12 +67,29 @@
         /// When it may be worth asking again.
         retry_after: Duration,
     },
-    /// It was cancelled before it was handed over, which was said already.
-    Withdrawn,
     /// It was handed over, and its answer cannot be had.
     Failed(Failure),
 }
 
+/// A request that has a slot of the own target.
+#[derive(Debug)]
+pub struct Admitted {
+    permit: Permit,
+    target: Announcement,
+    /// When its caller no longer waits.
+    deadline: Instant,
+}
+
+impl Rejection {
+    fn refused(open: &Open, reason: Refusal, retry_after: Duration) -> Self {
+        metrics::call_refused(&open.service, reason);
+        Self::Refused {
+            reason,
+            retry_after,
+        }
+    }
+}
+
 impl Server {
     /// A server of requests to the own target.
     pub fn new(context: Arc<Context>) -> Self {
@@ -189,24 +206,13 @@
         self.broadcast(&Frame::Leaving);
     }
 
-    /// Admits a request and hands it over; `hand_over` says whether it may be, at the last moment.
+    /// Waits for a slot; a request that is dropped while it waits does not run.
     ///
     /// # Errors
     ///
-    /// There is no answer.
-    pub async fn handle(
-        &self,
-        open: &Open,
-        body: &[u8],
-        hand_over: impl FnOnce() -> bool,
-    ) -> Result<Kept, Rejection> {
-        let refused = |reason, retry_after| {
-            metrics::call_refused(&open.service, reason);
-            Rejection::Refused {
-                reason,
-                retry_after,
-            }
-        };
+    /// It is not run, and never will be.
+    pub async fn admit(&self, open: &Open) -> Result<Admitted, Rejection> {
+        let refused = |reason, retry_after| Rejection::refused(open, reason, retry_after);
         let now = Instant::now();
         let deadline = now + Duration::from_millis(u64::from(open.remaining_ms));
         self.target_for(open)
@@ -234,9 +240,29 @@
         let target = self
             .target_for(open)
             .map_err(|reason| refused(reason, Duration::ZERO))?;
-        if !hand_over() {
-            return Err(Rejection::Withdrawn);
-        }
+        Ok(Admitted {
+            permit,
+            target,
+            deadline,
+        })
+    }
+
+    /// Hands an admitted request over to the target, and reads its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// There is no answer.
+    pub async fn execute(
+        &self,
+        admitted: Admitted,
+        open: &Open,
+        body: &[u8],
+    ) -> Result<Kept, Rejection> {
+        let Admitted {
+            permit,
+            target,
+            deadline,
+        } = admitted;
         let started = Instant::now();
         let called = self.endpoint.call(open, body, &target.id, deadline).await;
         let took = started.elapsed();
@@ -252,7 +278,7 @@
                 );
                 Err(match error {
                     endpoint::Error::Unreachable { .. } => {
-                        refused(Refusal::Unreachable, Duration::ZERO)
+                        Rejection::refused(open, Refusal::Unreachable, Duration::ZERO)
                     }
                     endpoint::Error::Lost(_) => Rejection::Failed(Failure::TargetLost),
                     endpoint::Error::Deadline { .. } => Rejection::Failed(Failure::Deadline),
--- a/fulmarreel-node/src/mesh/serve/peer.rs
+++ b/fulmarreel-node/src/mesh/serve/peer.rs
@@ -110,7 +110,11 @@
         let key = (origin, sequence);
         let (cancel, cancelled) = bounded(1);
         let opened = Instant::now();
-        let hand_over = || {
+        let admitted = match self.admit(&open).await {
+            Ok(admitted) => admitted,
+            Err(rejection) => return reject(&session, sequence, rejection).await,
+        };
+        let handed_over = {
             let mut ledger = session.ledger.lock().expect("ledger lock");
             let handed_over = ledger.hand_over(sequence);
             if handed_over && open.idempotent {
@@ -119,8 +123,13 @@
             }
             handed_over
         };
+        if !handed_over {
+            let after_ms = opened.elapsed().as_millis() as u64;
+            log::info!(id = request_id(&open), after_ms; "withdrawn, its caller left");
+            return;
+        }
         let handled = or(
-            async { Some(self.handle(&open, &body, hand_over).await) },
+            async { Some(self.execute(admitted, &open, &body).await) },
             wait_for(&cancelled),
         )
         .await;
@@ -140,30 +149,32 @@
                 }
                 session.send(&kept).await;
             }
-            Some(Err(Rejection::Withdrawn)) => {
-                let after_ms = opened.elapsed().as_millis() as u64;
-                log::info!(id = request_id(&open), after_ms; "withdrawn, its caller left");
-            }
-            Some(Err(Rejection::Failed(reason))) => lose(&session, sequence, reason).await,
-            Some(Err(Rejection::Refused {
-                reason,
-                retry_after,
-            })) => {
-                let withdrawn = {
-                    let mut ledger = session.ledger.lock().expect("ledger lock");
-                    ledger.withdraw(sequence, Instant::now())
-                };
-                if withdrawn {
-                    let refused = Refused::new(sequence, reason);
-                    session.reply(Frame::Refused(refused)).await;
-                } else {
-                    session.refuse_until(sequence, reason, retry_after).await;
-                }
-            }
+            Some(Err(rejection)) => reject(&session, sequence, rejection).await,
         }
     }
 }
 
+/// Tells why a request has no answer.
+async fn reject(session: &Session, sequence: u64, rejection: Rejection) {
+    let (reason, retry_after) = match rejection {
+        Rejection::Failed(reason) => return lose(session, sequence, reason).await,
+        Rejection::Refused {
+            reason,
+            retry_after,
+        } => (reason, retry_after),
+    };
+    let withdrawn = {
+        let mut ledger = session.ledger.lock().expect("ledger lock");
+        ledger.withdraw(sequence, Instant::now())
+    };
+    if withdrawn {
+        let refused = Refused::new(sequence, reason);
+        session.reply(Frame::Refused(refused)).await;
+    } else {
+        session.refuse_until(sequence, reason, retry_after).await;
+    }
+}
+
 /// Waits for a cancellation; a sender that is dropped cancels nothing.
 async fn wait_for<T>(cancelled: &Receiver<()>) -> Option<T> {
     if cancelled.recv().await.is_err() {
