fix(node): whether the caller is there is looked at before each step for it

Callers saw: requests whose callers had left before their node read them (a node that is busy, or stood still) reached a target (GONE).

Cause: the answer and the caller's leaving were raced, and the answer was polled first: in one poll it chose a target and wrote the request, at the own target to its connection. Only then the close, which lay in the same socket, was looked at. The same order sent a repeat for a caller that had left. The own interface had it from its HTTP library, which polls the work first as well, and doesn't see a close behind further requests.

Both interfaces use one transport now, which reads ahead while a request is served and is asked before each poll of the work. A poll of it is one read that would block, as before.

--- a/fulmarreel-node/src/ingress/listen.rs
+++ b/fulmarreel-node/src/ingress/listen.rs
@@ -5,13 +5,16 @@
 //! them that nothing ran.
 
 use super::Ingress;
+use crate::transport::Transport;
 use smol::{
     future::or,
     net::{TcpListener, TcpStream},
 };
-use std::{io, net, os::fd::AsFd, sync::Arc};
+use std::{io, net, os::fd::AsFd, sync::Arc, time::Duration};
 use trillium_http::HttpContext;
-use trillium_smol::SmolTransport;
+
+/// How long a caller's connection is kept without a byte.
+const IDLE_LIMIT: Duration = Duration::from_hours(24);
 
 /// Accepts callers until the ingress is closing.
 ///
@@ -58,10 +61,10 @@
     tcp: TcpStream,
 ) -> trillium_http::Result<()> {
     tcp.set_nodelay(true)?;
-    let transport = SmolTransport::from(tcp);
+    let transport = Transport::new(tcp, || IDLE_LIMIT);
+    let watcher = transport.watcher();
     let served = context.run(transport, |conn| async {
-        let conn = ingress.handle(conn.into()).await;
-        conn.into_inner()
+        ingress.handle(conn.into(), &watcher).await.into_inner()
     });
     served.await.map(|_| ())
 }
--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -22,6 +22,7 @@
         decision::Kind,
         metrics::{self, Outcome},
     },
+    transport::Watcher,
 };
 use claim::{Claims, Refusal};
 use exchange::{Answer, Exchange};
@@ -39,6 +40,7 @@
 };
 use std::{
     collections::HashMap,
+    future,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -127,17 +129,17 @@
     }
 
     /// Serves one request.
-    pub async fn handle(&self, conn: Conn) -> Conn {
+    pub async fn handle(&self, conn: Conn, watcher: &Watcher) -> Conn {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
         let _counted = Counted(&self.in_flight);
-        let conn = self.serve(conn).await;
+        let conn = self.serve(conn, watcher).await;
         if self.accepting.0.is_closed() {
             return conn.with_response_header(KnownHeaderName::Connection, "close");
         }
         conn
     }
 
-    async fn serve(&self, mut conn: Conn) -> Conn {
+    async fn serve(&self, mut conn: Conn, watcher: &Watcher) -> Conn {
         let limit = self.state.settings.limits.request_bytes;
         let request = match Request::read(&mut conn, limit).await {
             Ok(request) => request,
@@ -152,18 +154,22 @@
         if let Some(key) = &request.idempotency_key
             && !destination.route.idempotent()
         {
+            if watcher.while_there(future::ready(())).await.is_none() {
+                return conn.halt();
+            }
             let answer = self.answer_once(&mut destination, &request, key).await;
             self.log_end(&destination, &request, &answer);
             return respond::respond(conn, answer);
         }
-        // A caller that hangs up drops this future, and with it the call.
         let answer = self.answer(&mut destination, &request);
-        match conn.cancel_on_disconnect(answer).await {
+        match watcher.while_there(answer).await {
             Some(answer) => {
                 self.log_end(&destination, &request, &answer);
                 respond::respond(conn, answer)
             }
-            None => conn.halt(),
+            None => conn
+                .with_response_header(KnownHeaderName::Connection, "close")
+                .halt(),
         }
     }
 
--- a/fulmarreel-node/src/lib.rs
+++ b/fulmarreel-node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod sync;
 pub mod target;
 pub mod telemetry;
+pub(crate) mod transport;
 
 pub use run::run;
 pub use settings::Settings;
--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -4,17 +4,17 @@
 mod choose;
 mod respond;
 
-use super::{
-    context::Context, serve::Server, takeover::Moves, targets::Targets, transport::Watcher,
+use super::{context::Context, serve::Server, takeover::Moves, targets::Targets};
+use crate::{
+    peer::{Identity, Pool},
+    transport::Watcher,
 };
-use crate::peer::{Identity, Pool};
 use answer::Tried;
 use fulmarreel_balance::Budget;
 use fulmarreel_platform::request;
 use fulmarreel_route::Route;
 use fulmarreel_wire::call::{Header, Open};
 use respond::refuse;
-use smol::future::or;
 use std::{
     collections::HashMap,
     sync::{
@@ -169,12 +169,8 @@
         };
         let open = self.open(&conn, &request);
         let mut tried = Tried::default();
-        let answer = async { Some(self.answer(&request, open, &mut tried).await) };
-        let ended = or(answer, async {
-            watcher.left().await;
-            None
-        });
-        let Some(end) = ended.await else {
+        let answer = self.answer(&request, open, &mut tried);
+        let Some(end) = watcher.while_there(answer).await else {
             self.log_left(&request, &tried);
             return conn
                 .with_response_header(KnownHeaderName::Connection, "close")
--- a/fulmarreel-node/src/mesh/listen.rs
+++ b/fulmarreel-node/src/mesh/listen.rs
@@ -1,6 +1,7 @@
 //! Connections of callers.
 
-use super::{caller::Caller, context::Context, transport::Transport};
+use super::{caller::Caller, context::Context};
+use crate::transport::Transport;
 use fulmarreel_route::Limits;
 use smol::net::{TcpListener, TcpStream};
 use std::{io, sync::Arc, time::Duration};
--- a/fulmarreel-node/src/mesh/mod.rs
+++ b/fulmarreel-node/src/mesh/mod.rs
@@ -21,7 +21,6 @@
 pub(crate) mod sync;
 pub(crate) mod takeover;
 pub(crate) mod targets;
-pub(crate) mod transport;
 pub(crate) mod view;
 
 pub use run::run;
--- a/fulmarreel-node/src/mesh/transport.rs
+++ b/fulmarreel-node/src/transport.rs
@@ -1,10 +1,10 @@
 //! A caller's connection that tells when the caller leaves while its request is served.
 //!
 //! The HTTP library reads the connection only between requests. While one is served,
-//! [`Watcher::left`] reads ahead into a bounded buffer, which the library gets first.
+//! [`Watcher::while_there`] reads ahead into a bounded buffer, which the library gets first.
 
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
-use smol::{Timer, net::TcpStream};
+use smol::{Timer, future::or, net::TcpStream};
 use std::{
     collections::VecDeque,
     io,
@@ -71,8 +71,17 @@
 }
 
 impl Watcher {
-    /// Waits until the caller has closed the connection. Not to be awaited while a request is read.
-    pub async fn left(&self) {
+    /// Works for the caller until it leaves, which is looked at before each step of the work. Not to be
+    /// awaited while a request is read.
+    pub async fn while_there<W: Future>(&self, work: W) -> Option<W::Output> {
+        let left = async {
+            self.left().await;
+            None
+        };
+        or(left, async { Some(work.await) }).await
+    }
+
+    async fn left(&self) {
         let mut tcp = self.tcp.clone();
         let mut bytes = [0; READ_BYTES];
         loop {
