fix(node): the calls of a connection that ended are cancelled

Callers saw: targets worked on for callers that had left, or were handed requests of theirs, after a connection between two nodes was lost, taken for silent, or had ended with its node (GONE).

Cause: a call's cancellation could travel only on the connection that the call was sent on. Once that ended, the callers' node sent a lookup elsewhere and could cancel the second attempt alone; a caller of a booking that left during the query over a new connection cancelled nothing. The first target's node went on for a process that no longer waited: up to the request's limit, and it handed over what was still queued.

Each call that has not ended has one connection that waits for it: the one that it was opened on, or asked for on last. 250 ms after a connection ended, or was replaced by a later one unheard, the calls that still are its own are cancelled as by their caller: what waits is fenced, which a late query is told as not run; what may be repeated is broken off; what may not runs to its end and is kept for a query. A later process at the same address cancels those of the earlier one at once. Both interfaces share it (serve::open, serve::session::Sessions), so the two lists of sessions and broadcasts have become one.

--- a/fulmarreel-call/src/ledger.rs
+++ b/fulmarreel-call/src/ledger.rs
@@ -183,9 +183,12 @@
         self.shrink();
     }
 
-    /// Notes that the answer of a call that was handed over cannot be had, or is not kept.
+    /// Notes that the answer of a call that was handed over cannot be had, or is not kept; one that
+    /// is kept already stays.
     pub fn lose(&mut self, sequence: u64, now: Instant) {
-        self.end(sequence, Call::Lost, now);
+        if matches!(self.calls.get(&sequence), Some(Call::HandedOver)) {
+            self.end(sequence, Call::Lost, now);
+        }
     }
 
     /// What became of a call; one that has not arrived is not run when it does.
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -10,20 +10,18 @@
 use crate::{
     serve::{
         gate::{Gate, Permit},
-        session::{Kept, Session},
+        session::{Kept, Sessions},
     },
     state::unix_millis,
     telemetry::metrics,
 };
 use fulmarreel_balance::admission::QueueDeadlines;
-use fulmarreel_call::Origin;
 use fulmarreel_http::{Quota, Response};
 use fulmarreel_membership::{Announcement, announcement::Register};
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::{Failure, Frame, Head, Header, Open, Refusal};
-use smol::{Timer, channel::Sender, net::TcpListener, stream::StreamExt};
+use smol::{Timer, net::TcpListener, stream::StreamExt};
 use std::{
-    collections::HashMap,
     io,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -45,9 +43,7 @@
     gate: Arc<Gate>,
     endpoint: Endpoint,
     register: Mutex<Own>,
-    sessions: Mutex<HashMap<Origin, Arc<Session>>>,
-    /// Requests that are with the target and may be broken off, by origin and sequence.
-    running: Mutex<HashMap<(Origin, u64), Sender<()>>>,
+    sessions: Sessions,
 }
 
 /// The own target and when it was last heard.
@@ -103,8 +99,7 @@
                 register: Register::default(),
                 heard: Instant::now(),
             }),
-            sessions: Mutex::default(),
-            running: Mutex::default(),
+            sessions: Sessions::default(),
         }
     }
 
@@ -203,7 +198,7 @@
 
     /// Tells peers that no new requests are taken, and takes none.
     pub fn leave(&self) {
-        self.broadcast(&Frame::Leaving);
+        self.sessions.broadcast(&Frame::Leaving);
     }
 
     /// Waits for a slot; a request that is dropped while it waits does not run.
@@ -347,7 +342,7 @@
             self.endpoint.close_idle();
         }
         if was != is {
-            self.broadcast(if is {
+            self.sessions.broadcast(if is {
                 &Frame::Accepting
             } else {
                 &Frame::Leaving
@@ -383,19 +378,7 @@
             self.endpoint.close_unusable();
             let (in_flight, slots) = self.gate.load();
             metrics::slots(in_flight, slots);
-            let mut sessions = self.sessions.lock().expect("sessions lock");
-            sessions.retain(|_, session| !session.is_idle());
-        }
-    }
-
-    fn broadcast(&self, frame: &Frame) {
-        let sessions: Vec<Arc<Session>> = {
-            let sessions = self.sessions.lock().expect("sessions lock");
-            sessions.values().map(Arc::clone).collect()
-        };
-        for session in sessions {
-            let frame = frame.clone();
-            crate::runtime::spawn(async move { session.reply(frame).await });
+            self.sessions.forget_idle();
         }
     }
 
--- a/fulmarreel-node/src/mesh/serve/peer.rs
+++ b/fulmarreel-node/src/mesh/serve/peer.rs
@@ -6,6 +6,7 @@
     peer::{Identity, stream},
     serve::{
         link::{Event, Link, QUEUED_FRAMES},
+        open::OpenCall,
         session::{Kept, Session},
     },
 };
@@ -14,12 +15,7 @@
     Hello, PROTOCOL, Purpose,
     call::{Failed, Failure, Frame, Open, Refused},
 };
-use smol::{
-    channel::{Receiver, bounded},
-    future::or,
-    io::BufReader,
-    net::TcpStream,
-};
+use smol::{channel::bounded, io::BufReader, net::TcpStream};
 use std::{io, sync::Arc, time::Instant};
 
 impl Server {
@@ -45,10 +41,7 @@
             boot: hello.boot,
         };
         let (outgoing, frames) = bounded::<Frame>(QUEUED_FRAMES);
-        let session = {
-            let mut sessions = self.sessions.lock().expect("sessions lock");
-            Arc::clone(sessions.entry(origin).or_default())
-        };
+        let session = self.sessions.get(origin);
         if !session.connect(generation, resumed, outgoing.clone()) {
             return Ok(());
         }
@@ -57,88 +50,51 @@
         }
         crate::runtime::spawn(stream::pump_calls(tcp.clone(), frames));
         // The callers' node keeps the configured limit of bodies.
-        let link = Link::new(session, outgoing.clone(), generation, u64::MAX);
-        let ended = self.follow(origin, link, tcp).await;
-        outgoing.close();
-        let running = {
-            let running = self.running.lock().expect("running lock");
-            running.keys().filter(|key| key.0 == origin).count()
-        };
-        if running > 0 {
-            log::info!(peer:% = origin.address, generation, running; "connection of a node ended");
-        }
+        let mut link = Link::new(session, outgoing, generation, u64::MAX);
+        let ended = self.follow(&mut link, tcp).await;
+        link.end();
         ended
     }
 
-    async fn follow(
-        self: &Arc<Self>,
-        origin: Origin,
-        mut link: Link,
-        tcp: TcpStream,
-    ) -> io::Result<()> {
+    async fn follow(self: &Arc<Self>, link: &mut Link, tcp: TcpStream) -> io::Result<()> {
         let mut tcp = BufReader::new(tcp);
         loop {
             match link.next(&mut tcp).await? {
-                Event::Opened(open, body) => {
-                    let (server, session) = (Arc::clone(self), Arc::clone(&link.session));
-                    crate::runtime::spawn(server.serve(origin, session, open, body));
+                Event::Opened(call, open, body) => {
+                    crate::runtime::spawn(Arc::clone(self).serve(call, open, body));
                 }
-                Event::Cancelled { sequence, late } if late => self.break_off((origin, sequence)),
                 Event::Cancelled { .. } | Event::Credit { .. } => {}
             }
         }
     }
 
-    /// Has a request that may be repeated broken off at its target.
-    fn break_off(&self, key: (Origin, u64)) {
-        let running = self.running.lock().expect("running lock").remove(&key);
-        if let Some(running) = running {
-            // The request may have ended this moment.
-            let _ = running.try_send(());
-        }
-    }
-
     /// Serves one request of a peer to its end.
-    async fn serve(
-        self: Arc<Self>,
-        origin: Origin,
-        session: Arc<Session>,
-        open: Open,
-        body: Vec<u8>,
-    ) {
-        let sequence = open.sequence;
-        let key = (origin, sequence);
-        let (cancel, cancelled) = bounded(1);
+    async fn serve(self: Arc<Self>, call: OpenCall, open: Open, body: Vec<u8>) {
+        let (session, sequence) = (&call.session, call.sequence);
         let opened = Instant::now();
-        let admitted = match self.admit(&open).await {
-            Ok(admitted) => admitted,
-            Err(rejection) => return reject(&session, sequence, rejection).await,
-        };
-        let handed_over = {
-            let mut ledger = session.ledger.lock().expect("ledger lock");
-            let handed_over = ledger.hand_over(sequence);
-            if handed_over && open.idempotent {
-                let mut running = self.running.lock().expect("running lock");
-                running.insert(key, cancel);
-            }
-            handed_over
-        };
-        if !handed_over {
+        let withdrawn = || {
             let after_ms = opened.elapsed().as_millis() as u64;
             log::info!(id = request_id(&open), after_ms; "withdrawn, its caller left");
-            return;
+        };
+        let admitted = match call.while_wanted(self.admit(&open)).await {
+            Some(Ok(admitted)) => admitted,
+            Some(Err(rejection)) => return reject(session, sequence, rejection).await,
+            None => return withdrawn(),
+        };
+        if !call.hand_over() {
+            return withdrawn();
         }
-        let handled = or(
-            async { Some(self.execute(admitted, &open, &body).await) },
-            wait_for(&cancelled),
-        )
-        .await;
-        self.running.lock().expect("running lock").remove(&key);
-        match handled {
+        let work = self.execute(admitted, &open, &body);
+        let executed = if open.idempotent {
+            call.while_wanted(work).await
+        } else {
+            Some(work.await)
+        };
+        match executed {
             None => {
                 let after_ms = opened.elapsed().as_millis() as u64;
                 log::info!(id = request_id(&open), after_ms; "broken off, its caller left");
-                lose(&session, sequence, Failure::Deadline).await;
+                lose(session, sequence, Failure::Deadline).await;
             }
             Some(Ok(kept)) => {
                 let kept = Arc::new(kept);
@@ -149,7 +105,7 @@
                 }
                 session.send(&kept).await;
             }
-            Some(Err(rejection)) => reject(&session, sequence, rejection).await,
+            Some(Err(rejection)) => reject(session, sequence, rejection).await,
         }
     }
 }
@@ -175,14 +131,6 @@
     }
 }
 
-/// Waits for a cancellation; a sender that is dropped cancels nothing.
-async fn wait_for<T>(cancelled: &Receiver<()>) -> Option<T> {
-    if cancelled.recv().await.is_err() {
-        std::future::pending::<()>().await;
-    }
-    None
-}
-
 async fn lose(session: &Session, sequence: u64, reason: Failure) {
     {
         let mut ledger = session.ledger.lock().expect("ledger lock");
--- a/fulmarreel-node/src/serve/call.rs
+++ b/fulmarreel-node/src/serve/call.rs
@@ -3,6 +3,7 @@
 use super::{
     Server,
     gate::Permit,
+    open::OpenCall,
     session::{Kept, Session},
 };
 use crate::target::{self, Answer};
@@ -32,27 +33,34 @@
 /// One call.
 pub(super) struct Call {
     pub server: Arc<Server>,
-    pub session: Arc<Session>,
+    /// Who waits for it.
+    pub open: OpenCall,
     /// The writer of the connection that it arrived on.
     pub outgoing: Sender<Frame>,
-    pub sequence: u64,
 }
 
 impl Call {
-    /// Serves the call to its end.
+    /// Serves the call until its end, or until nobody waits for it any more.
     pub async fn run(self, open: Open, body: Vec<u8>) {
         let deadline = Instant::now() + Duration::from_millis(u64::from(open.remaining_ms));
         if let Some(refusal) = self.server.refusal(&open.service, &open.version) {
-            return self.session.refuse(self.sequence, refusal).await;
+            return self.session().refuse(self.sequence(), refusal).await;
         }
-        let permit = match self.server.gate.enter(deadline).await {
-            Ok(permit) => permit,
-            Err(refusal) => return self.session.refuse(self.sequence, refusal).await,
+        let slot = self.server.gate.enter(deadline);
+        let permit = match self.open.while_wanted(slot).await {
+            Some(Ok(permit)) => permit,
+            Some(Err(refusal)) => return self.session().refuse(self.sequence(), refusal).await,
+            None => return,
         };
-        if !self.hand_over() {
+        if !self.open.hand_over() {
             // Cancelled while it waited; that was said already.
             return;
         }
+        self.work(open, body, deadline, permit).await;
+    }
+
+    /// Has the target run the call, and passes its answer on.
+    async fn work(&self, open: Open, body: Vec<u8>, deadline: Instant, permit: Permit) {
         let called = or(self.server.client.call(open, body, deadline), async {
             Timer::at(deadline + ABANDON_AFTER).await;
             Err(target::Error::Abandoned)
@@ -63,14 +71,17 @@
         }
     }
 
-    fn hand_over(&self) -> bool {
-        let mut ledger = self.session.ledger.lock().expect("ledger lock");
-        ledger.hand_over(self.sequence)
+    fn session(&self) -> &Session {
+        &self.open.session
+    }
+
+    fn sequence(&self) -> u64 {
+        self.open.sequence
     }
 
     async fn fail(&self, error: target::Error, permit: Permit) {
         drop(permit);
-        log::info!(call = self.sequence; "target: {error}");
+        log::info!(call = self.sequence(); "target: {error}");
         let failure = match error {
             target::Error::Malformed(_) => return self.withdraw(Refusal::Incomplete).await,
             target::Error::Connect { .. } => return self.withdraw(Refusal::Unreachable).await,
@@ -82,27 +93,27 @@
 
     /// Says that the call was not run: no byte of it reached the target.
     async fn withdraw(&self, reason: Refusal) {
-        let sequence = self.sequence;
+        let sequence = self.sequence();
         let withdrawn = {
-            let mut ledger = self.session.ledger.lock().expect("ledger lock");
+            let mut ledger = self.session().ledger.lock().expect("ledger lock");
             ledger.withdraw(sequence, Instant::now())
         };
         if withdrawn {
             let refused = Frame::Refused(Refused::new(sequence, reason));
-            self.session.reply(refused).await;
+            self.session().reply(refused).await;
         }
     }
 
     /// Notes that the answer cannot be had any more.
     fn mark_lost(&self) {
-        let mut ledger = self.session.ledger.lock().expect("ledger lock");
-        ledger.lose(self.sequence, Instant::now());
+        let mut ledger = self.session().ledger.lock().expect("ledger lock");
+        ledger.lose(self.sequence(), Instant::now());
     }
 
     async fn lose(&self, reason: Failure) {
-        let sequence = self.sequence;
+        let sequence = self.sequence();
         self.mark_lost();
-        self.session
+        self.session()
             .reply(Frame::Failed(Failed { sequence, reason }))
             .await;
     }
@@ -122,13 +133,13 @@
                     return self.finish(&answer, start, permit).await;
                 }
                 Ok(true) => {
-                    log::info!(call = self.sequence; "target: the answer is shorter than stated");
+                    log::info!(call = self.sequence(); "target: the answer is shorter than stated");
                     drop(permit);
                     return self.lose(Failure::TargetLost).await;
                 }
                 Ok(false) => {}
                 Err(error) => {
-                    log::info!(call = self.sequence; "target: answer: {error}");
+                    log::info!(call = self.sequence(); "target: answer: {error}");
                     drop(permit);
                     return self.lose(Failure::TargetLost).await;
                 }
@@ -138,12 +149,12 @@
         let credits = self.credits();
         let streamed = self.stream(head, start, body, &credits).await;
         drop(permit);
-        self.session
+        self.session()
             .credits
             .lock()
             .expect("credits lock")
-            .remove(&self.sequence);
-        let sequence = self.sequence;
+            .remove(&self.sequence());
+        let sequence = self.sequence();
         self.mark_lost();
         if let Err(error) = streamed {
             log::info!(call = sequence; "target: answer: {error}");
@@ -160,16 +171,16 @@
         let kept = Arc::new(Kept { head, body });
         let bytes = kept.body.len() + size_of::<Kept>();
         {
-            let mut ledger = self.session.ledger.lock().expect("ledger lock");
-            ledger.answer(self.sequence, Arc::clone(&kept), bytes, Instant::now());
+            let mut ledger = self.session().ledger.lock().expect("ledger lock");
+            ledger.answer(self.sequence(), Arc::clone(&kept), bytes, Instant::now());
         }
-        self.session.send(&kept).await;
+        self.session().send(&kept).await;
     }
 
     fn head(&self, answer: &Answer, length: Option<u64>) -> Head {
         let (in_flight, slots) = self.server.gate.load();
         Head {
-            sequence: self.sequence,
+            sequence: self.sequence(),
             status: answer.status,
             headers: answer.headers.clone(),
             length,
@@ -181,8 +192,8 @@
 
     fn credits(&self) -> Receiver<u32> {
         let (sender, receiver) = unbounded();
-        let mut credits = self.session.credits.lock().expect("credits lock");
-        credits.insert(self.sequence, sender);
+        let mut credits = self.session().credits.lock().expect("credits lock");
+        credits.insert(self.sequence(), sender);
         receiver
     }
 
@@ -212,7 +223,7 @@
                 credit += u64::from(timely(recv(credits)).await?);
             }
             credit -= filled as u64;
-            let sequence = self.sequence;
+            let sequence = self.sequence();
             self.send(Frame::Chunk(Chunk {
                 sequence,
                 offset,
--- a/fulmarreel-node/src/serve/connection.rs
+++ b/fulmarreel-node/src/serve/connection.rs
@@ -39,7 +39,7 @@
             boot: hello.boot,
         };
         let (outgoing, frames) = bounded::<Frame>(QUEUED_FRAMES);
-        let session = self.session(origin);
+        let session = self.sessions.get(origin);
         if !session.connect(generation, resumed, outgoing.clone()) {
             return Ok(());
         }
@@ -48,26 +48,25 @@
         }
         crate::runtime::spawn(stream::pump_calls(tcp.clone(), frames));
         let limit = self.state.settings.limits.request_bytes;
-        let link = Link::new(session, outgoing.clone(), generation, limit);
-        let ended = self.follow(link, tcp).await;
-        outgoing.close();
+        let mut link = Link::new(session, outgoing, generation, limit);
+        let ended = self.follow(&mut link, tcp).await;
+        link.end();
         ended
     }
 
-    async fn follow(self: &Arc<Self>, mut link: Link, tcp: TcpStream) -> io::Result<()> {
+    async fn follow(self: &Arc<Self>, link: &mut Link, tcp: TcpStream) -> io::Result<()> {
         let mut tcp = BufReader::new(tcp);
         loop {
             match link.next(&mut tcp).await? {
-                Event::Opened(open, body) => {
+                Event::Opened(call, open, body) => {
                     let call = call::Call {
                         server: Arc::clone(self),
-                        session: Arc::clone(&link.session),
+                        open: call,
                         outgoing: link.outgoing.clone(),
-                        sequence: open.sequence,
                     };
                     crate::runtime::spawn(call.run(open, body));
                 }
-                Event::Cancelled { sequence, .. } => {
+                Event::Cancelled { sequence } => {
                     let mut credits = link.session.credits.lock().expect("credits lock");
                     credits.remove(&sequence);
                 }
--- a/fulmarreel-node/src/serve/link.rs
+++ b/fulmarreel-node/src/serve/link.rs
@@ -1,15 +1,27 @@
 //! The frames of one connection of an origin: calls that arrive in parts, and what becomes of them.
 
-use super::session::{Kept, Session};
+use super::{
+    open::OpenCall,
+    session::{Kept, Session},
+};
 use crate::peer::stream;
 use fulmarreel_call::{Fate, ledger::Cancellation};
 use fulmarreel_wire::call::{Chunk, Frame, Open, Refusal, Refused, State};
-use smol::{channel::Sender, io::BufReader, net::TcpStream};
-use std::{collections::HashMap, io, sync::Arc, time::Instant};
+use smol::{Timer, channel::Sender, io::BufReader, net::TcpStream};
+use std::{
+    collections::HashMap,
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 /// Frames that may wait to be written before their senders wait.
 pub(crate) const QUEUED_FRAMES: usize = 64;
 
+/// How long after its connection ended a call may be asked for on another one; below the time for which
+/// work may go on for a caller that left.
+const ASK_LIMIT: Duration = Duration::from_millis(250);
+
 /// One connection of a process that opens calls.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -26,13 +38,9 @@
 #[derive(Debug)]
 pub(crate) enum Event {
     /// A call is here whole, and its ledger has taken it.
-    Opened(Open, Vec<u8>),
+    Opened(OpenCall, Open, Vec<u8>),
     /// A call was cancelled, and its origin knows whether that came in time.
-    Cancelled {
-        sequence: u64,
-        /// Whether it was handed over before.
-        late: bool,
-    },
+    Cancelled { sequence: u64 },
     /// The origin takes so many further bytes of an answer.
     Credit { sequence: u64, bytes: u32 },
 }
@@ -44,6 +52,8 @@
         generation: u64,
         limit: u64,
     ) -> Self {
+        // The earlier connections may have ended unheard.
+        cancel_unasked(Arc::clone(&session), generation.saturating_sub(1));
         Self {
             session,
             outgoing,
@@ -67,12 +77,14 @@
                 Frame::Open(open) => _ = self.arriving.insert(open.sequence, (open, Vec::new())),
                 Frame::Chunk(chunk) => {
                     if let Some((open, body)) = self.append(&chunk).await {
-                        return Ok(Event::Opened(open, body));
+                        let session = Arc::clone(&self.session);
+                        let call = OpenCall::new(session, open.sequence, self.generation);
+                        return Ok(Event::Opened(call, open, body));
                     }
                 }
                 Frame::Cancel { sequence } => {
-                    let late = self.cancel(sequence).await;
-                    return Ok(Event::Cancelled { sequence, late });
+                    self.cancel(sequence).await;
+                    return Ok(Event::Cancelled { sequence });
                 }
                 Frame::Query { sequence } => self.query(sequence).await,
                 Frame::Credit { sequence, bytes } => return Ok(Event::Credit { sequence, bytes }),
@@ -110,18 +122,23 @@
         Some((open, body))
     }
 
+    /// Ends the connection: its calls that are not asked for on another one soon are cancelled.
+    pub fn end(self) {
+        self.outgoing.close();
+        cancel_unasked(self.session, self.generation);
+    }
+
     async fn refuse_incomplete(&self, sequence: u64) {
-        if self.withdraw(sequence) == Cancellation::NotRun {
+        if self.session.cancel(sequence) == Cancellation::NotRun {
             let refused = Refused::new(sequence, Refusal::Incomplete);
             let _ = self.outgoing.send(Frame::Refused(refused)).await;
         }
     }
 
-    /// Cancels a call and says whether that came in time; true where it was handed over before.
-    async fn cancel(&mut self, sequence: u64) -> bool {
+    /// Cancels a call and says whether that came in time.
+    async fn cancel(&mut self, sequence: u64) {
         self.arriving.remove(&sequence);
-        let cancelled = self.withdraw(sequence);
-        let reply = match cancelled {
+        let reply = match self.session.cancel(sequence) {
             Cancellation::NotRun => Frame::Refused(Refused::new(sequence, Refusal::Cancelled)),
             Cancellation::TooLate => Frame::State {
                 sequence,
@@ -129,15 +146,13 @@
             },
         };
         let _ = self.outgoing.send(reply).await;
-        cancelled == Cancellation::TooLate
-    }
-
-    fn withdraw(&self, sequence: u64) -> Cancellation {
-        let mut ledger = self.session.ledger.lock().expect("ledger lock");
-        ledger.cancel(sequence, Instant::now())
     }
 
     async fn query(&self, sequence: u64) {
+        {
+            let mut open = self.session.open.lock().expect("open calls lock");
+            open.ask(sequence, self.generation);
+        }
         let (state, kept) = self.fate(sequence);
         let _ = self.outgoing.send(Frame::State { sequence, state }).await;
         if let Some(kept) = kept {
@@ -155,3 +170,16 @@
         }
     }
 }
+
+/// Cancels the calls of connections up to that generation that are not asked for on a later one soon.
+fn cancel_unasked(session: Arc<Session>, generation: u64) {
+    if session.has_open(generation) {
+        crate::runtime::spawn(async move {
+            Timer::after(ASK_LIMIT).await;
+            let cancelled = session.cancel_of(generation);
+            if cancelled > 0 {
+                log::info!(generation, cancelled; "connection of a node ended, nobody waits for its calls");
+            }
+        });
+    }
+}
--- a/fulmarreel-node/src/serve/mod.rs
+++ b/fulmarreel-node/src/serve/mod.rs
@@ -4,20 +4,19 @@
 mod connection;
 pub(crate) mod gate;
 pub(crate) mod link;
+pub(crate) mod open;
 pub(crate) mod session;
 
 use crate::{rollout::Moves, state::State, target::Client};
-use fulmarreel_call::Origin;
 use fulmarreel_membership::Target;
 use fulmarreel_wire::call::{Frame, Refusal};
 use gate::Gate;
-use session::Session;
+use session::Sessions;
 use smol::{Timer, net::TcpListener, stream::StreamExt};
 use std::{
-    collections::HashMap,
     io,
     sync::{
-        Arc, Mutex, RwLock,
+        Arc, RwLock,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -36,7 +35,7 @@
     moves: Arc<Moves>,
     client: Client,
     gate: Arc<Gate>,
-    sessions: Mutex<HashMap<Origin, Arc<Session>>>,
+    sessions: Sessions,
     target: RwLock<Option<Target>>,
     /// Whether this process is about to end.
     ending: AtomicBool,
@@ -50,7 +49,7 @@
             moves,
             client,
             gate: Arc::default(),
-            sessions: Mutex::default(),
+            sessions: Sessions::default(),
             target: RwLock::default(),
             ending: AtomicBool::new(false),
         }
@@ -90,8 +89,7 @@
         for round in 0_u64.. {
             self.refresh();
             if round.is_multiple_of(PRUNE_ROUNDS) {
-                let mut sessions = self.sessions.lock().expect("sessions lock");
-                sessions.retain(|_, session| !session.is_idle());
+                self.sessions.forget_idle();
             }
             Timer::after(ANNOUNCEMENT_INTERVAL).await;
         }
@@ -100,7 +98,7 @@
     /// Tells peers that no new calls are taken, and takes none, until the process ends.
     pub fn leave(&self) {
         self.ending.store(true, Ordering::Release);
-        self.broadcast(&Frame::Leaving);
+        self.sessions.broadcast(&Frame::Leaving);
     }
 
     /// Takes over what the target announced last.
@@ -114,7 +112,7 @@
         let leaving = self.is_leaving();
         if leaving != was_leaving {
             log::info!(leaving; "the own target");
-            self.broadcast(if leaving {
+            self.sessions.broadcast(if leaving {
                 &Frame::Leaving
             } else {
                 &Frame::Accepting
@@ -122,17 +120,6 @@
         }
     }
 
-    fn broadcast(&self, frame: &Frame) {
-        let sessions: Vec<Arc<Session>> = {
-            let sessions = self.sessions.lock().expect("sessions lock");
-            sessions.values().map(Arc::clone).collect()
-        };
-        for session in sessions {
-            let frame = frame.clone();
-            crate::runtime::spawn(async move { session.reply(frame).await });
-        }
-    }
-
     fn is_leaving(&self) -> bool {
         let target = self.target.read().expect("target lock");
         let leaving = target.as_ref().is_some_and(|target| target.leaving);
@@ -150,9 +137,4 @@
             _ => Some(Refusal::NoTarget),
         }
     }
-
-    fn session(&self, origin: Origin) -> Arc<Session> {
-        let mut sessions = self.sessions.lock().expect("sessions lock");
-        Arc::clone(sessions.entry(origin).or_default())
-    }
 }
--- a/fulmarreel-node/src/serve/session.rs
+++ b/fulmarreel-node/src/serve/session.rs
@@ -1,6 +1,7 @@
 //! What is kept for each process that opens calls here.
 
-use fulmarreel_call::Ledger;
+use super::open::OpenCalls;
+use fulmarreel_call::{Ledger, Origin, ledger::Cancellation};
 use fulmarreel_wire::call::{Frame, Head, Refusal, Refused, chunks};
 use smol::channel::Sender;
 use std::{
@@ -20,6 +21,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Session {
     pub ledger: Mutex<Ledger<Arc<Kept>>>,
+    /// Its calls that have not ended.
+    pub open: Mutex<OpenCalls>,
     /// The writer of its newest connection.
     newest: Mutex<Option<Sender<Frame>>>,
     /// Where the credits of streamed answers go.
@@ -56,6 +59,31 @@
         }
     }
 
+    /// Cancels a call: while it waits for a slot, it is not run.
+    pub fn cancel(&self, sequence: u64) -> Cancellation {
+        let cancelled = {
+            let mut ledger = self.ledger.lock().expect("ledger lock");
+            ledger.cancel(sequence, Instant::now())
+        };
+        self.open.lock().expect("open calls lock").cancel(sequence);
+        cancelled
+    }
+
+    /// Whether a connection up to that generation waits for a call.
+    pub fn has_open(&self, generation: u64) -> bool {
+        let open = self.open.lock().expect("open calls lock");
+        !open.of(generation).is_empty()
+    }
+
+    /// Cancels the calls that connections up to that generation wait for.
+    pub fn cancel_of(&self, generation: u64) -> usize {
+        let calls = self.open.lock().expect("open calls lock").of(generation);
+        for sequence in &calls {
+            self.cancel(*sequence);
+        }
+        calls.len()
+    }
+
     /// Refuses a call, unless it was handed over or refused before.
     pub async fn refuse(&self, sequence: u64, reason: Refusal) {
         self.refuse_until(sequence, reason, Duration::ZERO).await;
@@ -85,3 +113,40 @@
         }
     }
 }
+
+/// What is kept for all origins.
+#[derive(Debug, Default)]
+pub(crate) struct Sessions(Mutex<HashMap<Origin, Arc<Session>>>);
+
+impl Sessions {
+    /// What is kept for an origin. Earlier processes at its address have ended, so nobody waits for
+    /// their calls.
+    pub fn get(&self, origin: Origin) -> Arc<Session> {
+        let mut sessions = self.0.lock().expect("sessions lock");
+        let earlier = sessions
+            .iter()
+            .filter(|(known, _)| known.address == origin.address && known.boot < origin.boot);
+        for (_, session) in earlier {
+            session.cancel_of(u64::MAX);
+        }
+        Arc::clone(sessions.entry(origin).or_default())
+    }
+
+    /// Sends a frame to all origins.
+    pub fn broadcast(&self, frame: &Frame) {
+        let sessions: Vec<Arc<Session>> = {
+            let sessions = self.0.lock().expect("sessions lock");
+            sessions.values().map(Arc::clone).collect()
+        };
+        for session in sessions {
+            let frame = frame.clone();
+            crate::runtime::spawn(async move { session.reply(frame).await });
+        }
+    }
+
+    /// Forgets origins that are gone.
+    pub fn forget_idle(&self) {
+        let mut sessions = self.0.lock().expect("sessions lock");
+        sessions.retain(|_, session| !session.is_idle());
+    }
+}
