fix(node): on the own interface, too, a lookup that nobody waits for is broken off

Callers saw: nothing directly; targets worked on for callers of the own interface that had left, and took slots from others.

Where its answer was short, nothing ended it.

An idempotent call is worked on only while some connection waits for it, as on the platform. An answer that is kept at that moment stays kept: the ledger takes only a call that runs as lost, since its count of bytes would not come back otherwise (a decision test).

--- a/fulmarreel-call/tests/call/ledger.rs
+++ b/fulmarreel-call/tests/call/ledger.rs
@@ -154,3 +154,11 @@
     let kept = (1..=10_000).filter(|call| matches!(ledger.query(*call, start), Fate::Answered(_)));
     assert_eq!(kept.count(), MAX_KEPT_BYTES / 1_024);
 }
+
+/// Work that is broken off at the moment of its answer leaves the answer and the count of its bytes alone.
+#[test]
+fn an_answer_that_is_kept_is_not_lost() {
+    let mut ledger = after(&[Step::Open, Step::HandOver, Step::Answer, Step::Lose]);
+    let fate = ledger.query(CALL, Instant::now());
+    assert!(matches!(fate, Fate::Answered(_)), "{fate:?}");
+}
--- a/fulmarreel-node/src/serve/call.rs
+++ b/fulmarreel-node/src/serve/call.rs
@@ -56,7 +56,16 @@
             // Cancelled while it waited; that was said already.
             return;
         }
-        self.work(open, body, deadline, permit).await;
+        let idempotent = open.idempotent;
+        let work = self.work(open, body, deadline, permit);
+        if !idempotent {
+            return work.await;
+        }
+        if self.open.while_wanted(work).await.is_none() {
+            log::info!(call = self.sequence(); "broken off, its caller left");
+            self.forget_credits();
+            self.lose(Failure::Deadline).await;
+        }
     }
 
     /// Has the target run the call, and passes its answer on.
@@ -149,11 +158,7 @@
         let credits = self.credits();
         let streamed = self.stream(head, start, body, &credits).await;
         drop(permit);
-        self.session()
-            .credits
-            .lock()
-            .expect("credits lock")
-            .remove(&self.sequence());
+        self.forget_credits();
         let sequence = self.sequence();
         self.mark_lost();
         if let Err(error) = streamed {
@@ -197,6 +202,11 @@
         receiver
     }
 
+    fn forget_credits(&self) {
+        let mut credits = self.session().credits.lock().expect("credits lock");
+        credits.remove(&self.sequence());
+    }
+
     /// Sends a long answer as its reader takes it; it is not kept.
     async fn stream(
         &self,
