fix(balance): a call whose caller left gives its place in the queue back

Callers saw: "the target has too much to do" (503) while nobody waited for it any more.

Decision test: a_withdrawn_call_gives_its_place_up.

A place is named by its key in the queue and withdrawn when its task is dropped; the tests of admission ask Arrival::is_queued, since a queued call carries its place now (as strict as the comparison was).

--- a/fulmarreel-balance/src/admission.rs
+++ b/fulmarreel-balance/src/admission.rs
@@ -26,12 +26,24 @@
 pub enum Arrival<T> {
     /// It has a slot.
     Admitted(T),
-    /// It waits for one.
-    Queued,
+    /// It waits for one, at that place.
+    Queued(Place),
     /// The queue is full, or the deadline cannot be met.
     Refused(T),
 }
 
+impl<T> Arrival<T> {
+    /// Whether the call waits for a slot.
+    pub fn is_queued(&self) -> bool {
+        matches!(self, Self::Queued(_))
+    }
+}
+
+/// The place of a call among those that wait: its rank, when it wants a slot, and how many calls
+/// waited before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place(u8, Instant, u64);
+
 /// What becomes of a waiting call when a slot is free.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Release<T> {
@@ -69,7 +81,7 @@
 pub struct Admission<T> {
     slots: usize,
     running: usize,
-    waiting: BTreeMap<(u8, Instant, u64), Waiting<T>>,
+    waiting: BTreeMap<Place, Waiting<T>>,
     arrivals: u64,
     mean_held: Duration,
     /// When a call of each rank came last.
@@ -162,8 +174,14 @@
         }
         self.arrivals += 1;
         let waiting = Waiting { latest, call };
-        self.waiting.insert((rank, by, self.arrivals), waiting);
-        Arrival::Queued
+        let place = Place(rank, by, self.arrivals);
+        self.waiting.insert(place, waiting);
+        Arrival::Queued(place)
+    }
+
+    /// Takes back a call that waits, if it still does: its caller no longer wants a slot.
+    pub fn withdraw(&mut self, place: Place) -> Option<T> {
+        self.waiting.remove(&place).map(|waiting| waiting.call)
     }
 
     /// Frees the slot of a call that held it for that long.
@@ -221,7 +239,9 @@
 
     /// Calls that wait before one of that rank and deadline.
     fn ahead(&self, rank: u8, deadline: Instant) -> usize {
-        self.waiting.range(..=(rank, deadline, u64::MAX)).count()
+        self.waiting
+            .range(..=Place(rank, deadline, u64::MAX))
+            .count()
     }
 
     /// Time until a call of that rank behind so many has a slot, by the mean of earlier calls.
--- a/fulmarreel-balance/tests/balance/admission.rs
+++ b/fulmarreel-balance/tests/balance/admission.rs
@@ -44,7 +44,7 @@
     let mut admission = busy(now, MS);
     for (name, deadline) in [("late", 900), ("early", 300), ("passed", 50)] {
         let arrival = admission.arrive(now, now + deadline * MS, name);
-        assert_eq!(arrival, Arrival::Queued, "{name}");
+        assert!(arrival.is_queued(), "{name}: {arrival:?}");
     }
     let released = admission.finish(now + 100 * MS, MS);
     assert_eq!(
@@ -61,7 +61,7 @@
     let soon = admission.arrive(now, now + 120 * MS, "soon");
     assert_eq!(soon, Arrival::Refused("soon"));
     let later = admission.arrive(now, now + 500 * MS, "later");
-    assert_eq!(later, Arrival::Queued);
+    assert!(later.is_queued(), "{later:?}");
 }
 
 /// Seen to fail without a bound of the queue.
@@ -70,7 +70,7 @@
     let now = Instant::now();
     let mut admission = busy(now, MS);
     let arrivals = (0..100).map(|_| admission.arrive(now, now + 60_000 * MS, "waiting"));
-    let queued = arrivals.filter(|arrival| *arrival == Arrival::Queued);
+    let queued = arrivals.filter(Arrival::is_queued);
     assert_eq!(queued.count(), 4);
 }
 
--- a/fulmarreel-balance/tests/ranked.rs
+++ b/fulmarreel-balance/tests/ranked.rs
@@ -30,15 +30,9 @@
     let now = Instant::now();
     let mut admission = full(now);
     let soon = deadlines(now, 5_000, 5_000);
-    assert_eq!(
-        admission.arrive_ranked(now, 2, soon, "usual"),
-        Arrival::Queued
-    );
+    assert!(admission.arrive_ranked(now, 2, soon, "usual").is_queued());
     let later = deadlines(now, 9_000, 9_000);
-    assert_eq!(
-        admission.arrive_ranked(now, 1, later, "urgent"),
-        Arrival::Queued
-    );
+    assert!(admission.arrive_ranked(now, 1, later, "urgent").is_queued());
     assert_eq!(admission.finish(now, HELD), [Release::Admitted("urgent")]);
     assert_eq!(admission.finish(now, HELD), [Release::Admitted("usual")]);
 }
@@ -51,7 +45,7 @@
     let mut admission = full(now);
     // Where nobody waits, a call waits on, as long as its limit allows.
     let short = deadlines(now, 100, 1_000);
-    assert_eq!(admission.arrive_ranked(now, 2, short, "c"), Arrival::Queued);
+    assert!(admission.arrive_ranked(now, 2, short, "c").is_queued());
     assert_eq!(
         admission.arrive_ranked(now, 2, short, "d"),
         Arrival::Refused("d")
@@ -71,8 +65,8 @@
     let now = Instant::now();
     let mut admission = full(now);
     let short = deadlines(now, 100, 1_000);
-    assert_eq!(admission.arrive_ranked(now, 1, short, "c"), Arrival::Queued);
-    assert_eq!(admission.arrive_ranked(now, 1, short, "d"), Arrival::Queued);
+    assert!(admission.arrive_ranked(now, 1, short, "c").is_queued());
+    assert!(admission.arrive_ranked(now, 1, short, "d").is_queued());
 }
 
 /// Fails if a call that nobody waits for any more takes a slot.
@@ -81,7 +75,7 @@
     let now = Instant::now();
     let mut admission = full(now);
     let short = deadlines(now, 400, 400);
-    assert_eq!(admission.arrive_ranked(now, 2, short, "c"), Arrival::Queued);
+    assert!(admission.arrive_ranked(now, 2, short, "c").is_queued());
     let later = now + Duration::from_millis(500);
     assert_eq!(admission.finish(later, HELD), [Release::Expired("c")]);
     assert_eq!(admission.running(), 1);
@@ -94,14 +88,11 @@
     let mut admission = full(now);
     let long = deadlines(now, 10_000, 10_000);
     let mut queued = 0;
-    while admission.arrive_ranked(now, 2, long, "usual") == Arrival::Queued {
+    while admission.arrive_ranked(now, 2, long, "usual").is_queued() {
         queued += 1;
     }
     assert_eq!(queued, 4);
-    assert_eq!(
-        admission.arrive_ranked(now, 1, long, "urgent"),
-        Arrival::Queued
-    );
+    assert!(admission.arrive_ranked(now, 1, long, "urgent").is_queued());
 }
 
 /// Fails if the wait is judged by the mean time that calls hold a slot: short urgent calls pull that
@@ -138,10 +129,33 @@
     let now = Instant::now();
     let mut admission = full(now);
     let late = deadlines(now, 5_000, 6_000);
-    assert_eq!(admission.arrive_ranked(now, 2, late, "c"), Arrival::Queued);
+    assert!(admission.arrive_ranked(now, 2, late, "c").is_queued());
     let early = deadlines(now, 100, 6_000);
     assert_eq!(
         admission.arrive_ranked(now, 2, early, "d"),
         Arrival::Refused("d")
     );
 }
+
+/// Fails if a call that was withdrawn takes room from the next one, or a slot.
+#[test]
+fn a_withdrawn_call_gives_its_place_up() {
+    let now = Instant::now();
+    let mut admission = full(now);
+    let long = deadlines(now, 10_000, 10_000);
+    let mut places = Vec::new();
+    loop {
+        match admission.arrive_ranked(now, 2, long, "left") {
+            Arrival::Queued(place) => places.push(place),
+            Arrival::Refused(_) => break,
+            Arrival::Admitted(_) => panic!("no slot is free"),
+        }
+    }
+    for place in &places {
+        assert_eq!(admission.withdraw(*place), Some("left"));
+        assert_eq!(admission.withdraw(*place), None);
+    }
+    assert_eq!(admission.in_flight(), 2);
+    assert!(admission.arrive_ranked(now, 2, long, "stays").is_queued());
+    assert_eq!(admission.finish(now, HELD), [Release::Admitted("stays")]);
+}
--- a/fulmarreel-node/src/serve/gate.rs
+++ b/fulmarreel-node/src/serve/gate.rs
@@ -1,6 +1,6 @@
 //! The slots of the own target, as tasks wait for them.
 
-use fulmarreel_balance::admission::{Admission, Arrival, QueueDeadlines, Release};
+use fulmarreel_balance::admission::{Admission, Arrival, Place, QueueDeadlines, Release};
 use fulmarreel_wire::call::Refusal;
 use smol::{
     Timer,
@@ -25,6 +25,21 @@
     since: Instant,
 }
 
+/// A call that waits; dropped, it gives its place up.
+#[derive(Debug)]
+struct Waiting<'a> {
+    gate: &'a Gate,
+    place: Place,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut admission = self.gate.admission.lock().expect("admission lock");
+        // Where it has a slot by now, the permit in its channel frees that.
+        admission.withdraw(self.place);
+    }
+}
+
 impl Default for Gate {
     fn default() -> Self {
         Self {
@@ -81,8 +96,11 @@
         match arrival {
             Arrival::Admitted(_) => Ok(self.permit(now)),
             Arrival::Refused(_) => Err(Refusal::Overloaded),
-            // A sender that is dropped stands for a deadline that passed.
-            Arrival::Queued => receiver.recv().await.map_err(|_| Refusal::Deadline),
+            Arrival::Queued(place) => {
+                let _waiting = Waiting { gate: self, place };
+                // A sender that is dropped stands for a deadline that passed.
+                receiver.recv().await.map_err(|_| Refusal::Deadline)
+            }
         }
     }
 
