test(node): what a node reads late together with its cancellation is not run

Looked for where the cause of GONE could act once more: a node that stood still reads requests and their cancellations at once.

--- a/fulmarreel-node/tests/mesh/left.rs
+++ b/fulmarreel-node/tests/mesh/left.rs
@@ -19,6 +19,9 @@
 /// Slots of each target.
 const SLOTS: usize = 4;
 
+/// Requests that wait at a node that stands still.
+const MANY: usize = 40;
+
 /// Two instances: the callers', and one whose target is the only one of `s`.
 struct Pair {
     _stand: Stand,
@@ -130,6 +133,33 @@
     })
 }
 
+#[rstest]
+#[case::lookup("/s/")]
+#[case::booking("/s-do/")]
+fn a_request_that_arrives_late_with_its_cancellation_is_not_run(
+    #[case] path: &str,
+) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let pair = Pair::start().await?;
+        pair.caller.wait_served(path).await?;
+        pair.other.process.signal("STOP")?;
+        let mut waiting = Vec::new();
+        for number in 0..MANY {
+            waiting.push(pair.send(path, &format!("r-{number}")).await?);
+        }
+        Timer::after(Duration::from_millis(100)).await;
+        drop(waiting);
+        // Shorter than the silence after which the connection is given up.
+        Timer::after(Duration::from_millis(450)).await;
+        pair.other.process.signal("CONT")?;
+        Timer::after(WORK_LIMIT).await;
+        let sent = (0..MANY).filter(|number| arrived(&pair.other, &format!("r-{number}")));
+        let sent = sent.count();
+        ensure!(sent == 0, "{sent} of {MANY} reached the target");
+        Ok(())
+    })
+}
+
 #[test]
 fn a_lookup_for_a_node_that_is_gone_is_broken_off() -> anyhow::Result<()> {
     smol::block_on(async {
