--- a/fulmarreel-testing/src/process/fleet/mod.rs
+++ b/fulmarreel-testing/src/process/fleet/mod.rs
@@ -52,8 +52,8 @@
     /// The store cannot be started.
     pub fn prepare(zones: &[Zone], count: usize) -> anyhow::Result<Self> {
         let store_address = free_address()?;
-        let store = Process::start("store", &["--listen", &store_address.to_string()])?;
-        await_listener(store_address)?;
+        let mut store = Process::start("store", &["--listen", &store_address.to_string()])?;
+        await_listener(store_address, &mut store)?;
         let name = format!(
             "fulmarreel-fleet-{}-{}",
             std::process::id(),
--- a/fulmarreel-testing/src/process/mesh.rs
+++ b/fulmarreel-testing/src/process/mesh.rs
@@ -1,7 +1,7 @@
 //! A small mesh of processes: a store, and nodes with their targets.
 
 use super::{Process, free_address};
-use anyhow::Context;
+use anyhow::{Context, bail};
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpStream},
@@ -77,8 +77,8 @@
     /// The store cannot be started.
     pub fn start() -> anyhow::Result<Self> {
         let store_address = free_address()?;
-        let store = Process::start("store", &["--listen", &store_address.to_string()])?;
-        await_listener(store_address)?;
+        let mut store = Process::start("store", &["--listen", &store_address.to_string()])?;
+        await_listener(store_address, &mut store)?;
         let name = format!("fulmarreel-{}-{}", std::process::id(), store_address.port());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder)?;
@@ -220,10 +220,13 @@
     }
 }
 
-/// Waits until something listens.
-pub(super) fn await_listener(address: SocketAddr) -> anyhow::Result<()> {
+/// Waits until a process listens.
+pub(super) fn await_listener(address: SocketAddr, process: &mut Process) -> anyhow::Result<()> {
     let deadline = Instant::now() + PATIENCE;
     while let Err(error) = TcpStream::connect(address) {
+        if let Some(status) = process.ended()? {
+            bail!("the process for {address} has ended: {status}");
+        }
         if Instant::now() >= deadline {
             return Err(error).with_context(|| format!("nothing listens on {address}"));
         }
--- a/fulmarreel-testing/src/process/mod.rs
+++ b/fulmarreel-testing/src/process/mod.rs
@@ -11,6 +11,7 @@
 use anyhow::{Context, ensure};
 use std::{
     fs::File,
+    io,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     time::{Duration, Instant},
@@ -108,6 +109,15 @@
         Ok(())
     }
 
+    /// How the process ended, if it has.
+    ///
+    /// # Errors
+    ///
+    /// The operating system does not say.
+    pub fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
+        self.child.try_wait()
+    }
+
     /// Waits for the process to end by itself; returns how it ended.
     ///
     /// # Errors
@@ -116,7 +126,7 @@
     pub fn status(&mut self, patience: Duration) -> anyhow::Result<ExitStatus> {
         let deadline = Instant::now() + patience;
         loop {
-            if let Some(status) = self.child.try_wait()? {
+            if let Some(status) = self.ended()? {
                 return Ok(status);
             }
             ensure!(
