fix(node): what a peer does not take holds up none of its cancellations

Callers saw: nothing yet; on a link that is full, work would go on for callers that had left (GONE).

Cause: the task that reads a connection of another node also wrote the replies to cancellations, queries, pings and broken requests, and waited where the queue to that node was full. What arrived behind stayed unread: further cancellations, for as long as the other node took no frames.

Replies are queued if there is room, and otherwise by a task of their own; a sign of life is left out where the queue is full, since the frames in it are one. Reading waits for nothing but the socket.

--- a/fulmarreel-node/src/serve/link.rs
+++ b/fulmarreel-node/src/serve/link.rs
@@ -7,7 +7,12 @@
 use crate::peer::stream;
 use fulmarreel_call::{Fate, ledger::Cancellation};
 use fulmarreel_wire::call::{Chunk, Frame, Open, Refusal, Refused, State};
-use smol::{Timer, channel::Sender, io::BufReader, net::TcpStream};
+use smol::{
+    Timer,
+    channel::{Sender, TrySendError},
+    io::BufReader,
+    net::TcpStream,
+};
 use std::{
     collections::HashMap,
     io,
@@ -72,37 +77,38 @@
         loop {
             match stream::read(tcp).await? {
                 Frame::Open(open) if open.length > self.limit => {
-                    self.refuse_incomplete(open.sequence).await;
+                    self.refuse_incomplete(open.sequence);
                 }
                 Frame::Open(open) => _ = self.arriving.insert(open.sequence, (open, Vec::new())),
                 Frame::Chunk(chunk) => {
-                    if let Some((open, body)) = self.append(&chunk).await {
+                    if let Some((open, body)) = self.append(&chunk) {
                         let session = Arc::clone(&self.session);
                         let call = OpenCall::new(session, open.sequence, self.generation);
                         return Ok(Event::Opened(call, open, body));
                     }
                 }
                 Frame::Cancel { sequence } => {
-                    self.cancel(sequence).await;
+                    self.cancel(sequence);
                     return Ok(Event::Cancelled { sequence });
                 }
-                Frame::Query { sequence } => self.query(sequence).await,
+                Frame::Query { sequence } => self.query(sequence),
                 Frame::Credit { sequence, bytes } => return Ok(Event::Credit { sequence, bytes }),
-                Frame::Ping { token } => _ = self.outgoing.send(Frame::Pong { token }).await,
+                // Where the queue is full, the frames in it are the sign of life.
+                Frame::Ping { token } => _ = self.outgoing.try_send(Frame::Pong { token }),
                 other => log::debug!("unexpected frame {other:?}"),
             }
         }
     }
 
     /// Adds a part to its call; the call once it is whole and may be worked on.
-    async fn append(&mut self, chunk: &Chunk) -> Option<(Open, Vec<u8>)> {
+    fn append(&mut self, chunk: &Chunk) -> Option<(Open, Vec<u8>)> {
         let (open, body) = self.arriving.get_mut(&chunk.sequence)?;
         let length = body.len() as u64 + chunk.bytes.len() as u64;
         let fits = chunk.offset == body.len() as u64 && length <= open.length;
         let incomplete = !fits || (chunk.last && length != open.length);
         if incomplete {
             self.arriving.remove(&chunk.sequence);
-            self.refuse_incomplete(chunk.sequence).await;
+            self.refuse_incomplete(chunk.sequence);
             return None;
         }
         body.extend_from_slice(&chunk.bytes);
@@ -128,15 +134,15 @@
         cancel_unasked(self.session, self.generation);
     }
 
-    async fn refuse_incomplete(&self, sequence: u64) {
+    fn refuse_incomplete(&self, sequence: u64) {
         if self.session.cancel(sequence) == Cancellation::NotRun {
             let refused = Refused::new(sequence, Refusal::Incomplete);
-            let _ = self.outgoing.send(Frame::Refused(refused)).await;
+            self.reply(Frame::Refused(refused));
         }
     }
 
     /// Cancels a call and says whether that came in time.
-    async fn cancel(&mut self, sequence: u64) {
+    fn cancel(&mut self, sequence: u64) {
         self.arriving.remove(&sequence);
         let reply = match self.session.cancel(sequence) {
             Cancellation::NotRun => Frame::Refused(Refused::new(sequence, Refusal::Cancelled)),
@@ -145,19 +151,35 @@
                 state: State::Running,
             },
         };
-        let _ = self.outgoing.send(reply).await;
+        self.reply(reply);
+    }
+
+    /// Sends a frame without holding up those that arrive, among which cancellations may be.
+    fn reply(&self, frame: Frame) {
+        let Err(TrySendError::Full(frame)) = self.outgoing.try_send(frame) else {
+            return;
+        };
+        let outgoing = self.outgoing.clone();
+        crate::runtime::spawn(async move {
+            // The connection may end before.
+            let _ = outgoing.send(frame).await;
+        });
     }
 
-    async fn query(&self, sequence: u64) {
+    fn query(&self, sequence: u64) {
         {
             let mut open = self.session.open.lock().expect("open calls lock");
             open.ask(sequence, self.generation);
         }
         let (state, kept) = self.fate(sequence);
-        let _ = self.outgoing.send(Frame::State { sequence, state }).await;
-        if let Some(kept) = kept {
-            self.session.send(&kept).await;
-        }
+        let (outgoing, session) = (self.outgoing.clone(), Arc::clone(&self.session));
+        crate::runtime::spawn(async move {
+            // The connection may end before; then it is asked again.
+            let _ = outgoing.send(Frame::State { sequence, state }).await;
+            if let Some(kept) = kept {
+                session.send(&kept).await;
+            }
+        });
     }
 
     fn fate(&self, sequence: u64) -> (State, Option<Arc<Kept>>) {
