fix(node): trailers of a request are bounded

Callers saw: a caller that sends trailers without end was read on (16 of 16 connections open after 2 s), and its node kept them all.

Cause: the HTTP library bounds heads and bodies, but keeps trailers without a bound and scans them anew with each read. What it reads wasn't bounded below it.

The transport lets 64 KiB through for the next bytes of a body and then fails the read, so what stands around a body is bounded, and what stands between its parts isn't. Both interfaces read bodies so.

--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -141,7 +141,7 @@
 
     async fn serve(&self, mut conn: Conn, watcher: &Watcher) -> Conn {
         let limit = self.state.settings.limits.request_bytes;
-        let request = match Request::read(&mut conn, limit).await {
+        let request = match Request::read(&mut conn, watcher, limit).await {
             Ok(request) => request,
             Err(error) => return respond::refuse(conn, Status::BadRequest, &error.to_string()),
         };
--- a/fulmarreel-node/src/ingress/request.rs
+++ b/fulmarreel-node/src/ingress/request.rs
@@ -1,6 +1,7 @@
 //! One request of a caller.
 
 use super::SERVICE_HEADER;
+use crate::transport::Watcher;
 use fulmarreel_http::message::concerns_connection;
 use fulmarreel_wire::call::Header;
 use std::{
@@ -77,7 +78,7 @@
 
 impl Request {
     /// Reads a request to its end; its body may have `limit` bytes.
-    pub async fn read(conn: &mut Conn, limit: u64) -> Result<Self, Error> {
+    pub async fn read(conn: &mut Conn, watcher: &Watcher, limit: u64) -> Result<Self, Error> {
         let arrived = Instant::now();
         let headers = conn.request_headers();
         let service = service(conn).ok_or(Error::NoService)?;
@@ -94,8 +95,8 @@
             None => fastrand::u64(..),
         };
         let headers = end_to_end(headers);
-        let body = conn.request_body().with_max_len(limit);
-        let body = body.read_bytes().await.map_err(|_| Error::Body { limit })?;
+        let body = watcher.read_body(conn, limit).await;
+        let body = body.map_err(|_| Error::Body { limit })?;
         Ok(Self {
             service,
             method: conn.method().as_str(),
--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -142,8 +142,7 @@
             return self.deny(conn, Status::NotFound, "no route", table.revision);
         };
         let limit = table.limits.body_bytes;
-        let body = conn.request_body().with_max_len(limit).read_bytes().await;
-        let Ok(body) = body else {
+        let Ok(body) = watcher.read_body(&mut conn, limit).await else {
             let reason = "the body is incomplete or too long";
             return self.deny(conn, Status::PayloadTooLarge, reason, table.revision);
         };
--- a/fulmarreel-node/src/transport.rs
+++ b/fulmarreel-node/src/transport.rs
@@ -1,4 +1,5 @@
-//! A caller's connection that tells when the caller leaves while its request is served.
+//! A caller's connection that tells when the caller leaves while its request is served, and bounds what it
+//! sends around a body.
 //!
 //! The HTTP library reads the connection only between requests. While one is served,
 //! [`Watcher::while_there`] reads ahead into a bounded buffer, which the library gets first.
@@ -9,10 +10,14 @@
     collections::VecDeque,
     io,
     pin::Pin,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     task::{Context, Poll},
     time::{Duration, Instant},
 };
+use trillium::Conn;
 
 /// Bytes that are read ahead at most.
 const MAX_AHEAD: usize = 65_536;
@@ -20,6 +25,13 @@
 /// Bytes that are read ahead at once.
 const READ_BYTES: usize = 4_096;
 
+/// Bytes that a caller may send for the next bytes of a body: chunk headers, and in the end trailers, which
+/// the HTTP library keeps without a bound and scans anew with each read.
+const MAX_FRAMING_BYTES: u64 = 65_536;
+
+/// Bytes of a body that are read at once.
+const BODY_READ_BYTES: usize = 16_384;
+
 /// What was read ahead.
 type Ahead = Arc<Mutex<VecDeque<u8>>>;
 
@@ -28,6 +40,8 @@
 pub struct Transport<I> {
     tcp: TcpStream,
     ahead: Ahead,
+    /// Bytes that may still be read for now.
+    allowance: Arc<AtomicU64>,
     /// How long the connection may be idle, as of now.
     idle: I,
     /// When a byte was read or written last.
@@ -35,11 +49,12 @@
     timer: Timer,
 }
 
-/// Tells when the caller leaves.
+/// Bounds what the caller sends, and tells when it leaves.
 #[derive(Debug, Clone)]
 pub struct Watcher {
     tcp: TcpStream,
     ahead: Ahead,
+    allowance: Arc<AtomicU64>,
 }
 
 impl<I: Fn() -> Duration> Transport<I> {
@@ -48,6 +63,7 @@
         Self {
             tcp,
             ahead: Ahead::default(),
+            allowance: Arc::new(AtomicU64::new(u64::MAX)),
             active: Instant::now(),
             timer: Timer::after(idle()),
             idle,
@@ -66,6 +82,37 @@
         Watcher {
             tcp: self.tcp.clone(),
             ahead: Arc::clone(&self.ahead),
+            allowance: Arc::clone(&self.allowance),
+        }
+    }
+
+    /// Moves bytes that were read ahead into a buffer; how many.
+    fn take_ahead(&self, buffer: &mut [u8]) -> usize {
+        let mut ahead = self.ahead.lock().expect("ahead lock");
+        let read = buffer.len().min(ahead.len());
+        for (to, from) in buffer.iter_mut().zip(ahead.drain(..read)) {
+            *to = from;
+        }
+        read
+    }
+
+    /// How many of so many bytes may be read.
+    fn allowed(&self, bytes: usize) -> io::Result<usize> {
+        match self.allowance.load(Ordering::Acquire) {
+            0 => Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "too many bytes around a body",
+            )),
+            allowance => Ok(usize::try_from(allowance).map_or(bytes, |allowed| allowed.min(bytes))),
+        }
+    }
+
+    /// Counts bytes that were read.
+    fn spend(&self, bytes: usize) {
+        let left = self.allowance.load(Ordering::Acquire);
+        if left < u64::MAX {
+            let left = left.saturating_sub(bytes as u64);
+            self.allowance.store(left, Ordering::Release);
         }
     }
 }
@@ -81,6 +128,31 @@
         or(left, async { Some(work.await) }).await
     }
 
+    /// Reads a request's body of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// It is longer, is cut, or has too much around it.
+    pub async fn read_body(&self, conn: &mut Conn, limit: u64) -> io::Result<Vec<u8>> {
+        let mut body = conn.request_body().with_max_len(limit);
+        if body.content_length().is_some_and(|length| length > limit) {
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
+        let mut bytes = Vec::new();
+        loop {
+            self.allowance.store(MAX_FRAMING_BYTES, Ordering::Release);
+            let have = bytes.len();
+            bytes.resize(have + BODY_READ_BYTES, 0);
+            let read = body.read(&mut bytes[have..]).await?;
+            bytes.truncate(have + read);
+            if read == 0 {
+                break;
+            }
+        }
+        self.allowance.store(u64::MAX, Ordering::Release);
+        Ok(bytes)
+    }
+
     async fn left(&self) {
         let mut tcp = self.tcp.clone();
         let mut bytes = [0; READ_BYTES];
@@ -109,18 +181,18 @@
         cx: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        {
-            let mut ahead = self.ahead.lock().expect("ahead lock");
-            if !ahead.is_empty() {
-                let read = buffer.len().min(ahead.len());
-                for (to, from) in buffer.iter_mut().zip(ahead.drain(..read)) {
-                    *to = from;
-                }
-                return Poll::Ready(Ok(read));
-            }
+        let allowed = self.allowed(buffer.len())?;
+        let buffer = &mut buffer[..allowed];
+        let ahead = self.take_ahead(buffer);
+        if ahead > 0 {
+            self.spend(ahead);
+            return Poll::Ready(Ok(ahead));
         }
         if let Poll::Ready(read) = Pin::new(&mut self.tcp).poll_read(cx, buffer) {
             self.stay();
+            if let Ok(bytes) = read {
+                self.spend(bytes);
+            }
             return Poll::Ready(read);
         }
         if Pin::new(&mut self.timer).poll(cx).is_pending() {
--- a/fulmarreel-node/tests/mesh/path.rs
+++ b/fulmarreel-node/tests/mesh/path.rs
@@ -7,9 +7,12 @@
 use anyhow::ensure;
 use fulmarreel_testing::kv::Stand;
 use rstest::rstest;
-use smol::io::AsyncWriteExt;
+use smol::{io::AsyncWriteExt, net::TcpStream};
 use std::time::Duration;
 
+/// Parts of one byte that make a body.
+const SMALL_PARTS: usize = 50_000;
+
 /// A caller's instance and two targets of `s`.
 async fn start() -> anyhow::Result<(Stand, Instance, Instance, Instance)> {
     let stand = Stand::start()?;
@@ -105,6 +108,36 @@
     })
 }
 
+/// Fails if the bound on what stands around a body counts what stands between its parts, or refuses
+/// trailers of a usual size.
+#[test]
+fn a_body_of_many_small_parts_is_taken() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (_stand, caller, one, two) = start().await?;
+        let headers = [
+            ("X-Request-Id", "r-1"),
+            ("Transfer-Encoding", "chunked"),
+            ("Connection", "close"),
+        ];
+        let mut tcp = TcpStream::connect(caller.callers).await?;
+        let head: String = headers
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"))
+            .collect();
+        let parts = "1\r\na\r\n".repeat(SMALL_PARTS);
+        let trailers = "t: u\r\n".repeat(200);
+        let request =
+            format!("POST /s/ HTTP/1.1\r\nHost: h.example\r\n{head}\r\n{parts}0\r\n{trailers}\r\n");
+        tcp.write_all(request.as_bytes()).await?;
+        let answer = backend::read(&mut tcp).await?.unwrap_or_default();
+        ensure!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        let arrivals = [&one, &two].map(|one| one.backend.arrivals()).concat();
+        let whole = "a".repeat(SMALL_PARTS);
+        ensure!(arrivals.iter().any(|request| request.ends_with(&whole)));
+        Ok(())
+    })
+}
+
 /// What is repeated where the target that has the request fails it.
 #[rstest]
 #[case::lookup_lost("/s/", true, 0, 2)]
