fix(node): a body that is read leaves other tasks their turn

Callers saw: while 16 callers sent chunked bodies without end, a sound request got 502 (once in 7 runs).

Cause: a body was read without a pause for as long as its caller's bytes were there. Past 0.7 s a node takes the connections to its peers for silent and gives up the requests on them.

--- a/fulmarreel-node/src/transport.rs
+++ b/fulmarreel-node/src/transport.rs
@@ -5,7 +5,11 @@
 //! [`Watcher::while_there`] reads ahead into a bounded buffer, which the library gets first.
 
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
-use smol::{Timer, future::or, net::TcpStream};
+use smol::{
+    Timer,
+    future::{or, yield_now},
+    net::TcpStream,
+};
 use std::{
     collections::VecDeque,
     io,
@@ -148,6 +152,8 @@
             if read == 0 {
                 break;
             }
+            // A caller that sends without a pause leaves other tasks their turn.
+            yield_now().await;
         }
         self.allowance.store(u64::MAX, Ordering::Release);
         Ok(bytes)
--- a/fulmarreel-node/tests/mesh/endless.rs
+++ b/fulmarreel-node/tests/mesh/endless.rs
@@ -240,6 +240,12 @@
     })
 }
 
+/// Callers at once that send without end.
+const MANY: usize = 64;
+
+/// The silence after which a node gives a connection to another node up.
+const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+
 const CHUNKED_REQUEST: &[u8] =
     b"POST /s/ HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -290,6 +296,34 @@
     })
 }
 
+/// Fails if the tasks of a node wait for so long that it takes sound connections for silent.
+#[test]
+fn bodies_without_end_leave_other_tasks_their_turn() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (stand, caller, _target) = start().await?;
+        limit_requests(&stand, &caller).await?;
+        let part = b"40\r\n0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\r\n";
+        let floods = (0..MANY).map(|_| {
+            let flood = flood_node(caller.callers, CHUNKED_REQUEST, part);
+            smol::spawn(flood)
+        });
+        for flood in floods.collect::<Vec<_>>() {
+            flood.await?;
+        }
+        let log = caller.log()?;
+        let delays = log
+            .lines()
+            .filter(|line| line.contains("tasks were delayed"));
+        let delays = delays.filter_map(|line| {
+            let line: serde_json::Value = serde_json::from_str(line).ok()?;
+            line["delay_ms"].as_u64()
+        });
+        let longest = Duration::from_millis(delays.max().unwrap_or_default());
+        ensure!(longest < SILENCE_LIMIT, "{longest:?}");
+        Ok(())
+    })
+}
+
 /// The status of the answer to a sound request; 0 if there is none in time.
 async fn status_of(instance: &Instance, path: &str) -> anyhow::Result<u16> {
     let asked = async {
