test(rollout): calls of moves take the time that calls take (EXPOSURE, failing)

Callers saw: a version half of whose calls take eight times as long had 85% of the calls before it was found bad.

The plays of moves let every call take 30 ms, and a slow one 150 to 500 ms, so an answer was back within a step or two.

This shows the issue's hypothesis in the model: what has not answered is no evidence, so it stops no step, and it does not count towards the calls that an unproven version may get either.

--- a/fulmarreel-rollout/tests/fleet/bounds.rs
+++ b/fulmarreel-rollout/tests/fleet/bounds.rs
@@ -7,8 +7,12 @@
     version::{Fault, Version, When},
 };
 use proptest::prelude::*;
+use rstest::rstest;
 use std::time::Duration;
 
+/// The usual time of a brief call.
+const BRIEF: Duration = Duration::from_millis(30);
+
 fn at(kind: Kind, from: u64, until: u64) -> Trouble {
     Trouble {
         kind,
@@ -35,10 +39,11 @@
     let plan = Plan {
         nodes: 12,
         rate: 143,
+        usual: BRIEF,
         limit: Duration::from_secs(10),
         version: Version {
             when: When::From(Duration::from_millis(4_500)),
-            fault: Fault::Slow(800, Duration::from_millis(240)),
+            fault: Fault::Slow(800, 8.0),
         },
         troubles: vec![at(Kind::OwnerCut, 3_000, 20_000)],
         seed: 1,
@@ -53,6 +58,7 @@
     let plan = Plan {
         nodes: 36,
         rate: 146,
+        usual: BRIEF,
         limit: Duration::from_secs(16),
         version: Version {
             when: When::Above(200),
@@ -67,6 +73,31 @@
     assert_bounded(&play(&plan)).expect("bounded");
 }
 
+/// Fails if a share rises while the calls that are slow have not come back: 85% of the calls went to a
+/// version half of whose calls took eight times as long.
+#[rstest]
+fn a_slow_version_does_not_rise_before_its_calls_are_back(
+    #[values(30, 220, 550, 880)] usual_ms: u64,
+    #[values(8, 12, 16)] limit_s: u64,
+    #[values((0.5, 8.0), (1.0, 8.0), (0.3, 10.0), (0.5, 4.5))] (part, times): (f64, f64),
+) {
+    for seed in 0..4 {
+        let plan = Plan {
+            nodes: 13,
+            rate: 143,
+            usual: Duration::from_millis(usual_ms),
+            limit: Duration::from_secs(limit_s),
+            version: Version {
+                when: When::AtOnce,
+                fault: Fault::Slow((part * 1_000.0) as u32, times),
+            },
+            troubles: Vec::new(),
+            seed,
+        };
+        assert_bounded(&play(&plan)).expect("bounded");
+    }
+}
+
 proptest! {
     #![proptest_config(config())]
 
--- a/fulmarreel-rollout/tests/fleet/draw.rs
+++ b/fulmarreel-rollout/tests/fleet/draw.rs
@@ -46,7 +46,7 @@
     ];
     let fault = prop_oneof![
         (300_u32..800).prop_map(Fault::Fails),
-        (500_u32..1_000, millis(150, 500)).prop_map(|(part, took)| Fault::Slow(part, took)),
+        (400_u32..1_000, 6.0..16.0).prop_map(|(part, times)| Fault::Slow(part, times)),
     ];
     (when, fault).prop_map(|(when, fault)| Version { when, fault })
 }
@@ -76,10 +76,12 @@
     troubles: impl Strategy<Value = Vec<Trouble>>,
 ) -> impl Strategy<Value = Plan> {
     let size = (4_usize..40, 60_u32..250);
-    (size, 8_u64..=16, version, troubles, any::<u64>()).prop_map(
-        |((nodes, rate), seconds, version, troubles, seed)| Plan {
+    let times = (20_u64..400, 8_u64..=16);
+    (size, times, version, troubles, any::<u64>()).prop_map(
+        |((nodes, rate), (usual, seconds), version, troubles, seed)| Plan {
             nodes,
             rate,
+            usual: Duration::from_millis(usual),
             limit: Duration::from_secs(seconds),
             version,
             troubles,
--- a/fulmarreel-rollout/tests/fleet/plan.rs
+++ b/fulmarreel-rollout/tests/fleet/plan.rs
@@ -44,6 +44,8 @@
     pub nodes: usize,
     /// Calls per second to the service over all nodes.
     pub rate: u32,
+    /// How long a call usually takes.
+    pub usual: Duration,
     /// Time from the order to its deadline.
     pub limit: Duration,
     /// The version that takes over.
--- a/fulmarreel-rollout/tests/fleet/play.rs
+++ b/fulmarreel-rollout/tests/fleet/play.rs
@@ -316,9 +316,9 @@
             self.report.last_new = Some(passed);
             self.plan
                 .version
-                .answer(route, passed, share, &mut self.random)
+                .answer((route, self.plan.usual), passed, share, &mut self.random)
         } else {
-            sound(&mut self.random)
+            sound(self.plan.usual, &mut self.random)
         };
         if new {
             self.count_wrong(answer, passed);
--- a/fulmarreel-rollout/tests/fleet/version.rs
+++ b/fulmarreel-rollout/tests/fleet/version.rs
@@ -22,8 +22,8 @@
 pub enum Fault {
     /// So many calls in a thousand fail.
     Fails(u32),
-    /// So many calls in a thousand take some time.
-    Slow(u32, Duration),
+    /// So many calls in a thousand take so many times as long.
+    Slow(u32, f64),
 }
 
 /// A version.
@@ -46,22 +46,38 @@
     pub slow: bool,
 }
 
-/// The usual time of a call.
-const USUAL: Duration = Duration::from_millis(30);
-
 /// Calls in a thousand that any version fails.
 const NOISE: u32 = 4;
 
 /// Calls in a thousand that any version answers late.
 const SLOW_NOISE: u32 = 8;
 
-/// The answer of a sound version.
-pub fn sound(random: &mut fastrand::Rng) -> Answer {
+/// How many times as long the calls take that any version answers late.
+const SLOW_NOISE_TIMES: f64 = 6.0;
+
+/// How long targets of a version that just started are cold.
+const COLD: Duration = Duration::from_millis(4_000);
+
+/// How many times as long cold targets take.
+const COLD_TIMES: f64 = 2.0;
+
+/// How many times as long as usual an answer takes that counts as slow.
+pub const SLOW_TIMES: f64 = 4.0;
+
+/// The same at a cold target.
+pub const COLD_SLOW_TIMES: f64 = 8.0;
+
+/// The answer of a sound and warm version whose calls usually take that long.
+pub fn sound(usual: Duration, random: &mut fastrand::Rng) -> Answer {
     let dice = random.u32(0..1_000);
+    let late = (NOISE..NOISE + SLOW_NOISE).contains(&dice);
+    let spread = 0.7 + 0.6 * random.f64();
+    let times = if late { SLOW_NOISE_TIMES } else { spread };
+    let took = usual.mul_f64(times);
     Answer {
-        took: USUAL,
+        took,
         failed: dice < NOISE,
-        slow: (NOISE..NOISE + SLOW_NOISE).contains(&dice),
+        slow: took > usual.mul_f64(SLOW_TIMES),
     }
 }
 
@@ -72,7 +88,7 @@
     /// Answers a call after `age`, while the version gets `share` of all calls, in a thousand.
     pub fn answer(
         &self,
-        route: u64,
+        (route, usual): (u64, Duration),
         age: Duration,
         share: u16,
         random: &mut fastrand::Rng,
@@ -85,18 +101,20 @@
             When::OneRoute => route == BAD_ROUTE,
         };
         let dice = random.u32(0..1_000);
-        let sound = sound(random);
+        let mut answer = sound(usual, random);
+        let is_cold = age < COLD;
+        if is_cold {
+            answer.took = answer.took.mul_f64(COLD_TIMES);
+        }
         match self.fault {
-            Fault::Fails(part) if is_wrong && dice < part => Answer {
-                failed: true,
-                ..sound
-            },
-            Fault::Slow(part, took) if is_wrong && dice < part => Answer {
-                took,
-                slow: true,
-                ..sound
-            },
-            Fault::Fails(_) | Fault::Slow(..) => sound,
+            Fault::Fails(part) if is_wrong && dice < part => answer.failed = true,
+            Fault::Slow(part, times) if is_wrong && dice < part => {
+                answer.took = answer.took.mul_f64(times);
+            }
+            Fault::Fails(_) | Fault::Slow(..) => {}
         }
+        let times = if is_cold { COLD_SLOW_TIMES } else { SLOW_TIMES };
+        answer.slow = answer.took > usual.mul_f64(times);
+        answer
     }
 }
