fix(rollout): calls that have not ended count in a move

Cause: a step rested on calls that had ended. Calls of the users' requests take 220 to 880 ms, slow ones seconds, and steps come every 0.6 s: what a step had sent came back steps later, so nothing spoke against the next one, and the calls on their way were not counted towards what an unproven version may get. Calls whose caller left were never counted. The class: evidence that leaves out what has not answered yet.

Now each call to a moving service is told to its member when it is sent and when it ends. Open ones count as sent, and as suspect once they are open for over 3 times as long as usual (4 at cold targets), on both versions alike; a caller that left after that counts as a slow answer, one that left before as sent. More overdue calls are reported at once. The step of 60%, from which on a version counts as proven, needs as many calls ended as were sent before it, and 12 more. Each rise is a line, with what stood for it.

Ruled out: a smaller budget (20 calls and 8%) didn't help the former and made good versions late. The own interface's moves are not changed.

--- a/fulmarreel-node/src/mesh/caller/answer.rs
+++ b/fulmarreel-node/src/mesh/caller/answer.rs
@@ -106,9 +106,10 @@
                 limit: request.limit,
             };
             let flight = self.targets.begin(target.address);
+            let trial = self.try_out(request, &target, &side);
             let attempt = exchange.run(&open, request.body).await;
             drop(flight);
-            self.observe(request, &target, &side, &attempt);
+            self.observe(request, &target, trial, &attempt);
             match attempt {
                 Attempt::Answered(kept) if is_not_run(&kept) => {
                     tried.reached += 1;
--- a/fulmarreel-node/src/mesh/caller/choose.rs
+++ b/fulmarreel-node/src/mesh/caller/choose.rs
@@ -6,7 +6,7 @@
 };
 use crate::mesh::{
     exchange::Attempt,
-    takeover::{Sample, Side},
+    takeover::{self, Dealt, Side, Trial},
     view::{Target, View},
 };
 use fulmarreel_balance::{
@@ -93,12 +93,28 @@
         answer.unwrap_or(USUAL_KILOBYTES) + request.body.len() as f64 / 1024.0
     }
 
+    /// Takes in that a request is sent to a target of a service that moves.
+    pub(super) fn try_out<'a>(
+        &'a self,
+        request: &'a Request<'_>,
+        target: &Target,
+        side: &Side,
+    ) -> Option<Trial<'a>> {
+        let route = request.route.name.as_str();
+        let attempt = takeover::Attempt {
+            route,
+            usual: self.targets.usual(route),
+            age: self.targets.age(target.address),
+        };
+        self.moves.send(request.service, side, &attempt)
+    }
+
     /// Takes in what an attempt says of its target and of the version that it runs.
     pub(super) fn observe(
         &self,
         request: &Request<'_>,
         target: &Target,
-        side: &Side,
+        trial: Option<Trial<'_>>,
         attempt: &Attempt,
     ) {
         let route = request.route.name.as_str();
@@ -108,18 +124,19 @@
                 self.targets.reach(address, true);
                 self.targets.report(address, u32::from(kept.head.in_flight));
                 if is_not_run(kept) {
+                    end(trial, Dealt::NotRun);
                     return self.targets.fail(address);
                 }
                 let failed = kept.head.status >= FIRST_SERVER_ERROR;
                 let took = Duration::from_micros(u64::from(kept.head.target_micros));
-                let sample = Sample {
-                    route,
-                    failed,
-                    took,
-                    usual: self.targets.usual(route),
-                    age: self.targets.age(address),
-                };
-                self.moves.record(request.service, side, &sample);
+                end(
+                    trial,
+                    if failed {
+                        Dealt::Failed
+                    } else {
+                        Dealt::Answered(took)
+                    },
+                );
                 self.targets.end(address, route, took, failed);
                 if !failed {
                     let size = kept.body.len() as f64 / 1024.0;
@@ -133,6 +150,7 @@
                 retry_after,
                 ..
             } => {
+                end(trial, Dealt::NotRun);
                 self.targets.reach(address, *reached);
                 let pause = if retry_after.is_zero() {
                     GONE_PAUSE
@@ -144,16 +162,15 @@
             Attempt::Unknown { at_target, .. } => {
                 self.targets.fail(address);
                 if *at_target {
-                    let sample = Sample {
-                        route,
-                        failed: true,
-                        took: request.started.elapsed(),
-                        usual: None,
-                        age: Duration::ZERO,
-                    };
-                    self.moves.record(request.service, side, &sample);
+                    end(trial, Dealt::Failed);
                 }
             }
         }
     }
 }
+
+fn end(trial: Option<Trial<'_>>, dealt: Dealt) {
+    if let Some(trial) = trial {
+        trial.end(dealt);
+    }
+}
--- a/fulmarreel-node/src/mesh/takeover/messages.rs
+++ b/fulmarreel-node/src/mesh/takeover/messages.rs
@@ -79,6 +79,9 @@
         calls: counts.calls,
         failed: counts.failed,
         slow: counts.slow,
+        open: counts.open,
+        overdue: counts.overdue,
+        lost: counts.lost,
     }
 }
 
@@ -87,5 +90,8 @@
         calls: counts.calls,
         failed: counts.failed,
         slow: counts.slow,
+        open: counts.open,
+        overdue: counts.overdue,
+        lost: counts.lost,
     }
 }
--- a/fulmarreel-node/src/mesh/takeover/mod.rs
+++ b/fulmarreel-node/src/mesh/takeover/mod.rs
@@ -13,7 +13,7 @@
 use super::view::View;
 use crate::telemetry::metrics;
 use fulmarreel_platform::order::State;
-use fulmarreel_rollout::brief::{Action, Call, Counts, Member, Parcel, Roster};
+use fulmarreel_rollout::brief::{Action, Call, Counts, End, Member, Pair, Parcel, Roster};
 use fulmarreel_wire::notice::Notice;
 use std::{
     collections::HashMap,
@@ -29,6 +29,12 @@
 /// How many times the usual time it takes at a target that is cold.
 const COLD_SLOW_RATIO: f64 = 8.0;
 
+/// How many times the usual time a request is open that is overdue.
+const OVERDUE_RATIO: f64 = 3.0;
+
+/// How many times the usual time it is open at a target that is cold.
+const COLD_OVERDUE_RATIO: f64 = 4.0;
+
 /// How long a target that is new to this node counts as cold.
 const COLD: Duration = Duration::from_millis(4_500);
 
@@ -52,21 +58,71 @@
     },
 }
 
-/// How a target dealt with a request.
+/// A request that is sent to a target.
 #[derive(Debug)]
-pub struct Sample<'a> {
+pub struct Attempt<'a> {
     /// The route's name.
     pub route: &'a str,
-    /// Whether it failed.
-    pub failed: bool,
-    /// How long the target took.
-    pub took: Duration,
     /// How long requests of the route usually take, where that is known.
     pub usual: Option<Duration>,
     /// How long this node has known the target.
     pub age: Duration,
 }
 
+/// How a target dealt with a request.
+#[derive(Debug, Clone, Copy)]
+pub enum Dealt {
+    /// It answered after that long.
+    Answered(Duration),
+    /// It failed it.
+    Failed,
+    /// The request did not reach it.
+    NotRun,
+}
+
+/// A request at a target of a service that moves; dropped without an end, that is not known.
+#[derive(Debug)]
+pub struct Trial<'a> {
+    moves: &'a Moves,
+    service: &'a str,
+    order: u64,
+    number: u64,
+    /// From which time on its answer counts as slow.
+    slow: Option<Duration>,
+    ended: bool,
+}
+
+impl Trial<'_> {
+    /// Takes in how the target dealt with the request.
+    pub fn end(mut self, dealt: Dealt) {
+        self.ended = true;
+        self.tell(match dealt {
+            Dealt::Answered(took) => End::Answered {
+                slow: self.slow.is_some_and(|slow| took > slow),
+            },
+            Dealt::Failed => End::Failed,
+            Dealt::NotRun => End::NotRun,
+        });
+    }
+
+    fn tell(&self, end: End) {
+        let mut live = self.moves.live.lock().expect("moves lock");
+        let live = live.get_mut(self.service);
+        let live = live.filter(|live| live.order == self.order);
+        if live.is_some_and(|live| live.member.end(self.number, end, Instant::now())) {
+            log::warn!(service = self.service, order = self.order; "the new version fails here, it is not used further");
+        }
+    }
+}
+
+impl Drop for Trial<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.tell(End::Unknown);
+        }
+    }
+}
+
 /// The moves that are under way, and those whose version was found bad.
 #[derive(Debug, Default)]
 pub struct Moves {
@@ -98,12 +154,29 @@
     }
 }
 
-impl Sample<'_> {
-    fn is_slow(&self) -> bool {
-        let is_cold = self.age <= COLD;
-        let ratio = if is_cold { COLD_SLOW_RATIO } else { SLOW_RATIO };
-        self.usual
-            .is_some_and(|usual| self.took > usual.mul_f64(ratio))
+impl Attempt<'_> {
+    fn is_cold(&self) -> bool {
+        self.age <= COLD
+    }
+
+    /// After which time the request is overdue.
+    fn overdue(&self) -> Option<Duration> {
+        let ratio = if self.is_cold() {
+            COLD_OVERDUE_RATIO
+        } else {
+            OVERDUE_RATIO
+        };
+        self.usual.map(|usual| usual.mul_f64(ratio))
+    }
+
+    /// From which time on its answer counts as slow.
+    fn slow(&self) -> Option<Duration> {
+        let ratio = if self.is_cold() {
+            COLD_SLOW_RATIO
+        } else {
+            SLOW_RATIO
+        };
+        self.usual.map(|usual| usual.mul_f64(ratio))
     }
 }
 
@@ -125,6 +198,35 @@
         told.map(|told| (told.grant.owner, told.grant.number))
     }
 
+    /// The share that was granted last, in calls in a thousand.
+    fn granted(&self) -> u16 {
+        let told = self.member.agent().told();
+        told.map_or(0, |told| told.grant.permille)
+    }
+
+    /// Tells on what evidence the owner took a step.
+    fn tell_rise(&self, service: &str) {
+        let Pair { old, new } = self.member.seen();
+        log::info!(
+            service,
+            version = self.version.as_str(),
+            order = self.order,
+            permille = self.granted(),
+            calls = new.calls,
+            failed = new.failed,
+            slow = new.slow,
+            open = new.open,
+            overdue = new.overdue,
+            lost = new.lost,
+            old_calls = old.calls,
+            old_failed = old.failed,
+            old_slow = old.slow,
+            old_open = old.open,
+            old_overdue = old.overdue;
+            "share raised"
+        );
+    }
+
     /// Tells the share that this node uses, on whose grant, and how old that is.
     fn tell(&mut self, service: &str, now: Instant) {
         let permille = self.member.agent().permille(now);
@@ -184,26 +286,33 @@
         }
     }
 
-    /// Takes in how a target dealt with a request.
-    pub fn record(&self, service: &str, side: &Side, sample: &Sample<'_>) {
+    /// Takes in that a request is sent to a target.
+    pub fn send<'a>(
+        &'a self,
+        service: &'a str,
+        side: &Side,
+        attempt: &Attempt<'_>,
+    ) -> Option<Trial<'a>> {
         let new = match side {
-            Side::Any => return,
+            Side::Any => return None,
             Side::Old { .. } => false,
             Side::New { .. } => true,
         };
         let mut live = self.live.lock().expect("moves lock");
-        let Some(live) = live.get_mut(service) else {
-            return;
-        };
-        let call = Call {
-            route: xxh3_64(sample.route.as_bytes()),
+        let live = live.get_mut(service)?;
+        let number = live.member.send(Call {
+            route: xxh3_64(attempt.route.as_bytes()),
             new,
-            failed: sample.failed,
-            slow: !sample.failed && sample.is_slow(),
-        };
-        if live.member.record(call) {
-            log::warn!(service, order = live.order; "the new version fails here, it is not used further");
-        }
+            overdue: attempt.overdue().map(|overdue| Instant::now() + overdue),
+        });
+        Some(Trial {
+            moves: self,
+            service,
+            order: live.order,
+            number,
+            slow: attempt.slow(),
+            ended: false,
+        })
     }
 
     /// Takes in what another node says of a move; returns what is to be answered.
@@ -250,9 +359,18 @@
         self.with(service, |live| {
             let known = live.member.found();
             let number = live.told_number();
+            let granted = live.granted();
             let looked = live.member.look(roster, Instant::now());
+            if live.granted() > granted && roster.owner == Some(roster.own) {
+                live.tell_rise(service);
+            }
             if let (None, Some(counts)) = (known, live.member.found()) {
-                let Counts { calls, failed, slow } = counts;
+                let Counts {
+                    calls,
+                    failed,
+                    slow,
+                    ..
+                } = counts;
                 log::warn!(service, order = live.order, calls, failed, slow; "the new version is bad by all nodes' calls");
             }
             if live.told_number() != number {
--- a/fulmarreel-rollout/src/brief/agent.rs
+++ b/fulmarreel-rollout/src/brief/agent.rs
@@ -1,11 +1,14 @@
 //! One node's part in a move: it deals out calls by the owner's grant, and counts how they go.
 
 use super::{
-    Counts, Evidence, Pair, Report, calls_to_new,
+    Counts, Evidence, Pair, Report,
     grant::{Grant, PARTS},
-    lower, verdict,
+    lower, sent_to_new, verdict,
+};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
 };
-use std::time::{Duration, Instant};
 
 /// How long the owner's grant is good.
 const GRANT_LIFETIME: Duration = Duration::from_millis(1_000);
@@ -19,17 +22,38 @@
 /// Stands for the routes that a report does not name.
 const OTHER_ROUTES: u64 = 0;
 
-/// How a target dealt with a call.
+/// A call that is sent to a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Call {
     /// Hash of the route's name.
     pub route: u64,
     /// Whether the target runs the new version.
     pub new: bool,
-    /// Whether the call failed.
-    pub failed: bool,
-    /// Whether it was answered far later than usual.
-    pub slow: bool,
+    /// When it takes longer than nearly all calls do, if that is known.
+    pub overdue: Option<Instant>,
+}
+
+impl Call {
+    fn is_overdue(&self, now: Instant) -> bool {
+        self.overdue.is_some_and(|overdue| now >= overdue)
+    }
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The target answered it.
+    Answered {
+        /// Whether far later than usual.
+        slow: bool,
+    },
+    /// The target failed it.
+    Failed,
+    /// It did not reach the target.
+    NotRun,
+    /// It may have reached the target, and how that dealt with it is not known: its caller left, or a
+    /// connection was lost.
+    Unknown,
 }
 
 /// One node's part in a move.
@@ -43,6 +67,11 @@
     proven: u16,
     standing: Standing,
     own: Evidence,
+    /// Calls that have not ended, by their number.
+    open: HashMap<u64, Call>,
+    next_call: u64,
+    /// Open calls to the new version that were overdue when that was last asked.
+    overdue: usize,
     urgent: bool,
 }
 
@@ -80,6 +109,9 @@
             proven: 0,
             standing: Standing::Open,
             own: Evidence::new(),
+            open: HashMap::new(),
+            next_call: 0,
+            overdue: 0,
             urgent: false,
         }
     }
@@ -138,20 +170,39 @@
         });
     }
 
-    /// Counts a call; returns whether this node stops using the new version on its own evidence.
-    pub fn record(&mut self, call: Call) -> bool {
-        let pair = self.own.entry(call.route).or_default();
-        let counts = if call.new {
-            &mut pair.new
-        } else {
-            &mut pair.old
+    /// Takes in that a call is sent; returns the number by which its end is told.
+    pub fn send(&mut self, call: Call) -> u64 {
+        let number = self.next_call;
+        self.next_call += 1;
+        self.open.insert(number, call);
+        number
+    }
+
+    /// Takes in how a call ended; returns whether this node stops using the new version on its own
+    /// evidence.
+    pub fn end(&mut self, number: u64, end: End, now: Instant) -> bool {
+        let Some(call) = self.open.remove(&number) else {
+            return false;
         };
-        counts.add(Counts {
+        let is_overdue = call.is_overdue(now);
+        let (failed, slow) = match end {
+            End::NotRun => return false,
+            End::Answered { slow } => (false, slow),
+            End::Failed => (true, false),
+            // A caller that left after so long a wait tells as much as a late answer.
+            End::Unknown if is_overdue => (false, true),
+            End::Unknown => {
+                self.counts(call).lost += 1;
+                return false;
+            }
+        };
+        self.counts(call).add(Counts {
             calls: 1,
-            failed: u32::from(call.failed),
-            slow: u32::from(call.slow),
+            failed: u32::from(failed),
+            slow: u32::from(slow),
+            ..Counts::default()
         });
-        self.urgent |= call.new && (call.failed || call.slow);
+        self.urgent |= call.new && (failed || slow);
         if self.standing != Standing::Open || verdict(&self.own).is_none() {
             return false;
         }
@@ -159,6 +210,31 @@
         true
     }
 
+    fn counts(&mut self, call: Call) -> &mut Counts {
+        let pair = self.own.entry(call.route).or_default();
+        if call.new {
+            &mut pair.new
+        } else {
+            &mut pair.old
+        }
+    }
+
+    /// What this node has seen, with the calls that are open now.
+    fn seen(&self, now: Instant) -> Evidence {
+        let mut seen = self.own.clone();
+        for call in self.open.values() {
+            let pair = seen.entry(call.route).or_default();
+            let counts = if call.new {
+                &mut pair.new
+            } else {
+                &mut pair.old
+            };
+            counts.open += 1;
+            counts.overdue += u32::from(call.is_overdue(now));
+        }
+        seen
+    }
+
     /// Takes in that the version is bad; returns whether that is news.
     pub fn condemn(&mut self) -> bool {
         let is_news = matches!(self.standing, Standing::Open | Standing::StoppedHere);
@@ -184,8 +260,15 @@
     }
 
     /// Whether there is something to report that does not bear waiting, since this was last asked.
-    pub fn take_urgent(&mut self) -> bool {
-        std::mem::take(&mut self.urgent)
+    pub fn take_urgent(&mut self, now: Instant) -> bool {
+        let overdue = self
+            .open
+            .values()
+            .filter(|call| call.new && call.is_overdue(now));
+        let overdue = overdue.count();
+        let more = overdue > self.overdue;
+        self.overdue = overdue;
+        std::mem::take(&mut self.urgent) | more
     }
 
     /// What this node reports.
@@ -195,22 +278,21 @@
             owner: self.grant.map_or(0, |told| told.grant.owner),
             permille: self.permille(now),
             proven: self.proven,
-            evidence: self.short_evidence(),
+            evidence: self.short_evidence(now),
         }
     }
 
     /// Whether this node has called the new version.
     pub fn has_called(&self) -> bool {
-        calls_to_new(&self.own) > 0
+        sent_to_new(&self.own) > 0 || self.open.values().any(|call| call.new)
     }
 
     /// The evidence by route, of those where most calls to the new version went wrong.
-    fn short_evidence(&self) -> Evidence {
-        let mut routes: Vec<(u64, Pair)> =
-            self.own.iter().map(|(key, pair)| (*key, *pair)).collect();
+    fn short_evidence(&self, now: Instant) -> Evidence {
+        let mut routes: Vec<(u64, Pair)> = self.seen(now).into_iter().collect();
         routes.sort_by_key(|(route, pair)| {
-            let wrong = pair.new.failed + pair.new.slow;
-            (std::cmp::Reverse((wrong, pair.new.calls)), *route)
+            let wrong = pair.new.suspect();
+            (std::cmp::Reverse((wrong, pair.new.sent())), *route)
         });
         let mut evidence = Evidence::new();
         for (index, (route, pair)) in routes.into_iter().enumerate() {
--- a/fulmarreel-rollout/src/brief/member.rs
+++ b/fulmarreel-rollout/src/brief/member.rs
@@ -1,9 +1,9 @@
 //! One node's whole part in a move: what it tells whom, and what it does on what it is told.
 
 use super::{
-    Agent, Call, Counts, Decision, Evidence, Grant, Pool, Ramp, Report,
+    Agent, Call, Counts, Decision, End, Evidence, Grant, Pair, Pool, Ramp, Report,
     ramp::Fleet,
-    verdict::{recent_verdict, verdict},
+    verdict::{recent_verdict, total, verdict},
 };
 use std::{
     hash::Hash,
@@ -83,6 +83,8 @@
     next: Instant,
     end_tellings: u8,
     found: Option<Counts>,
+    /// What all nodes had seen when this one looked last, over all routes.
+    seen: Pair,
 }
 
 impl<A: Copy + Eq + Hash> Member<A> {
@@ -96,6 +98,7 @@
             next: now,
             end_tellings: 0,
             found: None,
+            seen: Pair::default(),
         }
     }
 
@@ -109,9 +112,15 @@
         self.agent.deal(now)
     }
 
-    /// Counts a call; returns whether this node stops using the new version on its own evidence.
-    pub fn record(&mut self, call: Call) -> bool {
-        self.agent.record(call)
+    /// Takes in that a call is sent; returns the number by which its end is told.
+    pub fn send(&mut self, call: Call) -> u64 {
+        self.agent.send(call)
+    }
+
+    /// Takes in how a call ended; returns whether this node stops using the new version on its own
+    /// evidence.
+    pub fn end(&mut self, number: u64, end: End, now: Instant) -> bool {
+        self.agent.end(number, end, now)
     }
 
     /// The counts on which this node found the version bad, if it did.
@@ -119,6 +128,11 @@
         self.found
     }
 
+    /// What all nodes had seen when this one looked last, over all routes.
+    pub fn seen(&self) -> Pair {
+        self.seen
+    }
+
     /// Makes this node the owner by a revision, of a move between two times.
     pub fn own(&mut self, revision: u64, start: Instant, deadline: Instant) {
         self.ramp = Some(Ramp::new(revision, start, deadline));
@@ -172,7 +186,7 @@
 
     /// Whether [`Member::look`] is due.
     pub fn is_due(&mut self, now: Instant) -> bool {
-        self.is_urgent |= self.agent.take_urgent();
+        self.is_urgent |= self.agent.take_urgent(now);
         self.is_urgent || self.ramp.is_some() || now >= self.next
     }
 
@@ -192,6 +206,7 @@
         }
         self.pool.hear(roster.own, self.agent.report(now), now);
         let evidence = self.pool.evidence();
+        self.seen = total(&evidence);
         let recent = self.pool.recent(&evidence, self.agent.permille(now), now);
         let holds_evidence = roster.standbys.contains(&roster.own)
             && self.pool.callers() >= MIN_CALLERS
--- a/fulmarreel-rollout/src/brief/mod.rs
+++ b/fulmarreel-rollout/src/brief/mod.rs
@@ -15,7 +15,7 @@
 mod ramp;
 mod verdict;
 
-pub use agent::{Agent, Call, Told};
+pub use agent::{Agent, Call, End, Told};
 pub use grant::Grant;
 pub use member::{Action, Member, Message, Parcel, Recipient, Roster};
 pub use pool::{Pool, Report};
@@ -48,8 +48,14 @@
     pub calls: u32,
     /// Those that failed.
     pub failed: u32,
-    /// Those that were answered far later than usual.
+    /// Those that were answered far later than usual, or not at all for as long.
     pub slow: u32,
+    /// Further calls that were sent to a target and have not ended.
+    pub open: u32,
+    /// Those of the open ones that take longer than nearly all calls do.
+    pub overdue: u32,
+    /// Further calls that were sent to a target, and whose end is not known.
+    pub lost: u32,
 }
 
 /// Counts of both versions on one route.
@@ -81,6 +87,24 @@
         self.calls += other.calls;
         self.failed += other.failed;
         self.slow += other.slow;
+        self.open += other.open;
+        self.overdue += other.overdue;
+        self.lost += other.lost;
+    }
+
+    /// Calls that were sent to a target.
+    fn sent(self) -> u32 {
+        self.calls + self.open + self.lost
+    }
+
+    /// Calls that went wrong, or seem to.
+    fn suspect(self) -> u32 {
+        self.failed + self.slow + self.overdue
+    }
+
+    /// The part of the calls that went wrong, or seem to, of those of which something is known.
+    fn suspect_part(self) -> f64 {
+        f64::from(self.suspect()) / f64::from((self.calls + self.overdue).max(1))
     }
 
     /// What came after earlier counts.
@@ -89,6 +113,10 @@
             calls: self.calls.saturating_sub(earlier.calls),
             failed: self.failed.saturating_sub(earlier.failed),
             slow: self.slow.saturating_sub(earlier.slow),
+            lost: self.lost.saturating_sub(earlier.lost),
+            // Of these there is only a now.
+            open: self.open,
+            overdue: self.overdue,
         }
     }
 
@@ -113,7 +141,18 @@
     pairs.map(|pair| pair.old.calls + pair.new.calls).sum()
 }
 
-/// Calls that went to the new version.
+/// Calls that were sent.
+fn sent(evidence: &Evidence) -> u32 {
+    let pairs = evidence.values();
+    pairs.map(|pair| pair.old.sent() + pair.new.sent()).sum()
+}
+
+/// Calls that were sent to the new version.
+fn sent_to_new(evidence: &Evidence) -> u32 {
+    evidence.values().map(|pair| pair.new.sent()).sum()
+}
+
+/// Calls to the new version that ended.
 fn calls_to_new(evidence: &Evidence) -> u32 {
     evidence.values().map(|pair| pair.new.calls).sum()
 }
--- a/fulmarreel-rollout/src/brief/pool.rs
+++ b/fulmarreel-rollout/src/brief/pool.rs
@@ -1,6 +1,6 @@
 //! What the nodes have reported of a move.
 
-use super::{Evidence, Pair, Ramp, calls, calls_to_new};
+use super::{Evidence, Pair, Ramp, calls, sent_to_new};
 use std::{
     collections::HashMap,
     hash::Hash,
@@ -123,7 +123,7 @@
     /// Processes that have called the new version.
     pub fn callers(&self) -> usize {
         let reports = self.heard.values().map(|heard| &heard.report.evidence);
-        let has_called = |evidence: &&Evidence| calls_to_new(evidence) > 0;
+        let has_called = |evidence: &&Evidence| sent_to_new(evidence) > 0;
         reports.filter(has_called).count()
     }
 
@@ -143,5 +143,5 @@
 
 fn wrong(evidence: &Evidence) -> u32 {
     let pairs = evidence.values();
-    pairs.map(|pair| pair.new.failed + pair.new.slow).sum()
+    pairs.map(|pair| pair.new.suspect()).sum()
 }
--- a/fulmarreel-rollout/src/brief/ramp.rs
+++ b/fulmarreel-rollout/src/brief/ramp.rs
@@ -1,9 +1,9 @@
 //! The owner's decisions: how far the share may rise on what has been reported.
 
 use super::{
-    Evidence, STEPS, calls, calls_to_new, due,
+    Evidence, STEPS, calls_to_new, due,
     grant::{Grant, PARTS},
-    permille, step_of,
+    permille, sent, sent_to_new, step_of,
     verdict::is_doubtful,
 };
 use std::time::{Duration, Instant};
@@ -20,6 +20,9 @@
 /// Calls to the new version that a step waits for, unless calls are sparse.
 const STEP_CALLS: u32 = 5;
 
+/// Calls to the new version that have to end at the step that proves it, beyond those sent before.
+const PROVING_CALLS: u32 = 12;
+
 /// How long all calls go to the new version before the move is complete, so that those to the old one end.
 const FULL_STAY: Duration = Duration::from_millis(1_200);
 
@@ -97,7 +100,10 @@
     min_until: Instant,
     sparse_until: Instant,
     full_until: Instant,
+    /// Calls to the new version that had ended then.
     calls: u32,
+    /// Those that had been sent.
+    sent: u32,
 }
 
 impl Ramp {
@@ -142,7 +148,7 @@
         if !most(fleet.following) {
             self.stay = None;
         } else if self.stay.is_none() {
-            self.stay = Some(Stay::new(calls_to_new(fleet.evidence), now));
+            self.stay = Some(Stay::new(fleet.evidence, now));
         }
         if fleet.is_leased {
             if self.is_complete(now) && !is_doubtful(fleet.recent) {
@@ -171,7 +177,9 @@
             return;
         }
         let calls = calls_to_new(fleet.evidence);
-        if self.stay.is_some_and(|stay| stay.is_stood(calls, now)) {
+        let proves = permille(self.step) >= PROVEN;
+        let is_stood = |stay: Stay| stay.is_stood(calls, now) && (!proves || stay.is_back(calls));
+        if self.stay.is_some_and(is_stood) {
             self.proven = self.proven.max(self.step);
             let next = self.step + 1;
             if next <= due && self.has_room(next, REACTION, fleet.evidence, now) {
@@ -193,9 +201,9 @@
             return true;
         }
         let passed = now.saturating_duration_since(self.start);
-        let rate = f64::from(calls(evidence)) / passed.max(MIN_RATE_TIME).as_secs_f64();
+        let rate = f64::from(sent(evidence)) / passed.max(MIN_RATE_TIME).as_secs_f64();
         let whole = rate * (self.deadline - self.start).as_secs_f64();
-        let room = UNPROVEN_PART * whole + UNPROVEN_CALLS - f64::from(calls_to_new(evidence));
+        let room = UNPROVEN_PART * whole + UNPROVEN_CALLS - f64::from(sent_to_new(evidence));
         let share = f64::from(permille(step)) / f64::from(PARTS);
         rate * time.as_secs_f64() * share <= room
     }
@@ -222,15 +230,21 @@
 }
 
 impl Stay {
-    fn new(calls: u32, now: Instant) -> Self {
+    fn new(evidence: &Evidence, now: Instant) -> Self {
         Self {
             min_until: now + MIN_STAY,
             sparse_until: now + SPARSE_STAY,
             full_until: now + FULL_STAY,
-            calls,
+            calls: calls_to_new(evidence),
+            sent: sent_to_new(evidence),
         }
     }
 
+    /// Whether as many calls have ended as were sent before, and some more.
+    fn is_back(&self, calls: u32) -> bool {
+        calls >= self.sent + PROVING_CALLS
+    }
+
     fn is_stood(&self, calls: u32, now: Instant) -> bool {
         let enough = calls >= self.calls + STEP_CALLS || now >= self.sparse_until;
         enough && now >= self.min_until
--- a/fulmarreel-rollout/src/brief/verdict.rs
+++ b/fulmarreel-rollout/src/brief/verdict.rs
@@ -48,15 +48,14 @@
 pub(super) fn is_doubtful(evidence: &Evidence) -> bool {
     let pairs = evidence.values().copied();
     pairs.chain([total(evidence)]).any(|Pair { old, new }| {
-        let wrong = new.failed + new.slow;
-        let part = new.part(wrong);
-        wrong >= MIN_DOUBTFUL
+        let part = new.suspect_part();
+        new.suspect() >= MIN_DOUBTFUL
             && part >= DOUBTFUL_PART
-            && part >= EXCESS * old.part(old.failed + old.slow)
+            && part >= EXCESS * old.suspect_part()
     })
 }
 
-fn total(evidence: &Evidence) -> Pair {
+pub(super) fn total(evidence: &Evidence) -> Pair {
     let mut total = Pair::default();
     for pair in evidence.values() {
         total.old.add(pair.old);
--- a/fulmarreel-rollout/tests/brief.rs
+++ b/fulmarreel-rollout/tests/brief.rs
@@ -11,6 +11,7 @@
         calls,
         failed,
         slow,
+        ..Counts::default()
     }
 }
 
--- a/fulmarreel-rollout/tests/fleet/bounds.rs
+++ b/fulmarreel-rollout/tests/fleet/bounds.rs
@@ -1,18 +1,18 @@
 //! What a bad version may get, and when a good one is to be complete.
 
 use super::{
-    draw::{any_troubles, bad_version, config, good, mild_troubles, plan},
+    draw::{
+        BRIEF, any_troubles, bad_brief_version, bad_version, brief_plan, config, good,
+        mild_troubles, plan,
+    },
     plan::{Kind, Plan, Report, Trouble},
     play::play,
-    version::{Fault, Version, When},
+    version::{COLD, Fault, Version, When},
 };
 use proptest::prelude::*;
 use rstest::rstest;
 use std::time::Duration;
 
-/// The usual time of a brief call.
-const BRIEF: Duration = Duration::from_millis(30);
-
 fn at(kind: Kind, from: u64, until: u64) -> Trouble {
     Trouble {
         kind,
@@ -44,6 +44,7 @@
         version: Version {
             when: When::From(Duration::from_millis(4_500)),
             fault: Fault::Slow(800, 8.0),
+            cold: Duration::ZERO,
         },
         troubles: vec![at(Kind::OwnerCut, 3_000, 20_000)],
         seed: 1,
@@ -63,6 +64,7 @@
         version: Version {
             when: When::Above(200),
             fault: Fault::Fails(500),
+            cold: Duration::ZERO,
         },
         troubles: vec![
             at(Kind::OwnerKilled, 7_200, 9_200),
@@ -90,6 +92,7 @@
             version: Version {
                 when: When::AtOnce,
                 fault: Fault::Slow((part * 1_000.0) as u32, times),
+                cold: COLD,
             },
             troubles: Vec::new(),
             seed,
@@ -104,7 +107,17 @@
     /// Fails if a version that is bad gets more calls than it may, whatever becomes of the owner,
     /// the store and the datagrams.
     #[test]
-    fn a_bad_version_stays_within_its_bound(plan in plan(bad_version(), any_troubles())) {
+    fn a_bad_version_stays_within_its_bound(
+        plan in brief_plan(bad_brief_version(), any_troubles()),
+    ) {
+        assert_bounded(&play(&plan))?;
+    }
+
+    /// As above, where calls take up to 400 ms, and twice as long at first.
+    #[test]
+    fn a_bad_version_of_long_calls_stays_within_its_bound(
+        plan in plan(bad_version(), any_troubles()),
+    ) {
         assert_bounded(&play(&plan))?;
     }
 
--- a/fulmarreel-rollout/tests/fleet/draw.rs
+++ b/fulmarreel-rollout/tests/fleet/draw.rs
@@ -2,7 +2,7 @@
 
 use super::{
     plan::{Kind, Plan, Trouble},
-    version::{Fault, Version, When},
+    version::{COLD, Fault, Version, When},
 };
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 use std::time::Duration;
@@ -10,6 +10,9 @@
 /// Plays of one property.
 const CASES: u32 = 192;
 
+/// The usual time of a brief call.
+pub const BRIEF: Duration = Duration::from_millis(30);
+
 /// Names a variable with another number of plays.
 pub const CASES_VARIABLE: &str = "FULMARREEL_MOVES";
 
@@ -38,17 +41,32 @@
 
 /// A version that is bad in one way or another.
 pub fn bad_version() -> impl Strategy<Value = Version> {
+    let fault = prop_oneof![
+        (300_u32..800).prop_map(Fault::Fails),
+        (500_u32..1_000, 6.0..16.0).prop_map(|(part, times)| Fault::Slow(part, times)),
+    ];
+    version(fault, COLD)
+}
+
+/// A warm version that is bad in one way or another, and answers brief calls.
+pub fn bad_brief_version() -> impl Strategy<Value = Version> {
+    let times = |took: Duration| took.div_duration_f64(BRIEF);
+    let fault = prop_oneof![
+        (300_u32..800).prop_map(Fault::Fails),
+        (500_u32..1_000, millis(150, 500))
+            .prop_map(move |(part, took)| Fault::Slow(part, times(took))),
+    ];
+    version(fault, Duration::ZERO)
+}
+
+fn version(fault: impl Strategy<Value = Fault>, cold: Duration) -> impl Strategy<Value = Version> {
     let when = prop_oneof![
         Just(When::AtOnce),
         millis(500, 4_000).prop_map(When::From),
         (60_u16..550).prop_map(When::Above),
         Just(When::OneRoute),
     ];
-    let fault = prop_oneof![
-        (300_u32..800).prop_map(Fault::Fails),
-        (400_u32..1_000, 6.0..16.0).prop_map(|(part, times)| Fault::Slow(part, times)),
-    ];
-    (when, fault).prop_map(|(when, fault)| Version { when, fault })
+    (when, fault).prop_map(move |(when, fault)| Version { when, fault, cold })
 }
 
 fn trouble() -> impl Strategy<Value = Trouble> {
@@ -74,14 +92,24 @@
 pub fn plan(
     version: impl Strategy<Value = Version>,
     troubles: impl Strategy<Value = Vec<Trouble>>,
+) -> impl Strategy<Value = Plan> {
+    (20_u64..400, brief_plan(version, troubles)).prop_map(|(usual, plan)| Plan {
+        usual: Duration::from_millis(usual),
+        ..plan
+    })
+}
+
+/// A play of brief calls.
+pub fn brief_plan(
+    version: impl Strategy<Value = Version>,
+    troubles: impl Strategy<Value = Vec<Trouble>>,
 ) -> impl Strategy<Value = Plan> {
     let size = (4_usize..40, 60_u32..250);
-    let times = (20_u64..400, 8_u64..=16);
-    (size, times, version, troubles, any::<u64>()).prop_map(
-        |((nodes, rate), (usual, seconds), version, troubles, seed)| Plan {
+    (size, 8_u64..=16, version, troubles, any::<u64>()).prop_map(
+        |((nodes, rate), seconds, version, troubles, seed)| Plan {
             nodes,
             rate,
-            usual: Duration::from_millis(usual),
+            usual: BRIEF,
             limit: Duration::from_secs(seconds),
             version,
             troubles,
@@ -95,6 +123,7 @@
     Version {
         when: When::Never,
         fault: Fault::Fails(0),
+        cold: COLD,
     }
 }
 
--- a/fulmarreel-rollout/tests/fleet/play.rs
+++ b/fulmarreel-rollout/tests/fleet/play.rs
@@ -3,9 +3,9 @@
 use super::{
     plan::{Kind, Plan, Report, Trouble},
     store::{Outcome, Store},
-    version::{Answer, BAD_ROUTE, sound},
+    version::{Answer, BAD_ROUTE, COLD_OVERDUE_TIMES, OVERDUE_TIMES, sound},
 };
-use fulmarreel_rollout::brief::{Action, Call, Member, Message, Recipient, Roster};
+use fulmarreel_rollout::brief::{Action, Call, End, Member, Message, Recipient, Roster};
 use std::{
     collections::{BTreeMap, VecDeque},
     time::{Duration, Instant},
@@ -64,7 +64,8 @@
     Answered {
         node: usize,
         boot: u64,
-        call: Call,
+        call: u64,
+        end: End,
     },
 }
 
@@ -239,10 +240,15 @@
                 self.nodes[to].inbox.push_back((from, message));
             }
             Event::Datagram { from, to, message } => self.take(to, from, message),
-            Event::Answered { node, boot, call } => {
+            Event::Answered {
+                node,
+                boot,
+                call,
+                end,
+            } => {
                 let node = &mut self.nodes[node];
                 if node.is_up && node.boot == boot {
-                    node.member.record(call);
+                    node.member.end(call, end, self.now);
                 }
             }
         }
@@ -323,16 +329,25 @@
         if new {
             self.count_wrong(answer, passed);
         }
-        let call = Call {
+        let times = if new && passed < self.plan.version.cold {
+            COLD_OVERDUE_TIMES
+        } else {
+            OVERDUE_TIMES
+        };
+        let call = self.nodes[index].member.send(Call {
             route,
             new,
-            failed: answer.failed,
-            slow: answer.slow,
+            overdue: Some(now + self.plan.usual.mul_f64(times)),
+        });
+        let end = match answer {
+            Answer { failed: true, .. } => End::Failed,
+            Answer { slow, .. } => End::Answered { slow },
         };
         let event = Event::Answered {
             node: index,
             boot,
             call,
+            end,
         };
         self.schedule(answer.took, event);
     }
--- a/fulmarreel-rollout/tests/fleet/version.rs
+++ b/fulmarreel-rollout/tests/fleet/version.rs
@@ -33,6 +33,8 @@
     pub when: When,
     /// How.
     pub fault: Fault,
+    /// How long its targets are cold.
+    pub cold: Duration,
 }
 
 /// An answer.
@@ -55,17 +57,23 @@
 /// How many times as long the calls take that any version answers late.
 const SLOW_NOISE_TIMES: f64 = 6.0;
 
-/// How long targets of a version that just started are cold.
-const COLD: Duration = Duration::from_millis(4_000);
+/// How long targets that just started are cold.
+pub const COLD: Duration = Duration::from_millis(4_000);
 
 /// How many times as long cold targets take.
 const COLD_TIMES: f64 = 2.0;
 
 /// How many times as long as usual an answer takes that counts as slow.
-pub const SLOW_TIMES: f64 = 4.0;
+const SLOW_TIMES: f64 = 4.0;
 
 /// The same at a cold target.
-pub const COLD_SLOW_TIMES: f64 = 8.0;
+const COLD_SLOW_TIMES: f64 = 8.0;
+
+/// How many times as long as usual a call is open that counts as overdue.
+pub const OVERDUE_TIMES: f64 = 3.0;
+
+/// The same at a cold target.
+pub const COLD_OVERDUE_TIMES: f64 = 4.0;
 
 /// The answer of a sound and warm version whose calls usually take that long.
 pub fn sound(usual: Duration, random: &mut fastrand::Rng) -> Answer {
@@ -102,7 +110,7 @@
         };
         let dice = random.u32(0..1_000);
         let mut answer = sound(usual, random);
-        let is_cold = age < COLD;
+        let is_cold = age < self.cold;
         if is_cold {
             answer.took = answer.took.mul_f64(COLD_TIMES);
         }
--- a/fulmarreel-rollout/tests/member.rs
+++ b/fulmarreel-rollout/tests/member.rs
@@ -1,7 +1,7 @@
 //! One node's part in a move of seconds.
 
 use fulmarreel_rollout::brief::{
-    Action, Call, Counts, Evidence, Grant, Member, Message, Pair, Recipient, Report, Roster,
+    Action, Call, Counts, End, Evidence, Grant, Member, Message, Pair, Recipient, Report, Roster,
 };
 use std::time::{Duration, Instant};
 
@@ -34,7 +34,7 @@
     let counts = |calls, failed| Counts {
         calls,
         failed,
-        slow: 0,
+        ..Counts::default()
     };
     let pair = Pair {
         old: counts(200, 0),
@@ -49,12 +49,22 @@
     })
 }
 
-fn call(route: u64, failed: bool) -> Call {
+/// Has a member see a call to the new version that fails, or is answered in time.
+fn record(member: &mut Member<u32>, route: u64, failed: bool, now: Instant) {
+    let call = member.send(call(route, None));
+    let end = if failed {
+        End::Failed
+    } else {
+        End::Answered { slow: false }
+    };
+    member.end(call, end, now);
+}
+
+fn call(route: u64, overdue: Option<Instant>) -> Call {
     Call {
         route,
         new: true,
-        failed,
-        slow: false,
+        overdue,
     }
 }
 
@@ -113,7 +123,7 @@
     let mut member: Member<u32> = Member::new(1, 0.0, now);
     member.take(OWNER, grant(5, 1, 50), now);
     for _ in 0..10 {
-        member.record(call(1, true));
+        record(&mut member, 1, true, now);
     }
     assert_eq!(member.agent().permille(now), 0);
     let (parcels, _) = member.look(&roster(OWNER), now);
@@ -146,10 +156,10 @@
     let now = Instant::now();
     let mut member: Member<u32> = Member::new(1, 0.0, now);
     for route in 1..=800 {
-        member.record(call(route, false));
+        record(&mut member, route, false, now);
     }
     for _ in 0..3 {
-        member.record(call(700, true));
+        record(&mut member, 700, true, now);
     }
     let report = member.agent().report(now);
     let calls: u32 = report.evidence.values().map(|pair| pair.new.calls).sum();
@@ -193,3 +203,34 @@
         assert!(parcels.is_empty(), "{parcels:?}");
     }
 }
+
+/// Calls that have not ended count as sent, and as overdue once they take too long; those whose caller
+/// left count as sent, and as slow where that was late.
+#[test]
+fn calls_without_an_end_are_reported() {
+    let now = Instant::now();
+    let overdue = now + Duration::from_millis(600);
+    let late = now + Duration::from_millis(700);
+    let mut member: Member<u32> = Member::new(1, 0.0, now);
+    let calls: Vec<u64> = (0..4)
+        .map(|_| member.send(call(1, Some(overdue))))
+        .collect();
+    let new = |member: &Member<u32>, at| member.agent().report(at).evidence[&1].new;
+    let expected = Counts {
+        open: 4,
+        ..Counts::default()
+    };
+    assert_eq!(new(&member, now), expected);
+    member.end(calls[0], End::Unknown, now);
+    member.end(calls[1], End::NotRun, now);
+    member.end(calls[2], End::Unknown, late);
+    let expected = Counts {
+        calls: 1,
+        slow: 1,
+        open: 1,
+        overdue: 1,
+        lost: 1,
+        ..Counts::default()
+    };
+    assert_eq!(new(&member, late), expected);
+}
--- a/fulmarreel-wire/src/notice.rs
+++ b/fulmarreel-wire/src/notice.rs
@@ -97,8 +97,14 @@
     pub calls: u32,
     /// Those that failed.
     pub failed: u32,
-    /// Those that were answered far later than usual.
+    /// Those that were answered far later than usual, or not at all for as long.
     pub slow: u32,
+    /// Further calls that were sent to a target and have not ended.
+    pub open: u32,
+    /// Those of the open ones that take longer than nearly all calls do.
+    pub overdue: u32,
+    /// Further calls that were sent to a target, and whose end is not known.
+    pub lost: u32,
 }
 
 /// The share of a service's new version.
