--- a/fulmarreel-rollout/tests/fleet/bounds.rs
+++ b/fulmarreel-rollout/tests/fleet/bounds.rs
@@ -2,8 +2,8 @@
 
 use super::{
     draw::{
-        BRIEF, any_troubles, bad_brief_version, bad_version, brief_plan, config, good,
-        mild_troubles, plan,
+        BRIEF, any_troubles, bad_version, brief_plan, config, good, mild_troubles, millis, plan,
+        version,
     },
     plan::{Kind, Plan, Report, Trouble},
     play::play,
@@ -13,6 +13,17 @@
 use rstest::rstest;
 use std::time::Duration;
 
+/// A warm version that is bad in one way or another, and answers brief calls.
+fn bad_brief_version() -> impl Strategy<Value = Version> {
+    let times = |took: Duration| took.div_duration_f64(BRIEF);
+    let fault = prop_oneof![
+        (300_u32..800).prop_map(Fault::Fails),
+        (500_u32..1_000, millis(150, 500))
+            .prop_map(move |(part, took)| Fault::Slow(part, times(took))),
+    ];
+    version(fault, Duration::ZERO)
+}
+
 fn at(kind: Kind, from: u64, until: u64) -> Trouble {
     Trouble {
         kind,
--- a/fulmarreel-rollout/tests/fleet/draw.rs
+++ b/fulmarreel-rollout/tests/fleet/draw.rs
@@ -35,7 +35,8 @@
     }
 }
 
-fn millis(from: u64, until: u64) -> impl Strategy<Value = Duration> {
+/// A time of some milliseconds.
+pub fn millis(from: u64, until: u64) -> impl Strategy<Value = Duration> {
     (from..until).prop_map(Duration::from_millis)
 }
 
@@ -48,18 +49,11 @@
     version(fault, COLD)
 }
 
-/// A warm version that is bad in one way or another, and answers brief calls.
-pub fn bad_brief_version() -> impl Strategy<Value = Version> {
-    let times = |took: Duration| took.div_duration_f64(BRIEF);
-    let fault = prop_oneof![
-        (300_u32..800).prop_map(Fault::Fails),
-        (500_u32..1_000, millis(150, 500))
-            .prop_map(move |(part, took)| Fault::Slow(part, times(took))),
-    ];
-    version(fault, Duration::ZERO)
-}
-
-fn version(fault: impl Strategy<Value = Fault>, cold: Duration) -> impl Strategy<Value = Version> {
+/// A version of that fault, and when it shows.
+pub fn version(
+    fault: impl Strategy<Value = Fault>,
+    cold: Duration,
+) -> impl Strategy<Value = Version> {
     let when = prop_oneof![
         Just(When::AtOnce),
         millis(500, 4_000).prop_map(When::From),
