--- a/fulmarreel-node/src/mesh/announce.rs
+++ b/fulmarreel-node/src/mesh/announce.rs
@@ -5,6 +5,7 @@
     keys::{self, Node},
     serve::Server,
 };
+use crate::state::unix_millis;
 use fulmarreel_platform::heartbeat;
 use fulmarreel_store::{Outcome, Revision, Store, Transaction};
 use smol::Timer;
@@ -14,6 +15,9 @@
 /// The largest announcement that is read.
 const MAX_BODY_BYTES: u64 = 65_536;
 
+/// How far the start of a target may lie ahead of this instance's clock.
+const MAX_CLOCK_DIFFERENCE_MS: u64 = 86_400_000;
+
 /// The delay after the first failed write of the node's own entry; it doubles with each failure.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -79,6 +83,15 @@
             return;
         }
     };
+    // If it were used, all announcements of the target itself would count as earlier ones.
+    if announcement.started_at_ms > unix_millis().saturating_add(MAX_CLOCK_DIFFERENCE_MS) {
+        log::warn!(
+            target = id,
+            started_at_ms = announcement.started_at_ms;
+            "announcement ignored: its target starts in the future"
+        );
+        return;
+    }
     let settings = context.settings();
     if announcement.service != settings.service || announcement.endpoint != settings.endpoint {
         log::warn!(
--- a/fulmarreel-node/src/mesh/keys.rs
+++ b/fulmarreel-node/src/mesh/keys.rs
@@ -38,6 +38,42 @@
     pub slots: u16,
 }
 
+/// Why a node's entry is rejected.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// It is not JSON with the expected fields.
+    #[error(transparent)]
+    Shape(#[from] serde_json::Error),
+    /// No node can be reached at the address.
+    #[error("no node can be reached at {address}")]
+    Address {
+        /// The address.
+        address: SocketAddr,
+    },
+    /// The target could not run any request.
+    #[error("the target has no slots")]
+    NoSlots,
+}
+
+impl Node {
+    /// Decodes the value of an entry.
+    ///
+    /// # Errors
+    ///
+    /// It does not describe a node that could be used.
+    pub fn decode(value: &[u8]) -> Result<Self, Error> {
+        let node: Self = serde_json::from_slice(value)?;
+        let (address, ip) = (node.address, node.address.ip());
+        if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            return Err(Error::Address { address });
+        }
+        if node.target.as_ref().is_some_and(|target| target.slots == 0) {
+            return Err(Error::NoSlots);
+        }
+        Ok(node)
+    }
+}
+
 /// The node that owns a rollout.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Owner {
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -2,6 +2,7 @@
 //! as a whole after each change and replaced atomically.
 
 use super::keys::{self, Node};
+use crate::telemetry::metrics;
 use fulmarreel_balance::choice::Tier;
 use fulmarreel_distribution::{Mirror, mirror::Item};
 use fulmarreel_platform::{
@@ -11,6 +12,7 @@
 use fulmarreel_route::Table;
 use std::{
     collections::HashMap,
+    fmt::Display,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -64,28 +66,29 @@
     pub rollouts: HashMap<String, Rollout>,
     /// Every node's address, with whether the node is in this node's region.
     pub nodes: Vec<(SocketAddr, bool)>,
+    /// The items that are left out because they are malformed: their revisions by key.
+    malformed: HashMap<String, u64>,
 }
 
 impl View {
     /// Decodes a mirror for a node at `own`. The routing table is taken over from the last view if the
     /// configuration has not changed.
     pub fn new(mirror: &Mirror, own: Location<'_>, last: &Self) -> Self {
-        let mut view = Self {
-            table: active_table(mirror, last),
-            ..Self::default()
-        };
+        let mut view = Self::default();
+        view.table = view.active_table(mirror, last);
         for (instance, item) in mirror.items_under_prefix(keys::NODES) {
-            match serde_json::from_slice::<Node>(&item.value) {
+            match Node::decode(&item.value) {
                 Ok(node) => view.add(node, own),
                 Err(error) => {
-                    log::warn!(instance, revision = item.revision; "node entry ignored: {error}");
+                    let key = format!("{}{instance}", keys::NODES);
+                    view.leave_out(key, item, &error, last);
                 }
             }
         }
         for (service, item) in mirror.items_under_prefix(order::ORDERS) {
             match order::decode(&item.value) {
                 Ok(order) => {
-                    let state = recorded_state(mirror, service, item, &order.version);
+                    let state = view.recorded_state(mirror, service, item, &order.version, last);
                     let ordered_rollout = Rollout {
                         order: item.revision,
                         version: order.version,
@@ -95,7 +98,8 @@
                     view.rollouts.insert(service.to_owned(), ordered_rollout);
                 }
                 Err(error) => {
-                    log::warn!(service, revision = item.revision; "order ignored: {error}");
+                    let key = format!("{}{service}", order::ORDERS);
+                    view.leave_out(key, item, &error, last);
                 }
             }
         }
@@ -133,54 +137,67 @@
             tier,
         }));
     }
-}
 
-/// The configuration in the mirror, or the last active one if the mirror has none that can be decoded.
-fn active_table(mirror: &Mirror, last: &View) -> Option<Arc<Table>> {
-    let item = mirror.get(config::KEY);
-    let Some(item) = item else {
-        return last.table.clone();
-    };
-    if let Some(known) = &last.table
-        && known.revision >= item.revision
-    {
-        return last.table.clone();
+    /// Leaves a malformed item out; it is logged and counted once for each of its revisions.
+    fn leave_out(&mut self, key: String, item: &Item, error: &dyn Display, last: &Self) {
+        if last.malformed.get(&key) != Some(&item.revision) {
+            log::warn!(key = key.as_str(), revision = item.revision; "store item ignored: {error}");
+            metrics::malformed_item("value");
+        }
+        self.malformed.insert(key, item.revision);
     }
-    let started = Instant::now();
-    match config::decode(item.revision, &item.value) {
-        Ok(table) => {
-            log::info!(
-                revision = item.revision,
-                version = table.version,
-                bytes = item.value.len(),
-                decode_us = started.elapsed().as_micros() as u64;
-                "active configuration"
-            );
-            Some(Arc::new(table))
+
+    /// The configuration in the mirror, or the last active one if the mirror has none that can be
+    /// decoded.
+    fn active_table(&mut self, mirror: &Mirror, last: &Self) -> Option<Arc<Table>> {
+        let item = mirror.get(config::KEY);
+        let Some(item) = item else {
+            return last.table.clone();
+        };
+        if let Some(known) = &last.table
+            && known.revision >= item.revision
+        {
+            return last.table.clone();
         }
-        Err(error) => {
-            log::error!(revision = item.revision; "configuration ignored: {error}");
-            last.table.clone()
+        let started = Instant::now();
+        match config::decode(item.revision, &item.value) {
+            Ok(table) => {
+                log::info!(
+                    revision = item.revision,
+                    version = table.version,
+                    bytes = item.value.len(),
+                    decode_us = started.elapsed().as_micros() as u64;
+                    "active configuration"
+                );
+                Some(Arc::new(table))
+            }
+            Err(error) => {
+                self.leave_out(config::KEY.to_owned(), item, &error, last);
+                last.table.clone()
+            }
         }
     }
-}
 
-/// The state that was written for a rollout; `None` if the last one belongs to an earlier order.
-fn recorded_state(
-    mirror: &Mirror,
-    service: &str,
-    order_item: &Item,
-    version: &str,
-) -> Option<State> {
-    let item = mirror.get(&format!("{}{service}", order::OUTCOMES))?;
-    if item.revision < order_item.revision {
-        return None;
-    }
-    match order::decode_outcome(&item.value) {
-        Ok(outcome) => (outcome.version == version).then_some(outcome.state),
-        Err(error) => {
-            log::warn!(service, revision = item.revision; "outcome of a move ignored: {error}");
-            None
+    /// The state that was written for a rollout; `None` if the last one belongs to an earlier order.
+    fn recorded_state(
+        &mut self,
+        mirror: &Mirror,
+        service: &str,
+        order_item: &Item,
+        version: &str,
+        last: &Self,
+    ) -> Option<State> {
+        let key = format!("{}{service}", order::OUTCOMES);
+        let item = mirror.get(&key)?;
+        if item.revision < order_item.revision {
+            return None;
+        }
+        match order::decode_outcome(&item.value) {
+            Ok(outcome) => (outcome.version == version).then_some(outcome.state),
+            Err(error) => {
+                self.leave_out(key, item, &error, last);
+                None
+            }
         }
     }
 }
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -157,6 +157,12 @@
     counter!("fulmarreel_updates_received_bytes_total").increment(bytes);
 }
 
+/// Counts an item of the store that is left out because it is malformed. `kind` says what is: the
+/// decoded `value`, or the `item` in the store's response.
+pub fn malformed_item(kind: &'static str) {
+    counter!("fulmarreel_malformed_items_total", "kind" => kind).increment(1);
+}
+
 /// Counts a request that this node answered itself before offering it to a target.
 pub fn request_ended(status: u16, reason: &'static str) {
     let labels = [
--- a/fulmarreel-node/tests/mesh/support.rs
+++ b/fulmarreel-node/tests/mesh/support.rs
@@ -151,7 +151,8 @@
         Ok(answer.status == 200)
     }
 
-    fn announcement(&self, state: &str) -> String {
+    /// The body of an announcement of the target, with `SEQ` for the sequence number.
+    pub fn announcement(&self, state: &str) -> String {
         format!(
             "{{\"address\":\"{}\",\"born\":1,\"info\":{{\"service\":\"{}\",\"version\":\"{}\",\
             \"zone\":\"{}\",\"slots\":4}},\"status\":{{\"state\":\"{state}\",\"seq_no\":SEQ,\
--- a/fulmarreel-rollout/src/brief/mod.rs
+++ b/fulmarreel-rollout/src/brief/mod.rs
@@ -86,29 +86,31 @@
 }
 
 impl Counts {
-    /// Adds the other counts to these.
+    /// Adds the other counts to these. Other nodes send counts, so a sum may exceed the range.
     pub fn add(&mut self, other: Self) {
-        self.calls += other.calls;
-        self.failed += other.failed;
-        self.slow += other.slow;
-        self.open += other.open;
-        self.overdue += other.overdue;
-        self.lost += other.lost;
+        self.calls = self.calls.saturating_add(other.calls);
+        self.failed = self.failed.saturating_add(other.failed);
+        self.slow = self.slow.saturating_add(other.slow);
+        self.open = self.open.saturating_add(other.open);
+        self.overdue = self.overdue.saturating_add(other.overdue);
+        self.lost = self.lost.saturating_add(other.lost);
     }
 
     /// Calls that were sent to a target, ended or not.
     fn sent(self) -> u32 {
-        self.calls + self.open + self.lost
+        let ended = self.calls.saturating_add(self.lost);
+        ended.saturating_add(self.open)
     }
 
     /// Calls that failed, were slow or are overdue.
     fn suspect_calls(self) -> u32 {
-        self.failed + self.slow + self.overdue
+        let ended = self.failed.saturating_add(self.slow);
+        ended.saturating_add(self.overdue)
     }
 
     /// The fraction of the ended and overdue calls that failed, were slow or are overdue.
     fn suspect_fraction(self) -> f64 {
-        f64::from(self.suspect_calls()) / f64::from((self.calls + self.overdue).max(1))
+        f64::from(self.suspect_calls()) / f64::from(self.calls.saturating_add(self.overdue).max(1))
     }
 
     /// The counts since an earlier snapshot.
--- a/fulmarreel-store/src/entry.rs
+++ b/fulmarreel-store/src/entry.rs
@@ -13,7 +13,7 @@
     /// The revision after this one.
     #[must_use]
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
