fix: an earlier response written once more is nobody's response

Cause: a response without an id was taken for the own one. A refusal that a target wrote once more on a kept connection told the next request 'not run' while it ran, and sent lookups to a second target. The same with a copy that bears the id of a request that is sent again, and on the own interface with any copy that arrives after the next call was written.

Change: on the platform a response belongs to a request by its id; only connections whose responses bear ids are kept, and none carries an id twice. On the own interface, whose responses bear no id, each call has a connection of its own (weighed: ids that targets repeat there too, which existing targets don't; reuse for idempotent calls only, which leaves the wrong answer to lookups).

--- a/fulmarreel-node/src/mesh/endpoint.rs
+++ b/fulmarreel-node/src/mesh/endpoint.rs
@@ -1,10 +1,18 @@
 //! The HTTP client for this node's own target.
+//!
+//! A target may send a response once more, late, on a connection that another request uses by then.
+//! Responses therefore belong to a request only if they bear its id, and connections are reused only
+//! where the target repeats ids.
 
-use fulmarreel_http::{Connection, Error as HttpError, Quota, Request, Response};
+use fulmarreel_http::{
+    Connection, Error as HttpError, Header, Quota, Request, Response, message::find,
+};
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::Open;
 use smol::{Timer, future::or};
 use std::{
+    collections::{VecDeque, hash_map::RandomState},
+    hash::BuildHasher,
     io,
     net::SocketAddr,
     sync::Mutex,
@@ -26,6 +34,9 @@
 /// The most idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
+/// The number of ids that a connection carried last and does not carry again.
+const REMEMBERED_IDS: usize = 32;
+
 /// Why there is no response.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -55,15 +66,31 @@
     /// Limits the memory that responses take up while they are read.
     quota: Quota,
     idle: Mutex<Vec<IdleConnection>>,
+    hasher: RandomState,
 }
 
+/// A connection that has carried requests, all of whose responses bore their ids.
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
+    carried: CarriedIds,
     /// When it is closed if it is still idle.
     expires: Instant,
 }
 
+/// Hashes of the ids of the requests that a connection carried last.
+#[derive(Debug, Default)]
+struct CarriedIds(VecDeque<u64>);
+
+impl CarriedIds {
+    fn add(&mut self, id: u64) {
+        if self.0.len() == REMEMBERED_IDS {
+            self.0.pop_front();
+        }
+        self.0.push_back(id);
+    }
+}
+
 impl Endpoint {
     /// Creates the client for the target at `address`; `quota` limits the memory that responses take up
     /// while they are read.
@@ -72,6 +99,7 @@
             address,
             quota,
             idle: Mutex::default(),
+            hasher: RandomState::new(),
         }
     }
 
@@ -88,16 +116,18 @@
         expected_id: &str,
         deadline: Instant,
     ) -> Result<Response, Error> {
-        let request_id = open
-            .headers
-            .iter()
+        let mut headers = open.headers.iter();
+        let request_id = headers
             .find(|header| header.name.eq_ignore_ascii_case(request::REQUEST_ID))
             .map(|header| header.value.as_slice());
+        let id_hash = request_id.map(|id| self.hasher.hash_one(id));
         let target = self.address;
         loop {
-            let (mut connection, is_reused) = match self.take_idle() {
-                Some(connection) => (connection, true),
-                None => (self.open().await?, false),
+            let idle = id_hash.and_then(|id| self.take_idle(id));
+            let is_reused = idle.is_some();
+            let (mut connection, mut carried) = match idle {
+                Some(idle) => (idle.connection, idle.carried),
+                None => (self.open().await?, CarriedIds::default()),
             };
             let left = deadline.saturating_duration_since(Instant::now());
             let left_ms = left.as_millis().to_string();
@@ -114,10 +144,12 @@
                 headers: &headers,
                 body,
             };
-            // A late response to an earlier request may arrive before this request's own.
-            let is_own_response = |_, headers: &[fulmarreel_http::Header]| {
-                let response_id = fulmarreel_http::message::find(headers, request::REQUEST_ID);
-                response_id.is_none() || request_id.is_none() || response_id == request_id
+            let is_own_response = |_, headers: &[Header]| {
+                match (find(headers, request::REQUEST_ID), request_id) {
+                    (Some(response_id), Some(request_id)) => response_id == request_id,
+                    // The first response on a connection cannot belong to an earlier request.
+                    _ => !is_reused,
+                }
             };
             let exchanged = or(
                 async {
@@ -139,7 +171,11 @@
                 }
                 Err(error) => return Err(error),
                 Ok(response) => {
-                    self.keep(connection, &response);
+                    let bears_id = find(&response.headers, request::REQUEST_ID) == request_id;
+                    if let Some(id) = id_hash.filter(|_| bears_id) {
+                        carried.add(id);
+                        self.keep(connection, carried, &response);
+                    }
                     return Ok(response);
                 }
             }
@@ -172,9 +208,7 @@
         })
         .await?;
         let is_expected = request::responding_target(&response.headers) == Some(id);
-        let accepts = response.status == 200 && is_expected;
-        self.keep(connection, &response);
-        Ok(accepts)
+        Ok(response.status == 200 && is_expected)
     }
 
     /// Closes connections that have been idle for too long, and those on which the target sent
@@ -200,15 +234,18 @@
         opened.await.map_err(unreachable)
     }
 
-    fn take_idle(&self) -> Option<Connection> {
+    /// An idle connection that has not carried a request with this id lately.
+    fn take_idle(&self, id: u64) -> Option<IdleConnection> {
         let now = Instant::now();
         let mut idle = self.idle.lock().expect("idle lock");
         idle.retain(|idle| idle.expires > now);
-        idle.pop().map(|idle| idle.connection)
+        let is_usable = |idle: &IdleConnection| !idle.carried.0.contains(&id);
+        let position = idle.iter().rposition(is_usable)?;
+        Some(idle.remove(position))
     }
 
     /// Keeps a connection for reuse after a response, if it can be reused.
-    fn keep(&self, connection: Connection, response: &Response) {
+    fn keep(&self, connection: Connection, carried: CarriedIds, response: &Response) {
         if !connection.is_reusable() {
             return;
         }
@@ -221,6 +258,7 @@
         if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(IdleConnection {
                 connection,
+                carried,
                 expires,
             });
         }
--- a/fulmarreel-node/src/target/mod.rs
+++ b/fulmarreel-node/src/target/mod.rs
@@ -10,7 +10,7 @@
     net::SocketAddr,
     time::{Duration, Instant},
 };
-use trillium_client::{Method, ResponseBody};
+use trillium_client::{KnownHeaderName, Method, ResponseBody};
 
 /// Why a call to the target was not answered.
 #[derive(Debug, thiserror::Error)]
@@ -57,10 +57,9 @@
 
 /// The HTTP client for the node's local target.
 ///
-/// The HTTP library reuses an idle connection only if it is open and the whole head can be written
-/// to it. If that write fails, the target has no complete request and the next connection is tried.
-/// A request whose head was written is never sent again, so each call reaches the target at most
-/// once.
+/// Each call has a connection of its own: a target's responses bear no id, so on a connection that
+/// carried an earlier call, a late copy of its response could not be told from the own one. A
+/// request whose head was written is never sent again, so each call reaches the target at most once.
 #[derive(Debug)]
 pub struct Client {
     target: SocketAddr,
@@ -96,6 +95,7 @@
         for header in open.headers {
             headers.append(header.name, header.value);
         }
+        headers.insert(KnownHeaderName::Connection, "close");
         let remaining = deadline.saturating_duration_since(Instant::now());
         headers.insert(DEADLINE_HEADER, remaining.as_millis().to_string());
         headers.insert(ATTEMPT_HEADER, open.attempt.to_string());
--- a/fulmarreel-node/tests/mesh/backend.rs
+++ b/fulmarreel-node/tests/mesh/backend.rs
@@ -30,8 +30,39 @@
     pub unhealthy: bool,
     /// Runs the request, then sends bytes without end.
     pub flood: Option<Flood>,
+    /// Sends an earlier refusal once more, on connections that have carried a request before.
+    pub stray: Option<Stray>,
+    /// Leaves the request's id out of each response.
+    pub no_ids: bool,
 }
 
+/// The copy of an earlier refusal.
+#[derive(Debug, Clone, Copy)]
+pub struct Stray {
+    /// Status line and headers.
+    pub head: &'static str,
+    /// Whether it bears the id of the last request on its connection.
+    pub bears_id: bool,
+    /// When it is sent.
+    pub timing: Timing,
+}
+
+/// When a stray response is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Timing {
+    /// Right behind each response.
+    BehindResponse,
+    /// While the connection is idle.
+    Idle,
+    /// Before each response, while its request runs.
+    BeforeResponse,
+    /// Between the head of a request and its body.
+    WithinRequest,
+}
+
+/// How long a connection has been idle when it gets a stray response.
+const STRAY_DELAY: Duration = Duration::from_millis(20);
+
 /// A response without end.
 #[derive(Debug, Clone, Copy)]
 pub struct Flood {
@@ -112,7 +143,15 @@
     }
 
     async fn serve_connection(&self, mut tcp: TcpStream) -> io::Result<()> {
+        let mut last_id: Option<String> = None;
         loop {
+            let stray = self.lock().behavior.stray;
+            if let (Some(stray), Some(last_id)) = (stray, &last_id)
+                && stray.timing == Timing::WithinRequest
+            {
+                wait_readable(&tcp).await?;
+                send_stray(&mut tcp, stray, last_id).await?;
+            }
             let Some(request) = read_message(&mut tcp).await? else {
                 return Ok(());
             };
@@ -126,14 +165,24 @@
                 tcp.write_all(answer.as_bytes()).await?;
                 continue;
             }
+            let id = header(&request, "x-request-id").unwrap_or_default();
+            let id_line = if behavior.no_ids {
+                String::new()
+            } else {
+                format!("X-Request-Id: {id}\r\n")
+            };
             if !request.contains(&format!("x-expect-instance: {}\r\n", self.id)) {
-                let answer = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+                let answer = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\n{id_line}Content-Length: 0\r\n\r\n"
+                );
                 tcp.write_all(answer.as_bytes()).await?;
                 continue;
             }
             if behavior.not_executed {
-                let answer = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n\
-                    Content-Length: 0\r\n\r\n";
+                let answer = format!(
+                    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n{id_line}\
+                    Content-Length: 0\r\n\r\n"
+                );
                 tcp.write_all(answer.as_bytes()).await?;
                 continue;
             }
@@ -157,14 +206,30 @@
             } else {
                 behavior.status
             };
-            let id = header(&request, "x-request-id").unwrap_or_default();
+            let stray = behavior.stray;
+            if let (Some(stray), Some(last_id)) = (stray, &last_id)
+                && stray.timing == Timing::BeforeResponse
+            {
+                send_stray(&mut tcp, stray, last_id).await?;
+            }
             let body = format!("answer of {}", self.id);
             let answer = format!(
-                "HTTP/1.1 {status} Answer\r\nX-Request-Id: {id}\r\nX-Server-Seal: seal-{id}\r\n\
+                "HTTP/1.1 {status} Answer\r\n{id_line}X-Server-Seal: seal-{id}\r\n\
                 X-Server-Load: 1,0,4\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             tcp.write_all(answer.as_bytes()).await?;
+            match stray {
+                Some(stray) if stray.timing == Timing::BehindResponse => {
+                    send_stray(&mut tcp, stray, id).await?;
+                }
+                Some(stray) if stray.timing == Timing::Idle => {
+                    Timer::after(STRAY_DELAY).await;
+                    send_stray(&mut tcp, stray, id).await?;
+                }
+                _ => {}
+            }
+            last_id = Some(id.to_owned());
         }
     }
 
@@ -191,6 +256,21 @@
     }
 }
 
+async fn send_stray(tcp: &mut TcpStream, stray: Stray, last_id: &str) -> io::Result<()> {
+    let id_line = if stray.bears_id {
+        format!("X-Request-Id: {last_id}\r\n")
+    } else {
+        String::new()
+    };
+    let response = format!("{}{id_line}Content-Length: 0\r\n\r\n", stray.head);
+    tcp.write_all(response.as_bytes()).await
+}
+
+/// Waits until a byte of the next request, or the end of the connection, can be read.
+async fn wait_readable(tcp: &TcpStream) -> io::Result<()> {
+    tcp.peek(&mut [0; 1]).await.map(|_| ())
+}
+
 /// Sends a flood until the connection is closed.
 async fn send_flood(tcp: &mut TcpStream, flood: Flood) -> io::Result<()> {
     tcp.write_all(flood.prefix).await?;
