--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -9,7 +9,7 @@
 mod route;
 mod streamed_body;
 
-pub use listen::listen;
+pub use listen::{close, listen};
 pub use request::{ATTEMPT_HEADER, DEADLINE_HEADER, DEPTH_HEADER, IDEMPOTENCY_HEADER};
 pub use respond::OUTCOME_HEADER;
 
