feat(node): requests that callers pipeline are started as they arrive

A lookup behind a slow one was late before anything was done for it.

Change: the library gets one head at a time, so that what the watcher of the connection reads ahead begins at the next request. A booking, a body or a head that the library should judge waits for its turn, as before.

--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -1,20 +1,28 @@
 //! Requests of callers and of the own target, from their arrival to their response.
 
 mod choose;
+mod head;
 mod offer;
+mod pipeline;
 mod respond;
+mod routed;
+
+pub use pipeline::CallerConnection;
 
 use super::{context::Context, serve::Server, takeover::Rollouts, targets::TargetStats};
 use crate::{
     peer::{Identity, Pool},
-    transport::Watcher,
+    runtime::{self, Task},
 };
 use fulmarreel_balance::Budget;
 use fulmarreel_platform::request;
 use fulmarreel_route::Route;
 use fulmarreel_wire::call::{Header, Open};
-use offer::Offers;
+use head::Head;
+use offer::{Offers, RequestOutcome};
+use pipeline::Started;
 use respond::refuse;
+use routed::Routed;
 use std::{
     collections::HashMap,
     sync::{
@@ -113,19 +121,56 @@
         (Arc::clone(&self.targets), Arc::clone(&self.pool))
     }
 
-    /// Serves one request. The response closes its connection once this node is stopping.
-    pub async fn handle(&self, conn: Conn, watcher: &Watcher) -> Conn {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
-        let _in_flight = InFlightGuard(&self.in_flight);
-        let conn = self.serve(conn, watcher).await;
-        if self.context.is_stopping() {
+    /// Serves one request. The response closes its connection once this node is stopping and no other
+    /// request of the connection has been started.
+    pub async fn handle(&self, conn: Conn, connection: &CallerConnection) -> Conn {
+        let _in_flight = self.count_in_flight();
+        let conn = self.serve(conn, connection).await;
+        if self.context.is_stopping() && connection.is_empty() {
             return conn.with_response_header(KnownHeaderName::Connection, "close");
         }
         conn
     }
 
-    async fn serve(&self, mut conn: Conn, watcher: &Watcher) -> Conn {
+    /// Counts a request as in flight until the result is dropped.
+    fn count_in_flight(&self) -> InFlightGuard<'_> {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        InFlightGuard(&self.in_flight)
+    }
+
+    /// Starts a request without a body before its turn, if it is idempotent.
+    fn start(
+        self: &Arc<Self>,
+        head: &Head,
+    ) -> Option<(Arc<Routed>, Task<(RequestOutcome, Offers)>)> {
+        if self.closed.load(Ordering::Acquire) || self.context.is_stopping() {
+            return None;
+        }
+        let view = self.context.view();
+        let table = view.table.as_ref()?;
+        let routed = Arc::new(Routed::new(table, head, Instant::now())?);
+        if !routed.is_idempotent() {
+            return None;
+        }
+        let (handler, head) = (Arc::clone(self), head.clone());
+        let started = Arc::clone(&routed);
+        let task = runtime::spawn_task(async move {
+            let _in_flight = handler.count_in_flight();
+            let request = started.with_body(&[]);
+            let open = handler.open_frame(head, &request);
+            let mut offers = Offers::default();
+            let outcome = handler.offer(&request, open, &mut offers).await;
+            (outcome, offers)
+        });
+        Some((routed, task))
+    }
+
+    async fn serve(&self, mut conn: Conn, connection: &CallerConnection) -> Conn {
         let started = Instant::now();
+        let head = Head::from(&conn);
+        if let Some(request) = connection.take_started(&head) {
+            return self.finish_started(conn, connection, request).await;
+        }
         if self.closed.load(Ordering::Acquire) {
             let end = self.context.end().unwrap_or(started);
             let until_end = end.saturating_duration_since(started);
@@ -139,64 +184,53 @@
             self.log_early_end(&conn, Status::ServiceUnavailable, reason, 0);
             return refuse(conn, reason, Duration::from_millis(300));
         };
-        let (host, path) = (conn.host().unwrap_or_default(), conn.path());
-        let Some(entry) = table.find_route(host, path).map(Arc::clone) else {
+        let Some(routed) = Routed::new(table, &head, started) else {
             return self.reject(conn, Status::NotFound, "no route", table.revision);
         };
         let max_body_bytes = table.limits.body_bytes;
+        let watcher = connection.watcher();
         let Ok(body) = watcher.read_body(&mut conn, max_body_bytes).await else {
             let reason = "the body is incomplete or too long";
             return self.reject(conn, Status::PayloadTooLarge, reason, table.revision);
         };
-        let route = &entry.route;
-        let index = entry.split.next_service(fastrand::f64());
-        let headers = conn.request_headers();
-        let timeout = headers
-            .get_str(request::DEADLINE_MS)
-            .and_then(|text| text.trim().parse().ok())
-            .map_or(route.timeout, |ms| {
-                Duration::from_millis(ms).min(route.timeout)
-            });
-        let id = headers
-            .get_str(request::REQUEST_ID)
-            .unwrap_or_default()
-            .to_owned();
-        let request = Request {
-            id: &id,
-            route,
-            service: &route.services[index].service,
-            revision: table.revision,
-            body: &body,
-            started,
-            deadline: started + timeout,
-            rank: route.priority,
-        };
-        let open = self.open_frame(&conn, &request);
+        let request = routed.with_body(&body);
+        let open = self.open_frame(head, &request);
         let mut offers = Offers::default();
         let outcome = self.offer(&request, open, &mut offers);
-        let Some(outcome) = watcher.while_connected(outcome).await else {
-            self.log_caller_left(&request, &offers);
-            return conn
-                .with_response_header(KnownHeaderName::Connection, "close")
-                .halt();
+        let Some(outcome) = connection.while_connected(outcome).await else {
+            return self.end_abandoned(conn, &request, &offers);
+        };
+        self.log_outcome(&request, &outcome, &offers);
+        self.respond(conn, &request, outcome)
+    }
+
+    /// Responds to a request that was started before its turn.
+    async fn finish_started(
+        &self,
+        conn: Conn,
+        connection: &CallerConnection,
+        started: Started,
+    ) -> Conn {
+        let request = started.routed.with_body(&[]);
+        let Some((outcome, offers)) = connection.while_connected(started.task).await else {
+            return self.end_abandoned(conn, &request, &Offers::default());
         };
         self.log_outcome(&request, &outcome, &offers);
         self.respond(conn, &request, outcome)
     }
 
+    /// Ends a request whose caller closed its connection.
+    fn end_abandoned(&self, conn: Conn, request: &Request<'_>, offers: &Offers) -> Conn {
+        self.log_caller_left(request, offers);
+        conn.with_response_header(KnownHeaderName::Connection, "close")
+            .halt()
+    }
+
     /// The frame that opens the request at a node. The fields that differ between attempts are left zero or
     /// empty.
-    fn open_frame(&self, conn: &Conn, request: &Request<'_>) -> Open {
-        let mut headers = Vec::with_capacity(conn.request_headers().len() + 1);
-        for (name, values) in conn.request_headers() {
-            let name: &str = name.as_ref();
-            if !request::is_hop_by_hop(name) {
-                headers.extend(values.iter().map(|value| Header {
-                    name: name.to_owned(),
-                    value: AsRef::<[u8]>::as_ref(value).to_vec(),
-                }));
-            }
-        }
+    fn open_frame(&self, head: Head, request: &Request<'_>) -> Open {
+        let mut headers = head.headers;
+        headers.retain(|header| !request::is_hop_by_hop(&header.name));
         headers.push(Header {
             name: request::CALLER_SERVICE.to_owned(),
             value: self.context.settings().service.clone().into_bytes(),
@@ -212,8 +246,8 @@
             rank: request.rank,
             service: request.service.to_owned(),
             version: String::new(),
-            method: conn.method().as_str().to_owned(),
-            path: conn.path_and_query().to_owned(),
+            method: head.method,
+            path: head.path,
             headers,
             length: request.body.len() as u64,
         }
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -40,6 +40,7 @@
 const LATENCY_MARGIN: f64 = 1.0;
 
 /// How a request ended.
+#[derive(Debug)]
 pub(super) enum RequestOutcome {
     Answered(WholeResponse),
     /// Not run, and never will be.
@@ -56,7 +57,7 @@
 }
 
 /// The targets that a request was offered to, in order, and a summary of their responses.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(super) struct Offers {
     pub addresses: Vec<SocketAddr>,
     /// How many of them may have begun to run the request.
--- /dev/null
+++ b/fulmarreel-node/src/mesh/caller/routed.rs
@@ -0,0 +1,62 @@
+//! Requests for which a route was found.
+
+use super::{Request, head::Head};
+use fulmarreel_platform::request;
+use fulmarreel_route::{Entry, Table};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// A request for which a route was found.
+#[derive(Debug)]
+pub(super) struct Routed {
+    entry: Arc<Entry>,
+    /// The index of the service that the request goes to among the route's.
+    service: usize,
+    id: String,
+    /// The store revision of the configuration that the request was routed by.
+    revision: u64,
+    started: Instant,
+    deadline: Instant,
+}
+
+impl Routed {
+    /// Finds the route of a request that arrived at `started`, and chooses one of its services.
+    pub fn new(table: &Table, head: &Head, started: Instant) -> Option<Self> {
+        let entry = Arc::clone(table.find_route(&head.host, &head.path)?);
+        let timeout = entry.route.timeout;
+        let allowed_ms = head.header(request::DEADLINE_MS);
+        let timeout = allowed_ms
+            .and_then(|text| text.trim().parse().ok())
+            .map_or(timeout, |ms| Duration::from_millis(ms).min(timeout));
+        Some(Self {
+            service: entry.split.next_service(fastrand::f64()),
+            entry,
+            id: head.id().to_owned(),
+            revision: table.revision,
+            started,
+            deadline: started + timeout,
+        })
+    }
+
+    /// Whether the request may run more than once.
+    pub fn is_idempotent(&self) -> bool {
+        self.entry.route.idempotent
+    }
+
+    /// The request with its whole body.
+    pub fn with_body<'a>(&'a self, body: &'a [u8]) -> Request<'a> {
+        let route = &self.entry.route;
+        Request {
+            id: &self.id,
+            route,
+            service: &route.services[self.service].service,
+            revision: self.revision,
+            body,
+            started: self.started,
+            deadline: self.deadline,
+            rank: route.priority,
+        }
+    }
+}
--- a/fulmarreel-node/src/mesh/listen.rs
+++ b/fulmarreel-node/src/mesh/listen.rs
@@ -1,6 +1,9 @@
 //! HTTP connections of callers.
 
-use super::{caller::RequestHandler, context::Context};
+use super::{
+    caller::{CallerConnection, RequestHandler},
+    context::Context,
+};
 use crate::transport::Transport;
 use fulmarreel_route::Limits;
 use smol::net::{TcpListener, TcpStream};
@@ -40,11 +43,12 @@
         let config = HttpConfig::default().with_head_max_len(max_head_bytes);
         let mut http = HttpContext::new();
         http.set_config(config);
-        let transport = Transport::new(tcp, move || limits(&context).idle + IDLE_SLACK);
-        let watcher = transport.watcher();
+        let mut transport = Transport::new(tcp, move || limits(&context).idle + IDLE_SLACK);
+        transport.deliver_heads_singly();
+        let connection = CallerConnection::new(Arc::clone(&handler), transport.watcher());
         let served = Arc::new(http).run(transport, |conn| async {
             let conn: Conn = conn.into();
-            handler.handle(conn, &watcher).await.into_inner()
+            handler.handle(conn, &connection).await.into_inner()
         });
         if let Err(error) = served.await {
             log::debug!("caller connection: {error}");
--- a/fulmarreel-node/src/transport.rs
+++ b/fulmarreel-node/src/transport.rs
@@ -3,7 +3,8 @@
 //!
 //! The HTTP library does not read the connection while a request is served, so it does not notice
 //! its end. [`Watcher::while_connected`] reads ahead into a bounded buffer meanwhile; the library's
-//! next reads are served from that buffer first.
+//! next reads are served from that buffer first. Where the library gets heads singly, that buffer
+//! begins with the next request.
 
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
 use smol::{
@@ -16,8 +17,8 @@
     io,
     pin::Pin,
     sync::{
-        Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll},
     time::{Duration, Instant},
@@ -47,6 +48,10 @@
     read_ahead: ReadAhead,
     /// Bytes that may still arrive for the current read of a body; `u64::MAX` for no limit.
     allowance: Arc<AtomicU64>,
+    /// Whether a body is read; else a head is.
+    in_body: Arc<AtomicBool>,
+    /// Finds the ends of heads if the library gets them singly.
+    head_end: Option<HeadEnd>,
     /// Returns how long the connection may be idle; asked again each time, since it may change.
     idle_timeout: I,
     /// When the connection was last read or written.
@@ -54,12 +59,40 @@
     timer: Timer,
 }
 
+/// Finds the ends of heads, which are empty lines.
+#[derive(Debug, Default)]
+struct HeadEnd {
+    /// How many bytes of the end were last seen.
+    matched: usize,
+}
+
+impl HeadEnd {
+    const BYTES: &[u8] = b"\r\n\r\n";
+
+    /// The length of `bytes` up to the end of a head that began with them or with earlier bytes.
+    fn find(&mut self, bytes: &[u8]) -> Option<usize> {
+        for (index, byte) in bytes.iter().enumerate() {
+            self.matched = match *byte {
+                byte if byte == Self::BYTES[self.matched] => self.matched + 1,
+                b'\r' => 1,
+                _ => 0,
+            };
+            if self.matched == Self::BYTES.len() {
+                self.matched = 0;
+                return Some(index + 1);
+            }
+        }
+        None
+    }
+}
+
 /// Reads request bodies with a limit on their framing, and detects when the caller disconnects.
 #[derive(Debug, Clone)]
 pub struct Watcher {
     tcp: TcpStream,
     read_ahead: ReadAhead,
     allowance: Arc<AtomicU64>,
+    in_body: Arc<AtomicBool>,
 }
 
 impl<I: Fn() -> Duration> Transport<I> {
@@ -69,6 +102,8 @@
             tcp,
             read_ahead: ReadAhead::default(),
             allowance: Arc::new(AtomicU64::new(u64::MAX)),
+            in_body: Arc::default(),
+            head_end: None,
             last_active: Instant::now(),
             timer: Timer::after(idle_timeout()),
             idle_timeout,
@@ -88,9 +123,16 @@
             tcp: self.tcp.clone(),
             read_ahead: Arc::clone(&self.read_ahead),
             allowance: Arc::clone(&self.allowance),
+            in_body: Arc::clone(&self.in_body),
         }
     }
 
+    /// Has each read end at the end of a head, so that what follows stays in the read-ahead buffer.
+    /// Bodies must be read with [`Watcher::read_body`].
+    pub fn deliver_heads_singly(&mut self) {
+        self.head_end = Some(HeadEnd::default());
+    }
+
     /// Moves bytes that were read ahead into a buffer; returns how many.
     fn take_read_ahead(&self, buffer: &mut [u8]) -> usize {
         let mut read_ahead = self.read_ahead.lock().expect("read-ahead lock");
@@ -101,6 +143,20 @@
         count
     }
 
+    /// Keeps what follows the end of a head in `bytes` for the next read; returns the length of the rest.
+    fn hold_back_next(&mut self, bytes: &[u8]) -> usize {
+        if self.in_body.load(Ordering::Acquire) {
+            return bytes.len();
+        }
+        let end = self.head_end.as_mut().and_then(|end| end.find(bytes));
+        let end = end.unwrap_or(bytes.len());
+        let mut read_ahead = self.read_ahead.lock().expect("read-ahead lock");
+        for byte in bytes[end..].iter().rev() {
+            read_ahead.push_front(*byte);
+        }
+        end
+    }
+
     /// Limits a read of `bytes` bytes to the allowance.
     ///
     /// # Errors
@@ -131,8 +187,18 @@
     /// before `work` each time. Must not be awaited while a request is read, since both read the
     /// connection.
     pub async fn while_connected<W: Future>(&self, work: W) -> Option<W::Output> {
+        self.while_connected_reading(work, |_| {}).await
+    }
+
+    /// As [`Self::while_connected`]; calls `on_read` with all bytes that were read ahead, at first and
+    /// whenever there are more.
+    pub async fn while_connected_reading<W: Future>(
+        &self,
+        work: W,
+        on_read: impl FnMut(&[u8]),
+    ) -> Option<W::Output> {
         let disconnected = async {
-            self.disconnected().await;
+            self.disconnected(on_read).await;
             None
         };
         or(disconnected, async { Some(work.await) }).await
@@ -144,6 +210,13 @@
     ///
     /// The body is longer, ends early, or has too many bytes of framing.
     pub async fn read_body(&self, conn: &mut Conn, limit: u64) -> io::Result<Vec<u8>> {
+        self.in_body.store(true, Ordering::Release);
+        let body = self.read_whole_body(conn, limit).await;
+        self.in_body.store(false, Ordering::Release);
+        body
+    }
+
+    async fn read_whole_body(&self, conn: &mut Conn, limit: u64) -> io::Result<Vec<u8>> {
         let mut body = conn.request_body().with_max_len(limit);
         if body.content_length().is_some_and(|length| length > limit) {
             return Err(io::ErrorKind::FileTooLarge.into());
@@ -165,16 +238,18 @@
         Ok(bytes)
     }
 
-    async fn disconnected(&self) {
+    async fn disconnected(&self, mut on_read: impl FnMut(&[u8])) {
         let mut tcp = self.tcp.clone();
         let mut bytes = [0; READ_AHEAD_STEP_BYTES];
+        on_read(self.lock_read_ahead().make_contiguous());
         loop {
             match tcp.read(&mut bytes).await {
                 Ok(0) | Err(_) => return,
                 Ok(read) => {
                     let full = {
-                        let mut read_ahead = self.read_ahead.lock().expect("read-ahead lock");
+                        let mut read_ahead = self.lock_read_ahead();
                         read_ahead.extend(&bytes[..read]);
+                        on_read(read_ahead.make_contiguous());
                         read_ahead.len() >= MAX_READ_AHEAD_BYTES
                     };
                     if full {
@@ -187,6 +262,12 @@
     }
 }
 
+impl Watcher {
+    fn lock_read_ahead(&self) -> MutexGuard<'_, VecDeque<u8>> {
+        self.read_ahead.lock().expect("read-ahead lock")
+    }
+}
+
 impl<I: Fn() -> Duration + Unpin> AsyncRead for Transport<I> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -197,15 +278,15 @@
         let buffer = &mut buffer[..allowed];
         let read_ahead = self.take_read_ahead(buffer);
         if read_ahead > 0 {
-            self.spend_allowance(read_ahead);
-            return Poll::Ready(Ok(read_ahead));
+            let bytes = self.hold_back_next(&buffer[..read_ahead]);
+            self.spend_allowance(bytes);
+            return Poll::Ready(Ok(bytes));
         }
         if let Poll::Ready(read) = Pin::new(&mut self.tcp).poll_read(cx, buffer) {
             self.touch();
-            if let Ok(bytes) = read {
-                self.spend_allowance(bytes);
-            }
-            return Poll::Ready(read);
+            let bytes = self.hold_back_next(&buffer[..read?]);
+            self.spend_allowance(bytes);
+            return Poll::Ready(Ok(bytes));
         }
         if Pin::new(&mut self.timer).poll(cx).is_pending() {
             return Poll::Pending;
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -10,6 +10,7 @@
 mod moves;
 mod odd;
 mod path;
+mod pipeline;
 mod stop;
 mod store;
 mod stray;
--- a/fulmarreel-route/src/lib.rs
+++ b/fulmarreel-route/src/lib.rs
@@ -11,4 +11,4 @@
 
 pub use route::{Limits, Route, WeightedService};
 pub use split::WeightedSplit;
-pub use table::Table;
+pub use table::{Entry, Table};
