fix(balance): a slow pace from a rush is forgotten

The pace of a rank was only measured between two of its calls that both waited; once it was slow, every call that would have joined another was refused, so it was never measured again.

Change: the wait of a call that waited alone updates a known pace.

--- a/fulmarreel-balance/src/admission.rs
+++ b/fulmarreel-balance/src/admission.rs
@@ -72,6 +72,7 @@
 
 #[derive(Debug)]
 struct QueuedCall<T> {
+    since: Instant,
     latest: Instant,
     call: T,
 }
@@ -189,7 +190,11 @@
             return AdmissionOutcome::Refused(call);
         }
         self.queued_total += 1;
-        let queued = QueuedCall { latest, call };
+        let queued = QueuedCall {
+            since: now,
+            latest,
+            call,
+        };
         let key = QueueKey(rank, wanted, self.queued_total);
         self.queue.insert(key, queued);
         AdmissionOutcome::Queued(key)
@@ -224,26 +229,32 @@
                 break;
             }
             let rank = first.key().0;
-            let call = first.remove().call;
+            let QueuedCall { since, call, .. } = first.remove();
             if expired {
                 released.push(Dequeued::Expired(call));
             } else {
                 self.running += 1;
-                self.record_dequeue(rank, now);
+                self.record_dequeue(rank, since, now);
                 released.push(Dequeued::Admitted(call));
             }
         }
         released
     }
 
-    /// Updates the dequeue rate of a rank after one of its calls got a slot.
-    fn record_dequeue(&mut self, rank: u8, now: Instant) {
+    /// Updates the dequeue rate of a rank after one of its calls got a slot, for which it waited from
+    /// `since` on.
+    ///
+    /// The wait of a call that was the only one of its rank updates a known rate, but does not start
+    /// one: it may have begun shortly before a slot was freed. Without it a rate from a rush would
+    /// stay, since it has all calls refused that join a queue.
+    fn record_dequeue(&mut self, rank: u8, since: Instant, now: Instant) {
         let others_wait = self.queue.keys().any(|key| key.0 == rank);
         let rate = self.dequeue_rates.entry(rank).or_insert(DequeueRate {
             last: None,
             mean_interval: Duration::ZERO,
         });
-        if let Some(last) = rate.last {
+        let is_known = !rate.mean_interval.is_zero();
+        if let Some(last) = rate.last.or(is_known.then_some(since)) {
             let interval = now.saturating_duration_since(last);
             rate.mean_interval = ewma(rate.mean_interval, interval);
         }
--- a/fulmarreel-balance/tests/ranked.rs
+++ b/fulmarreel-balance/tests/ranked.rs
@@ -174,3 +174,37 @@
         [Dequeued::Admitted("stays")]
     );
 }
+
+/// Fails if the wait that was expected in a rush is expected for good after it. Calls were then
+/// refused at once though the next slot was about to become free, for as long as some other call
+/// waited: none that could have shown the faster pace was let in.
+#[test]
+fn a_slow_pace_is_forgotten_once_slots_become_free_faster() {
+    let start = Instant::now();
+    let mut admission = all_slots_taken(start);
+    let mut now = start;
+    let long = deadlines(start, 60_000, 60_000);
+    for _ in 0..4 {
+        admission.admit_ranked(now, 2, long, "rush");
+    }
+    for _ in 0..4 {
+        now += Duration::from_millis(500);
+        admission.release_slot(now, Duration::from_millis(500));
+    }
+    // From now on a slot is freed every 20 ms, and two calls arrive for each.
+    let mut refused = 0;
+    for _ in 0..200 {
+        now += Duration::from_millis(20);
+        admission.release_slot(now, Duration::from_millis(40));
+        for _ in 0..2 {
+            let soon = deadlines(now, 100, 1_000);
+            let outcome = admission.admit_ranked(now, 2, soon, "call");
+            refused += usize::from(matches!(outcome, AdmissionOutcome::Refused(_)));
+        }
+        let lookahead = admission.in_flight() - admission.running();
+        assert!(lookahead <= 4, "{lookahead} wait");
+    }
+    // Half of the calls find no slot; those that could have one were refused besides.
+    let waiting = admission.in_flight() - admission.running();
+    assert!(waiting >= 2, "{refused} of 400 refused, {waiting} wait");
+}
