--- a/fulmarreel-node/src/mesh/endpoint.rs
+++ b/fulmarreel-node/src/mesh/endpoint.rs
@@ -121,7 +121,6 @@
             .find(|header| header.name.eq_ignore_ascii_case(request::REQUEST_ID))
             .map(|header| header.value.as_slice());
         let id_hash = request_id.map(|id| self.hasher.hash_one(id));
-        let target = self.address;
         loop {
             let idle = id_hash.and_then(|id| self.take_idle(id));
             let is_reused = idle.is_some();
@@ -129,6 +128,13 @@
                 Some(idle) => (idle.connection, idle.carried),
                 None => (self.open().await?, CarriedIds::default()),
             };
+            let is_own_response = |_, headers: &[Header]| {
+                match (find(headers, request::REQUEST_ID), request_id) {
+                    (Some(response_id), Some(request_id)) => response_id == request_id,
+                    // The first response on a connection cannot belong to an earlier request.
+                    _ => !is_reused,
+                }
+            };
             let left = deadline.saturating_duration_since(Instant::now());
             let left_ms = left.as_millis().to_string();
             let mut headers: Vec<(&str, &[u8])> = open
@@ -144,29 +150,11 @@
                 headers: &headers,
                 body,
             };
-            let is_own_response = |_, headers: &[Header]| {
-                match (find(headers, request::REQUEST_ID), request_id) {
-                    (Some(response_id), Some(request_id)) => response_id == request_id,
-                    // The first response on a connection cannot belong to an earlier request.
-                    _ => !is_reused,
-                }
-            };
-            let exchanged = or(
-                async {
-                    connection
-                        .exchange(&message, is_own_response, &self.quota)
-                        .await
-                        .map_err(Error::Lost)
-                },
-                async {
-                    Timer::at(deadline + LATE_RESPONSE_GRACE).await;
-                    Err(Error::Deadline { target })
-                },
-            );
-            match exchanged.await {
+            let exchange = connection.exchange(&message, is_own_response, &self.quota);
+            match self.until_deadline(exchange, deadline).await {
                 Err(Error::Lost(HttpError::Stale { .. })) if is_reused => continue,
                 Err(Error::Lost(HttpError::Stale { .. })) => {
-                    let source = io::ErrorKind::ConnectionReset.into();
+                    let (target, source) = (self.address, io::ErrorKind::ConnectionReset.into());
                     return Err(Error::Unreachable { target, source });
                 }
                 Err(error) => return Err(error),
@@ -182,6 +170,20 @@
         }
     }
 
+    /// Awaits an exchange until shortly after its deadline.
+    async fn until_deadline(
+        &self,
+        exchange: impl Future<Output = Result<Response, HttpError>>,
+        deadline: Instant,
+    ) -> Result<Response, Error> {
+        let target = self.address;
+        or(async { exchange.await.map_err(Error::Lost) }, async {
+            Timer::at(deadline + LATE_RESPONSE_GRACE).await;
+            Err(Error::Deadline { target })
+        })
+        .await
+    }
+
     /// Whether the health check at `path` succeeds and is answered by the target with that id.
     ///
     /// # Errors
