fix(balance): chance decides between targets of which a node expects the same

Cause: the choice of a target took the best expected value, and the last of those that are equal. A node of a large deployment has sent no request to most targets lately and expects the same of them, so all nodes of a zone chose the same one, until it refused.

Change: values within 0.03 of a timely response are decided by chance. The load that it answers: 190 nodes with a request every 0.4 s each, 24 targets of six slots, three quarters of them taken.

--- a/fulmarreel-balance/src/placement.rs
+++ b/fulmarreel-balance/src/placement.rs
@@ -34,6 +34,11 @@
 /// response.
 const AVOID_PENALTY: f64 = 2.0;
 
+/// Difference in expected value within which the choice is random, in units of one timely response.
+/// A node knows little of targets that it has sent no request to lately; without chance, all nodes
+/// that expect the same of them choose the same one.
+const CHANCE_RANGE: f64 = 0.03;
+
 /// One-way network latency to another region.
 const CROSS_REGION_LATENCY: Duration = Duration::from_millis(10);
 
@@ -67,11 +72,16 @@
     pub kilobytes: f64,
 }
 
-/// Returns the index of the candidate with the highest [`expected_value`].
-pub fn choose(candidates: &[Candidate], request: &Request) -> Option<usize> {
+/// Returns the index of the candidate with the highest [`expected_value`]; chance decides between
+/// those that differ little.
+pub fn choose(
+    candidates: &[Candidate],
+    request: &Request,
+    random: &mut fastrand::Rng,
+) -> Option<usize> {
     let values = candidates
         .iter()
-        .map(|candidate| expected_value(candidate, request));
+        .map(|candidate| expected_value(candidate, request) + CHANCE_RANGE * random.f64());
     values
         .enumerate()
         .max_by(|a, b| a.1.total_cmp(&b.1))
--- a/fulmarreel-balance/tests/placement.rs
+++ b/fulmarreel-balance/tests/placement.rs
@@ -7,6 +7,11 @@
 use rstest::rstest;
 use std::time::Duration;
 
+/// Chooses for [`REQUEST`], with the same chance each time.
+fn choose_target(candidates: &[Candidate]) -> Option<usize> {
+    choose(candidates, &REQUEST, &mut fastrand::Rng::with_seed(1))
+}
+
 const REQUEST: Request = Request {
     until_objective: Duration::from_millis(600),
     until_deadline: Duration::from_millis(1_200),
@@ -43,7 +48,7 @@
         candidate(Tier::SameRegion, region),
         candidate(Tier::OtherRegion, remote),
     ];
-    let chosen = choose(&candidates, &REQUEST).expect("a target");
+    let chosen = choose_target(&candidates).expect("a target");
     assert_eq!(candidates[chosen].tier, expected);
 }
 
@@ -56,12 +61,12 @@
 fn the_worse_of_two_is_not_chosen(#[case] worsen: fn(&mut Candidate)) {
     let mut candidates = [candidate(Tier::SameZone, 1), candidate(Tier::SameZone, 1)];
     worsen(&mut candidates[0]);
-    assert_eq!(choose(&candidates, &REQUEST), Some(1));
+    assert_eq!(choose_target(&candidates), Some(1));
     candidates.reverse();
-    assert_eq!(choose(&candidates, &REQUEST), Some(0));
+    assert_eq!(choose_target(&candidates), Some(0));
 }
 
 #[test]
 fn without_a_candidate_there_is_no_choice() {
-    assert_eq!(choose(&[], &REQUEST), None);
+    assert_eq!(choose_target(&[]), None);
 }
--- a/fulmarreel-node/src/mesh/caller/choose.rs
+++ b/fulmarreel-node/src/mesh/caller/choose.rs
@@ -78,7 +78,7 @@
             until_deadline: request.deadline.saturating_duration_since(now),
             kilobytes: self.expected_kilobytes(request),
         };
-        let chosen = placement::choose(&candidates, &placement_request)?;
+        let chosen = placement::choose(&candidates, &placement_request, &mut fastrand::Rng::new())?;
         Some((Arc::clone(usable[chosen]), version_choice))
     }
 
