fix(node): early starts end with the first body of a connection

What the HTTP library reads behind a body may include part of the next head, so that what is read ahead need not begin at a request. Not seen: the new test, a lookup that stands in another request's header behind a body of chunks, passes without this change too.

--- a/fulmarreel-node/src/mesh/caller/head.rs
+++ b/fulmarreel-node/src/mesh/caller/head.rs
@@ -58,6 +58,14 @@
         std::str::from_utf8(&header.value).ok()
     }
 
+    /// Whether a header says that a body follows.
+    pub fn may_have_body(&self) -> bool {
+        let has_length = self
+            .header("content-length")
+            .is_some_and(|length| length != "0");
+        has_length || self.header("transfer-encoding").is_some()
+    }
+
     /// The request's id, or an empty string.
     pub fn id(&self) -> &str {
         self.header(request::REQUEST_ID).unwrap_or_default()
--- a/fulmarreel-node/src/mesh/caller/pipeline.rs
+++ b/fulmarreel-node/src/mesh/caller/pipeline.rs
@@ -5,7 +5,10 @@
 use crate::transport::Watcher;
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 /// The most requests of one connection that are started before their turn.
@@ -18,6 +21,9 @@
     watcher: Watcher,
     /// In the order in which they arrived.
     started: Mutex<VecDeque<Started>>,
+    /// Whether any request of the connection had a body. The HTTP library may have read on behind its
+    /// end, so that what is read ahead need not begin at a request.
+    had_body: AtomicBool,
 }
 
 /// A request that was started before its turn; cancelled if dropped.
@@ -37,6 +43,7 @@
             handler,
             watcher,
             started: Mutex::default(),
+            had_body: AtomicBool::new(false),
         }
     }
 
@@ -56,20 +63,26 @@
         self.watcher.while_connected_reading(work, start).await
     }
 
-    /// The request with this head, whose turn it is, if it was started before.
+    /// The request with this head, whose turn it is, if it was started before. Each request of the
+    /// connection has to be asked for.
     pub(super) fn take_started(&self, head: &Head) -> Option<Started> {
+        if head.may_have_body() {
+            self.had_body.store(true, Ordering::Release);
+        }
         let mut started = self.started();
         let first = started.pop_front()?;
         if first.head.is_same_request(head) {
             return Some(first);
         }
-        // What was read ahead did not begin at a request.
         started.clear();
         None
     }
 
     /// Starts the requests in what was read ahead, up to the first one that has to wait.
     fn start_requests(&self, read_ahead: &[u8]) {
+        if self.had_body.load(Ordering::Acquire) {
+            return;
+        }
         let mut started = self.started();
         let known = started.iter().map(|request| request.bytes).sum();
         let mut rest = read_ahead.get(known..).unwrap_or_default();
--- a/fulmarreel-node/tests/mesh/pipeline.rs
+++ b/fulmarreel-node/tests/mesh/pipeline.rs
@@ -176,6 +176,37 @@
     })
 }
 
+/// Fails if a lookup runs that stands in the header of another request, behind a body of chunks.
+#[test]
+fn what_only_looks_like_a_request_does_not_run() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (_store, caller, target) = start().await?;
+        let hidden = lookup(7);
+        let disguise = "x".repeat(3_000);
+        let carrier = format!("GET /s/ HTTP/1.1\r\nX-Long: {disguise}{hidden}");
+        let chunked = "POST /s-do/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: booking\r\n\
+            X-Deadline-Ms: 3000\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+        // Wherever the carrier is cut, the rest of it must not count as a request.
+        for behind in [10, 100, 1_000, 3_026, 3_040] {
+            let mut connection = Caller::connect(caller.callers).await?;
+            let (first, rest) = carrier.split_at(behind);
+            connection
+                .send(format!("{chunked}{first}").as_bytes())
+                .await?;
+            Timer::after(WORK / 3).await;
+            connection.send(rest.as_bytes()).await?;
+            connection.expect("booking").await?;
+            connection.expect("r-7").await?;
+        }
+        let arrivals = target.backend.arrivals();
+        let ran = arrivals
+            .iter()
+            .any(|request| request.starts_with("GET /s/7"));
+        ensure!(!ran, "ran");
+        Ok(())
+    })
+}
+
 /// Fails if work on requests goes on after their caller closed the connection.
 #[test]
 fn the_callers_leaving_ends_all_of_its_requests() -> anyhow::Result<()> {
