--- a/review/standins/answers.rs
+++ b/review/standins/answers.rs
@@ -17,7 +17,7 @@
 };
 
 /// The length of a long body, within `max_body_bytes` (64 MiB) of the configuration.
-const LONG_BODY: usize = 60_000_000;
+const LONG_BODY: usize = 64_000_000;
 
 /// The length of a usual body.
 const USUAL_BODY: usize = 7_200;
@@ -212,10 +212,10 @@
 }
 
 /// The length of an answer that takes some seconds to deliver over a slow link.
-const LONG_ANSWER: usize = 12_000_000;
+const LONG_ANSWER: usize = 13_000_000;
 
-/// Bytes that the client's link delivers in each 10 ms, 20 Mbit/s.
-const LINK_BYTES: usize = 25_000;
+/// Bytes that the client's link delivers in each 10 ms, 19.2 Mbit/s.
+const LINK_BYTES: usize = 24_000;
 
 /// A node is told to stop while it delivers an answer over a slow link.
 pub fn stop_in_answer(run: &mut Run) -> io::Result<bool> {
@@ -261,6 +261,9 @@
         "answer {id} {} begins, {length} bytes",
         head.status()
     ));
+    if head.status() != 200 {
+        return Err(io::Error::other("the answer is not the endpoint's"));
+    }
     if run.trouble {
         caller.signal("TERM")?;
     }
