--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review/cases ] && [ -x target/release/fulmarreel-node ] || exit 2
-exec target/review/cases stop-in-answer "$folder"
+exec target/review/cases resumed-target "$folder"
--- a/review/standins/drain.rs
+++ b/review/standins/drain.rs
@@ -1,7 +1,7 @@
 //! Endpoints that leave, beside nodes whose processes are killed and started again.
 
 use crate::{
-    machine::Machine,
+    machine::{self, Machine},
     run::{Load, Run, sleep_until, sound, wait_served},
 };
 use std::{io, sync::atomic::Ordering, thread, time::Duration};
@@ -21,6 +21,12 @@
 /// How late the last heartbeat before the leaving arrives.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(5_000);
 
+/// The time that endpoints work on a request.
+const WORK: Duration = Duration::from_millis(290);
+
+/// The clients' requests: lookups, which may be repeated, and bookings, which may not.
+const REQUESTS: [(&str, &str); 2] = [("GET", "/alpha/x"), ("POST", "/book/x")];
+
 /// Two endpoints of a service, one of which leaves, and a machine whose clients call the service.
 struct Deployment {
     leaver: Machine,
@@ -30,19 +36,19 @@
 }
 
 fn start(run: &mut Run) -> io::Result<Deployment> {
-    run.configure(
-        &[("r-alpha", "/alpha/", "safe", "alpha", 1.5)],
-        &["alpha", "beta"],
-    );
-    let work = Duration::from_millis(20);
-    let leaver = run.machine("alpha", "v1", sound(work))?;
-    let other = run.machine("alpha", "v1", sound(work))?;
-    let caller = run.machine("beta", "v1", sound(work))?;
+    let routes = [
+        ("r-alpha", "/alpha/", "safe", "alpha", 1.5),
+        ("r-book", "/book/", "unsafe", "alpha", 1.5),
+    ];
+    run.configure(&routes, &["alpha", "beta"]);
+    let leaver = run.machine("alpha", "v1", sound(WORK))?;
+    let other = run.machine("alpha", "v1", sound(WORK))?;
+    let caller = run.machine("beta", "v1", sound(WORK))?;
     for machine in [&leaver, &other, &caller] {
         machine.wait_ready()?;
     }
     wait_served(run, caller.outbound, "/alpha/x", &[&leaver, &other])?;
-    let load = Load::start(&run.record, caller.outbound, &["/alpha/x"], 20);
+    let load = Load::start(&run.record, caller.outbound, &REQUESTS, 20);
     thread::sleep(Duration::from_secs(4));
     Ok(Deployment {
         leaver,
@@ -63,7 +69,8 @@
     let Deployment { leaver, load, .. } = deployment;
     sleep_until(&run.record, acknowledged + SERVES_ON);
     leaver.endpoint.end();
-    load.stop();
+    run.record.say(&format!("{} exits", leaver.endpoint.id));
+    let answers = load.stop();
     let from = restarted.map_or(Duration::ZERO, |at| at + STABILITY_WINDOW);
     let from = from.max(acknowledged + DRAIN);
     let runs = leaver.endpoint.runs();
@@ -82,6 +89,12 @@
             first.id, last.id
         ));
     }
+    let answers = answers.lock().expect("answers lock");
+    let is_lost = |run: &&&machine::Run| answers.get(&run.id) != Some(&200);
+    let lost = late.iter().filter(is_lost).count();
+    run.record.say(&format!(
+        "{lost} of them have no answer of the endpoint, as it exited"
+    ));
     late.is_empty()
 }
 
--- a/review/standins/machine.rs
+++ b/review/standins/machine.rs
@@ -8,7 +8,7 @@
 use std::{
     fs::File,
     io::{self, BufReader, Write},
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -68,6 +68,7 @@
     ended: AtomicBool,
     behaviour: Behaviour,
     runs: Mutex<Vec<Run>>,
+    connections: Mutex<Vec<TcpStream>>,
     record: Arc<Record>,
 }
 
@@ -120,10 +121,15 @@
         answer.is_ok_and(|answer| (200..300).contains(&answer.status()))
     }
 
-    /// Ends the endpoint: it accepts and answers nothing more.
+    /// Ends the endpoint, as its process exits: it accepts and answers nothing more.
     pub fn end(&self) {
         self.quiet.store(true, Ordering::Release);
-        self.ended.store(true, Ordering::Release);
+        if self.ended.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        for connection in self.connections.lock().expect("connections lock").drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
         let _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
     }
 
@@ -162,6 +168,11 @@
     fn serve(&self, tcp: TcpStream) -> io::Result<()> {
         tcp.set_nodelay(true)?;
         let mut writer = tcp.try_clone()?;
+        let connection = tcp.try_clone()?;
+        self.connections
+            .lock()
+            .expect("connections lock")
+            .push(connection);
         let mut reader = BufReader::new(tcp);
         while let Some(request) = read_message(&mut reader)? {
             if self.ended.load(Ordering::Acquire) {
@@ -310,6 +321,7 @@
             ended: AtomicBool::new(false),
             behaviour: Arc::clone(&spec.behaviour),
             runs: Mutex::default(),
+            connections: Mutex::default(),
             record: Arc::clone(record),
         });
         let process = start_node(&settings, &log)?;
--- a/review/standins/run.rs
+++ b/review/standins/run.rs
@@ -7,11 +7,12 @@
     store::Store,
 };
 use std::{
+    collections::HashMap,
     io,
     net::SocketAddr,
     path::{Path, PathBuf},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::{self, JoinHandle},
@@ -166,22 +167,35 @@
 pub struct Load {
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
+    answers: Answers,
 }
 
+/// The statuses of answers, by the ids of their requests; 0 for a connection that ended without one.
+pub type Answers = Arc<Mutex<HashMap<String, u16>>>;
+
 impl Load {
-    /// Starts to send `GET` requests to one of the paths in turn, `per_second` together.
-    pub fn start(record: &Arc<Record>, to: SocketAddr, paths: &[&str], per_second: u32) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
-        let (stopped, record) = (Arc::clone(&stop), Arc::clone(record));
-        let paths: Vec<String> = paths.iter().map(|path| (*path).to_owned()).collect();
+    /// Starts to send one of the requests (method and path) in turn, `per_second` together.
+    pub fn start(
+        record: &Arc<Record>,
+        to: SocketAddr,
+        requests: &'static [(&str, &str)],
+        per_second: u32,
+    ) -> Self {
+        let (stop, answers) = (Arc::new(AtomicBool::new(false)), Answers::default());
+        let (stopped, record, collected) =
+            (Arc::clone(&stop), Arc::clone(record), Arc::clone(&answers));
         let thread = thread::spawn(move || {
             let mut next = Instant::now();
-            let mut number = 0;
-            while !stopped.load(Ordering::Acquire) {
-                let (record, path) = (Arc::clone(&record), paths[number % paths.len()].clone());
-                number += 1;
+            for (method, path) in requests.iter().cycle() {
+                if stopped.load(Ordering::Acquire) {
+                    return;
+                }
+                let (record, collected) = (Arc::clone(&record), Arc::clone(&collected));
                 thread::spawn(move || {
-                    let _ = request(&record, to, "GET", &path, &new_id("q"), 1_500, &[]);
+                    let id = new_id("q");
+                    let answer = request(&record, to, method, path, &id, 1_500, &[]);
+                    let status = answer.map_or(0, |answer| answer.status());
+                    collected.lock().expect("answers lock").insert(id, status);
                 });
                 next += Duration::from_secs(1) / per_second;
                 thread::sleep(next.saturating_duration_since(Instant::now()));
@@ -190,16 +204,18 @@
         Self {
             stop,
             thread: Some(thread),
+            answers,
         }
     }
 
-    /// Stops sending.
-    pub fn stop(mut self) {
+    /// Stops sending; returns all answers.
+    pub fn stop(mut self) -> Answers {
         self.stop.store(true, Ordering::Release);
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
-        thread::sleep(Duration::from_millis(1_600));
+        thread::sleep(Duration::from_millis(2_600));
+        self.answers
     }
 }
 
