fix: the end of a target that was taken up from the store is final

Cause: a target that is taken up from the store was given 0 as its start. Its end covered the run that started at 0, and the late announcement, which tells the true start, counted as a later run.

Change: the node's entry records when its target started, and the end of a target whose start is not known (entries of earlier builds) covers every run that started before the end.

--- a/fulmarreel-membership/src/announcement.rs
+++ b/fulmarreel-membership/src/announcement.rs
@@ -67,16 +67,19 @@
     /// announcements may still arrive.
     pub fn end(&mut self, id: &str, ended_at_ms: u64) -> bool {
         let known = self.current.as_ref().filter(|known| known.id == id);
+        let is_current = known.is_some();
+        // A target that was taken up from the store may have no start.
         let started_at_ms = known.map(|known| known.started_at_ms);
+        let started_at_ms = started_at_ms.filter(|started_at_ms| *started_at_ms > 0);
         if self.ended.len() == MAX_ENDED_RUNS {
             self.ended.remove(0);
         }
         self.ended
             .push((id.to_owned(), started_at_ms.unwrap_or(ended_at_ms)));
-        if started_at_ms.is_some() {
+        if is_current {
             self.current = None;
         }
-        started_at_ms.is_some()
+        is_current
     }
 
     /// Removes the current target after it has sent no announcement for too long.
--- a/fulmarreel-membership/tests/announcement.rs
+++ b/fulmarreel-membership/tests/announcement.rs
@@ -77,3 +77,14 @@
     assert_eq!(current_target.get(), None);
     assert!(current_target.apply(announcement("a", 30, 1)));
 }
+
+/// Fails if the end of a target that a node took up from the store, without its start, is not that of
+/// the run that announced itself: a late announcement would make it current again (review case 5).
+#[test]
+fn the_end_of_a_target_without_a_start_covers_its_run() {
+    let mut current_target = CurrentTarget::default();
+    assert!(current_target.apply(announcement("a", 0, 0)));
+    assert!(current_target.end("a", 20));
+    assert!(!current_target.apply(announcement("a", 10, 4)));
+    assert!(current_target.apply(announcement("a", 30, 1)));
+}
--- a/fulmarreel-node/src/mesh/announce.rs
+++ b/fulmarreel-node/src/mesh/announce.rs
@@ -190,6 +190,7 @@
             service: target.service,
             version: target.version,
             slots: target.slots,
+            started_at_ms: Some(target.started_at_ms),
         }),
     }
 }
--- a/fulmarreel-node/src/mesh/keys.rs
+++ b/fulmarreel-node/src/mesh/keys.rs
@@ -36,6 +36,9 @@
     pub version: String,
     /// The number of requests that it runs at once.
     pub slots: u16,
+    /// When the run started, in milliseconds since the Unix epoch; entries of earlier builds do not tell.
+    #[serde(default)]
+    pub started_at_ms: Option<u64>,
 }
 
 /// Why a node's entry is rejected.
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -169,7 +169,7 @@
                 self.handle_announcement(Announcement {
                     id: known.id,
                     // Any announcement of the target itself is newer.
-                    started_at_ms: 0,
+                    started_at_ms: known.started_at_ms.unwrap_or(0),
                     sequence: 0,
                     endpoint: settings.endpoint,
                     service: known.service,
