fix: what a node has acknowledged of its target binds its later processes

Cause: what has left was known to the process only, and an announcement does not tell when it was made, so any that reached a new process counted. The same held for `draining`, for kills in series, and for an announcement of an earlier run after a later one had ended or fallen silent.

Change: the departure is recorded in the node's entry, with the run's start, before it is acknowledged. A process reads the entry at its start; until then the target has to confirm its announcement by its health check, and what waits is used as soon as the record is read. Writes of the entry are conditional on its last revision, as one whose answer was lost may still take effect later. A stopping node without a target leaves its departures under a lease for the process in its place. While the store cannot record it, a departure is not acknowledged (503 within 0.9 s), and the target gets no request.

--- a/fulmarreel-node/src/mesh/mod.rs
+++ b/fulmarreel-node/src/mesh/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! [`sync`] replicates the store into the node's [`context`], [`notices`] are the datagrams between
 //! nodes, and [`takeover`] rolls new versions of services out. [`announce`] receives the own
-//! target's announcements, [`ready`] serves readiness and metrics, and [`stop`] shuts the process
+//! target's announcements, [`publish`] writes the node's entry to the store, [`ready`] serves readiness and metrics, and [`stop`] shuts the process
 //! down without cutting off a request.
 
 pub(crate) mod announce;
@@ -18,6 +18,7 @@
 pub(crate) mod keys;
 pub(crate) mod listen;
 pub(crate) mod notices;
+pub(crate) mod publish;
 pub(crate) mod ready;
 pub mod run;
 pub(crate) mod serve;
--- /dev/null
+++ b/fulmarreel-node/src/mesh/publish.rs
@@ -0,0 +1,377 @@
+//! The node's own entry in the store: where other nodes reach it, its target, and which targets have
+//! left.
+//!
+//! That a target leaves is acknowledged once the store has recorded it. A later process of the node
+//! reads the record, and so tells a target that has left from one that is there, however late an
+//! announcement arrives. Each write is conditional on the entry's last revision: a write whose response
+//! was lost cannot take effect after a later one.
+
+use super::{
+    context::Context,
+    keys::{self, Departure, Node},
+    serve::Server,
+};
+use fulmarreel_membership::announcement::History;
+use fulmarreel_store::{Entry, Error, Outcome, Revision, Store, Transaction};
+use smol::{Timer, future::or, lock::Mutex};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// The delay after the first failed call; it doubles with each failure.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
+
+/// The longest such delay.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_500);
+
+/// How often the entry is compared with the mirror of the store.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How long the first call to the store may take. One whose response was lost is repeated after that;
+/// the time doubles with each.
+const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The longest time that a call may take.
+const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(1_600);
+
+/// How long a target that says that it leaves waits for its acknowledgement; targets wait a second.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// The delay after the first failed attempt to record a departure; it doubles with each.
+const MIN_RECORD_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// How often a write is repeated at once after another write of the same entry.
+const MAX_CONFLICTS: u32 = 3;
+
+/// How often a stopping node tries to delete its entry.
+const MAX_RETIRE_ATTEMPTS: u32 = 3;
+
+/// How long the departures of a node without an entry are kept, for a process that starts in its place.
+const DEPARTURES_TTL: Duration = Duration::from_secs(60);
+
+/// Why the entry does not agree with the store.
+#[derive(Debug, thiserror::Error)]
+enum SyncError {
+    /// A call failed.
+    #[error(transparent)]
+    Store(#[from] Error),
+    /// A call took too long; a write may have taken effect.
+    #[error("no response of the store")]
+    Timeout,
+    /// Another writer changed the entry each time.
+    #[error("the entry was changed by another writer")]
+    Conflict,
+    /// The entry could not be encoded.
+    #[error(transparent)]
+    Encoding(#[from] serde_json::Error),
+}
+
+/// Keeps the node's own entry up to date.
+#[derive(Debug)]
+pub struct Publisher {
+    context: Arc<Context>,
+    server: Arc<Server>,
+    /// Under a lock of its own during calls, so that writes do not overtake each other.
+    record: Mutex<Record>,
+}
+
+/// What the store has under the node's key, as far as this process knows.
+#[derive(Debug)]
+struct Record {
+    /// The revision of the entry; `None` if it is to be read first.
+    revision: Option<Revision>,
+    /// The value of the entry; `None` if there is none.
+    value: Option<Vec<u8>>,
+    /// What the store has recorded of departures.
+    departures: Vec<Departure>,
+    /// How long the next call may take.
+    call_timeout: Duration,
+}
+
+impl Default for Record {
+    fn default() -> Self {
+        Self {
+            revision: None,
+            value: None,
+            departures: Vec::new(),
+            call_timeout: MIN_CALL_TIMEOUT,
+        }
+    }
+}
+
+impl Record {
+    /// Awaits a call to the store for a limited time.
+    async fn in_time<T>(
+        &mut self,
+        call: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, SyncError> {
+        let timeout = async {
+            Timer::after(self.call_timeout).await;
+            Err(SyncError::Timeout)
+        };
+        let result = or(async { Ok(call.await?) }, timeout).await;
+        if let Err(SyncError::Timeout) = result {
+            // Whether a write took effect is read back before the next one.
+            self.revision = None;
+            self.call_timeout = (self.call_timeout * 2).min(MAX_CALL_TIMEOUT);
+        } else {
+            self.call_timeout = MIN_CALL_TIMEOUT;
+        }
+        result
+    }
+
+    fn set(&mut self, entry: Option<&Entry>) {
+        self.revision = Some(entry.map_or(Revision::ABSENT, |entry| entry.mod_revision));
+        self.value = entry.map(|entry| entry.value.clone());
+        if let Some(departures) = self.node().and_then(|node| node.departures) {
+            self.departures = departures;
+        }
+    }
+
+    fn node(&self) -> Option<Node> {
+        Node::decode(self.value.as_ref()?).ok()
+    }
+
+    /// The departures to write: those in the store already, if they are of the same runs.
+    fn merge(&self, departures: Vec<Departure>) -> Vec<Departure> {
+        let known = self.departures.iter().map(Departure::run);
+        if known.eq(departures.iter().map(Departure::run)) {
+            self.departures.clone()
+        } else {
+            departures
+        }
+    }
+}
+
+impl Publisher {
+    /// Creates the publisher; it calls the store once it runs.
+    pub fn new(context: Arc<Context>, server: Arc<Server>) -> Self {
+        Self {
+            context,
+            server,
+            record: Mutex::default(),
+        }
+    }
+
+    /// Reads the entry that an earlier process left, and keeps it up to date until the process is told
+    /// to end.
+    pub async fn run(self: Arc<Self>) {
+        let resuming = Arc::clone(&self);
+        crate::runtime::spawn(async move { resuming.resume_target().await });
+        let mut retry_delay = MIN_RETRY_DELAY;
+        while !self.context.is_stopping() {
+            match self.sync().await {
+                Ok(()) => {
+                    retry_delay = MIN_RETRY_DELAY;
+                    Timer::after(CHECK_INTERVAL).await;
+                }
+                Err(error) => {
+                    log::warn!("own entry not written: {error}");
+                    Timer::after(retry_delay.mul_f64(1.0 + fastrand::f64())).await;
+                    retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                }
+            }
+        }
+    }
+
+    /// Records in the store which targets have left, before their leaving is acknowledged. Returns false
+    /// if the store has not confirmed it in time.
+    pub async fn record_departures(&self) -> bool {
+        let started = Instant::now();
+        let recorded = async {
+            let mut retry_delay = MIN_RECORD_RETRY_DELAY;
+            while let Err(error) = self.sync().await {
+                log::info!("departure not recorded: {error}");
+                Timer::after(retry_delay).await;
+                retry_delay *= 2;
+            }
+            true
+        };
+        let timeout = async {
+            Timer::after(RECORD_TIMEOUT).await;
+            false
+        };
+        let is_recorded = or(recorded, timeout).await;
+        let took_ms = started.elapsed().as_millis() as u64;
+        log::info!(took_ms, recorded = is_recorded; "departure of the own target");
+        is_recorded
+    }
+
+    /// Deletes the node's own entry if its target has ended; a node that restarts in front of a running
+    /// target keeps the entry.
+    pub async fn retire(&self) {
+        for _ in 0..MAX_RETIRE_ATTEMPTS {
+            match self.sync().await {
+                Ok(()) => return,
+                Err(error) => log::warn!("own entry not deleted: {error}"),
+            }
+            Timer::after(MIN_RETRY_DELAY).await;
+        }
+    }
+
+    /// Uses the target in the entry that an earlier process of this node wrote: the target's next
+    /// announcement may be seconds away. Without the store, the mirror's copy tells who to ask.
+    async fn resume_target(&self) {
+        let service = self.context.settings().service.clone();
+        loop {
+            let view = self.context.view();
+            if let Some(path) = view.health_path(&service) {
+                let node: Option<Node> = self.context.decode(&self.key());
+                let target = node.and_then(|node| node.target);
+                let target = target.filter(|target| target.service == service);
+                if let Some(target) = target {
+                    self.server.resume_target(target, &path).await;
+                }
+                return;
+            }
+            Timer::after(CHECK_INTERVAL).await;
+        }
+    }
+
+    fn key(&self) -> String {
+        format!("{}{}", keys::NODES, self.context.settings().instance)
+    }
+
+    fn departures_key(&self) -> String {
+        format!("{}{}", keys::DEPARTURES, self.context.settings().instance)
+    }
+
+    /// Makes the store agree with what is known of the own target.
+    async fn sync(&self) -> Result<(), SyncError> {
+        let mut record = self.record.lock().await;
+        if record.revision.is_none() {
+            self.recall(&mut record).await?;
+        }
+        self.notice_other_writers(&mut record);
+        if self.context.is_stopping() && !self.has_target() {
+            return self.delete_entry(&mut record).await;
+        }
+        self.write_entry(&mut record).await
+    }
+
+    fn has_target(&self) -> bool {
+        self.server.target().is_some_and(|target| !target.leaving)
+    }
+
+    /// Reads what earlier processes of the node recorded.
+    async fn recall(&self, record: &mut Record) -> Result<(), SyncError> {
+        let store = &self.context.store;
+        let entry = record.in_time(store.get(&self.key())).await?;
+        let history = match &entry {
+            Some(entry) => Node::decode(&entry.value)
+                .ok()
+                .and_then(|node| node.history()),
+            None => {
+                let retired = record.in_time(store.get(&self.departures_key())).await?;
+                let departures = retired.map(|entry| serde_json::from_slice(&entry.value));
+                let departures: Vec<Departure> = departures.transpose()?.unwrap_or_default();
+                Some(History {
+                    target: None,
+                    departures: departures.into_iter().map(Into::into).collect(),
+                })
+            }
+        };
+        record.set(entry.as_ref());
+        match history {
+            Some(history) => self.server.restore(history),
+            None => log::info!("the entry does not tell which targets have left"),
+        }
+        Ok(())
+    }
+
+    /// Takes over from the mirror that another writer changed or deleted the entry.
+    fn notice_other_writers(&self, record: &mut Record) {
+        let key = self.key();
+        self.context.read(|mirror| {
+            let is_later = record
+                .revision
+                .is_some_and(|revision| mirror.revision() > revision.0);
+            let item = mirror.get(&key);
+            if is_later && item.map(|item| &item.value) != record.value.as_ref() {
+                record.revision = Some(Revision(item.map_or(0, |item| item.revision)));
+                record.value = item.map(|item| item.value.clone());
+            }
+        });
+    }
+
+    /// The entry to write. The target that it names stays until it has left or another one is there: a
+    /// later process asks it first.
+    fn entry(&self, record: &Record) -> Node {
+        let settings = self.context.settings();
+        let current = self.server.target().filter(|target| !target.leaving);
+        let current = current.map(|target| keys::Target {
+            id: target.id,
+            service: target.service,
+            version: target.version,
+            slots: target.slots,
+            started_at_ms: Some(target.started_at_ms),
+        });
+        let departures = record.merge(self.server.departures());
+        let named = record.node().and_then(|node| node.target);
+        let is_left = |target: &keys::Target| {
+            let run = target.run();
+            run.is_some_and(|run| self.server.has_left(&run))
+                || departures.iter().any(|left| left.id == target.id)
+        };
+        Node {
+            address: settings.peer_address,
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            target: current.or_else(|| named.filter(|named| !is_left(named))),
+            departures: Some(departures),
+        }
+    }
+
+    async fn write_entry(&self, record: &mut Record) -> Result<(), SyncError> {
+        let key = self.key();
+        for _ in 0..MAX_CONFLICTS {
+            let value = serde_json::to_vec(&self.entry(record))?;
+            if record.value.as_ref() == Some(&value) {
+                return Ok(());
+            }
+            let revision = record.revision.unwrap_or(Revision::ABSENT);
+            let transaction = Transaction::new()
+                .when_mod_revision(&key, revision)
+                .put(&key, &value);
+            match record
+                .in_time(self.context.store.commit(&transaction))
+                .await?
+            {
+                Outcome::Written(revision) => {
+                    log::info!(instance = self.context.settings().instance.as_str(); "own entry written");
+                    record.revision = Some(revision);
+                    record.value = Some(value);
+                    record.departures = record
+                        .node()
+                        .and_then(|node| node.departures)
+                        .unwrap_or_default();
+                    return Ok(());
+                }
+                Outcome::Conflict(entries) => {
+                    record.set(entries.iter().find(|entry| entry.key == key));
+                }
+            }
+        }
+        Err(SyncError::Conflict)
+    }
+
+    /// Deletes the entry of a stopping node, and leaves the departures for a process in its place.
+    async fn delete_entry(&self, record: &mut Record) -> Result<(), SyncError> {
+        let departures = record.merge(self.server.departures());
+        if record.value.is_none() && departures == record.departures {
+            return Ok(());
+        }
+        let store = &self.context.store;
+        let mut transaction = Transaction::new().delete(&self.key());
+        if !departures.is_empty() {
+            let lease = record.in_time(store.grant(DEPARTURES_TTL)).await?;
+            let value = serde_json::to_vec(&departures)?;
+            transaction = transaction.put_leased(&self.departures_key(), &value, lease);
+        }
+        record.in_time(store.commit(&transaction)).await?;
+        record.value = None;
+        record.departures = departures;
+        Ok(())
+    }
+}
--- a/fulmarreel-node/src/mesh/run.rs
+++ b/fulmarreel-node/src/mesh/run.rs
@@ -1,11 +1,12 @@
 //! Starts every part of the node.
 
 use super::{
-    announce,
+    announce::Handler as AnnouncementHandler,
     caller::RequestHandler,
     context::Context,
     listen::listen,
     notices::NoticeSocket,
+    publish::Publisher,
     ready,
     serve::Server,
     stop, sync,
@@ -71,13 +72,18 @@
             async move { ready::handle(&context, conn) }
         });
     }
-    let announcement_state = (Arc::clone(&context), Arc::clone(&server));
+    let publisher = Arc::new(Publisher::new(Arc::clone(&context), Arc::clone(&server)));
+    let announcements = AnnouncementHandler {
+        context: Arc::clone(&context),
+        server: Arc::clone(&server),
+        publisher: Arc::clone(&publisher),
+    };
     serve_http(announcement_address, move |conn: Conn| {
-        let (context, server) = announcement_state.clone();
-        async move { announce::handle(&context, &server, conn).await }
+        let announcements = announcements.clone();
+        async move { announcements.handle(conn).await }
     });
     spawn(sync::run(Arc::clone(&context)));
-    spawn(announce::publish(Arc::clone(&context), Arc::clone(&server)));
+    spawn(Arc::clone(&publisher).run());
     spawn(Arc::clone(&notices).send_store_notices());
     spawn(Arc::clone(&notices).receive(Arc::clone(&rollouts)));
     spawn(takeover::run(Arc::clone(&context), rollouts, notices));
@@ -87,7 +93,11 @@
 
     let serving = Arc::clone(&server).run();
     let callers = listen(Arc::clone(&context), Arc::clone(&handler));
-    or(serving, or(callers, stop::run(context, server, handler))).await
+    or(
+        serving,
+        or(callers, stop::run(context, server, handler, publisher)),
+    )
+    .await
 }
 
 /// Probes unreachable nodes, so that no request has to wait for them, and drops the statistics of nodes
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -18,19 +18,32 @@
 };
 use fulmarreel_balance::admission::QueueDeadlines;
 use fulmarreel_http::{Quota, Response};
-use fulmarreel_membership::{Announcement, announcement::CurrentTarget};
+use fulmarreel_membership::{
+    Announcement,
+    announcement::{CurrentTarget, History, Run, Verdict},
+};
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::{Failure, Frame, Head, Header, Open, Refusal};
 use smol::{Timer, net::TcpListener, stream::StreamExt};
 use std::{
     io,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
-/// A target that has not announced itself for this many announcement intervals is withdrawn.
+/// A target that has not announced itself for this many announcement intervals is withdrawn. No
+/// announcement is expected to arrive later than that either.
 const MAX_SILENT_INTERVALS: u32 = 5;
 
+/// How often a target is asked whether it is there, after an announcement that does not prove it.
+const MAX_CONFIRMATION_ATTEMPTS: u32 = 4;
+
+/// The time between two such attempts.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(250);
+
 /// How often the server checks for a silent target, idle sessions and unusable connections.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -44,6 +57,8 @@
     slot_queue: Arc<SlotQueue>,
     endpoint: Endpoint,
     own_target: Mutex<OwnTarget>,
+    /// Whether the target of an announcement is being asked whether it is there.
+    is_confirming: AtomicBool,
     sessions: Sessions,
 }
 
@@ -100,6 +115,7 @@
                 current_target: CurrentTarget::default(),
                 last_heard: Instant::now(),
             }),
+            is_confirming: AtomicBool::new(false),
             sessions: Sessions::default(),
         }
     }
@@ -144,19 +160,27 @@
         own.current_target.get().cloned()
     }
 
-    /// Handles an announcement of the own target; returns whether it is another target than before.
-    pub fn handle_announcement(&self, announcement: Announcement) -> bool {
-        let before = self.target();
-        let slots = announcement.slots;
-        {
-            let mut own = self.own_target.lock().expect("own target lock");
-            own.last_heard = Instant::now();
-            if !own.current_target.apply(announcement) {
-                return false;
-            }
+    /// Whether a run of the own target has left or is leaving.
+    pub fn has_left(&self, run: &Run) -> bool {
+        let own = self.own_target.lock().expect("own target lock");
+        own.current_target.has_left(run)
+    }
+
+    /// The departures that the node's entry has to record.
+    pub fn departures(&self) -> Vec<keys::Departure> {
+        let own = self.own_target.lock().expect("own target lock");
+        let departures = own.current_target.recorded_departures();
+        departures.map(Into::into).collect()
+    }
+
+    /// Handles an announcement of the own target.
+    pub fn handle_announcement(&self, announcement: Announcement) -> Verdict {
+        let id = announcement.id.clone();
+        let verdict = self.change_target(|target| target.apply(announcement));
+        if verdict == Verdict::Unconfirmed {
+            log::info!(target = id.as_str(); "announcement waits for a confirmation");
         }
-        self.slot_queue.resize(slots);
-        self.handle_target_change(before.as_ref())
+        verdict
     }
 
     /// Uses the target that an earlier process of this node knew, provided that its health check says
@@ -166,7 +190,7 @@
         match accepts {
             Ok(true) if self.target().is_none() => {
                 let settings = self.context.settings();
-                self.handle_announcement(Announcement {
+                let announcement = Announcement {
                     id: known.id,
                     // Any announcement of the target itself is newer.
                     started_at_ms: known.started_at_ms.unwrap_or(0),
@@ -178,23 +202,79 @@
                     slots: known.slots,
                     leaving: false,
                     warm_up_remaining: Duration::ZERO,
-                });
+                };
+                self.change_target(|target| target.confirm(announcement));
             }
             Ok(_) => {}
             Err(error) => log::info!(target = known.id.as_str(); "target not resumed: {error}"),
         }
     }
 
+    /// Asks the target whose announcement waits for a confirmation whether it is there, a few times at
+    /// most; does nothing while that is under way.
+    pub async fn confirm_target(&self, health_path: &str) {
+        if self.is_confirming.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        for _ in 0..MAX_CONFIRMATION_ATTEMPTS {
+            let Some(waiting) = self.unconfirmed() else {
+                break;
+            };
+            let accepts = self.endpoint.accepts_requests(health_path, &waiting.id);
+            if let Ok(true) = accepts.await {
+                self.change_target(|target| target.confirm(waiting));
+                break;
+            }
+            Timer::after(CONFIRMATION_INTERVAL).await;
+        }
+        self.is_confirming.store(false, Ordering::Release);
+    }
+
+    /// Takes over what earlier processes of this node recorded of its targets.
+    pub fn restore(&self, history: History) {
+        self.change_target(|target| target.restore(history));
+    }
+
+    /// Goes by announcements alone from now on if the node's history is still not known: by this time,
+    /// all that were made before the process started have arrived.
+    fn presume_history(&self) {
+        let is_known = {
+            let own = self.own_target.lock().expect("own target lock");
+            own.current_target.is_history_known()
+        };
+        if !is_known {
+            log::info!("announcements are used without the node's history");
+            self.restore(History::default());
+        }
+    }
+
     /// Handles a target's announcement that it ends.
     pub fn end_target(&self, id: &str) {
-        let before = self.target();
-        let ended = {
+        self.change_target(|target| target.end(id, unix_millis()));
+    }
+
+    fn unconfirmed(&self) -> Option<Announcement> {
+        let own = self.own_target.lock().expect("own target lock");
+        own.current_target.unconfirmed().cloned()
+    }
+
+    /// Changes what is known of the own target, and reacts if it is another one now.
+    fn change_target<T>(&self, change: impl FnOnce(&mut CurrentTarget) -> T) -> T {
+        let (before, result, current) = {
             let mut own = self.own_target.lock().expect("own target lock");
-            own.current_target.end(id, unix_millis())
+            let before = own.current_target.get().cloned();
+            let result = change(&mut own.current_target);
+            let current = own.current_target.get().cloned();
+            own.last_heard = Instant::now();
+            (before, result, current)
         };
-        if ended {
-            self.handle_target_change(before.as_ref());
+        if let Some(target) = current
+            && before.as_ref() != Some(&target)
+        {
+            self.slot_queue.resize(target.slots);
         }
+        self.handle_target_change(before.as_ref());
+        result
     }
 
     /// Tells connected nodes that this one accepts no new requests.
@@ -331,8 +411,8 @@
         }
     }
 
-    /// Reacts to a possible change of the own target; returns whether it is another one than `before`.
-    fn handle_target_change(&self, before: Option<&Announcement>) -> bool {
+    /// Reacts to a possible change of the own target.
+    fn handle_target_change(&self, before: Option<&Announcement>) {
         let current = self.target();
         let accepting =
             |target: Option<&Announcement>| target.is_some_and(|target| !target.leaving);
@@ -358,13 +438,13 @@
                 &Frame::Leaving
             });
         }
-        is_another
     }
 
     /// Withdraws a silent target, forgets idle sessions and closes unusable connections, until the
     /// process ends.
     async fn run_checks(&self) {
-        let mut last_check = Instant::now();
+        let started = Instant::now();
+        let mut last_check = started;
         loop {
             Timer::after(CHECK_INTERVAL).await;
             let silence_limit =
@@ -387,6 +467,9 @@
             if is_silent {
                 self.handle_target_change(before.as_ref());
             }
+            if started.elapsed() > silence_limit {
+                self.presume_history();
+            }
             self.endpoint.close_unusable();
             let (in_flight, slots) = self.slot_queue.load();
             metrics::set_target_load(in_flight, slots);
--- a/fulmarreel-node/src/mesh/stop.rs
+++ b/fulmarreel-node/src/mesh/stop.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown of a node, and reloading of its settings.
 
-use super::{announce, caller::RequestHandler, context::Context, serve::Server};
+use super::{caller::RequestHandler, context::Context, publish::Publisher, serve::Server};
 use async_signal::{Signal, Signals};
 use fulmarreel_platform::Settings;
 use smol::{Timer, stream::StreamExt};
@@ -39,6 +39,7 @@
     context: Arc<Context>,
     server: Arc<Server>,
     handler: Arc<RequestHandler>,
+    publisher: Arc<Publisher>,
 ) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     loop {
@@ -60,10 +61,7 @@
             .saturating_sub(EXIT_MARGIN);
     context.stop(end);
     server.announce_leaving();
-    let (entry_context, entry_server) = (Arc::clone(&context), Arc::clone(&server));
-    crate::runtime::spawn(
-        async move { announce::delete_entry(&entry_context, &entry_server).await },
-    );
+    crate::runtime::spawn(async move { publisher.retire().await });
     Timer::after(MIN_DRAIN_TIME).await;
     while Instant::now() < start + MAX_ACCEPT_TIME && server.in_flight() + handler.in_flight() > 0 {
         Timer::after(CHECK_INTERVAL).await;
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -111,6 +111,11 @@
         self.targets.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The path of a service's health check, if the active configuration has one.
+    pub fn health_path(&self, service: &str) -> Option<String> {
+        self.table.as_ref()?.health_paths.get(service).cloned()
+    }
+
     /// Whether any target of a service runs a version.
     pub fn runs(&self, service: &str, version: &str) -> bool {
         let mut targets = self.targets(service).iter();
