fix: a body that arrives late in a stop is not passed on

What callers saw (other operators' report; here in a test of processes): a request whose head came early in a planned stop, and its body after the node had ceased to accept requests, was passed on to a target, and cut off or answered with 504 where the work took longer than the process had left.

Cause: whether the node still accepts requests was looked at before the body was read only.

Change: it is looked at once more when the body is there; the refusal is true, as nothing was sent.

--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -39,6 +39,9 @@
 /// The shortest retry delay that a caller is told.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Why a request is refused shortly before this process ends.
+const STOPPING: &str = "this node is stopping";
+
 /// The lowest HTTP status by which a target says that it failed.
 const FIRST_SERVER_ERROR: u16 = 500;
 
@@ -143,7 +146,7 @@
 
     /// Starts a request without a body before its turn, if it is idempotent.
     fn start(self: &Arc<Self>, head: &Head) -> Option<(Arc<Routed>, RequestTask)> {
-        if self.closed.load(Ordering::Acquire) || self.context.is_stopping() {
+        if self.is_closed() || self.context.is_stopping() {
             return None;
         }
         let view = self.context.view();
@@ -171,12 +174,8 @@
         if let Some(request) = connection.take_started(&head) {
             return self.finish_started(conn, connection, request).await;
         }
-        if self.closed.load(Ordering::Acquire) {
-            let end = self.context.end().unwrap_or(started);
-            let until_end = end.saturating_duration_since(started);
-            let reason = "this node is stopping";
-            self.log_early_end(&conn, Status::ServiceUnavailable, reason, 0);
-            return refuse(conn, reason, until_end + RESTART_TIME);
+        if self.is_closed() {
+            return self.refuse_stopping(conn);
         }
         let view = self.context.view();
         let Some(table) = &view.table else {
@@ -193,6 +192,10 @@
             let reason = "the body is incomplete or too long";
             return self.reject(conn, Status::PayloadTooLarge, reason, table.revision);
         };
+        // The body may have taken long to arrive.
+        if self.is_closed() {
+            return self.refuse_stopping(conn);
+        }
         let request = routed.with_body(&body);
         let open = self.open_frame(head, &request);
         let mut offers = Offers::default();
@@ -204,6 +207,22 @@
         self.respond(conn, &request, outcome)
     }
 
+    fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
+    /// How long it takes until a later process of this node accepts requests, if this one is stopping.
+    fn time_until_restart(&self) -> Duration {
+        let now = Instant::now();
+        let end = self.context.end().unwrap_or(now);
+        end.saturating_duration_since(now) + RESTART_TIME
+    }
+
+    fn refuse_stopping(&self, conn: Conn) -> Conn {
+        self.log_early_end(&conn, Status::ServiceUnavailable, STOPPING, 0);
+        refuse(conn, STOPPING, self.time_until_restart())
+    }
+
     /// Responds to a request that was started before its turn.
     async fn finish_started(
         &self,
--- a/fulmarreel-node/tests/mesh/stop.rs
+++ b/fulmarreel-node/tests/mesh/stop.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     backend::Behavior,
-    support::{Answer, Instance, configure, eventually},
+    support::{Answer, Instance, configure, eventually, start_pair},
 };
-use anyhow::ensure;
+use anyhow::{Context, ensure};
 use fulmarreel_testing::kv::FakePlatformStore;
 use rstest::rstest;
 use smol::Timer;
@@ -205,3 +205,34 @@
         Ok(())
     })
 }
+
+/// Fails if a request whose body arrives late in a stop is passed on, or gets no response.
+#[rstest]
+#[case::lookup("/s/")]
+#[case::booking("/s-do/")]
+fn a_body_that_arrives_late_in_a_stop_is_refused(#[case] path: &str) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (_store, caller, instance) = start_pair().await?;
+        caller.wait_served(path).await?;
+        instance.backend.set_behavior(Behavior {
+            delay: Duration::from_secs(2),
+            ..Behavior::default()
+        });
+        let before = instance.backend.arrivals().len();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r-late\r\n\
+            X-Deadline-Ms: 10000\r\nContent-Length: 4\r\n\r\nbo"
+        );
+        caller.process.signal("TERM")?;
+        Timer::after(Duration::from_millis(1_500)).await;
+        let mut tcp = smol::net::TcpStream::connect(caller.callers).await?;
+        smol::io::AsyncWriteExt::write_all(&mut tcp, head.as_bytes()).await?;
+        Timer::after(Duration::from_millis(2_300)).await;
+        smol::io::AsyncWriteExt::write_all(&mut tcp, b"dy").await?;
+        let answer = crate::backend::read_message(&mut tcp).await?;
+        let answer = answer.context("no response")?;
+        ensure!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        ensure!(instance.backend.arrivals().len() == before, "arrived");
+        Ok(())
+    })
+}
