fix: every request that is open at the end of a stop gets a response

Cause: a request was offered to a target whatever time the process had left, and what waited for an outcome did not hear of the stop: it looked at the time left only as it began to wait.

Change: a node that stops offers a request only if its route's typical latency fits into the time left, and otherwise refuses it as not run. 150 ms before the process ends, whatever still waits is given up: the target's node is asked whether it has run, and the caller is told so (503), or that it is not known (502).

--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -1,7 +1,7 @@
 //! Attempts of a request at one target after another, within the limits of its route and of the
 //! service's retry budget.
 
-use super::{FIRST_SERVER_ERROR, Request, RequestHandler};
+use super::{FIRST_SERVER_ERROR, Request, RequestHandler, STOPPING};
 use crate::{
     mesh::{
         exchange::{AttemptOutcome, Exchange},
@@ -85,6 +85,9 @@
             budget.record_request(Instant::now());
         });
         loop {
+            if !self.has_time_before_end(request) {
+                return last.or_not_run(STOPPING, self.time_until_restart());
+            }
             let view = self.context.view();
             let chosen = self.choose_target(&view, request, offers);
             let Some((target, version_choice)) = chosen else {
@@ -104,6 +107,7 @@
             open.remaining_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
             (open.wanted_ms, open.latest_ms) = self.queue_waits_ms(request, &target);
             let exchange = Exchange {
+                context: &self.context,
                 server: &self.server,
                 pool: &self.pool,
                 targets: &self.targets,
@@ -187,6 +191,15 @@
         (ms(wanted), ms(latest))
     }
 
+    /// Whether a response can be expected before this process ends.
+    fn has_time_before_end(&self, request: &Request<'_>) -> bool {
+        let Some(end) = self.context.end() else {
+            return true;
+        };
+        let typical = self.targets.typical_latency(&request.route.name);
+        Instant::now() + typical.unwrap_or_default() + SHUTDOWN_MARGIN < end
+    }
+
     /// Whether another target can be expected to answer by the deadline.
     fn has_time_for_another(&self, request: &Request<'_>) -> bool {
         let typical = self
--- a/fulmarreel-node/src/mesh/context.rs
+++ b/fulmarreel-node/src/mesh/context.rs
@@ -9,7 +9,10 @@
 use fulmarreel_platform::{Settings, store};
 use fulmarreel_wire::mirror::Update;
 use serde::de::DeserializeOwned;
-use smol::channel::{Receiver, Sender, bounded};
+use smol::{
+    Timer,
+    channel::{Receiver, Sender, bounded},
+};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -17,6 +20,10 @@
     time::{Duration, Instant},
 };
 
+/// How long before the process ends the requests that still wait are given up: time to hear from another
+/// node whether they have run, and to send their responses.
+const LAST_RESPONSE_TIME: Duration = Duration::from_millis(150);
+
 /// The state that all parts of the node share.
 #[derive(Debug)]
 pub struct Context {
@@ -31,6 +38,8 @@
     view: RwLock<Arc<View>>,
     /// When the process ends at the latest; set once it has been told to stop.
     end: OnceLock<Instant>,
+    /// Closed once the process has been told to stop; carries nothing.
+    stop_signal: (Sender<()>, Receiver<()>),
     /// How recent the mirror is.
     copy_freshness: Mutex<CopyFreshness>,
     /// This node's own contact with the store.
@@ -54,6 +63,7 @@
             mirror: Mutex::default(),
             view: RwLock::default(),
             end: OnceLock::new(),
+            stop_signal: bounded(1),
             copy_freshness: Mutex::default(),
             contact: Mutex::default(),
             readers: Mutex::new(readers),
@@ -245,6 +255,19 @@
     pub fn stop(&self, end: Instant) {
         // Fails if an end is set already, which then stays.
         let _ = self.end.set(end);
+        self.stop_signal.0.close();
+    }
+
+    /// Waits until shortly before the process ends, when responses can still be sent.
+    pub async fn wait_until_nearly_ended(&self) {
+        // Fails once the channel is closed.
+        let _ = self.stop_signal.1.recv().await;
+        match self.end() {
+            Some(end) => {
+                Timer::at(end - LAST_RESPONSE_TIME).await;
+            }
+            None => std::future::pending().await,
+        }
     }
 
     /// When the process ends at the latest; `None` until it has been told to stop.
--- a/fulmarreel-node/src/mesh/exchange.rs
+++ b/fulmarreel-node/src/mesh/exchange.rs
@@ -5,6 +5,7 @@
 //! [`Server`].
 
 use super::{
+    context::Context,
     serve::{Admitted, Rejection, Server, request_id},
     targets::TargetStats,
     view::Target,
@@ -62,6 +63,8 @@
 /// What an attempt of a request needs.
 #[derive(Debug)]
 pub struct Exchange<'a> {
+    /// Tells when this process ends.
+    pub context: &'a Context,
     /// Serves requests for this node's own target.
     pub server: &'a Arc<Server>,
     /// Connections to other nodes.
@@ -158,13 +161,28 @@
     }
 
     /// Runs the request at this node's own target. While it waits for a slot it is withdrawn if its
-    /// caller leaves.
+    /// caller leaves, or this process ends.
     async fn run_locally(&self, open: &Open, body: &[u8]) -> AttemptOutcome {
-        let result = match self.server.admit(open).await {
-            Ok(admitted) if open.idempotent => self.server.execute(admitted, open, body).await,
-            Ok(admitted) => self.run_to_completion(admitted, open, body).await,
-            Err(rejection) => Err(rejection),
+        let admitted = or(self.server.admit(open), async {
+            self.context.wait_until_nearly_ended().await;
+            Err(Rejection::Refused {
+                reason: Refusal::Leaving,
+                retry_after: Duration::ZERO,
+            })
+        });
+        let run = async {
+            match admitted.await {
+                Ok(admitted) if open.idempotent => self.server.execute(admitted, open, body).await,
+                Ok(admitted) => self.run_to_completion(admitted, open, body).await,
+                Err(rejection) => Err(rejection),
+            }
         };
+        // Polled first, so that a request that is withdrawn at the end counts as not run.
+        let result = or(run, async {
+            self.context.wait_until_nearly_ended().await;
+            Err(Rejection::Failed(Failure::Deadline))
+        });
+        let result = result.await;
         match result {
             Ok(response) => AttemptOutcome::Answered(response),
             Err(Rejection::Refused {
@@ -246,16 +264,25 @@
     ) -> WaitResult {
         let mut wait_until = self.deadline + DEADLINE_SLACK;
         let mut cancelled = false;
+        let mut ending = std::pin::pin!(self.context.wait_until_nearly_ended());
         let mut partial: Option<(Head, Vec<u8>)> = None;
         let end = |pending: &mut PendingRequest, outcome| {
             pending.has_ended = true;
             WaitResult::Ended(outcome)
         };
         loop {
-            let next = or(async { events.recv().await.ok() }, async {
+            let timeout = async {
                 Timer::at(wait_until).await;
                 None
-            });
+            };
+            let ended = async {
+                if cancelled {
+                    std::future::pending::<()>().await;
+                }
+                ending.as_mut().await;
+                None
+            };
+            let next = or(async { events.recv().await.ok() }, or(timeout, ended));
             let Some(event) = next.await else {
                 if cancelled {
                     return end(&mut pending, failed(Failure::Deadline));
--- /dev/null
+++ b/fulmarreel-node/tests/broken.rs
@@ -0,0 +1,145 @@
+//! The own interface's client of the local target, where the target breaks its response off, or sends
+//! one without end.
+
+use anyhow::ensure;
+use fulmarreel_node::target::{Client, Error, Response};
+use fulmarreel_wire::call::Open;
+use rstest::rstest;
+use smol::{
+    Timer,
+    future::or,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Once,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+/// How much of a response without end may be taken.
+const MAX_TAKEN_BYTES: usize = 8_388_608;
+
+/// Time that a target has to send more than that.
+const FLOOD_TIME: Duration = Duration::from_secs(3);
+
+/// Bytes of one write of a flood, at least.
+const FLOOD_WRITE_BYTES: usize = 65_536;
+
+/// What a target sends in place of a usual response.
+#[derive(Debug, Clone, Copy)]
+struct Script {
+    prefix: &'static [u8],
+    /// Sent without end; if empty, the connection is closed.
+    repeated: &'static [u8],
+}
+
+/// Starts a target; returns its address and the number of bytes that were taken from it.
+async fn start_target(script: Script) -> io::Result<(SocketAddr, Arc<AtomicUsize>)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let taken = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&taken);
+    smol::spawn(async move {
+        while let Ok((tcp, _)) = listener.accept().await {
+            let counted = Arc::clone(&counted);
+            smol::spawn(async move { serve(tcp, script, &counted).await.ok() }).detach();
+        }
+    })
+    .detach();
+    Ok((address, taken))
+}
+
+async fn serve(mut tcp: TcpStream, script: Script, taken: &AtomicUsize) -> io::Result<()> {
+    let mut buffer = [0; 4_096];
+    if tcp.read(&mut buffer).await? == 0 {
+        return Ok(());
+    }
+    tcp.write_all(script.prefix).await?;
+    if script.repeated.is_empty() {
+        return Ok(());
+    }
+    let batch = script
+        .repeated
+        .repeat(FLOOD_WRITE_BYTES.div_ceil(script.repeated.len()));
+    loop {
+        taken.fetch_add(tcp.write(&batch).await?, Ordering::Relaxed);
+    }
+}
+
+async fn call(target: SocketAddr) -> Result<Response, Error> {
+    static RUNTIME: Once = Once::new();
+    RUNTIME.call_once(fulmarreel_node::runtime::init);
+    let open = Open {
+        sequence: 1,
+        remaining_ms: 1_000,
+        wanted_ms: 1_000,
+        latest_ms: 1_000,
+        attempt: 0,
+        depth: 0,
+        idempotent: false,
+        rank: 1,
+        service: "s".to_owned(),
+        version: "v1".to_owned(),
+        method: "GET".to_owned(),
+        path: "/".to_owned(),
+        headers: Vec::new(),
+        length: 0,
+    };
+    let deadline = Instant::now() + Duration::from_secs(2);
+    Client::new(target).call(open, Vec::new(), deadline).await
+}
+
+/// Fails if a response whose head was broken off anywhere is taken for a response.
+#[rstest]
+#[case::length(b"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 12\r\n\r\n")]
+#[case::chunked(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")]
+#[case::no_length(b"HTTP/1.1 200 OK\r\nX-Seal: s\r\n\r\n")]
+fn a_head_that_breaks_off_is_no_response(#[case] head: &'static [u8]) -> anyhow::Result<()> {
+    fulmarreel_node::runtime::block_on(async {
+        let mut taken = Vec::new();
+        for end in 0..head.len() {
+            let script = Script {
+                prefix: &head[..end],
+                repeated: b"",
+            };
+            let (target, _) = start_target(script).await?;
+            if call(target).await.is_ok() {
+                taken.push(String::from_utf8_lossy(&head[..end]).into_owned());
+            }
+        }
+        ensure!(taken.is_empty(), "{taken:#?}");
+        Ok(())
+    })
+}
+
+/// Fails if a head without end is kept in memory beyond a limit.
+#[rstest]
+#[case::status_line(b"HTTP/1.1 200 ", b"a")]
+#[case::header_lines(b"HTTP/1.1 200 OK\r\n", b"x: y\r\n")]
+#[case::header_line(b"HTTP/1.1 200 OK\r\nx: ", b"y")]
+#[case::empty_lines(b"", b"\r\n")]
+#[case::interim(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n")]
+#[case::no_response(b"", b"a")]
+fn a_head_without_end_is_cut_off(
+    #[case] prefix: &'static [u8],
+    #[case] repeated: &'static [u8],
+) -> anyhow::Result<()> {
+    fulmarreel_node::runtime::block_on(async {
+        let (target, taken) = start_target(Script { prefix, repeated }).await?;
+        let flooded = async {
+            let _ = call(target).await;
+        };
+        or(flooded, async {
+            Timer::after(FLOOD_TIME).await;
+        })
+        .await;
+        let taken = taken.load(Ordering::Relaxed);
+        ensure!(taken < MAX_TAKEN_BYTES, "{taken} bytes taken");
+        Ok(())
+    })
+}
--- a/fulmarreel-node/tests/mesh/stop.rs
+++ b/fulmarreel-node/tests/mesh/stop.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     backend::Behavior,
-    support::{Answer, Instance, configure, eventually, start_pair},
+    support::{Answer, Instance, call, configure, eventually, start_pair},
 };
 use anyhow::{Context, ensure};
 use fulmarreel_testing::kv::FakePlatformStore;
@@ -206,6 +206,89 @@
     })
 }
 
+/// Slots of each target.
+const SLOTS: usize = 4;
+
+/// The longest time that a target runs a request in [`a_stop_cuts_off_no_request`].
+const LONG_WORK: Duration = Duration::from_millis(2_800);
+
+/// How long after a request a connection may be closed without a response: the request may have
+/// crossed the close.
+const CROSSING_TIME: Duration = Duration::from_millis(200);
+
+/// Fails if a request that is read during a stop, or waits for a slot as it begins, ends without a
+/// response, or is passed on so late that it cannot end before the process does. Each request has a
+/// connection that is used until the process is gone.
+#[rstest]
+#[case::lookups_at_another_node("/s/", "GET", Duration::from_millis(300))]
+#[case::bookings_at_another_node("/s-do/", "POST", Duration::from_millis(1_500))]
+#[case::long_lookups_at_another_node("/s/", "GET", LONG_WORK)]
+#[case::long_bookings_at_another_node("/s-do/", "POST", LONG_WORK)]
+#[case::long_bookings_at_the_own_target("/own-do/", "POST", LONG_WORK)]
+fn a_stop_cuts_off_no_request(
+    #[case] path: &str,
+    #[case] method: &str,
+    #[case] work: Duration,
+) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (_store, mut caller, instance) = start_pair().await?;
+        caller.wait_served("/own/").await?;
+        for served in [&caller, &instance] {
+            served.backend.set_behavior(Behavior {
+                delay: work,
+                ..Behavior::default()
+            });
+        }
+        // The node learns how long the work takes.
+        let known = caller.request(method, path, "r-known").await?;
+        ensure!(known.status == 200 || known.status == 504, "{}", known.text);
+        let mut requests = Vec::new();
+        for number in 0..8 {
+            requests.push(send_at(&caller, Duration::ZERO, method, path, number));
+        }
+        Timer::after(Duration::from_millis(50)).await;
+        caller.process.signal("TERM")?;
+        for number in 8..40_u32 {
+            let after = Duration::from_millis(100) * number;
+            requests.push(send_at(&caller, after, method, path, number as usize));
+        }
+        let mut cut = Vec::new();
+        for request in requests {
+            cut.extend(request.await);
+        }
+        caller.process.wait(Duration::from_secs(6))?;
+        ensure!(cut.is_empty(), "without a response: {cut:?}");
+        Ok(())
+    })
+}
+
+/// Sends a request on a connection that is opened now, after a time; returns its number if the node
+/// took it and closed the connection without a response.
+fn send_at(
+    node: &Instance,
+    after: Duration,
+    method: &str,
+    path: &str,
+    number: usize,
+) -> smol::Task<Option<usize>> {
+    let to = node.callers;
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r-{number}\r\n\
+        X-Deadline-Ms: 10000\r\nContent-Length: 0\r\n\r\n"
+    );
+    smol::spawn(async move {
+        let mut tcp = smol::net::TcpStream::connect(to).await.ok()?;
+        Timer::after(after).await;
+        smol::io::AsyncWriteExt::write_all(&mut tcp, request.as_bytes())
+            .await
+            .ok()?;
+        let sent = Instant::now();
+        let answer = crate::backend::read_message(&mut tcp).await;
+        let is_cut = !matches!(answer, Ok(Some(_))) && sent.elapsed() > CROSSING_TIME;
+        is_cut.then_some(number)
+    })
+}
+
 /// Fails if a request whose body arrives late in a stop is passed on, or gets no response.
 #[rstest]
 #[case::lookup("/s/")]
@@ -236,3 +319,67 @@
         Ok(())
     })
 }
+
+/// Fails if a request that has waited for a slot since before a stop gets no response, or no refusal, before
+/// the process ends, or one that its target still runs then gets none.
+#[rstest]
+#[case::lookups_at_another_node("/s/", "GET")]
+#[case::bookings_at_another_node("/s-do/", "POST")]
+#[case::lookups_at_the_own_target("/own/", "GET")]
+#[case::bookings_at_the_own_target("/own-do/", "POST")]
+fn what_is_open_before_a_stop_gets_a_response(
+    #[case] path: &str,
+    #[case] method: &str,
+) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (store, mut caller, instance) = start_pair().await?;
+        allow_long_requests(&store)?;
+        caller.wait_served("/own/").await?;
+        let configured = || async { caller.log().is_ok_and(|log| log.contains("\"version\":2")) };
+        eventually("configured", configured).await?;
+        for served in [&caller, &instance] {
+            served.backend.set_behavior(Behavior {
+                delay: Duration::from_secs(20),
+                ..Behavior::default()
+            });
+        }
+        let to = caller.callers;
+        let send = |number: usize| {
+            let (method, path) = (method.to_owned(), path.to_owned());
+            smol::spawn(async move {
+                let id = format!("r-{number}");
+                let headers = [("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "15000")];
+                let answer = call(to, &method, &path, "h.example", &headers, "").await;
+                answer.map(|answer| answer.status)
+            })
+        };
+        let arrivals = || caller.backend.arrivals().len() + instance.backend.arrivals().len();
+        let before = arrivals();
+        let running: Vec<_> = (0..SLOTS).map(send).collect();
+        eventually("running", || async { arrivals() == before + SLOTS }).await?;
+        let waiting: Vec<_> = (SLOTS..2 * SLOTS).map(send).collect();
+        Timer::after(Duration::from_millis(300)).await;
+        caller.process.signal("TERM")?;
+        for request in waiting {
+            let status = request.await?;
+            ensure!(status == 503, "waiting: {status}");
+        }
+        for request in running {
+            let status = request.await?;
+            ensure!(matches!(status, 502 | 504), "running: {status}");
+        }
+        caller.process.wait(Duration::from_secs(6))?;
+        ensure!(arrivals() == before + SLOTS, "passed on");
+        Ok(())
+    })
+}
+
+/// Raises the time limits of all routes.
+fn allow_long_requests(store: &FakePlatformStore) -> anyhow::Result<()> {
+    let config = store.get("op/config").context("no configuration")?;
+    let config = String::from_utf8(config)?
+        .replace("{\"version\":1,", "{\"version\":2,")
+        .replace("\"timeout_s\":3", "\"timeout_s\":20");
+    store.put("op/config", config.as_bytes());
+    Ok(())
+}
