--- a/fulmarreel-node/tests/mesh/backend.rs
+++ b/fulmarreel-node/tests/mesh/backend.rs
@@ -30,6 +30,8 @@
     pub unhealthy: bool,
     /// Runs the request, then sends bytes without end.
     pub flood: Option<Flood>,
+    /// Sends only that many bytes of each response, then closes the connection.
+    pub cut_after: Option<usize>,
     /// Sends an earlier refusal once more, on connections that have carried a request before.
     pub stray: Option<Stray>,
     /// Leaves the request's id out of each response.
@@ -218,6 +220,10 @@
                 X-Server-Load: 1,0,4\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
+            if let Some(bytes) = behavior.cut_after {
+                let sent = answer.as_bytes().get(..bytes);
+                return tcp.write_all(sent.unwrap_or(answer.as_bytes())).await;
+            }
             tcp.write_all(answer.as_bytes()).await?;
             match stray {
                 Some(stray) if stray.timing == Timing::BehindResponse => {
--- a/fulmarreel-node/tests/mesh/path.rs
+++ b/fulmarreel-node/tests/mesh/path.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     backend::{self, Behavior, header},
-    support::{Instance, call, configure, eventually, send_request},
+    support::{Instance, call, configure, eventually, send_request, start_pair},
 };
 use anyhow::ensure;
 use fulmarreel_testing::kv::FakePlatformStore;
@@ -322,3 +322,50 @@
         Ok(())
     })
 }
+
+/// Where the response of a target that breaks it off ends, in bytes, at most.
+const MAX_CUT_BYTES: usize = 140;
+
+/// Fails if a response that its target broke off, anywhere in its head or its body, reaches the caller as
+/// a success.
+#[rstest]
+#[case::lookups_at_another_node("/s/")]
+#[case::bookings_at_another_node("/s-do/")]
+#[case::lookups_at_the_own_target("/own/")]
+#[case::bookings_at_the_own_target("/own-do/")]
+fn a_response_that_breaks_off_is_no_success(#[case] path: &str) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (_store, caller, other) = start_pair().await?;
+        caller.wait_served("/own/").await?;
+        let serving = if path.starts_with("/own") {
+            &caller
+        } else {
+            &other
+        };
+        let whole = caller.request("GET", path, "r-100").await?;
+        ensure!(whole.status == 200, "{}", whole.text);
+        let (mut cuts, mut successes) = (0, Vec::new());
+        for bytes in 0..MAX_CUT_BYTES {
+            serving.backend.set_behavior(Behavior {
+                cut_after: Some(bytes),
+                ..Behavior::default()
+            });
+            // All ids are of one length, and so are the responses.
+            let id = format!("r-{}", 100 + bytes);
+            let answer = caller.request("GET", path, &id).await?;
+            if answer.status == 200 {
+                successes.push(bytes);
+            } else {
+                cuts += 1;
+                ensure!(matches!(answer.status, 502 | 503 | 504), "{}", answer.text);
+            }
+        }
+        // From some length on nothing is cut off.
+        ensure!(cuts > 80, "{cuts} cuts");
+        ensure!(
+            successes.iter().all(|bytes| *bytes >= cuts),
+            "{successes:?}"
+        );
+        Ok(())
+    })
+}
