fix: a status that the HTTP library does not list reaches the caller

Cause: the HTTP library writes the statuses of its own list only, and 500 for any other. Change: such a response is given to the library as 500, and the transport replaces the code in the status line that the library writes, at the same length. The own interface has the same cause, and is not changed: its client of the target is the same library's.

--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -204,7 +204,7 @@
             return self.end_abandoned(conn, &request, &offers);
         };
         self.log_outcome(&request, &outcome, &offers);
-        self.respond(conn, &request, outcome)
+        self.respond(conn, connection, &request, outcome)
     }
 
     fn is_closed(&self) -> bool {
@@ -235,7 +235,7 @@
             return self.end_abandoned(conn, &request, &Offers::default());
         };
         self.log_outcome(&request, &outcome, &offers);
-        self.respond(conn, &request, outcome)
+        self.respond(conn, connection, &request, outcome)
     }
 
     /// Ends a request whose caller closed its connection.
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -1,10 +1,13 @@
 //! Responses to callers, and the log line of each request.
 
 use super::{
-    FIRST_SERVER_ERROR, MIN_RETRY_AFTER, Request, RequestHandler,
+    CallerConnection, FIRST_SERVER_ERROR, MIN_RETRY_AFTER, Request, RequestHandler,
     offer::{Offers, RequestOutcome},
 };
-use crate::telemetry::metrics::{self, Outcome as OutcomeLabel};
+use crate::{
+    telemetry::metrics::{self, Outcome as OutcomeLabel},
+    transport::LISTED_STATUS,
+};
 use fulmarreel_platform::request;
 use std::time::{Duration, Instant};
 use trillium::{Conn, Status};
@@ -24,14 +27,18 @@
     pub(super) fn respond(
         &self,
         conn: Conn,
+        connection: &CallerConnection,
         request: &Request<'_>,
         outcome: RequestOutcome,
     ) -> Conn {
         match outcome {
             RequestOutcome::Answered(response) => {
-                let mut conn = conn
-                    .with_status(response.head.status)
-                    .with_body(response.body);
+                let status = Status::try_from(response.head.status).unwrap_or_else(|_| {
+                    let watcher = connection.watcher();
+                    watcher.set_unlisted_status(response.head.status);
+                    LISTED_STATUS
+                });
+                let mut conn = conn.with_status(status).with_body(response.body);
                 let headers = conn.response_headers_mut();
                 for header in response.head.headers {
                     headers.append(header.name, header.value);
--- a/fulmarreel-node/src/transport/mod.rs
+++ b/fulmarreel-node/src/transport/mod.rs
@@ -6,12 +6,17 @@
 //! next reads are served from that buffer first. Where the library gets heads singly, that buffer
 //! begins with the next request.
 
+mod status_line;
+
+pub use status_line::LISTED as LISTED_STATUS;
+
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
 use smol::{
     Timer,
     future::{or, yield_now},
     net::TcpStream,
 };
+use status_line::{StatusLine, UnlistedStatus};
 use std::{
     collections::VecDeque,
     io,
@@ -52,6 +57,7 @@
     in_body: Arc<AtomicBool>,
     /// Finds the ends of heads if the library gets them singly.
     head_end: Option<HeadEnd>,
+    status_line: StatusLine,
     /// Returns how long the connection may be idle; asked again each time, since it may change.
     idle_timeout: I,
     /// When the connection was last read or written.
@@ -111,6 +117,7 @@
     read_ahead: ReadAhead,
     allowance: Arc<AtomicU64>,
     in_body: Arc<AtomicBool>,
+    unlisted_status: UnlistedStatus,
 }
 
 impl<I: Fn() -> Duration> Transport<I> {
@@ -122,6 +129,7 @@
             allowance: Arc::new(AtomicU64::new(u64::MAX)),
             in_body: Arc::default(),
             head_end: None,
+            status_line: StatusLine::default(),
             last_active: Instant::now(),
             timer: Timer::after(idle_timeout()),
             idle_timeout,
@@ -142,6 +150,7 @@
             read_ahead: Arc::clone(&self.read_ahead),
             allowance: Arc::clone(&self.allowance),
             in_body: Arc::clone(&self.in_body),
+            unlisted_status: self.status_line.unlisted(),
         }
     }
 
@@ -230,6 +239,12 @@
         or(disconnected, async { Some(work.await) }).await
     }
 
+    /// Sets the status code of the next response if the HTTP library does not list it; the library is to
+    /// be given [`LISTED_STATUS`].
+    pub fn set_unlisted_status(&self, code: u16) {
+        self.unlisted_status.set(code);
+    }
+
     /// Reads a request's body of at most `limit` bytes.
     ///
     /// # Errors
@@ -334,7 +349,12 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.touch();
-        Pin::new(&mut self.tcp).poll_write(cx, bytes)
+        let Some(replaced) = self.status_line.replace(bytes) else {
+            return Pin::new(&mut self.tcp).poll_write(cx, bytes);
+        };
+        let written = ready!(Pin::new(&mut self.tcp).poll_write(cx, &replaced))?;
+        self.status_line.advance(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/fulmarreel-node/tests/mesh/path.rs
+++ b/fulmarreel-node/tests/mesh/path.rs
@@ -4,7 +4,7 @@
     backend::{self, Behavior, header},
     support::{Instance, call, configure, eventually, send_request, start_pair},
 };
-use anyhow::ensure;
+use anyhow::{Context, ensure};
 use fulmarreel_testing::kv::FakePlatformStore;
 use rstest::rstest;
 use smol::{io::AsyncWriteExt, net::TcpStream};
@@ -357,7 +357,7 @@
                 successes.push(bytes);
             } else {
                 cuts += 1;
-                ensure!(matches!(answer.status, 502 | 503 | 504), "{}", answer.text);
+                ensure!(matches!(answer.status, 502..=504), "{}", answer.text);
             }
         }
         // From some length on nothing is cut off.
@@ -369,3 +369,53 @@
         Ok(())
     })
 }
+
+/// Fails if a status that the HTTP library does not list reaches the caller as another one (review case 4,
+/// rule MIXED: 208 came as 500, with the target's seal), or if the next response on the connection has it.
+#[rstest]
+#[case::lookups_at_another_node("/s/")]
+#[case::bookings_at_another_node("/s-do/")]
+#[case::bookings_at_the_own_target("/own-do/")]
+fn the_targets_status_reaches_the_caller(#[case] path: &str) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (_store, caller, other) = start_pair().await?;
+        caller.wait_served("/own/").await?;
+        let mut tcp = TcpStream::connect(caller.callers).await?;
+        for (number, status) in [
+            208, 200, 419, 460, 500, 499, 404, 509, 520, 299, 399, 599, 200,
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            for serving in [&caller, &other] {
+                serving.backend.set_behavior(Behavior {
+                    status,
+                    ..Behavior::default()
+                });
+            }
+            let request = format!(
+                "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r-{number}\r\n\
+                Content-Length: 0\r\n\r\n"
+            );
+            tcp.write_all(request.as_bytes()).await?;
+            let answer = backend::read_message(&mut tcp).await?;
+            let answer = answer.context("no response")?;
+            let line = format!("HTTP/1.1 {status} ");
+            ensure!(answer.starts_with(&line), "{status}: {answer}");
+            let seal = format!("seal-r-{number}");
+            ensure!(header(&answer, "x-server-seal") == Some(&*seal), "{answer}");
+            ensure!(
+                answer.ends_with(&format!(
+                    "answer of {}",
+                    if path.starts_with("/own") {
+                        &caller.backend.id
+                    } else {
+                        &other.backend.id
+                    }
+                )),
+                "{answer}"
+            );
+        }
+        Ok(())
+    })
+}
