--- /dev/null
+++ b/fulmarreel-node/src/mesh/serve/own_target.rs
@@ -0,0 +1,217 @@
+//! What the server believes of the own target.
+
+use super::{CHECK_INTERVAL, Server};
+use crate::{mesh::keys, state::unix_millis};
+use fulmarreel_membership::{
+    Announcement,
+    announcement::{CurrentTarget, History, Run, Verdict},
+};
+use fulmarreel_wire::call::Frame;
+use smol::Timer;
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+/// A target that has not announced itself for this many announcement intervals is withdrawn. No
+/// announcement is expected to arrive later than that either.
+const MAX_SILENT_INTERVALS: u32 = 5;
+
+/// How often a target is asked whether it is there, after an announcement that does not prove it.
+const MAX_CONFIRMATION_ATTEMPTS: u32 = 4;
+
+/// The time between two such attempts.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The own target's announcements, and when the last one arrived.
+#[derive(Debug)]
+pub(super) struct OwnTarget {
+    pub current_target: CurrentTarget,
+    pub last_heard: Instant,
+}
+
+impl Server {
+    /// The latest announcement of the own target, if it has one in force.
+    pub fn target(&self) -> Option<Announcement> {
+        let own = self.own_target.lock().expect("own target lock");
+        own.current_target.get().cloned()
+    }
+
+    /// Whether a run of the own target has left or is leaving.
+    pub fn has_left(&self, run: &Run) -> bool {
+        let own = self.own_target.lock().expect("own target lock");
+        own.current_target.has_left(run)
+    }
+
+    /// The departures that the node's entry has to record.
+    pub fn departures(&self) -> Vec<keys::Departure> {
+        let own = self.own_target.lock().expect("own target lock");
+        let departures = own.current_target.recorded_departures();
+        departures.map(Into::into).collect()
+    }
+
+    /// Handles an announcement of the own target.
+    pub fn handle_announcement(&self, announcement: Announcement) -> Verdict {
+        let id = announcement.id.clone();
+        let verdict = self.change_target(|target| target.apply(announcement));
+        if verdict == Verdict::Unconfirmed {
+            log::info!(target = id.as_str(); "announcement waits for a confirmation");
+        }
+        verdict
+    }
+
+    /// Uses the target that an earlier process of this node knew, provided that its health check says
+    /// that it accepts requests; the target's own announcements replace it.
+    pub async fn resume_target(&self, known: keys::Target, health_path: &str) {
+        let accepts = self.endpoint.accepts_requests(health_path, &known.id).await;
+        match accepts {
+            Ok(true) if self.target().is_none() => {
+                let settings = self.context.settings();
+                let announcement = Announcement {
+                    id: known.id,
+                    // Any announcement of the target itself is newer.
+                    started_at_ms: known.started_at_ms.unwrap_or(0),
+                    sequence: 0,
+                    endpoint: settings.endpoint,
+                    service: known.service,
+                    version: known.version,
+                    zone: settings.zone.clone(),
+                    slots: known.slots,
+                    leaving: false,
+                    warm_up_remaining: Duration::ZERO,
+                };
+                self.change_target(|target| target.confirm(announcement));
+            }
+            Ok(_) => {}
+            Err(error) => log::info!(target = known.id.as_str(); "target not resumed: {error}"),
+        }
+    }
+
+    /// Asks the target whose announcement waits for a confirmation whether it is there, a few times at
+    /// most; does nothing while that is under way.
+    pub async fn confirm_target(&self, health_path: &str) {
+        if self.is_confirming.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        for _ in 0..MAX_CONFIRMATION_ATTEMPTS {
+            let Some(waiting) = self.unconfirmed() else {
+                break;
+            };
+            let accepts = self.endpoint.accepts_requests(health_path, &waiting.id);
+            if let Ok(true) = accepts.await {
+                self.change_target(|target| target.confirm(waiting));
+                break;
+            }
+            Timer::after(CONFIRMATION_INTERVAL).await;
+        }
+        self.is_confirming.store(false, Ordering::Release);
+    }
+
+    /// Takes over what earlier processes of this node recorded of its targets.
+    pub fn restore(&self, history: History) {
+        self.change_target(|target| target.restore(history));
+    }
+
+    /// Goes by announcements alone from now on if the node's history is still not known: by this time,
+    /// all that were made before the process started have arrived.
+    fn presume_history(&self) {
+        let is_known = {
+            let own = self.own_target.lock().expect("own target lock");
+            own.current_target.is_history_known()
+        };
+        if !is_known {
+            log::info!("announcements are used without the node's history");
+            self.restore(History::default());
+        }
+    }
+
+    /// Handles a target's announcement that it ends.
+    pub fn end_target(&self, id: &str) {
+        self.change_target(|target| target.end(id, unix_millis()));
+    }
+
+    fn unconfirmed(&self) -> Option<Announcement> {
+        let own = self.own_target.lock().expect("own target lock");
+        own.current_target.unconfirmed().cloned()
+    }
+
+    /// Changes what is known of the own target, and reacts if it is another one now.
+    fn change_target<T>(&self, change: impl FnOnce(&mut CurrentTarget) -> T) -> T {
+        let (before, result, current) = {
+            let mut own = self.own_target.lock().expect("own target lock");
+            let before = own.current_target.get().cloned();
+            let result = change(&mut own.current_target);
+            let current = own.current_target.get().cloned();
+            own.last_heard = Instant::now();
+            (before, result, current)
+        };
+        if let Some(target) = current
+            && before.as_ref() != Some(&target)
+        {
+            self.slot_queue.resize(target.slots);
+        }
+        self.handle_target_change(before.as_ref());
+        result
+    }
+
+    /// Withdraws a target that has not announced itself for too long, and goes by announcements alone from
+    /// some time after the process's start on.
+    pub(super) fn withdraw_silent_target(&self, started: Instant, last_check: &mut Instant) {
+        let silence_limit = self.context.settings().announcement_interval * MAX_SILENT_INTERVALS;
+        let before = self.target();
+        let was_paused = last_check.elapsed() > CHECK_INTERVAL * 2;
+        *last_check = Instant::now();
+        let is_silent = {
+            let mut own = self.own_target.lock().expect("own target lock");
+            // After a pause of this process the target's announcements may still be unread.
+            if was_paused {
+                own.last_heard = *last_check;
+            }
+            let is_silent = before.is_some() && own.last_heard.elapsed() > silence_limit;
+            if is_silent {
+                own.current_target.withdraw();
+            }
+            is_silent
+        };
+        if is_silent {
+            self.handle_target_change(before.as_ref());
+        }
+        if started.elapsed() > silence_limit {
+            self.presume_history();
+        }
+    }
+
+    /// Reacts to a possible change of the own target.
+    fn handle_target_change(&self, before: Option<&Announcement>) {
+        let current = self.target();
+        let accepting =
+            |target: Option<&Announcement>| target.is_some_and(|target| !target.leaving);
+        let (was_accepting, is_accepting) = (accepting(before), accepting(current.as_ref()));
+        let identity = |target: Option<&Announcement>| {
+            target.map(|target| (target.id.clone(), target.started_at_ms))
+        };
+        let is_another = identity(before) != identity(current.as_ref());
+        if was_accepting != is_accepting || is_another {
+            let id = current
+                .as_ref()
+                .or(before)
+                .map_or("", |target| target.id.as_str());
+            log::info!(target = id, takes_requests = is_accepting; "own target");
+        }
+        if is_another {
+            self.endpoint.close_idle();
+        }
+        if was_accepting != is_accepting {
+            self.sessions.broadcast(if is_accepting {
+                &Frame::Accepting
+            } else {
+                &Frame::Leaving
+            });
+        }
+    }
+
+    pub(super) fn accepts_requests(&self) -> bool {
+        let target = self.target();
+        !self.context.is_stopping() && target.is_some_and(|target| !target.leaving)
+    }
+}
