--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -1,6 +1,7 @@
 //! Requests of callers and of the own target, from their arrival to their response.
 
 mod choose;
+mod delivery;
 mod head;
 mod offer;
 mod pipeline;
@@ -14,6 +15,7 @@
     peer::{Identity, Pool},
     runtime::{self, Task},
 };
+use delivery::InFlightGuard;
 use fulmarreel_balance::Budget;
 use fulmarreel_platform::request;
 use fulmarreel_route::Route;
@@ -58,20 +60,11 @@
     /// Mean size of response bodies by route.
     response_kilobytes: Mutex<HashMap<String, f64>>,
     next_sequence: AtomicU64,
-    in_flight: AtomicUsize,
+    in_flight: Arc<AtomicUsize>,
     /// Whether further requests are refused.
     closed: AtomicBool,
 }
 
-/// Counts a request as in flight until dropped.
-struct InFlightGuard<'a>(&'a AtomicUsize);
-
-impl Drop for InFlightGuard<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// The attempts of a request that was started before its turn; cancelled if dropped.
 type RequestTask = Task<(RequestOutcome, Offers)>;
 
@@ -107,7 +100,7 @@
             budgets: Mutex::default(),
             response_kilobytes: Mutex::default(),
             next_sequence: AtomicU64::new(1),
-            in_flight: AtomicUsize::new(0),
+            in_flight: Arc::default(),
             closed: AtomicBool::new(false),
         }
     }
@@ -139,9 +132,8 @@
     }
 
     /// Counts a request as in flight until the result is dropped.
-    fn count_in_flight(&self) -> InFlightGuard<'_> {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
-        InFlightGuard(&self.in_flight)
+    fn count_in_flight(&self) -> InFlightGuard {
+        InFlightGuard::new(&self.in_flight)
     }
 
     /// Starts a request without a body before its turn, if it is idempotent.
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -1,7 +1,7 @@
 //! Responses to callers, and the log line of each request.
 
 use super::{
-    CallerConnection, FIRST_SERVER_ERROR, MIN_RETRY_AFTER, Request, RequestHandler,
+    CallerConnection, FIRST_SERVER_ERROR, MIN_RETRY_AFTER, Request, RequestHandler, delivery,
     offer::{Offers, RequestOutcome},
 };
 use crate::{
@@ -38,7 +38,8 @@
                     watcher.set_unlisted_status(response.head.status);
                     LISTED_STATUS
                 });
-                let mut conn = conn.with_status(status).with_body(response.body);
+                let body = delivery::body(response.body, || self.count_in_flight());
+                let mut conn = conn.with_status(status).with_body(body);
                 let headers = conn.response_headers_mut();
                 for header in response.head.headers {
                     headers.append(header.name, header.value);
--- a/fulmarreel-node/tests/mesh/backend.rs
+++ b/fulmarreel-node/tests/mesh/backend.rs
@@ -32,6 +32,8 @@
     pub flood: Option<Flood>,
     /// Sends only that many bytes of each response, then closes the connection.
     pub cut_after: Option<usize>,
+    /// Appends that many bytes to the body of each response.
+    pub padding_bytes: usize,
     /// Sends an earlier refusal once more, on connections that have carried a request before.
     pub stray: Option<Stray>,
     /// Leaves the request's id out of each response.
@@ -214,7 +216,8 @@
             {
                 send_stray(&mut tcp, stray, last_id).await?;
             }
-            let body = format!("answer of {}", self.id);
+            let mut body = format!("answer of {}", self.id);
+            body.push_str(&".".repeat(behavior.padding_bytes));
             let answer = format!(
                 "HTTP/1.1 {status} Answer\r\n{id_line}X-Server-Seal: seal-{id}\r\n\
                 X-Server-Load: 1,0,4\r\nContent-Length: {}\r\n\r\n{body}",
--- a/fulmarreel-node/tests/mesh/stop.rs
+++ b/fulmarreel-node/tests/mesh/stop.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     backend::Behavior,
-    support::{Answer, Instance, call, configure, eventually, start_pair},
+    support::{Answer, Instance, call, configure, eventually, send_request, start_pair},
 };
 use anyhow::{Context, ensure};
 use fulmarreel_testing::kv::FakePlatformStore;
@@ -383,3 +383,45 @@
     store.put("op/config", config.as_bytes());
     Ok(())
 }
+
+/// Bytes of a long response, and how many of them its caller reads at once.
+const LONG_BODY_BYTES: usize = 9_000_000;
+const READ_BYTES: usize = 65_536;
+
+/// The time between two reads: the response takes some four seconds.
+const READ_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Fails if a node ends while a response is delivered to a caller that reads it slowly (the review's case
+/// of a stop in a long answer, rule LOST: 10 of 13 MB arrived).
+#[rstest]
+#[case::another_node("/s-do/")]
+#[case::own_target("/own/")]
+fn a_stop_lets_a_long_response_be_delivered(#[case] path: &str) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (_store, caller, instance) = start_pair().await?;
+        caller.wait_served("/own/").await?;
+        for served in [&caller, &instance] {
+            served.backend.set_behavior(Behavior {
+                padding_bytes: LONG_BODY_BYTES,
+                ..Behavior::default()
+            });
+        }
+        let headers = [("X-Request-Id", "r-long"), ("X-Deadline-Ms", "3000")];
+        let mut tcp = send_request(caller.callers, "POST", path, "h.example", &headers, "").await?;
+        let mut buffer = vec![0; READ_BYTES];
+        let mut received = 0;
+        loop {
+            let read = smol::io::AsyncReadExt::read(&mut tcp, &mut buffer).await?;
+            if received == 0 {
+                caller.process.signal("TERM")?;
+            }
+            received += read;
+            if read == 0 || received > LONG_BODY_BYTES {
+                break;
+            }
+            Timer::after(READ_INTERVAL).await;
+        }
+        ensure!(received > LONG_BODY_BYTES, "{received} bytes");
+        Ok(())
+    })
+}
