fix(node): a late deletion of a node's entry does not hit a later process's

A deletion whose response was lost can take effect seconds later, when a process in the node's place has written its entry. It is conditional on the entry's revision now, as the writes are. No run has shown the fault; found by reading. departed::, store:: and the stops' tests pass.

--- a/fulmarreel-node/src/mesh/publish.rs
+++ b/fulmarreel-node/src/mesh/publish.rs
@@ -59,7 +59,7 @@
     /// A call took too long; a write may have taken effect.
     #[error("no response of the store")]
     Timeout,
-    /// Another writer changed the entry each time.
+    /// Another writer changed the entry meanwhile.
     #[error("the entry was changed by another writer")]
     Conflict,
     /// The entry could not be encoded.
@@ -408,13 +408,20 @@
             return Ok(());
         }
         let store = &self.context.store;
-        let mut transaction = Transaction::new().delete(&self.key());
+        let key = self.key();
+        let mut transaction = Transaction::new()
+            .when_mod_revision(&key, record.revision.unwrap_or(Revision::ABSENT))
+            .delete(&key);
         if !departures.is_empty() {
             let lease = record.in_time(store.grant(DEPARTURES_TTL)).await?;
             let value = serde_json::to_vec(&departures)?;
             transaction = transaction.put_leased(&self.departures_key(), &value, lease);
         }
-        record.in_time(store.commit(&transaction)).await?;
+        if let Outcome::Conflict(entries) = record.in_time(store.commit(&transaction)).await? {
+            record.set(entries.iter().find(|entry| entry.key == key));
+            return Err(SyncError::Conflict);
+        }
+        record.revision = Some(Revision::ABSENT);
         record.value = None;
         record.departures = departures;
         Ok(())
