--- a/fulmarreel-membership/src/announcement.rs
+++ b/fulmarreel-membership/src/announcement.rs
@@ -84,11 +84,13 @@
     latest: Option<Announcement>,
     /// Whether the target of the latest announcement is there.
     is_present: bool,
+    /// The latest ones, at most one for each run.
     departures: Vec<Departure>,
     /// Whether the departures of earlier processes are known.
     is_history_known: bool,
     /// The last target of an earlier process.
     former: Option<Run>,
+    /// The latest announcement that is used once its target confirms it, or the history is known.
     unconfirmed: Option<Announcement>,
 }
 
