--- a/fulmarreel-node/tests/mesh/departed.rs
+++ b/fulmarreel-node/tests/mesh/departed.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     backend::Behavior,
-    support::{Instance, call, configure, eventually, start_pair},
+    support::{Instance, configure, eventually, start_pair},
 };
 use anyhow::{Context, ensure};
 use fulmarreel_testing::kv::{FakePlatformStore, Faults};
@@ -75,16 +75,7 @@
     let body = body
         .replace("\"born\":1", &format!("\"born\":{}", message.born))
         .replace("SEQ", &message.sequence.to_string());
-    let path = format!("/-/instances/{}", instance.backend.id);
-    let answer = call(instance.announcements, "PUT", &path, "node", &[], &body).await?;
-    Ok(answer.status == 200)
-}
-
-/// Sends `DELETE` for the target; returns whether it was acknowledged.
-async fn end(instance: &Instance) -> anyhow::Result<bool> {
-    let path = format!("/-/instances/{}", instance.backend.id);
-    let answer = call(instance.announcements, "DELETE", &path, "node", &[], "").await?;
-    Ok(answer.status == 200)
+    instance.announce(&body).await
 }
 
 async fn leave(instance: &Instance, leaving: Leaving) -> anyhow::Result<()> {
@@ -92,7 +83,7 @@
         ensure!(announce(instance, &Message::DRAINING).await?, "draining");
     }
     if matches!(leaving, Leaving::Ends | Leaving::DrainsAndEnds) {
-        ensure!(end(instance).await?, "end");
+        ensure!(instance.end_target().await?, "end");
     }
     Ok(())
 }
@@ -202,7 +193,7 @@
         }
         instance.restart()?;
         instance.wait_served("/s/").await?;
-        ensure!(end(&instance).await?, "not acknowledged");
+        ensure!(instance.end_target().await?, "not acknowledged");
         restart(&mut instance, how).await?;
         announce(&instance, &Message::LATE).await?;
         ensure_gone(&instance, SETTLE_TIME).await
--- a/fulmarreel-node/tests/mesh/endless.rs
+++ b/fulmarreel-node/tests/mesh/endless.rs
@@ -76,16 +76,11 @@
 /// Announces more slots for the target. By its sequence number this is newer than all of the
 /// target's other announcements, so that the slots stay.
 async fn announce_slots(target: &Instance, slots: u16) -> anyhow::Result<()> {
-    let backend = &target.backend;
-    let body = format!(
-        "{{\"address\":\"{}\",\"born\":1,\"info\":{{\"service\":\"{}\",\"version\":\"{}\",\
-        \"zone\":\"a\",\"slots\":{slots}}},\"status\":{{\"state\":\"ready\",\"seq_no\":1000000,\
-        \"cold_remaining_s\":0}}}}",
-        backend.endpoint, target.service, backend.version
-    );
-    let path = format!("/-/instances/{}", backend.id);
-    let answer = call(target.announcements, "PUT", &path, "node", &[], &body).await?;
-    ensure!(answer.status == 200, "{}", answer.text);
+    let body = target.announcement("ready");
+    let body = body
+        .replace("\"slots\":4", &format!("\"slots\":{slots}"))
+        .replace("SEQ", "1000000");
+    ensure!(target.announce(&body).await?, "not acknowledged");
     Ok(())
 }
 
--- a/fulmarreel-node/tests/mesh/odd.rs
+++ b/fulmarreel-node/tests/mesh/odd.rs
@@ -1,6 +1,6 @@
 //! Entries and announcements of other writers that name no target.
 
-use crate::support::{Instance, call, configure, eventually};
+use crate::support::{Instance, configure, eventually};
 use anyhow::ensure;
 use fulmarreel_testing::kv::FakePlatformStore;
 use smol::Timer;
@@ -103,7 +103,6 @@
         configure(&store, 1, &["s"]);
         let mut instance = Instance::start(store.address(), "s", "v1").await?;
         instance.wait_served("/s/").await?;
-        let id = instance.backend.id.clone();
         for (born, sequence) in [
             ("18446744073709551615", "1"),
             ("9007199254740991", "1"),
@@ -114,8 +113,7 @@
             let body = instance.announcement("draining");
             let body = body.replace("\"born\":1", &format!("\"born\":{born}"));
             let body = body.replace("SEQ", sequence);
-            let path = format!("/-/instances/{id}");
-            call(instance.announcements, "PUT", &path, "node", &[], &body).await?;
+            instance.announce(&body).await?;
             let answer = instance.request("GET", "/s/", "r").await?;
             ensure!(answer.status == 200, "{born}, {sequence}: {}", answer.text);
         }
--- a/fulmarreel-node/tests/mesh/support.rs
+++ b/fulmarreel-node/tests/mesh/support.rs
@@ -146,8 +146,22 @@
     pub async fn drain(&mut self) -> anyhow::Result<bool> {
         self.heartbeat = None;
         let body = self.announcement("draining").replace("SEQ", "1000000");
+        self.announce(&body).await
+    }
+
+    /// Sends one announcement of the target; returns whether the node acknowledged it.
+    pub async fn announce(&self, body: &str) -> anyhow::Result<bool> {
+        self.tell_node("PUT", body).await
+    }
+
+    /// Tells the node that the target has ended; returns whether the node acknowledged it.
+    pub async fn end_target(&self) -> anyhow::Result<bool> {
+        self.tell_node("DELETE", "").await
+    }
+
+    async fn tell_node(&self, method: &str, body: &str) -> anyhow::Result<bool> {
         let path = format!("/-/instances/{}", self.backend.id);
-        let answer = call(self.announcements, "PUT", &path, "node", &[], &body).await?;
+        let answer = call(self.announcements, method, &path, "node", &[], body).await?;
         Ok(answer.status == 200)
     }
 
--- a/fulmarreel-node/tests/broken.rs
+++ b/fulmarreel-node/tests/target/broken.rs
@@ -1,9 +1,8 @@
-//! The own interface's client of the local target, where the target breaks its response off, or sends
-//! one without end.
+//! A target that breaks its response off, or sends one without end.
 
+use crate::support::{call, run};
 use anyhow::ensure;
-use fulmarreel_node::target::{Client, Error, Response};
-use fulmarreel_wire::call::Open;
+use fulmarreel_node::target::Client;
 use rstest::rstest;
 use smol::{
     Timer,
@@ -15,10 +14,10 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Once,
+        Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// How much of a head without end may be taken. The system's own buffers of a connection count, which may
@@ -72,36 +71,13 @@
     }
 }
 
-async fn call(target: SocketAddr) -> Result<Response, Error> {
-    static RUNTIME: Once = Once::new();
-    RUNTIME.call_once(fulmarreel_node::runtime::init);
-    let open = Open {
-        sequence: 1,
-        remaining_ms: 1_000,
-        wanted_ms: 1_000,
-        latest_ms: 1_000,
-        attempt: 0,
-        depth: 0,
-        idempotent: false,
-        rank: 1,
-        service: "s".to_owned(),
-        version: "v1".to_owned(),
-        method: "GET".to_owned(),
-        path: "/".to_owned(),
-        headers: Vec::new(),
-        length: 0,
-    };
-    let deadline = Instant::now() + Duration::from_secs(2);
-    Client::new(target).call(open, Vec::new(), deadline).await
-}
-
 /// Fails if a response whose head was broken off anywhere is taken for a response.
 #[rstest]
 #[case::length(b"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 12\r\n\r\n")]
 #[case::chunked(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")]
 #[case::no_length(b"HTTP/1.1 200 OK\r\nX-Seal: s\r\n\r\n")]
 fn a_head_that_breaks_off_is_no_response(#[case] head: &'static [u8]) -> anyhow::Result<()> {
-    fulmarreel_node::runtime::block_on(async {
+    run(async {
         let mut taken = Vec::new();
         for end in 0..head.len() {
             let script = Script {
@@ -109,7 +85,7 @@
                 repeated: b"",
             };
             let (target, _) = start_target(script).await?;
-            if call(target).await.is_ok() {
+            if call(&Client::new(target), 1).await.is_ok() {
                 taken.push(String::from_utf8_lossy(&head[..end]).into_owned());
             }
         }
@@ -130,9 +106,9 @@
     #[case] prefix: &'static [u8],
     #[case] repeated: &'static [u8],
 ) -> anyhow::Result<()> {
-    fulmarreel_node::runtime::block_on(async {
+    run(async {
         let (target, taken) = start_target(Script { prefix, repeated }).await?;
-        let flooded = async { Some(call(target).await.is_ok()) };
+        let flooded = async { Some(call(&Client::new(target), 1).await.is_ok()) };
         let timeout = async {
             Timer::after(FLOOD_TIMEOUT).await;
             None
--- /dev/null
+++ b/fulmarreel-node/tests/target/main.rs
@@ -0,0 +1,5 @@
+//! The own interface's client of the local target.
+
+mod broken;
+mod stray;
+mod support;
--- a/fulmarreel-node/tests/stray.rs
+++ b/fulmarreel-node/tests/target/stray.rs
@@ -1,21 +1,15 @@
-//! The own interface's client of the local target, where the target writes an earlier response once
-//! more on a kept connection.
+//! A target that writes an earlier response once more on a kept connection.
 
+use crate::support::{call, run};
 use anyhow::{Context, ensure};
 use fulmarreel_node::target::Client;
-use fulmarreel_wire::call::Open;
 use rstest::rstest;
 use smol::{
     Timer,
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
-use std::{
-    io,
-    net::SocketAddr,
-    sync::Once,
-    time::{Duration, Instant},
-};
+use std::{io, net::SocketAddr, time::Duration};
 
 /// Calls that the client makes one after the other.
 const CALLS: u64 = 8;
@@ -82,29 +76,10 @@
 fn a_copy_of_an_earlier_response_answers_no_call(
     #[values(Timing::BehindResponse, Timing::Idle, Timing::BeforeResponse)] timing: Timing,
 ) -> anyhow::Result<()> {
-    static RUNTIME: Once = Once::new();
-    RUNTIME.call_once(fulmarreel_node::runtime::init);
-    fulmarreel_node::runtime::block_on(async {
+    run(async {
         let client = Client::new(start_target(timing).await?);
         for number in 0..CALLS {
-            let open = Open {
-                sequence: number,
-                remaining_ms: 1_000,
-                wanted_ms: 1_000,
-                latest_ms: 1_000,
-                attempt: 0,
-                depth: 0,
-                idempotent: false,
-                rank: 1,
-                service: "s".to_owned(),
-                version: "v1".to_owned(),
-                method: "GET".to_owned(),
-                path: format!("/{number}"),
-                headers: Vec::new(),
-                length: 0,
-            };
-            let deadline = Instant::now() + Duration::from_secs(2);
-            let response = client.call(open, Vec::new(), deadline).await?;
+            let response = call(&client, number).await?;
             let body = response.body.context("a body")?;
             let text = body.await?;
             ensure!(text == number.to_string(), "{number}: {text:?}");
