refactor(node): one backoff, one place that notes what the store has, one wait for the process's end

Change: `Backoff` (its jitter begins at zero: the first delay is 150 ms on average in place of 225); `Record::set` alone notes revision, value and decoded entry; `until_nearly_ended`; `response_limit`; the history is presumed where the silence is checked, under the same lock.

--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -180,8 +180,8 @@
         let left_before_work =
             |deadline: Instant| deadline.saturating_duration_since(now + expected_work);
         // If the process ends before the deadline, a waiting request is refused while it can still be.
-        let shutdown = self.context.end().map(|end| end - SHUTDOWN_MARGIN);
-        let deadline = shutdown.map_or(request.deadline, |end| end.min(request.deadline));
+        let limit = self.response_limit();
+        let deadline = limit.map_or(request.deadline, |limit| limit.min(request.deadline));
         let latest = left_before_work(deadline);
         let wanted =
             left_before_work((request.started + objective) - expected_work.mul_f64(LATENCY_MARGIN))
@@ -193,11 +193,15 @@
 
     /// Whether a response can be expected before this process ends.
     fn has_time_before_end(&self, request: &Request<'_>) -> bool {
-        let Some(end) = self.context.end() else {
-            return true;
-        };
         let typical = self.targets.typical_latency(&request.route.name);
-        Instant::now() + typical.unwrap_or_default() + SHUTDOWN_MARGIN < end
+        let expected = Instant::now() + typical.unwrap_or_default();
+        self.response_limit().is_none_or(|limit| expected < limit)
+    }
+
+    /// Until when a response can be sent on before this process ends; `None` until it has been told
+    /// to stop.
+    fn response_limit(&self) -> Option<Instant> {
+        self.context.end().map(|end| end - SHUTDOWN_MARGIN)
     }
 
     /// Whether another target can be expected to answer by the deadline.
--- a/fulmarreel-node/src/mesh/exchange.rs
+++ b/fulmarreel-node/src/mesh/exchange.rs
@@ -163,26 +163,25 @@
     /// Runs the request at this node's own target. While it waits for a slot it is withdrawn if its
     /// caller leaves, or this process ends.
     async fn run_locally(&self, open: &Open, body: &[u8]) -> AttemptOutcome {
-        let admitted = or(self.server.admit(open), async {
-            self.context.wait_until_nearly_ended().await;
-            Err(Rejection::Refused {
-                reason: Refusal::Leaving,
-                retry_after: Duration::ZERO,
-            })
-        });
-        let run = async {
-            match admitted.await {
-                Ok(admitted) if open.idempotent => self.server.execute(admitted, open, body).await,
-                Ok(admitted) => self.run_to_completion(admitted, open, body).await,
-                Err(rejection) => Err(rejection),
+        let withdrawn = Rejection::Refused {
+            reason: Refusal::Leaving,
+            retry_after: Duration::ZERO,
+        };
+        let admitted = self.until_nearly_ended(self.server.admit(open), withdrawn);
+        let result = match admitted.await {
+            Ok(admitted) => {
+                let run = async {
+                    if open.idempotent {
+                        self.server.execute(admitted, open, body).await
+                    } else {
+                        self.run_to_completion(admitted, open, body).await
+                    }
+                };
+                self.until_nearly_ended(run, Rejection::Failed(Failure::Deadline))
+                    .await
             }
+            Err(rejection) => Err(rejection),
         };
-        // Polled first, so that a request that is withdrawn at the end counts as not run.
-        let result = or(run, async {
-            self.context.wait_until_nearly_ended().await;
-            Err(Rejection::Failed(Failure::Deadline))
-        });
-        let result = result.await;
         match result {
             Ok(response) => AttemptOutcome::Answered(response),
             Err(Rejection::Refused {
@@ -193,6 +192,19 @@
         }
     }
 
+    /// Awaits `work` until shortly before this process ends; `rejection` is the result then.
+    async fn until_nearly_ended<T>(
+        &self,
+        work: impl Future<Output = Result<T, Rejection>>,
+        rejection: Rejection,
+    ) -> Result<T, Rejection> {
+        or(work, async {
+            self.context.wait_until_nearly_ended().await;
+            Err(rejection)
+        })
+        .await
+    }
+
     /// Runs a non-idempotent request to its end, in a task of its own, even if its caller leaves.
     async fn run_to_completion(
         &self,
--- a/fulmarreel-node/src/mesh/publish.rs
+++ b/fulmarreel-node/src/mesh/publish.rs
@@ -11,6 +11,8 @@
     keys::{self, Departure, Node},
     serve::Server,
 };
+use fastrand::Rng;
+use fulmarreel_distribution::backoff::Backoff;
 use fulmarreel_membership::announcement::History;
 use fulmarreel_store::{Entry, Error, Outcome, Revision, Store, Transaction};
 use smol::{Timer, future::or, lock::Mutex};
@@ -19,11 +21,11 @@
     time::{Duration, Instant},
 };
 
-/// The delay after the first failed call; it doubles with each failure.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Limit of the delay after the first failed write; it doubles with each failure.
+const INITIAL_BACKOFF: Duration = Duration::from_millis(300);
 
-/// The longest such delay.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_500);
+/// Greatest limit of that delay.
+const MAX_BACKOFF: Duration = Duration::from_secs(3);
 
 /// How often the entry is compared with the mirror of the store.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -38,8 +40,8 @@
 /// How long a target that says that it leaves waits for its acknowledgement; targets wait a second.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// The delay after the first failed attempt to record a departure; it doubles with each.
-const MIN_RECORD_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Limit of the delay after the first failed attempt to record a departure; it doubles with each.
+const INITIAL_RECORD_BACKOFF: Duration = Duration::from_millis(100);
 
 /// How often a write is repeated at once after another write of the same entry.
 const MAX_CONFLICTS: u32 = 3;
@@ -47,6 +49,9 @@
 /// How often a stopping node tries to delete its entry.
 const MAX_RETIRE_ATTEMPTS: u32 = 3;
 
+/// The time between two such attempts.
+const RETIRE_INTERVAL: Duration = Duration::from_millis(150);
+
 /// How long the departures of a node without an entry are kept, for a process that starts in its place.
 const DEPARTURES_TTL: Duration = Duration::from_secs(60);
 
@@ -83,6 +88,8 @@
     revision: Option<Revision>,
     /// The value of the entry; `None` if there is none.
     value: Option<Vec<u8>>,
+    /// `value`, if it can be decoded.
+    node: Option<Node>,
     /// What the store has recorded of departures.
     departures: Vec<Departure>,
     /// How long the next call may take.
@@ -96,6 +103,7 @@
         Self {
             revision: None,
             value: None,
+            node: None,
             departures: Vec::new(),
             call_timeout: MIN_CALL_TIMEOUT,
             is_unanswered: false,
@@ -124,23 +132,20 @@
         result
     }
 
-    fn set(&mut self, entry: Option<&Entry>) {
-        self.revision = Some(entry.map_or(Revision::ABSENT, |entry| entry.mod_revision));
-        self.value = entry.map(|entry| entry.value.clone());
-        if let Some(departures) = self.node().and_then(|node| node.departures) {
+    /// Notes what the store has under the node's key. Departures that it does not tell of stay known.
+    fn set(&mut self, revision: Revision, value: Option<Vec<u8>>) {
+        self.revision = Some(revision);
+        self.node = value.as_ref().and_then(|value| Node::decode(value).ok());
+        self.value = value;
+        let departures = self.node.as_ref().and_then(|node| node.departures.clone());
+        if let Some(departures) = departures {
             self.departures = departures;
         }
     }
 
-    fn set_written(&mut self, revision: Revision, value: Vec<u8>) {
-        self.revision = Some(revision);
-        self.value = Some(value);
-        let node = self.node();
-        self.departures = node.and_then(|node| node.departures).unwrap_or_default();
-    }
-
-    fn node(&self) -> Option<Node> {
-        Node::decode(self.value.as_ref()?).ok()
+    fn set_entry(&mut self, entry: Option<&Entry>) {
+        let revision = entry.map_or(Revision::ABSENT, |entry| entry.mod_revision);
+        self.set(revision, entry.map(|entry| entry.value.clone()));
     }
 
     /// The departures to write: those in the store already, if they are of the same runs.
@@ -169,17 +174,17 @@
     pub async fn run(self: Arc<Self>) {
         let resuming = Arc::clone(&self);
         crate::runtime::spawn(async move { resuming.resume_target().await });
-        let mut retry_delay = MIN_RETRY_DELAY;
+        let mut backoff = Backoff::new(INITIAL_BACKOFF, MAX_BACKOFF);
+        let mut rng = Rng::new();
         while !self.context.is_stopping() {
             match self.sync().await {
                 Ok(()) => {
-                    retry_delay = MIN_RETRY_DELAY;
+                    backoff.reset();
                     Timer::after(CHECK_INTERVAL).await;
                 }
                 Err(error) => {
                     log::warn!("own entry not written: {error}");
-                    Timer::after(retry_delay.mul_f64(1.0 + fastrand::f64())).await;
-                    retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                    Timer::after(backoff.next(&mut rng)).await;
                 }
             }
         }
@@ -190,11 +195,11 @@
     pub async fn record_departures(&self) -> bool {
         let started = Instant::now();
         let recorded = async {
-            let mut retry_delay = MIN_RECORD_RETRY_DELAY;
+            let mut backoff = Backoff::new(INITIAL_RECORD_BACKOFF, RECORD_TIMEOUT);
+            let mut rng = Rng::new();
             while let Err(error) = self.sync().await {
                 log::info!("departure not recorded: {error}");
-                Timer::after(retry_delay).await;
-                retry_delay *= 2;
+                Timer::after(backoff.next(&mut rng)).await;
             }
             true
         };
@@ -216,7 +221,7 @@
                 Ok(()) => return,
                 Err(error) => log::warn!("own entry not deleted: {error}"),
             }
-            Timer::after(MIN_RETRY_DELAY).await;
+            Timer::after(RETIRE_INTERVAL).await;
         }
     }
 
@@ -280,7 +285,7 @@
         let entries = match outcome.await? {
             Outcome::Written(revision) => {
                 self.log_written();
-                record.set_written(revision, value);
+                record.set(revision, Some(value));
                 self.server.restore(History::default());
                 return Ok(());
             }
@@ -306,9 +311,9 @@
         entry: Option<&Entry>,
         retired: Option<&Entry>,
     ) -> Result<(), SyncError> {
-        record.set(entry);
+        record.set_entry(entry);
         let history = match (entry, retired) {
-            (Some(_), _) => record.node().and_then(|node| node.history()),
+            (Some(_), _) => record.node.as_ref().and_then(Node::history),
             (None, retired) => {
                 let departures = retired.map(|entry| serde_json::from_slice(&entry.value));
                 let departures: Vec<Departure> = departures.transpose()?.unwrap_or_default();
@@ -339,8 +344,8 @@
                 .is_some_and(|revision| mirror.revision() > revision.0);
             let item = mirror.get(&key);
             if is_later && item.map(|item| &item.value) != record.value.as_ref() {
-                record.revision = Some(Revision(item.map_or(0, |item| item.revision)));
-                record.value = item.map(|item| item.value.clone());
+                let revision = item.map_or(Revision::ABSENT, |item| Revision(item.revision));
+                record.set(revision, item.map(|item| item.value.clone()));
             }
         });
     }
@@ -358,7 +363,7 @@
             started_at_ms: Some(target.started_at_ms),
         });
         let departures = record.merge(self.server.departures());
-        let named = record.node().and_then(|node| node.target);
+        let named = record.node.as_ref().and_then(|node| node.target.clone());
         let is_left = |target: &keys::Target| {
             let run = target.run();
             run.is_some_and(|run| self.server.has_left(&run))
@@ -390,11 +395,11 @@
             {
                 Outcome::Written(revision) => {
                     self.log_written();
-                    record.set_written(revision, value);
+                    record.set(revision, Some(value));
                     return Ok(());
                 }
                 Outcome::Conflict(entries) => {
-                    record.set(entries.iter().find(|entry| entry.key == key));
+                    record.set_entry(entries.iter().find(|entry| entry.key == key));
                 }
             }
         }
@@ -418,11 +423,10 @@
             transaction = transaction.put_leased(&self.departures_key(), &value, lease);
         }
         if let Outcome::Conflict(entries) = record.in_time(store.commit(&transaction)).await? {
-            record.set(entries.iter().find(|entry| entry.key == key));
+            record.set_entry(entries.iter().find(|entry| entry.key == key));
             return Err(SyncError::Conflict);
         }
-        record.revision = Some(Revision::ABSENT);
-        record.value = None;
+        record.set(Revision::ABSENT, None);
         record.departures = departures;
         Ok(())
     }
--- a/fulmarreel-node/src/mesh/serve/own_target.rs
+++ b/fulmarreel-node/src/mesh/serve/own_target.rs
@@ -112,19 +112,6 @@
         self.change_target(|target| target.restore(history));
     }
 
-    /// Goes by announcements alone from now on if the node's history is still not known: by this time,
-    /// all that were made before the process started have arrived.
-    fn presume_history(&self) {
-        let is_known = {
-            let own = self.own_target.lock().expect("own target lock");
-            own.current_target.is_history_known()
-        };
-        if !is_known {
-            log::info!("announcements are used without the node's history");
-            self.restore(History::default());
-        }
-    }
-
     /// Handles a target's announcement that it ends.
     pub fn end_target(&self, id: &str) {
         self.change_target(|target| target.end(id, unix_millis()));
@@ -161,7 +148,7 @@
         let before = self.target();
         let was_paused = last_check.elapsed() > CHECK_INTERVAL * 2;
         *last_check = Instant::now();
-        let is_silent = {
+        let (is_silent, is_history_known) = {
             let mut own = self.own_target.lock().expect("own target lock");
             // After a pause of this process the target's announcements may still be unread.
             if was_paused {
@@ -171,13 +158,15 @@
             if is_silent {
                 own.current_target.withdraw();
             }
-            is_silent
+            (is_silent, own.current_target.is_history_known())
         };
         if is_silent {
             self.handle_target_change(before.as_ref());
         }
-        if started.elapsed() > silence_limit {
-            self.presume_history();
+        // All announcements that were made before the process started have arrived by now.
+        if !is_history_known && started.elapsed() > silence_limit {
+            log::info!("announcements are used without the node's history");
+            self.restore(History::default());
         }
     }
 
