fix: what arrives late of an earlier run does not touch a target that started again under its id

A late `draining` took the target's name off the entry, so that no other node would send it requests until it announced itself; a late `ready` was used as the current run.

Change: an entry's target with a known start has left only if its run has; an announcement of a run before the recorded one waits for a confirmation, whatever its id.

--- a/fulmarreel-membership/src/announcement.rs
+++ b/fulmarreel-membership/src/announcement.rs
@@ -257,9 +257,8 @@
     /// need no confirmation.
     fn is_certain(&self, announcement: &Announcement) -> bool {
         let former = self.former.as_ref();
-        let is_superseded = former.is_some_and(|former| {
-            former.id != announcement.id && announcement.started_at_ms < former.started_at_ms
-        });
+        let is_superseded =
+            former.is_some_and(|former| announcement.started_at_ms < former.started_at_ms);
         announcement.leaving || self.is_history_known && !is_superseded
     }
 
--- a/fulmarreel-membership/tests/announcement.rs
+++ b/fulmarreel-membership/tests/announcement.rs
@@ -293,14 +293,17 @@
     );
 }
 
-/// Fails if an announcement of a run before the last recorded target's counts without a question.
-#[test]
-fn a_run_before_the_recorded_target_needs_a_confirmation() {
+/// Fails if an announcement of a run before the last recorded target's counts without a question,
+/// whether that target had another id or has started again under its own.
+#[rstest]
+#[case::another("a")]
+#[case::started_again("b")]
+fn a_run_before_the_recorded_target_needs_a_confirmation(#[case] id: &str) {
     let mut earlier = first_process();
     earlier.apply(announcement("b", 20, 3));
     let mut current_target = next_process(&earlier);
     assert_eq!(
-        current_target.apply(announcement("a", 10, 4)),
+        current_target.apply(announcement(id, 10, 4)),
         Verdict::Unconfirmed
     );
     assert_eq!(
--- a/fulmarreel-node/src/mesh/publish.rs
+++ b/fulmarreel-node/src/mesh/publish.rs
@@ -364,16 +364,16 @@
         });
         let departures = record.merge(self.server.departures());
         let named = record.node.as_ref().and_then(|node| node.target.clone());
-        let is_left = |target: &keys::Target| {
-            let run = target.run();
-            run.is_some_and(|run| self.server.has_left(&run))
-                || departures.iter().any(|left| left.id == target.id)
+        // A target that has started again under its id has left in its earlier runs only.
+        let has_left = |target: &keys::Target| match target.run() {
+            Some(run) => self.server.has_left(&run),
+            None => departures.iter().any(|left| left.id == target.id),
         };
         Node {
             address: settings.peer_address,
             zone: settings.zone.clone(),
             region: settings.region.clone(),
-            target: current.or_else(|| named.filter(|named| !is_left(named))),
+            target: current.or_else(|| named.filter(|named| !has_left(named))),
             departures: Some(departures),
         }
     }
--- a/fulmarreel-node/tests/mesh/departed.rs
+++ b/fulmarreel-node/tests/mesh/departed.rs
@@ -235,6 +235,32 @@
     })
 }
 
+/// Fails if a process that starts in front of a target that left, and started again under its id, goes
+/// by what arrives late of the earlier run: takes the target's name off the node's entry, as if it had
+/// left again, or uses the earlier run.
+#[test]
+fn a_target_that_has_started_again_stays_named() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let store = FakePlatformStore::start()?;
+        let mut instance = start_served(&store).await?;
+        leave(&instance, Leaving::Ends).await?;
+        announce(&instance, &Message::STARTED_AGAIN).await?;
+        eventually("named", || async { names_target(&store, &instance) }).await?;
+        set_healthy(&instance, false);
+        restart(&mut instance, Restart::Kill).await?;
+        ensure!(announce(&instance, &Message::DRAINING).await?, "draining");
+        let started = Instant::now();
+        while started.elapsed() < SETTLE_TIME {
+            ensure!(names_target(&store, &instance), "no longer named");
+            Timer::after(Duration::from_millis(50)).await;
+        }
+        announce(&instance, &Message::LATE).await?;
+        ensure_gone(&instance, CHECK_TIME).await?;
+        announce(&instance, &Message::STARTED_AGAIN).await?;
+        instance.wait_served("/s/").await
+    })
+}
+
 /// Fails if the leaving of a target is acknowledged though the store has not recorded it, or if the
 /// target gets a request all the same.
 #[rstest]
