test: one stand-in that sends without end, which keeps to its lines; it shows a fault of the own interface

Cause, found by reading the change once more: tests/target/broken.rs wrote the stand-in of platform/tests/endless.rs again, and worse: after a write that was taken in part it began its bytes anew, so that lines were broken off, and the client ended the call for that.

Change: `fulmarreel_testing::flood` serves both. No check or bound changed.

--- a/fulmarreel-membership/tests/announcement.rs
+++ b/fulmarreel-membership/tests/announcement.rs
@@ -61,10 +61,7 @@
         current_target.apply(announcement("a", 10, 4)),
         Verdict::Applied
     );
-    let leaving = Announcement {
-        leaving: true,
-        ..announcement("a", 10, 5)
-    };
+    let leaving = leaving("a", 10, 5);
     assert_eq!(current_target.apply(leaving.clone()), Verdict::Applied);
     assert_eq!(
         current_target.apply(announcement("a", 10, 4)),
--- a/fulmarreel-node/tests/mesh/stop.rs
+++ b/fulmarreel-node/tests/mesh/stop.rs
@@ -1,13 +1,17 @@
 //! Targets that leave, and nodes that stop.
 
 use crate::{
-    backend::Behavior,
+    backend::{Behavior, read_message},
     support::{Answer, Instance, call, configure, eventually, send_request, start_pair},
 };
 use anyhow::{Context, ensure};
 use fulmarreel_testing::kv::FakePlatformStore;
 use rstest::rstest;
-use smol::Timer;
+use smol::{
+    Task, Timer,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 use std::time::{Duration, Instant};
 
 /// Fails if a request reaches a target after its node acknowledged that the target is leaving.
@@ -270,20 +274,18 @@
     method: &str,
     path: &str,
     number: usize,
-) -> smol::Task<Option<usize>> {
+) -> Task<Option<usize>> {
     let to = node.callers;
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r-{number}\r\n\
         X-Deadline-Ms: 10000\r\nContent-Length: 0\r\n\r\n"
     );
     smol::spawn(async move {
-        let mut tcp = smol::net::TcpStream::connect(to).await.ok()?;
+        let mut tcp = TcpStream::connect(to).await.ok()?;
         Timer::after(after).await;
-        smol::io::AsyncWriteExt::write_all(&mut tcp, request.as_bytes())
-            .await
-            .ok()?;
+        tcp.write_all(request.as_bytes()).await.ok()?;
         let sent = Instant::now();
-        let answer = crate::backend::read_message(&mut tcp).await;
+        let answer = read_message(&mut tcp).await;
         let is_cut = !matches!(answer, Ok(Some(_))) && sent.elapsed() > CROSSING_TIME;
         is_cut.then_some(number)
     })
@@ -308,11 +310,11 @@
         );
         caller.process.signal("TERM")?;
         Timer::after(Duration::from_millis(1_500)).await;
-        let mut tcp = smol::net::TcpStream::connect(caller.callers).await?;
-        smol::io::AsyncWriteExt::write_all(&mut tcp, head.as_bytes()).await?;
+        let mut tcp = TcpStream::connect(caller.callers).await?;
+        tcp.write_all(head.as_bytes()).await?;
         Timer::after(Duration::from_millis(2_300)).await;
-        smol::io::AsyncWriteExt::write_all(&mut tcp, b"dy").await?;
-        let answer = crate::backend::read_message(&mut tcp).await?;
+        tcp.write_all(b"dy").await?;
+        let answer = read_message(&mut tcp).await?;
         let answer = answer.context("no response")?;
         ensure!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
         ensure!(instance.backend.arrivals().len() == before, "arrived");
@@ -411,7 +413,7 @@
         let mut buffer = vec![0; READ_BYTES];
         let mut received = 0;
         loop {
-            let read = smol::io::AsyncReadExt::read(&mut tcp, &mut buffer).await?;
+            let read = tcp.read(&mut buffer).await?;
             if received == 0 {
                 caller.process.signal("TERM")?;
             }
--- a/fulmarreel-node/tests/target/broken.rs
+++ b/fulmarreel-node/tests/target/broken.rs
@@ -3,22 +3,10 @@
 use crate::support::{call, run};
 use anyhow::ensure;
 use fulmarreel_node::target::Client;
+use fulmarreel_testing::flood;
 use rstest::rstest;
-use smol::{
-    Timer,
-    future::or,
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-};
-use std::{
-    io,
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use smol::{Timer, future::or};
+use std::{sync::atomic::Ordering, time::Duration};
 
 /// How much of a head without end may be taken. The system's own buffers of a connection count, which may
 /// hold some 10 MB; the client's limit is far below.
@@ -27,50 +15,6 @@
 /// Limit on the time until the client gives a head without end up by itself.
 const FLOOD_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Bytes of one write of a flood, at least.
-const FLOOD_WRITE_BYTES: usize = 65_536;
-
-/// What a target sends in place of a usual response.
-#[derive(Debug, Clone, Copy)]
-struct Script {
-    prefix: &'static [u8],
-    /// Sent without end; if empty, the connection is closed.
-    repeated: &'static [u8],
-}
-
-/// Starts a target; returns its address and the number of bytes that were taken from it.
-async fn start_target(script: Script) -> io::Result<(SocketAddr, Arc<AtomicUsize>)> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let address = listener.local_addr()?;
-    let taken = Arc::new(AtomicUsize::new(0));
-    let counted = Arc::clone(&taken);
-    smol::spawn(async move {
-        while let Ok((tcp, _)) = listener.accept().await {
-            let counted = Arc::clone(&counted);
-            smol::spawn(async move { serve(tcp, script, &counted).await.ok() }).detach();
-        }
-    })
-    .detach();
-    Ok((address, taken))
-}
-
-async fn serve(mut tcp: TcpStream, script: Script, taken: &AtomicUsize) -> io::Result<()> {
-    let mut buffer = [0; 4_096];
-    if tcp.read(&mut buffer).await? == 0 {
-        return Ok(());
-    }
-    tcp.write_all(script.prefix).await?;
-    if script.repeated.is_empty() {
-        return Ok(());
-    }
-    let batch = script
-        .repeated
-        .repeat(FLOOD_WRITE_BYTES.div_ceil(script.repeated.len()));
-    loop {
-        taken.fetch_add(tcp.write(&batch).await?, Ordering::Relaxed);
-    }
-}
-
 /// Fails if a response whose head was broken off anywhere is taken for a response.
 #[rstest]
 #[case::length(b"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 12\r\n\r\n")]
@@ -80,11 +24,7 @@
     run(async {
         let mut taken = Vec::new();
         for end in 0..head.len() {
-            let script = Script {
-                prefix: &head[..end],
-                repeated: b"",
-            };
-            let (target, _) = start_target(script).await?;
+            let (target, _) = flood::start(&head[..end], b"").await?;
             if call(&Client::new(target), 1).await.is_ok() {
                 taken.push(String::from_utf8_lossy(&head[..end]).into_owned());
             }
@@ -107,7 +47,7 @@
     #[case] repeated: &'static [u8],
 ) -> anyhow::Result<()> {
     run(async {
-        let (target, taken) = start_target(Script { prefix, repeated }).await?;
+        let (target, taken) = flood::start(prefix, repeated).await?;
         let flooded = async { Some(call(&Client::new(target), 1).await.is_ok()) };
         let timeout = async {
             Timer::after(FLOOD_TIMEOUT).await;
@@ -115,7 +55,7 @@
         };
         let is_response = or(flooded, timeout).await;
         ensure!(is_response == Some(false), "response: {is_response:?}");
-        let taken = taken.load(Ordering::Relaxed);
+        let taken = taken.load(Ordering::Acquire);
         ensure!(taken < MAX_TAKEN_BYTES, "{taken} bytes taken");
         Ok(())
     })
