feat: client accounts, bulk routes and regions are decoded from the configuration

Accounts are found by salted hashes of their API keys, so that the time of a lookup does not tell how much of a key was right. A configuration in which two accounts share a key or have a quota out of range is refused whole.

--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -18,7 +18,7 @@
 use delivery::InFlightGuard;
 use fulmarreel_balance::Budget;
 use fulmarreel_platform::request;
-use fulmarreel_route::Route;
+use fulmarreel_route::{Account, Route};
 use fulmarreel_wire::call::{Header, Open};
 use head::Head;
 use offer::{Offers, RequestOutcome};
@@ -73,6 +73,8 @@
     id: &'a str,
     route: &'a Route,
     service: &'a str,
+    /// The client account that sent the request, where the configuration has accounts.
+    account: Option<&'a Arc<Account>>,
     /// The store revision of the configuration that the request was routed by.
     revision: u64,
     body: &'a [u8],
--- a/fulmarreel-node/src/mesh/caller/routed.rs
+++ b/fulmarreel-node/src/mesh/caller/routed.rs
@@ -52,6 +52,7 @@
             id: &self.id,
             route,
             service: &route.services[self.service].service,
+            account: None,
             revision: self.revision,
             body,
             started: self.started,
--- a/fulmarreel-route/src/lib.rs
+++ b/fulmarreel-route/src/lib.rs
@@ -5,10 +5,12 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod account;
 mod route;
 pub mod split;
 mod table;
 
+pub use account::{Account, Accounts};
 pub use route::{Limits, Route, WeightedService};
 pub use split::WeightedSplit;
 pub use table::{Entry, Table};
--- a/fulmarreel-route/src/route.rs
+++ b/fulmarreel-route/src/route.rs
@@ -24,6 +24,12 @@
     pub services: Vec<WeightedService>,
     /// Whether a request may run more than once.
     pub idempotent: bool,
+    /// Whether its requests or responses have large bodies.
+    pub is_bulk: bool,
+    /// Whether its requests need no API key, even if the configuration has accounts.
+    pub auth_exempt: bool,
+    /// The regions that may serve its requests; all if empty.
+    pub allowed_regions: Vec<String>,
     /// The time after which a request fails.
     pub timeout: Duration,
     /// The latency objective: later responses are worth less to the caller.
--- a/fulmarreel-route/src/table.rs
+++ b/fulmarreel-route/src/table.rs
@@ -1,6 +1,6 @@
 //! The routes of one configuration, indexed by host.
 
-use crate::{Limits, Route, WeightedSplit};
+use crate::{Accounts, Limits, Route, WeightedSplit};
 use std::{collections::HashMap, sync::Arc};
 
 /// The routes of one version of the configuration.
@@ -14,6 +14,10 @@
     pub limits: Limits,
     /// Paths of the targets' health checks, by service.
     pub health_paths: HashMap<String, String>,
+    /// The most requests per second that a cold target of a service may get, by service.
+    pub cold_limits_per_s: HashMap<String, f64>,
+    /// The client accounts; without any, requests need no API key.
+    pub accounts: Accounts,
     /// Routes by host in lower case, those with the longest prefix first.
     entries_by_host: HashMap<String, Vec<Arc<Entry>>>,
 }
@@ -28,7 +32,7 @@
 }
 
 impl Table {
-    /// Creates a table of these routes, without paths of health checks.
+    /// Creates a table of these routes, without accounts and settings of services.
     pub fn new(revision: u64, version: u64, limits: Limits, routes: Vec<Route>) -> Self {
         let mut entries_by_host: HashMap<String, Vec<Arc<Entry>>> = HashMap::new();
         for route in routes {
@@ -46,6 +50,8 @@
             version,
             limits,
             health_paths: HashMap::new(),
+            cold_limits_per_s: HashMap::new(),
+            accounts: Accounts::default(),
             entries_by_host,
         }
     }
@@ -67,6 +73,11 @@
             .find(|entry| path.starts_with(&entry.route.prefix))
     }
 
+    /// Whether any route has large bodies.
+    pub fn has_bulk_routes(&self) -> bool {
+        self.routes().any(|route| route.is_bulk)
+    }
+
     /// All routes, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
         self.entries_by_host
