fix(http): a status line whose status is below 100 is no response

The parser takes any three digits, so 000 and 099 passed for interim responses: the exchange went on reading, and returned whatever the target sent next, or waited until the deadline. It ends now as malformed at once, so that an idempotent request goes to another target and others get 502. The client of the own interface refused such statuses already, which its tests now say.

--- a/fulmarreel-http/src/reader.rs
+++ b/fulmarreel-http/src/reader.rs
@@ -19,6 +19,10 @@
 /// The most bytes of a response's head together with the interim (1xx) heads before it.
 const MAX_HEAD_BYTES: usize = 65_536;
 
+/// The lowest HTTP status. The parser accepts any three digits, and one below would pass for an interim
+/// response.
+const MIN_STATUS: u16 = 100;
+
 /// Responses to other requests that are skipped before the exchange fails.
 const MAX_SKIPPED_RESPONSES: usize = 16;
 
@@ -132,12 +136,16 @@
                 let mut head = httparse::Response::new(&mut header_slots);
                 match head.parse(self.buffer) {
                     Ok(httparse::Status::Complete(bytes)) if bytes <= limit_bytes => {
+                        let status = head.code.unwrap_or(0);
+                        if status < MIN_STATUS {
+                            return Err(self.malformed("a status below 100"));
+                        }
                         let headers = head.headers.iter().map(|header| Header {
                             name: header.name.to_owned(),
                             value: header.value.to_vec(),
                         });
                         let head = Head {
-                            status: head.code.unwrap_or(0),
+                            status,
                             headers: headers.collect(),
                             is_http_11: head.version == Some(1),
                         };
--- a/fulmarreel-http/tests/exchange.rs
+++ b/fulmarreel-http/tests/exchange.rs
@@ -107,8 +107,15 @@
     });
 }
 
-/// Fails if an ambiguous length is guessed, or the line end of a chunk is not checked.
+/// Fails if an ambiguous length is guessed, the line end of a chunk is not checked, or a status that is
+/// none is taken for one or waited out as an interim response.
 #[rstest]
+#[case::status_000(b"HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")]
+#[case::status_099(b"HTTP/1.1 099 Trouble\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")]
+#[case::four_digits(b"HTTP/1.1 1000 Trouble\r\nContent-Length: 2\r\n\r\nhi")]
+#[case::sign(b"HTTP/1.1 +200 OK\r\nContent-Length: 2\r\n\r\nhi")]
+#[case::spaced_digits(b"HTTP/1.1 2 0 0 OK\r\nContent-Length: 2\r\n\r\nhi")]
+#[case::no_status(b"HTTP/1.1 OK\r\nContent-Length: 2\r\n\r\nhi")]
 #[case::not_http(b"ZZZ garbage\r\n\r\n")]
 #[case::two_lengths(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nhi")]
 #[case::length_and_chunks(
--- a/fulmarreel-node/tests/target/broken.rs
+++ b/fulmarreel-node/tests/target/broken.rs
@@ -34,6 +34,23 @@
     })
 }
 
+/// Fails if a status line whose status is none is passed on as a response.
+#[rstest]
+#[case::zero(b"HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n")]
+#[case::below_100(b"HTTP/1.1 099 Trouble\r\nContent-Length: 0\r\n\r\n")]
+#[case::four_digits(b"HTTP/1.1 1000 Trouble\r\nContent-Length: 0\r\n\r\n")]
+#[case::sign(b"HTTP/1.1 +200 OK\r\nContent-Length: 0\r\n\r\n")]
+#[case::spaced_digits(b"HTTP/1.1 2 0 0 OK\r\nContent-Length: 0\r\n\r\n")]
+#[case::missing(b"HTTP/1.1 OK\r\nContent-Length: 0\r\n\r\n")]
+fn a_status_that_is_none_is_no_response(#[case] head: &'static [u8]) -> anyhow::Result<()> {
+    run(async {
+        let (target, _) = flood::start(head, b"").await?;
+        let response = call(&Client::new(target), 1).await;
+        ensure!(response.is_err(), "{response:?}");
+        Ok(())
+    })
+}
+
 /// Fails if a head without end is kept in memory beyond a limit.
 #[rstest]
 #[case::status_line(b"HTTP/1.1 200 ", b"a")]
