feat: the entry node authenticates requests by the API keys of accounts

The key is replaced by the account's name. Requests with keys are refused while the copy of the store is older than 0.6 of the limit for revocations, and again after they waited for a body or a slot.

--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -1,5 +1,6 @@
 //! Requests of callers and of the own target, from their arrival to their response.
 
+mod authenticate;
 mod choose;
 mod delivery;
 mod head;
@@ -10,11 +11,15 @@
 
 pub use pipeline::CallerConnection;
 
-use super::{context::Context, serve::Server, takeover::Rollouts, targets::TargetStats};
+use super::{
+    context::Context, credential::Credential, serve::Server, takeover::Rollouts,
+    targets::TargetStats,
+};
 use crate::{
     peer::{Identity, Pool},
     runtime::{self, Task},
 };
+use authenticate::authenticate;
 use delivery::InFlightGuard;
 use fulmarreel_balance::Budget;
 use fulmarreel_platform::request;
@@ -75,6 +80,8 @@
     service: &'a str,
     /// The client account that sent the request, where the configuration has accounts.
     account: Option<&'a Arc<Account>>,
+    /// The API key that identified the account.
+    credential: Option<&'a Credential>,
     /// The store revision of the configuration that the request was routed by.
     revision: u64,
     body: &'a [u8],
@@ -143,13 +150,20 @@
         if self.is_closed() || self.context.is_stopping() {
             return None;
         }
+        // Read before the view: what is proved of an earlier view holds for a later one.
+        let is_proved = self.context.is_proved();
         let view = self.context.view();
         let table = view.table.as_ref()?;
-        let routed = Arc::new(Routed::new(table, head, Instant::now())?);
+        let entry = table.find_route(&head.host, &head.path)?;
+        let mut head = head.clone();
+        // A request that is not authenticated is rejected in its turn.
+        let credential = authenticate(table, &entry.route, &mut head.headers, is_proved).ok()?;
+        let routed = Routed::new(table, entry, credential, &head, Instant::now());
+        let routed = Arc::new(routed);
         if !routed.is_idempotent() {
             return None;
         }
-        let (handler, head) = (Arc::clone(self), head.clone());
+        let handler = Arc::clone(self);
         let started = Arc::clone(&routed);
         let task = runtime::spawn_task(async move {
             let _in_flight = handler.count_in_flight();
@@ -164,22 +178,29 @@
 
     async fn serve(&self, mut conn: Conn, connection: &CallerConnection) -> Conn {
         let started = Instant::now();
-        let head = Head::from(&conn);
+        let mut head = Head::from(&conn);
         if let Some(request) = connection.take_started(&head) {
             return self.finish_started(conn, connection, request).await;
         }
         if self.is_closed() {
             return self.refuse_stopping(conn);
         }
+        // Read before the view, as in `start`.
+        let is_proved = self.context.is_proved();
         let view = self.context.view();
         let Some(table) = &view.table else {
             let reason = "no configuration is known yet";
             self.log_early_end(&conn, Status::ServiceUnavailable, reason, 0);
             return refuse(conn, reason, Duration::from_millis(300));
         };
-        let Some(routed) = Routed::new(table, &head, started) else {
+        let Some(entry) = table.find_route(&head.host, &head.path) else {
             return self.reject(conn, Status::NotFound, "no route", table.revision);
         };
+        let credential = match authenticate(table, &entry.route, &mut head.headers, is_proved) {
+            Ok(credential) => credential,
+            Err(rejection) => return self.reject_unauthenticated(conn, rejection, table.revision),
+        };
+        let routed = Routed::new(table, entry, credential, &head, started);
         let max_body_bytes = table.limits.body_bytes;
         let watcher = connection.watcher();
         let Ok(body) = watcher.read_body(&mut conn, max_body_bytes).await else {
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -4,6 +4,7 @@
 use super::{FIRST_SERVER_ERROR, Request, RequestHandler, STOPPING};
 use crate::{
     mesh::{
+        credential::{MAY_BE_REVOKED, REVOCATION_RETRY_AFTER},
         exchange::{AttemptOutcome, Exchange},
         view::Target,
     },
@@ -88,6 +89,10 @@
             if !self.has_time_before_end(request) {
                 return last.or_not_run(STOPPING, self.time_until_restart());
             }
+            let credential = request.credential;
+            if credential.is_some_and(|credential| !credential.is_valid(&self.context)) {
+                return last.or_not_run(MAY_BE_REVOKED, REVOCATION_RETRY_AFTER);
+            }
             let view = self.context.view();
             let chosen = self.choose_target(&view, request, offers);
             let Some((target, version_choice)) = chosen else {
@@ -113,6 +118,7 @@
                 targets: &self.targets,
                 target: &target,
                 own: self.context.settings().peer_address,
+                credential: request.credential,
                 deadline: request.deadline,
             };
             let in_flight = self.targets.start_request(target.address);
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -161,6 +161,7 @@
         {
             return;
         }
+        let account = request.account.map(|account| account.name.as_str());
         let target_ms = match outcome {
             RequestOutcome::Answered(response) => response.head.target_micros / 1_000,
             RequestOutcome::NotRun { .. } | RequestOutcome::Unknown { .. } => 0,
@@ -174,6 +175,7 @@
             version = offers.last_version.as_str(),
             route = request.route.name.as_str(),
             service = request.service,
+            account = account,
             revision = request.revision,
             outcome = label.name(),
             status,
--- a/fulmarreel-node/src/mesh/caller/routed.rs
+++ b/fulmarreel-node/src/mesh/caller/routed.rs
@@ -1,6 +1,7 @@
 //! Requests for which a route was found.
 
 use super::{Request, head::Head};
+use crate::mesh::credential::Credential;
 use fulmarreel_platform::request;
 use fulmarreel_route::{Entry, Table};
 use std::{
@@ -14,6 +15,7 @@
     entry: Arc<Entry>,
     /// The index of the service that the request goes to among the route's.
     service: usize,
+    credential: Option<Credential>,
     id: String,
     /// The store revision of the configuration that the request was routed by.
     revision: u64,
@@ -22,22 +24,28 @@
 }
 
 impl Routed {
-    /// Finds the route of a request that arrived at `started`, and chooses one of its services.
-    pub fn new(table: &Table, head: &Head, started: Instant) -> Option<Self> {
-        let entry = Arc::clone(table.find_route(&head.host, &head.path)?);
+    /// Chooses a service of the route `entry` for an authenticated request that arrived at `started`.
+    pub fn new(
+        table: &Table,
+        entry: &Arc<Entry>,
+        credential: Option<Credential>,
+        head: &Head,
+        started: Instant,
+    ) -> Self {
         let timeout = entry.route.timeout;
         let allowed_ms = head.header(request::DEADLINE_MS);
         let timeout = allowed_ms
             .and_then(|text| text.trim().parse().ok())
             .map_or(timeout, |ms| Duration::from_millis(ms).min(timeout));
-        Some(Self {
+        Self {
             service: entry.split.next_service(fastrand::f64()),
-            entry,
+            entry: Arc::clone(entry),
+            credential,
             id: head.id().to_owned(),
             revision: table.revision,
             started,
             deadline: started + timeout,
-        })
+        }
     }
 
     /// Whether the request may run more than once.
@@ -52,7 +60,8 @@
             id: &self.id,
             route,
             service: &route.services[self.service].service,
-            account: None,
+            account: self.credential.as_ref().map(Credential::account),
+            credential: self.credential.as_ref(),
             revision: self.revision,
             body,
             started: self.started,
--- a/fulmarreel-node/src/mesh/context.rs
+++ b/fulmarreel-node/src/mesh/context.rs
@@ -24,6 +24,10 @@
 /// node whether they have run, and to send their responses.
 const LAST_RESPONSE_TIME: Duration = Duration::from_millis(150);
 
+/// The fraction of the limit for revocations that the mirror's proved age may take up. The rest is for
+/// requests and notices that are under way, and for clocks that differ.
+const MAX_PROOF_AGE_FRACTION: f64 = 0.6;
+
 /// The state that all parts of the node share.
 #[derive(Debug)]
 pub struct Context {
@@ -195,6 +199,16 @@
         self.copy_freshness().age(Instant::now())
     }
 
+    /// Whether the mirror is proved recent enough to accept requests with API keys: a key that it holds
+    /// was not removed longer ago than the limit for revocations.
+    pub fn is_proved(&self) -> bool {
+        let limit = self
+            .settings()
+            .revocation_limit
+            .mul_f64(MAX_PROOF_AGE_FRACTION);
+        self.contact_age().is_some_and(|age| age <= limit)
+    }
+
     /// The highest store revision that this node knows or has lately heard of.
     pub fn highest_heard_revision(&self) -> u64 {
         let heard = self.copy_freshness().highest_peer_revision(Instant::now());
--- a/fulmarreel-node/src/mesh/exchange.rs
+++ b/fulmarreel-node/src/mesh/exchange.rs
@@ -6,6 +6,7 @@
 
 use super::{
     context::Context,
+    credential::{Credential, MAY_BE_REVOKED},
     serve::{Admitted, Rejection, Server, request_id},
     targets::TargetStats,
     view::Target,
@@ -75,6 +76,8 @@
     pub target: &'a Target,
     /// This node's address.
     pub own: SocketAddr,
+    /// The API key by which the request was authenticated, if it needed one.
+    pub credential: Option<&'a Credential>,
     /// When the caller stops waiting for the request.
     pub deadline: Instant,
 }
@@ -168,7 +171,9 @@
             retry_after: Duration::ZERO,
         };
         let admitted = self.until_nearly_ended(self.server.admit(open), withdrawn);
+        let is_revocable = |credential: &Credential| !credential.is_valid(self.context);
         let result = match admitted.await {
+            Ok(_) if self.credential.is_some_and(is_revocable) => return may_be_revoked(),
             Ok(admitted) => {
                 let run = async {
                     if open.idempotent {
@@ -373,6 +378,15 @@
     }
 }
 
+fn may_be_revoked() -> AttemptOutcome {
+    AttemptOutcome::NotRun {
+        reason: MAY_BE_REVOKED,
+        // The target itself takes other requests at once.
+        retry_after: Duration::from_millis(1),
+        reached: true,
+    }
+}
+
 fn failed(reason: Failure) -> AttemptOutcome {
     let reason = match reason {
         Failure::TargetLost => "the target's answer was lost",
--- a/fulmarreel-node/src/mesh/mod.rs
+++ b/fulmarreel-node/src/mesh/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod announce;
 pub(crate) mod caller;
 pub(crate) mod context;
+pub(crate) mod credential;
 pub(crate) mod endpoint;
 pub(crate) mod exchange;
 pub(crate) mod keys;
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -172,6 +172,11 @@
     counter!("fulmarreel_requests_ended_total", &labels).increment(1);
 }
 
+/// Counts a request that was not authenticated, by the cause.
+pub fn key_rejected(cause: &'static str) {
+    counter!("fulmarreel_keys_rejected_total", "cause" => cause).increment(1);
+}
+
 /// Sets the store's revision up to which this node knows its contents, and the highest revision
 /// that it has heard of.
 pub fn set_store_revisions(revision: u64, heard: u64) {
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -7,6 +7,7 @@
 mod endless;
 mod explain;
 mod frames;
+mod keys;
 mod left;
 mod moves;
 mod odd;
