feat: requests stay in their allowed regions, and evacuated zones get none

The entry node chooses among targets in regions that the route and the account both allow, and outside evacuated zones. The node of a target checks both again by its own view, from its start on: until it has read the store once, it runs no request.

--- a/fulmarreel-node/src/mesh/caller/choose.rs
+++ b/fulmarreel-node/src/mesh/caller/choose.rs
@@ -1,7 +1,7 @@
 //! The choice of a target for an attempt, and what the attempt's outcome says about the target.
 
 use super::{
-    FIRST_SERVER_ERROR, MIN_RETRY_AFTER, Request, RequestHandler,
+    FIRST_SERVER_ERROR, MIN_RETRY_AFTER, Request, RequestHandler, eligible,
     offer::{Offers, is_not_run},
 };
 use crate::mesh::{
@@ -40,14 +40,14 @@
         request: &Request<'_>,
         offers: &Offers,
     ) -> Option<(Arc<Target>, VersionChoice)> {
+        let eligible = eligible::targets(view, request);
+        let is_first_attempt = offers.addresses.is_empty();
         let version_choice =
             self.rollouts
-                .choose(request.service, view, offers.addresses.is_empty());
-        let targets = view.targets(request.service);
+                .choose(request.service, view, &eligible, is_first_attempt);
         let untried = || {
-            targets
-                .iter()
-                .filter(|target| !offers.addresses.contains(&target.address))
+            let eligible = eligible.iter().copied();
+            eligible.filter(|target| !offers.addresses.contains(&target.address))
         };
         let allowed = |target: &&Arc<Target>| version_choice.allows(&target.version);
         let mut usable: Vec<&Arc<Target>> = untried().filter(allowed).collect();
--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod delivery;
+mod eligible;
 mod head;
 mod offer;
 mod pipeline;
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -1,7 +1,7 @@
 //! Attempts of a request at one target after another, within the limits of its route and of the
 //! service's retry budget.
 
-use super::{FIRST_SERVER_ERROR, Request, RequestHandler, STOPPING};
+use super::{FIRST_SERVER_ERROR, Request, RequestHandler, STOPPING, eligible};
 use crate::{
     mesh::{
         exchange::{AttemptOutcome, Exchange},
@@ -91,7 +91,9 @@
             let view = self.context.view();
             let chosen = self.choose_target(&view, request, offers);
             let Some((target, version_choice)) = chosen else {
-                return last.with_retry_after(offers);
+                let refusal = eligible::refusal(&view, request);
+                let refusal = refusal.filter(|_| offers.addresses.is_empty());
+                return refusal.unwrap_or(last).with_retry_after(offers);
             };
             if !offers.addresses.is_empty() {
                 metrics::call_retried(request.service);
--- a/fulmarreel-node/src/mesh/context.rs
+++ b/fulmarreel-node/src/mesh/context.rs
@@ -50,6 +50,8 @@
     reader_role_changed: (Sender<()>, Receiver<()>),
     /// Signals that the store has answered a read.
     store_responded: (Sender<()>, Receiver<()>),
+    /// Signals that the own zone was evacuated or taken back.
+    zone_changed: (Sender<()>, Receiver<()>),
 }
 
 impl Context {
@@ -69,6 +71,7 @@
             readers: Mutex::new(readers),
             reader_role_changed: bounded(1),
             store_responded: bounded(1),
+            zone_changed: bounded(1),
         }
     }
 
@@ -172,6 +175,12 @@
         let _ = self.store_responded.1.recv().await;
     }
 
+    /// Waits until the own zone was evacuated or taken back, or became known to be in service.
+    pub async fn wait_zone_changed(&self) {
+        // Cannot fail: the sender lives as long as the receiver.
+        let _ = self.zone_changed.1.recv().await;
+    }
+
     /// Records the store revision that another node knows.
     pub fn record_peer_revision(&self, revision: u64) {
         self.copy_freshness()
@@ -297,6 +306,11 @@
         };
         let last = self.view();
         let view = View::new(mirror, own, &last);
+        let is_zone_changed = view.is_in_service(own.zone) != last.is_in_service(own.zone);
         *self.view.write().expect("view lock") = Arc::new(view);
+        if is_zone_changed {
+            // Fails if a signal is pending, which is enough.
+            let _ = self.zone_changed.0.try_send(());
+        }
     }
 }
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -3,6 +3,7 @@
 
 mod own_target;
 mod peer;
+mod place;
 
 use super::{
     context::Context,
@@ -106,6 +107,8 @@
         let listener = TcpListener::bind(self.context.settings().peer_address).await?;
         let checked = Arc::clone(&self);
         crate::runtime::spawn(async move { checked.run_checks().await });
+        let following = Arc::clone(&self);
+        crate::runtime::spawn(async move { following.follow_zone().await });
         let mut incoming = listener.incoming();
         while let Some(accepted) = incoming.next().await {
             let server = Arc::clone(&self);
@@ -254,6 +257,7 @@
         if self.context.is_stopping() {
             return Err(Refusal::Leaving);
         }
+        self.check_place(open)?;
         let own = self.own_target.lock().expect("own target lock");
         match own.current_target.get() {
             Some(target) if target.service != open.service || target.version != open.version => {
--- a/fulmarreel-node/src/mesh/serve/own_target.rs
+++ b/fulmarreel-node/src/mesh/serve/own_target.rs
@@ -190,7 +190,8 @@
         if is_another {
             self.endpoint.close_idle();
         }
-        if was_accepting != is_accepting {
+        // In a zone that is not in service, nodes were told that no target accepts requests.
+        if was_accepting != is_accepting && self.is_zone_in_service() {
             self.sessions.broadcast(if is_accepting {
                 &Frame::Accepting
             } else {
@@ -201,6 +202,8 @@
 
     pub(super) fn accepts_requests(&self) -> bool {
         let target = self.target();
-        !self.context.is_stopping() && target.is_some_and(|target| !target.leaving)
+        !self.context.is_stopping()
+            && self.is_zone_in_service()
+            && target.is_some_and(|target| !target.leaving)
     }
 }
--- /dev/null
+++ b/fulmarreel-node/src/mesh/serve/place.rs
@@ -0,0 +1,64 @@
+//! Whether the own target may run a request in the zone and region where it is.
+//!
+//! The node that sends a request has decided this as well, by a view that may be older or newer.
+
+use super::Server;
+use crate::telemetry::metrics::{self, RefusalCause};
+use fulmarreel_platform::request;
+use fulmarreel_route::Table;
+use fulmarreel_wire::call::{Frame, Open, Refusal};
+
+impl Server {
+    /// Whether the own zone is known to be in service.
+    pub(super) fn is_zone_in_service(&self) -> bool {
+        let zone = &self.context.settings().zone;
+        self.context.view().is_in_service(zone)
+    }
+
+    /// Refuses a request if the own zone is evacuated, or if the request is not allowed in the own region.
+    pub(super) fn check_place(&self, open: &Open) -> Result<(), Refusal> {
+        let (settings, view) = (self.context.settings(), self.context.view());
+        if !view.is_in_service(&settings.zone) {
+            metrics::request_refused(&open.service, RefusalCause::Evacuated);
+            return Err(Refusal::Leaving);
+        }
+        let restricting = view.table.as_deref().filter(|_| view.restricts_regions);
+        if restricting.is_none_or(|table| allows_region(table, open, &settings.region)) {
+            return Ok(());
+        }
+        metrics::request_refused(&open.service, RefusalCause::Region);
+        Err(Refusal::NoTarget)
+    }
+
+    /// Tells connected nodes whenever the own zone is evacuated or taken back, until the process ends.
+    pub(super) async fn follow_zone(&self) {
+        loop {
+            self.context.wait_zone_changed().await;
+            let accepts = self.accepts_requests();
+            let frame = if accepts {
+                Frame::Accepting
+            } else {
+                Frame::Leaving
+            };
+            log::info!(in_service = self.is_zone_in_service(), accepts; "own zone");
+            self.sessions.broadcast(&frame);
+        }
+    }
+}
+
+/// Whether a configuration allows a request in a region. A request whose route or account it does not
+/// have was routed by another configuration, by which its sender has decided.
+fn allows_region(table: &Table, open: &Open, region: &str) -> bool {
+    let header = |name: &str| {
+        let mut headers = open.headers.iter();
+        let header = headers.find(|header| header.name.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(&header.value).ok()
+    };
+    let account = header(request::ACCOUNT).and_then(|name| table.accounts.named(name));
+    if account.is_some_and(|account| !account.allows_region(region)) {
+        return false;
+    }
+    let host = header("host").unwrap_or_default();
+    let entry = table.find_route(host, &open.path);
+    entry.is_none_or(|entry| entry.route.allows_region(None, region))
+}
--- a/fulmarreel-node/src/mesh/takeover/mod.rs
+++ b/fulmarreel-node/src/mesh/takeover/mod.rs
@@ -11,7 +11,7 @@
 
 pub use driver::run;
 
-use super::view::View;
+use super::view::{Target, View};
 use crate::telemetry::metrics;
 use fulmarreel_platform::order::State;
 use fulmarreel_rollout::brief::{
@@ -21,7 +21,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::Mutex,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 use xxhash_rust::xxh3::xxh3_64;
@@ -274,14 +274,20 @@
 }
 
 impl Rollouts {
-    /// Chooses the versions that a request may go to. While a rollout is in progress, only a
-    /// request's first attempt may go to the unproven version.
-    pub fn choose(&self, service: &str, view: &View, is_first_attempt: bool) -> VersionChoice {
+    /// Chooses the versions that a request may go to, among those of the targets that it may go to. While
+    /// a rollout is in progress, only a request's first attempt may go to the unproven version.
+    pub fn choose(
+        &self,
+        service: &str,
+        view: &View,
+        eligible: &[&Arc<Target>],
+        is_first_attempt: bool,
+    ) -> VersionChoice {
         let Some(ordered_rollout) = view.rollouts.get(service) else {
             return VersionChoice::Any;
         };
         let new = ordered_rollout.version.clone();
-        let runs_new = || view.runs(service, &new);
+        let runs_new = || eligible.iter().any(|target| target.version == new);
         let mut rollouts = self.by_service.lock().expect("rollouts lock");
         let local_rollout = rollouts
             .get_mut(service)
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -6,12 +6,12 @@
 use fulmarreel_balance::choice::Tier;
 use fulmarreel_distribution::{Mirror, mirror::Item};
 use fulmarreel_platform::{
-    config,
+    config, evacuation,
     order::{self, State},
 };
 use fulmarreel_route::Table;
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     fmt::Display,
     net::SocketAddr,
     sync::Arc,
@@ -31,6 +31,10 @@
     pub slots: u16,
     /// Its distance from this node.
     pub tier: Tier,
+    /// The availability zone of its node.
+    pub zone: String,
+    /// The region of its node.
+    pub region: String,
 }
 
 /// An order to roll a service's new version out, and its outcome.
@@ -60,12 +64,18 @@
 pub struct View {
     /// The active configuration; `None` until one was read.
     pub table: Option<Arc<Table>>,
+    /// Whether the active configuration has routes or accounts that only some regions may serve.
+    pub restricts_regions: bool,
     /// Targets by service.
     pub targets: HashMap<String, Vec<Arc<Target>>>,
     /// Rollouts by service.
     pub rollouts: HashMap<String, Rollout>,
     /// Every node's address, with whether the node is in this node's region.
     pub nodes: Vec<(SocketAddr, bool)>,
+    /// The availability zones whose targets get no requests.
+    pub evacuated_zones: BTreeSet<String>,
+    /// Whether it was decoded from a mirror; before that, no zone is known to be in service.
+    is_known: bool,
     /// The items that are left out because they are malformed: their revisions by key.
     malformed: HashMap<String, u64>,
 }
@@ -74,8 +84,14 @@
     /// Decodes a mirror for a node at `own`. The routing table is taken over from the last view if the
     /// configuration has not changed.
     pub fn new(mirror: &Mirror, own: Location<'_>, last: &Self) -> Self {
-        let mut view = Self::default();
+        let mut view = Self {
+            evacuated_zones: evacuated_zones(mirror, last),
+            is_known: true,
+            ..Self::default()
+        };
         view.table = view.active_table(mirror, last);
+        let table = view.table.as_deref();
+        view.restricts_regions = table.is_some_and(Table::has_allowed_regions);
         for (instance, item) in mirror.items_under_prefix(keys::NODES) {
             match Node::decode(&item.value) {
                 Ok(node) => view.add(node, own),
@@ -122,6 +138,11 @@
         targets.any(|target| target.version == version)
     }
 
+    /// Whether the targets of a zone may get requests: the view is known, and the zone is not evacuated.
+    pub fn is_in_service(&self, zone: &str) -> bool {
+        self.is_known && !self.evacuated_zones.contains(zone)
+    }
+
     fn add(&mut self, node: Node, own: Location<'_>) {
         let in_own_region = node.region == own.region;
         self.nodes.push((node.address, in_own_region));
@@ -140,6 +161,8 @@
             version: target.version,
             slots: target.slots,
             tier,
+            zone: node.zone,
+            region: node.region,
         }));
     }
 
@@ -206,3 +229,16 @@
         }
     }
 }
+
+/// The zones that are evacuated; logs which ones were not, or are not any more.
+fn evacuated_zones(mirror: &Mirror, last: &View) -> BTreeSet<String> {
+    let orders = mirror.items_under_prefix(evacuation::ORDERS);
+    let zones: BTreeSet<String> = orders.map(|(zone, _)| zone.to_owned()).collect();
+    for zone in zones.difference(&last.evacuated_zones) {
+        log::info!(zone = zone.as_str(); "zone evacuated");
+    }
+    for zone in last.evacuated_zones.difference(&zones) {
+        log::info!(zone = zone.as_str(); "zone taken back");
+    }
+    zones
+}
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -34,6 +34,27 @@
     Unknown,
 }
 
+/// Why the place or the start of targets had a request refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// Its route or account does not allow the region.
+    Region,
+    /// The zone is evacuated.
+    Evacuated,
+    /// The target is cold, and gets no more requests for the moment.
+    Cold,
+}
+
+impl RefusalCause {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Region => "region",
+            Self::Evacuated => "evacuated",
+            Self::Cold => "cold",
+        }
+    }
+}
+
 impl Outcome {
     /// The outcome's name, as in the response's header.
     pub fn name(self) -> &'static str {
@@ -139,6 +160,15 @@
     counter!("fulmarreel_refusals_total", &labels).increment(1);
 }
 
+/// Counts a request that was refused because of where targets are, or because one is cold.
+pub fn request_refused(service: &str, cause: RefusalCause) {
+    let labels = [
+        ("service", service.to_owned()),
+        ("cause", cause.name().to_owned()),
+    ];
+    counter!("fulmarreel_requests_refused_total", &labels).increment(1);
+}
+
 /// Sets the number of calls that run or wait at the local target, and its number of slots.
 pub fn set_target_load(in_flight: u16, slots: u16) {
     gauge!("fulmarreel_target_in_flight").set(f64::from(in_flight));
--- a/fulmarreel-node/tests/mesh/frames.rs
+++ b/fulmarreel-node/tests/mesh/frames.rs
@@ -13,7 +13,11 @@
 };
 use rstest::rstest;
 use smol::{Timer, future::or, net::TcpStream};
-use std::{io, time::Duration};
+use std::{
+    io,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 /// Limit on the time for which work may go on after its cancellation (incident GONE).
 const WORK_LIMIT: Duration = Duration::from_millis(500);
@@ -21,13 +25,16 @@
 /// Pings whose replies fill the buffers of a connection.
 const PINGS: usize = 500_000;
 
-/// Connects as another node does.
-async fn connect(to: &Instance) -> anyhow::Result<TcpStream> {
+/// The start time of the next peer process.
+static NEXT_BOOT: AtomicU64 = AtomicU64::new(1);
+
+/// Connects as another node does, whose process has not connected before.
+pub async fn connect(to: &Instance) -> anyhow::Result<TcpStream> {
     let mut tcp = TcpStream::connect(to.peers).await?;
     let hello = Hello {
         protocol: PROTOCOL,
         address: "127.0.0.1:9".parse()?,
-        boot: 1,
+        boot: NEXT_BOOT.fetch_add(1, Ordering::Relaxed),
         purpose: Purpose::Calls,
     };
     write(&mut tcp, &hello).await?;
@@ -41,7 +48,7 @@
 }
 
 /// The frame that opens the first request, to `s`.
-fn open_frame(idempotent: bool, length: u64) -> Frame {
+pub fn open_frame(idempotent: bool, length: u64) -> Frame {
     Frame::Open(Open {
         sequence: 1,
         remaining_ms: 5_000,
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -12,6 +12,7 @@
 mod odd;
 mod path;
 mod pipeline;
+mod places;
 mod stop;
 mod store;
 mod stray;
--- a/fulmarreel-route/src/account.rs
+++ b/fulmarreel-route/src/account.rs
@@ -56,6 +56,18 @@
     },
 }
 
+impl Account {
+    /// Whether its requests may be served in a region.
+    pub fn allows_region(&self, region: &str) -> bool {
+        is_allowed(&self.allowed_regions, region)
+    }
+}
+
+/// Whether a list of regions, which stands for all if it is empty, has a region.
+pub(crate) fn is_allowed(allowed_regions: &[String], region: &str) -> bool {
+    allowed_regions.is_empty() || allowed_regions.iter().any(|allowed| allowed == region)
+}
+
 impl Accounts {
     /// Creates accounts without any entry. `salt` has to be unpredictable to clients.
     pub fn new(salt: [u8; 16]) -> Self {
--- a/fulmarreel-route/src/route.rs
+++ b/fulmarreel-route/src/route.rs
@@ -1,5 +1,6 @@
 //! Routes, and the limits of callers' connections.
 
+use crate::{Account, account};
 use std::time::Duration;
 
 /// A service that receives a share of a route's requests.
@@ -40,6 +41,15 @@
     pub priority: u8,
 }
 
+impl Route {
+    /// Whether its requests, sent by `account`, may be served in a region. Where the route and the account
+    /// both name regions, both bind.
+    pub fn allows_region(&self, account: Option<&Account>, region: &str) -> bool {
+        account::is_allowed(&self.allowed_regions, region)
+            && account.is_none_or(|account| account.allows_region(region))
+    }
+}
+
 /// Limits of a caller's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
--- a/fulmarreel-route/src/table.rs
+++ b/fulmarreel-route/src/table.rs
@@ -78,6 +78,13 @@
         self.routes().any(|route| route.is_bulk)
     }
 
+    /// Whether any route or account names the regions that may serve its requests.
+    pub fn has_allowed_regions(&self) -> bool {
+        let mut accounts = self.accounts.iter();
+        self.routes().any(|route| !route.allowed_regions.is_empty())
+            || accounts.any(|account| !account.allowed_regions.is_empty())
+    }
+
     /// All routes, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
         self.entries_by_host
