--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -3,6 +3,7 @@
 mod authenticate;
 mod choose;
 mod delivery;
+mod eligible;
 mod head;
 mod offer;
 mod pipeline;
