--- a/fulmarreel-balance/src/lib.rs
+++ b/fulmarreel-balance/src/lib.rs
@@ -6,6 +6,9 @@
 pub mod budget;
 pub mod choice;
 pub mod placement;
+pub mod speed;
+pub mod uneven;
 
 pub use admission::Admission;
 pub use budget::Budget;
+pub use speed::Speed;
--- a/fulmarreel-balance/src/placement.rs
+++ b/fulmarreel-balance/src/placement.rs
@@ -28,7 +28,7 @@
 
 /// Penalty for a load equal to a target's slots, in units of one timely response; spreads requests
 /// over otherwise equal targets.
-const BUSY_PENALTY: f64 = 0.05;
+pub(crate) const BUSY_PENALTY: f64 = 0.05;
 
 /// Penalty for a target that was recently unreachable or refused a request, in units of one timely
 /// response.
@@ -37,7 +37,7 @@
 /// Difference in expected value within which the choice is random, in units of one timely response.
 /// A node knows little of targets that it has sent no request to lately; without chance, all nodes
 /// that expect the same of them choose the same one.
-const CHANCE_RANGE: f64 = 0.03;
+pub(crate) const CHANCE_RANGE: f64 = 0.03;
 
 /// One-way network latency to another region.
 const CROSS_REGION_LATENCY: Duration = Duration::from_millis(10);
@@ -122,7 +122,7 @@
     queueing + candidate.processing_time + round_trip
 }
 
-fn transfer_cost(tier: Tier, kilobytes: f64) -> f64 {
+pub(crate) fn transfer_cost(tier: Tier, kilobytes: f64) -> f64 {
     let cost_per_kb = match tier {
         Tier::SameZone => 0.0,
         Tier::SameRegion => CROSS_ZONE_COST_PER_KB,
--- a/fulmarreel-node/src/mesh/caller/choose.rs
+++ b/fulmarreel-node/src/mesh/caller/choose.rs
@@ -78,7 +78,11 @@
             until_deadline: request.deadline.saturating_duration_since(now),
             kilobytes: self.expected_kilobytes(request),
         };
-        let chosen = placement::choose(&candidates, &placement_request, &mut fastrand::Rng::new())?;
+        let chosen = if self.is_uneven(view) {
+            self.choose_uneven(request, &usable, &candidates, &placement_request)?
+        } else {
+            placement::choose(&candidates, &placement_request, &mut fastrand::Rng::new())?
+        };
         Some((Arc::clone(usable[chosen]), version_choice))
     }
 
@@ -131,12 +135,19 @@
                 self.targets.set_reachable(address, true);
                 self.targets
                     .record_load(address, u32::from(response.head.in_flight));
-                if is_not_run(response) {
+                let is_answered = !is_not_run(response);
+                let succeeded = is_answered && response.head.status < FIRST_SERVER_ERROR;
+                let latency = Duration::from_micros(u64::from(response.head.target_micros));
+                let took = succeeded.then_some(latency);
+                let headers = &response.head.headers;
+                self.targets
+                    .speeds
+                    .record(target, route, request.service, headers, took);
+                if !is_answered {
                     finish(tracker, TargetOutcome::NotRun);
                     return self.targets.record_failure(address);
                 }
-                let failed = response.head.status >= FIRST_SERVER_ERROR;
-                let latency = Duration::from_micros(u64::from(response.head.target_micros));
+                let failed = !succeeded;
                 finish(
                     tracker,
                     if failed {
--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -7,6 +7,7 @@
 mod pipeline;
 mod respond;
 mod routed;
+mod uneven;
 
 pub use pipeline::CallerConnection;
 
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -5,7 +5,7 @@
 use crate::{
     mesh::{
         exchange::{AttemptOutcome, Exchange},
-        view::Target,
+        view::{Target, View},
     },
     serve::session::WholeResponse,
     telemetry::metrics,
@@ -105,7 +105,7 @@
                 return last.with_retry_after(offers);
             }
             open.remaining_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-            (open.wanted_ms, open.latest_ms) = self.queue_waits_ms(request, &target);
+            (open.wanted_ms, open.latest_ms) = self.queue_waits_ms(&view, request, &target);
             let exchange = Exchange {
                 context: &self.context,
                 server: &self.server,
@@ -170,12 +170,9 @@
 
     /// The wanted and the longest wait for a slot of a target: with the former the response can be
     /// expected within the route's latency objective, with the latter by the request's deadline.
-    fn queue_waits_ms(&self, request: &Request<'_>, target: &Target) -> (u32, u32) {
+    fn queue_waits_ms(&self, view: &View, request: &Request<'_>, target: &Target) -> (u32, u32) {
         let now = Instant::now();
-        let expected_work = self
-            .targets
-            .candidate(target, request.route)
-            .processing_time;
+        let expected_work = self.expected_work(view, request, target);
         let objective = request.route.objective;
         let left_before_work =
             |deadline: Instant| deadline.saturating_duration_since(now + expected_work);
--- a/fulmarreel-node/src/mesh/mod.rs
+++ b/fulmarreel-node/src/mesh/mod.rs
@@ -22,10 +22,11 @@
 pub(crate) mod ready;
 pub mod run;
 pub(crate) mod serve;
+pub(crate) mod speeds;
 pub(crate) mod stop;
 pub(crate) mod sync;
 pub(crate) mod takeover;
-pub(crate) mod targets;
+mod targets;
 pub(crate) mod view;
 
 pub use run::run;
--- a/fulmarreel-node/src/mesh/targets.rs
+++ b/fulmarreel-node/src/mesh/targets.rs
@@ -1,6 +1,6 @@
 //! Statistics of targets from this node's own requests: load, latency, failures and reachability.
 
-use super::view::Target;
+use super::{speeds::Speeds, view::Target};
 use fulmarreel_balance::placement::Candidate;
 use fulmarreel_route::Route;
 use std::{
@@ -35,6 +35,8 @@
 #[derive(Debug, Default)]
 pub struct TargetStats {
     inner: Mutex<Inner>,
+    /// How fast the targets work.
+    pub speeds: Speeds,
 }
 
 #[derive(Debug, Default)]
@@ -215,6 +217,7 @@
 
     /// Forgets targets whose nodes are no longer known, except those with requests in flight.
     pub fn retain(&self, is_known: impl Fn(SocketAddr) -> bool) {
+        self.speeds.retain(&is_known);
         let mut inner = self.inner.lock().expect("targets lock");
         inner
             .targets
