feat(balance): under overload, calls of targets go first and accounts share by weight

Where the configuration has accounts or bulk routes, a target's node orders requests by class, account and deadline, displaces the least urgent new request when its queue is full, and spreads retries.

--- a/fulmarreel-balance/src/lib.rs
+++ b/fulmarreel-balance/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod budget;
 pub mod choice;
+pub mod overload;
 pub mod placement;
 
 pub use admission::Admission;
--- /dev/null
+++ b/fulmarreel-balance/src/overload/mod.rs
@@ -0,0 +1,20 @@
+//! Order and admission under overload: which requests get the slots of a target that is asked for more
+//! than it can run.
+//!
+//! The [`Queue`] serves calls that targets make before new work, and new work by priority and by fair
+//! shares of the accounts. [`Origins`] tells the two kinds of requests apart. [`Shares`] finds accounts
+//! admits less work whose calls are refused elsewhere.
+
+mod class;
+mod lane;
+mod origin;
+mod pace;
+mod queue;
+mod returns;
+mod share;
+
+pub use class::{Class, Kind};
+pub use origin::{Hint, Origins};
+pub use queue::{Arrival, Cause, Decision, Key, Queue, Released, Request};
+pub use returns::Returns;
+pub use share::Shares;
--- /dev/null
+++ b/fulmarreel-balance/src/overload/pace.rs
@@ -0,0 +1,100 @@
+//! The pace at which requests of an account get slots.
+
+use super::class::Class;
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+/// The weight of the newest sample in the moving averages.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// The time in which a learned pace decays half of the way to the one that follows from the slots. An
+/// account whose requests are all refused brings no samples that could show a faster pace.
+const HALF_LIFE: Duration = Duration::from_millis(1_000);
+
+/// A request that is displaced counts as one that waited longer than expected by this factor.
+const DISPLACED_FACTOR: f64 = 2.0;
+
+/// The paces of more accounts than this are forgotten.
+const MAX_ACCOUNTS: usize = 4_096;
+
+/// Identifies the requests that share a pace: their class and account.
+pub(super) type Group = (Class, u64);
+
+/// How fast slots become free, and how fast requests of each class and account get them. Requests of more
+/// urgent classes, and of accounts that got less, overtake those that wait, so the latter is slower.
+#[derive(Debug, Default)]
+pub(super) struct Paces {
+    mean_hold_s: Option<f64>,
+    by_group: HashMap<Group, Pace>,
+}
+
+/// The time for which requests wait, for each request ahead of them and themselves.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    seconds: f64,
+    at: Instant,
+}
+
+impl Paces {
+    /// Records how long a request held a slot.
+    pub fn record_hold(&mut self, held: Duration) {
+        let held_s = held.as_secs_f64();
+        let mean = self.mean_hold_s.get_or_insert(held_s);
+        *mean += (held_s - *mean) * SAMPLE_WEIGHT;
+    }
+
+    /// Records that a request waited for a slot, with `ahead` requests before it when it arrived.
+    pub fn record_wait(
+        &mut self,
+        now: Instant,
+        group: Group,
+        slots: usize,
+        ahead: usize,
+        waited: Duration,
+    ) {
+        let sample_s = waited.as_secs_f64() / (ahead + 1) as f64;
+        let expected_s = self.seconds(now, group, slots);
+        if self.by_group.len() >= MAX_ACCOUNTS {
+            self.by_group.clear();
+        }
+        let seconds = expected_s + (sample_s - expected_s) * SAMPLE_WEIGHT;
+        self.by_group.insert(group, Pace { seconds, at: now });
+    }
+
+    /// Records that a request left the queue without a slot, since others overtook it.
+    pub fn record_displaced(&mut self, now: Instant, group: Group, slots: usize, ahead: usize) {
+        let expected = self.expected_wait(now, group, slots, ahead);
+        self.record_wait(now, group, slots, ahead, expected.mul_f64(DISPLACED_FACTOR));
+    }
+
+    /// The mean time between two slots that become free while all are taken.
+    pub fn interval(&self, slots: usize) -> Duration {
+        Duration::from_secs_f64(self.interval_s(slots))
+    }
+
+    /// How long a request is expected to wait behind `ahead` others.
+    pub fn expected_wait(
+        &self,
+        now: Instant,
+        group: Group,
+        slots: usize,
+        ahead: usize,
+    ) -> Duration {
+        Duration::from_secs_f64(self.seconds(now, group, slots) * (ahead + 1) as f64)
+    }
+
+    fn seconds(&self, now: Instant, group: Group, slots: usize) -> f64 {
+        let interval_s = self.interval_s(slots);
+        self.by_group.get(&group).map_or(interval_s, |pace| {
+            let age = now.saturating_duration_since(pace.at);
+            let decay = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+            interval_s + (pace.seconds - interval_s) * decay
+        })
+    }
+
+    fn interval_s(&self, slots: usize) -> f64 {
+        self.mean_hold_s.unwrap_or_default() / slots.max(1) as f64
+    }
+}
--- /dev/null
+++ b/fulmarreel-balance/src/overload/returns.rs
@@ -0,0 +1,30 @@
+//! When refused requests are told to come back.
+
+use std::time::{Duration, Instant};
+
+/// Refused requests are told to come back within this time at the latest.
+const MAX_DELAY: Duration = Duration::from_secs(2);
+
+/// Spreads the retries of refused requests over the time in which the target can run them: those refused
+/// first are told to come back first, one for each slot that becomes free. Without this, requests that
+/// are refused together come back together and are refused again.
+#[derive(Debug, Default)]
+pub struct Returns {
+    /// When the next refused request is told to come back at the earliest.
+    next: Option<Instant>,
+}
+
+impl Returns {
+    /// The delay after which a request that is refused now is told to come back. `backlog` is the time in
+    /// which the queue drains, `interval` the time between two slots that become free.
+    pub fn delay(&mut self, now: Instant, backlog: Duration, interval: Duration) -> Duration {
+        let earliest = now + backlog;
+        let latest = now + MAX_DELAY;
+        let at = self
+            .next
+            .map_or(earliest, |next| next.max(earliest))
+            .min(latest);
+        self.next = Some(at + interval);
+        at.saturating_duration_since(now)
+    }
+}
--- /dev/null
+++ b/fulmarreel-balance/src/overload/throttle.rs
@@ -0,0 +1,1 @@
+//! Fewer new runs of a route whose own calls are refused at other targets.
--- /dev/null
+++ b/fulmarreel-balance/tests/overload/main.rs
@@ -0,0 +1,6 @@
+//! Order and admission under overload.
+
+mod origin;
+mod play;
+mod queue;
+mod shares;
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -1,6 +1,7 @@
 //! Serves requests, from this node and from others, for this node's own target: queues them for its
 //! slots and forwards them over HTTP.
 
+mod order;
 mod own_target;
 mod peer;
 
@@ -20,6 +21,7 @@
 use fulmarreel_membership::{Announcement, announcement::CurrentTarget};
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::{Failure, Frame, Head, Header, Open, Refusal};
+use order::Orders;
 use own_target::OwnTarget;
 use smol::{Timer, net::TcpListener, stream::StreamExt};
 use std::{
@@ -39,6 +41,7 @@
 pub struct Server {
     context: Arc<Context>,
     slot_queue: Arc<SlotQueue>,
+    orders: Orders,
     endpoint: Endpoint,
     own_target: Mutex<OwnTarget>,
     /// Whether the target of an announcement is being asked whether it is there.
@@ -87,6 +90,7 @@
         Self {
             context,
             slot_queue: Arc::default(),
+            orders: Orders::default(),
             endpoint: Endpoint::new(settings.endpoint, quota),
             own_target: Mutex::new(OwnTarget {
                 current_target: CurrentTarget::default(),
@@ -152,8 +156,31 @@
             wanted: after_ms(open.wanted_ms),
             latest: after_ms(open.latest_ms),
         };
+        let permit = self.acquire_slot(open, deadlines).await?;
+        // The target may have left while the request waited.
+        let target = self
+            .target_for(open)
+            .map_err(|reason| refused(reason, Duration::ZERO))?;
+        Ok(Admitted {
+            permit,
+            target,
+            deadline,
+        })
+    }
+
+    /// Waits for a slot, in the order that the configuration calls for.
+    async fn acquire_slot(
+        &self,
+        open: &Open,
+        deadlines: QueueDeadlines,
+    ) -> Result<Permit, Rejection> {
+        let view = self.context.view();
+        let table = view.table.as_ref();
+        if let Some(table) = table.filter(|table| order::is_active(table)) {
+            return self.acquire_in_order(open, table, deadlines).await;
+        }
         let permit = self.slot_queue.acquire_ranked(open.rank, deadlines).await;
-        let permit = permit.map_err(|reason| {
+        permit.map_err(|reason| {
             let (load, slots) = self.slot_queue.load();
             let backlog = self.slot_queue.backlog();
             log::info!(
@@ -164,16 +191,7 @@
                 backlog_ms = backlog.as_millis() as u64;
                 "refused, no slot in time"
             );
-            refused(reason, backlog)
-        })?;
-        // The target may have left while the request waited.
-        let target = self
-            .target_for(open)
-            .map_err(|reason| refused(reason, Duration::ZERO))?;
-        Ok(Admitted {
-            permit,
-            target,
-            deadline,
+            Rejection::refused(open, reason, backlog)
         })
     }
 
--- a/fulmarreel-node/src/serve/mod.rs
+++ b/fulmarreel-node/src/serve/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod open;
 pub(crate) mod session;
 pub(crate) mod slot_queue;
+mod slots;
 
 use crate::{rollout::Rollouts, state::State, target::Client};
 use fulmarreel_membership::Target;
--- a/fulmarreel-node/src/serve/slot_queue.rs
+++ b/fulmarreel-node/src/serve/slot_queue.rs
@@ -1,7 +1,9 @@
 //! The slots of the local target, as a queue on which tasks wait.
 
-use fulmarreel_balance::admission::{
-    Admission, AdmissionOutcome, Dequeued, QueueDeadlines, QueueKey,
+use super::slots::{Grantor, Leaving, Slots};
+use fulmarreel_balance::{
+    admission::{Admission, AdmissionOutcome, Dequeued, QueueDeadlines, QueueKey},
+    overload::{Arrival, Cause, Decision, Key, Released, Request},
 };
 use fulmarreel_wire::call::Refusal;
 use smol::{
@@ -10,20 +12,21 @@
     future::or,
 };
 use std::{
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
 
 /// The slots of the local target and the calls that wait for one.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct SlotQueue {
-    admission: Mutex<Admission<Sender<Permit>>>,
+    slots: Mutex<Slots>,
 }
 
 /// A slot held by a call; freed when dropped.
 #[derive(Debug)]
 pub(crate) struct Permit {
     slot_queue: Arc<SlotQueue>,
+    grantor: Grantor,
     acquired_at: Instant,
 }
 
@@ -34,20 +37,34 @@
     key: QueueKey,
 }
 
+/// A request in the queue by class; leaves it when dropped.
+#[derive(Debug)]
+struct QueuedRequest<'a> {
+    slot_queue: &'a SlotQueue,
+    key: Key,
+}
+
+/// Why a request that was ordered by class gets no slot.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ClassedRefusal {
+    pub reason: Refusal,
+    /// `None` if its deadline passed while it waited.
+    pub cause: Option<Cause>,
+    /// The delay after which it is told to come back.
+    pub retry_after: Duration,
+}
+
 impl Drop for QueuedCall<'_> {
     fn drop(&mut self) {
-        let mut admission = self.slot_queue.admission.lock().expect("admission lock");
         // If the call was granted a slot meanwhile, dropping the permit in its channel frees the
         // slot.
-        admission.withdraw(self.key);
+        self.slot_queue.lock().withdraw_ranked(self.key);
     }
 }
 
-impl Default for SlotQueue {
-    fn default() -> Self {
-        Self {
-            admission: Mutex::new(Admission::new(0)),
-        }
+impl Drop for QueuedRequest<'_> {
+    fn drop(&mut self) {
+        self.slot_queue.lock().withdraw_classed(self.key);
     }
 }
 
@@ -91,12 +108,13 @@
     ) -> Result<Permit, Refusal> {
         let (sender, receiver) = bounded(1);
         let now = Instant::now();
-        let outcome = {
-            let mut admission = self.admission.lock().expect("admission lock");
-            admit(&mut admission, now, sender)
+        let (outcome, leaving) = {
+            let mut slots = self.lock();
+            slots.with_ranked(now, |ranked| admit(ranked, now, sender))
         };
+        self.release(leaving, now);
         match outcome {
-            AdmissionOutcome::Admitted(_) => Ok(self.permit(now)),
+            AdmissionOutcome::Admitted(_) => Ok(self.permit(Grantor::Ranked, now)),
             AdmissionOutcome::Refused(_) => Err(Refusal::Overloaded),
             AdmissionOutcome::Queued(key) => {
                 let _queued = QueuedCall {
@@ -109,52 +127,116 @@
         }
     }
 
+    /// Waits for a slot in the order of classes and accounts.
+    ///
+    /// # Errors
+    ///
+    /// The request gets no slot in time.
+    pub async fn acquire_classed(
+        self: &Arc<Self>,
+        request: Request,
+    ) -> Result<Permit, ClassedRefusal> {
+        let (sender, receiver) = bounded(1);
+        let now = Instant::now();
+        let (arrival, mut leaving) = {
+            let mut slots = self.lock();
+            slots.with_classed(now, |queue| queue.admit(now, request, sender))
+        };
+        let Arrival {
+            decision,
+            displaced,
+        } = arrival;
+        leaving.displaced = displaced;
+        self.release(leaving, now);
+        let key = match decision {
+            Decision::Admitted(_) => return Ok(self.permit(Grantor::Classed, now)),
+            Decision::Refused(_, cause) => {
+                return Err(self.refusal(Refusal::Overloaded, Some(cause)));
+            }
+            Decision::Queued(key) => key,
+        };
+        let queued = QueuedRequest {
+            slot_queue: self,
+            key,
+        };
+        let granted = async { receiver.recv().await.unwrap_or(Err(Refusal::Deadline)) };
+        let expired = async {
+            Timer::at(request.deadlines.latest).await;
+            Err(Refusal::Deadline)
+        };
+        let result = or(granted, expired).await;
+        drop(queued);
+        result.map_err(|reason| {
+            let is_displaced = reason == Refusal::Overloaded;
+            self.refusal(reason, is_displaced.then_some(Cause::Displaced))
+        })
+    }
+
+    /// The refusal of a request now, with the delay after which it is told to come back.
+    pub fn refusal(&self, reason: Refusal, cause: Option<Cause>) -> ClassedRefusal {
+        ClassedRefusal {
+            reason,
+            cause,
+            retry_after: self.lock().retry_delay(Instant::now()),
+        }
+    }
+
     /// Expected time until all calls that are queued now have a slot.
     pub fn backlog(&self) -> Duration {
-        self.admission.lock().expect("admission lock").backlog()
+        self.lock().backlog()
     }
 
     /// Changes the number of slots.
     pub fn resize(self: &Arc<Self>, slots: u16) {
         let now = Instant::now();
-        let released = {
-            let mut admission = self.admission.lock().expect("admission lock");
-            if admission.slots() == usize::from(slots) {
-                return;
-            }
-            admission.resize(now, slots)
-        };
-        self.release(released, now);
+        let leaving = self.lock().resize(now, slots);
+        self.release(leaving, now);
     }
 
     /// The number of calls that run or wait.
     pub fn in_flight(&self) -> usize {
-        self.admission.lock().expect("admission lock").in_flight()
+        self.lock().in_flight()
     }
 
     /// The number of calls that run or wait, and the number of slots, as responses report them.
     pub fn load(&self) -> (u16, u16) {
-        let admission = self.admission.lock().expect("admission lock");
-        let to_u16 = |count: usize| u16::try_from(count).unwrap_or(u16::MAX);
-        (to_u16(admission.in_flight()), to_u16(admission.slots()))
+        let slots = self.lock();
+        let in_flight = u16::try_from(slots.in_flight()).unwrap_or(u16::MAX);
+        (in_flight, slots.total())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Slots> {
+        self.slots.lock().expect("slots lock")
     }
 
-    fn permit(self: &Arc<Self>, acquired_at: Instant) -> Permit {
+    fn permit(self: &Arc<Self>, grantor: Grantor, acquired_at: Instant) -> Permit {
         Permit {
             slot_queue: Arc::clone(self),
+            grantor,
             acquired_at,
         }
     }
 
-    fn release(self: &Arc<Self>, released: Vec<Dequeued<Sender<Permit>>>, now: Instant) {
-        for dequeued in released {
+    /// Tells requests that left the queue. If one no longer waits, its permit comes back and is dropped,
+    /// which frees its slot.
+    fn release(self: &Arc<Self>, leaving: Leaving, now: Instant) {
+        for dequeued in leaving.ranked {
             match dequeued {
-                // If the call no longer waits, the permit comes back and is dropped, which frees
-                // its slot.
-                Dequeued::Admitted(call) => _ = call.try_send(self.permit(now)),
+                Dequeued::Admitted(call) => _ = call.try_send(self.permit(Grantor::Ranked, now)),
                 Dequeued::Expired(call) => drop(call),
             }
         }
+        for released in leaving.classed {
+            _ = match released {
+                Released::Admitted(waiter) => {
+                    waiter.try_send(Ok(self.permit(Grantor::Classed, now)))
+                }
+                Released::Expired(waiter) => waiter.try_send(Err(Refusal::Deadline)),
+            };
+        }
+        for waiter in leaving.displaced {
+            let _ = waiter.try_send(Err(Refusal::Overloaded));
+        }
     }
 }
 
@@ -162,10 +244,7 @@
     fn drop(&mut self) {
         let now = Instant::now();
         let held = now.saturating_duration_since(self.acquired_at);
-        let released = {
-            let mut admission = self.slot_queue.admission.lock().expect("admission lock");
-            admission.release_slot(now, held)
-        };
-        self.slot_queue.release(released, now);
+        let leaving = self.slot_queue.lock().release(now, self.grantor, held);
+        self.slot_queue.release(leaving, now);
     }
 }
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -139,6 +139,19 @@
     counter!("fulmarreel_refusals_total", &labels).increment(1);
 }
 
+/// Counts a request that got no slot of the local target, by its class and by why.
+pub fn request_shed(class: &'static str, cause: &'static str) {
+    counter!("fulmarreel_shed_total", "class" => class, "cause" => cause).increment(1);
+}
+
+/// Records how long a request waited for a slot of the local target, by its class and by whether it got
+/// one.
+pub fn slot_waited(class: &'static str, waited: Duration, granted: bool) {
+    let granted = if granted { "yes" } else { "no" };
+    histogram!("fulmarreel_slot_wait_seconds", "class" => class, "granted" => granted)
+        .record(waited.as_secs_f64());
+}
+
 /// Sets the number of calls that run or wait at the local target, and its number of slots.
 pub fn set_target_load(in_flight: u16, slots: u16) {
     gauge!("fulmarreel_target_in_flight").set(f64::from(in_flight));
