feat: a cold target gets no more than its limit in any second, over all nodes

The target's own node paces hand-overs by a token bucket, and allows one only if the bound holds whenever the target gets what was handed over. Nodes that send requests learn from responses that a target is cold, and send it their share; the rest goes to other targets, or is refused as not run.

--- a/fulmarreel-balance/src/lib.rs
+++ b/fulmarreel-balance/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod budget;
 pub mod choice;
+pub mod cold;
 pub mod placement;
 
 pub use admission::Admission;
--- a/fulmarreel-balance/tests/balance.rs
+++ b/fulmarreel-balance/tests/balance.rs
@@ -6,3 +6,5 @@
 mod budget;
 #[path = "balance/choice.rs"]
 mod choice;
+#[path = "balance/cold.rs"]
+mod cold;
--- a/fulmarreel-node/src/mesh/caller/choose.rs
+++ b/fulmarreel-node/src/mesh/caller/choose.rs
@@ -57,6 +57,8 @@
         }
         // No request waits for an unreachable node: a task of its own probes it until it is back.
         usable.retain(|target| !self.targets.is_unreachable(target.address));
+        self.cold_targets
+            .remove_used_up(view, request.service, offers, &mut usable);
         let to_candidate = |target: &&Arc<Target>| self.candidate(target, request);
         let mut candidates: Vec<Candidate> = usable.iter().map(to_candidate).collect();
         if !offers.addresses.is_empty() {
--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -1,6 +1,7 @@
 //! Requests of callers and of the own target, from their arrival to their response.
 
 mod choose;
+mod cold_targets;
 mod delivery;
 mod eligible;
 mod head;
@@ -16,6 +17,7 @@
     peer::{Identity, Pool},
     runtime::{self, Task},
 };
+use cold_targets::ColdTargets;
 use delivery::InFlightGuard;
 use fulmarreel_balance::Budget;
 use fulmarreel_platform::request;
@@ -55,6 +57,7 @@
     server: Arc<Server>,
     rollouts: Arc<Rollouts>,
     targets: Arc<TargetStats>,
+    cold_targets: ColdTargets,
     pool: Arc<Pool>,
     /// Retry budgets by service.
     budgets: Mutex<HashMap<String, Budget>>,
@@ -99,6 +102,7 @@
             server,
             rollouts,
             targets: Arc::default(),
+            cold_targets: ColdTargets::default(),
             pool,
             budgets: Mutex::default(),
             response_kilobytes: Mutex::default(),
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -117,10 +117,12 @@
                 own: self.context.settings().peer_address,
                 deadline: request.deadline,
             };
+            self.cold_targets.record_offer(&target);
             let in_flight = self.targets.start_request(target.address);
             let tracker = self.track_call(request, &target, &version_choice);
-            let outcome = exchange.run(&open, request.body).await;
+            let mut outcome = exchange.run(&open, request.body).await;
             drop(in_flight);
+            self.cold_targets.record_outcome(&target, &mut outcome);
             self.record_attempt(request, &target, tracker, &outcome);
             match outcome {
                 AttemptOutcome::Answered(response) if is_not_run(&response) => {
--- a/fulmarreel-node/src/mesh/endpoint.rs
+++ b/fulmarreel-node/src/mesh/endpoint.rs
@@ -182,12 +182,12 @@
         .await
     }
 
-    /// Whether the health check at `path` succeeds and is answered by the target with that id.
+    /// The response to the health check at `path`.
     ///
     /// # Errors
     ///
     /// The target does not respond.
-    pub async fn accepts_requests(&self, path: &str, id: &str) -> Result<bool, Error> {
+    pub async fn check_health(&self, path: &str) -> Result<Response, Error> {
         let target = self.address;
         let mut connection = self.open().await?;
         let host = target.to_string();
@@ -202,13 +202,11 @@
             let response = exchange.await?;
             Ok(response)
         };
-        let response = or(exchanged, async {
+        or(exchanged, async {
             Timer::after(CONNECT_TIMEOUT).await;
             Err(Error::Deadline { target })
         })
-        .await?;
-        let is_expected = request::responding_target(&response.headers) == Some(id);
-        Ok(response.status == 200 && is_expected)
+        .await
     }
 
     /// Closes connections that have been idle for too long, and those on which the target sent
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -1,6 +1,7 @@
 //! Serves requests, from this node and from others, for this node's own target: queues them for its
 //! slots and forwards them over HTTP.
 
+mod cold_gate;
 mod own_target;
 mod peer;
 mod place;
@@ -16,6 +17,8 @@
     },
     telemetry::metrics,
 };
+pub use cold_gate::COLD_MS;
+use cold_gate::{ColdGate, HandOver};
 use fulmarreel_balance::admission::QueueDeadlines;
 use fulmarreel_http::{Quota, Response};
 use fulmarreel_membership::{Announcement, announcement::CurrentTarget};
@@ -42,6 +45,7 @@
     slot_queue: Arc<SlotQueue>,
     endpoint: Endpoint,
     own_target: Mutex<OwnTarget>,
+    cold_gate: Arc<ColdGate>,
     /// Whether the target of an announcement is being asked whether it is there.
     is_confirming: AtomicBool,
     sessions: Sessions,
@@ -66,6 +70,8 @@
 pub struct Admitted {
     permit: Permit,
     target: Announcement,
+    /// Its hand-over, if the target is limited while it is cold.
+    hand_over: Option<HandOver>,
     /// When its caller stops waiting.
     deadline: Instant,
 }
@@ -93,6 +99,7 @@
                 current_target: CurrentTarget::default(),
                 last_heard: Instant::now(),
             }),
+            cold_gate: Arc::new(ColdGate::new(Instant::now())),
             is_confirming: AtomicBool::new(false),
             sessions: Sessions::default(),
         }
@@ -169,6 +176,8 @@
             );
             refused(reason, backlog)
         })?;
+        let hand_over = self.pass_cold_gate(open, deadlines).await;
+        let hand_over = hand_over.map_err(|(reason, wait)| refused(reason, wait))?;
         // The target may have left while the request waited.
         let target = self
             .target_for(open)
@@ -176,6 +185,7 @@
         Ok(Admitted {
             permit,
             target,
+            hand_over,
             deadline,
         })
     }
@@ -194,15 +204,29 @@
         let Admitted {
             permit,
             target,
+            mut hand_over,
             deadline,
         } = admitted;
+        if let Some(hand_over) = &mut hand_over {
+            hand_over.send();
+        }
         let started = Instant::now();
         let result = self.endpoint.call(open, body, &target.id, deadline).await;
         let latency = started.elapsed();
         match result {
-            Ok(response) => Ok(self.complete(open.sequence, response, latency, permit)),
+            Ok(response) => {
+                let cold = hand_over.and_then(|hand_over| hand_over.answer(&response));
+                let mut response = self.complete(open.sequence, response, latency, permit);
+                response.head.headers.extend(cold);
+                Ok(response)
+            }
             Err(error) => {
                 drop(permit);
+                if let Some(hand_over) = hand_over
+                    && matches!(error, endpoint::Error::Unreachable { .. })
+                {
+                    hand_over.cancel();
+                }
                 log::info!(
                     id = request_id(open),
                     target = target.id.as_str(),
@@ -278,6 +302,7 @@
             Timer::after(CHECK_INTERVAL).await;
             self.withdraw_silent_target(started, &mut last_check);
             self.endpoint.close_unusable();
+            self.log_cold_state();
             let (in_flight, slots) = self.slot_queue.load();
             metrics::set_target_load(in_flight, slots);
             self.sessions.remove_idle();
--- a/fulmarreel-node/src/mesh/serve/own_target.rs
+++ b/fulmarreel-node/src/mesh/serve/own_target.rs
@@ -1,11 +1,15 @@
 //! What the server believes of the own target.
 
 use super::{CHECK_INTERVAL, Server};
-use crate::{mesh::keys, state::unix_millis};
+use crate::{
+    mesh::{endpoint, keys},
+    state::unix_millis,
+};
 use fulmarreel_membership::{
     Announcement,
     announcement::{CurrentTarget, History, Run, Verdict},
 };
+use fulmarreel_platform::request;
 use fulmarreel_wire::call::Frame;
 use smol::Timer;
 use std::{
@@ -30,6 +34,14 @@
     pub last_heard: Instant,
 }
 
+/// The answer to a health check of the own target.
+#[derive(Debug)]
+struct Health {
+    accepts_requests: bool,
+    /// How long the target stays cold, if it tells.
+    cold_remaining: Option<Duration>,
+}
+
 impl Server {
     /// The latest announcement of the own target, if it has one in force.
     pub fn target(&self) -> Option<Announcement> {
@@ -63,10 +75,12 @@
     /// Uses the target that an earlier process of this node knew, provided that its health check says
     /// that it accepts requests; the target's own announcements replace it.
     pub async fn resume_target(&self, known: keys::Target, health_path: &str) {
-        let accepts = self.endpoint.accepts_requests(health_path, &known.id).await;
-        match accepts {
-            Ok(true) if self.target().is_none() => {
+        let health = self.check_health(health_path, &known.id).await;
+        match health {
+            Ok(health) if health.accepts_requests && self.target().is_none() => {
                 let settings = self.context.settings();
+                // Until the target announces itself, it may be cold.
+                let unknown = settings.announcement_interval * MAX_SILENT_INTERVALS;
                 let announcement = Announcement {
                     id: known.id,
                     // Any announcement of the target itself is newer.
@@ -78,7 +92,7 @@
                     zone: settings.zone.clone(),
                     slots: known.slots,
                     leaving: false,
-                    warm_up_remaining: Duration::ZERO,
+                    warm_up_remaining: health.cold_remaining.unwrap_or(unknown),
                 };
                 self.change_target(|target| target.confirm(announcement));
             }
@@ -97,9 +111,15 @@
             let Some(waiting) = self.unconfirmed() else {
                 break;
             };
-            let accepts = self.endpoint.accepts_requests(health_path, &waiting.id);
-            if let Ok(true) = accepts.await {
-                self.change_target(|target| target.confirm(waiting));
+            let health = self.check_health(health_path, &waiting.id).await;
+            if let Ok(health) = health
+                && health.accepts_requests
+            {
+                let mut confirmed = waiting;
+                // The announcement may be older than the answer.
+                let remaining = health.cold_remaining.unwrap_or_default();
+                confirmed.warm_up_remaining = confirmed.warm_up_remaining.max(remaining);
+                self.change_target(|target| target.confirm(confirmed));
                 break;
             }
             Timer::after(CONFIRMATION_INTERVAL).await;
@@ -117,6 +137,28 @@
         self.change_target(|target| target.end(id, unix_millis()));
     }
 
+    /// Asks the own target whether it accepts requests.
+    async fn check_health(&self, path: &str, id: &str) -> Result<Health, endpoint::Error> {
+        let hand_over = self.begin_health_check();
+        let response = match self.endpoint.check_health(path).await {
+            Ok(response) => response,
+            Err(error) => {
+                if let Some(hand_over) = hand_over
+                    && matches!(error, endpoint::Error::Unreachable { .. })
+                {
+                    hand_over.cancel();
+                }
+                return Err(error);
+            }
+        };
+        hand_over.and_then(|hand_over| hand_over.answer(&response));
+        let is_expected = request::responding_target(&response.headers) == Some(id);
+        Ok(Health {
+            accepts_requests: response.status == 200 && is_expected,
+            cold_remaining: request::cold_remaining(&response.headers),
+        })
+    }
+
     fn unconfirmed(&self) -> Option<Announcement> {
         let own = self.own_target.lock().expect("own target lock");
         own.current_target.unconfirmed().cloned()
@@ -136,8 +178,10 @@
             && before.as_ref() != Some(&target)
         {
             self.slot_queue.resize(target.slots);
+            self.cold_gate.set_remaining(target.warm_up_remaining);
         }
         self.handle_target_change(before.as_ref());
+        self.log_cold_state();
         result
     }
 
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -25,6 +25,8 @@
     pub address: SocketAddr,
     /// Identifies one run of the target's process.
     pub id: String,
+    /// When the run started, in milliseconds since the Unix epoch, if its node tells.
+    pub started_at_ms: Option<u64>,
     /// The version that it runs.
     pub version: String,
     /// The number of requests that it runs at once.
@@ -158,6 +160,7 @@
         targets.push(Arc::new(Target {
             address: node.address,
             id: target.id,
+            started_at_ms: target.started_at_ms,
             version: target.version,
             slots: target.slots,
             tier,
--- a/fulmarreel-node/tests/mesh/backend.rs
+++ b/fulmarreel-node/tests/mesh/backend.rs
@@ -9,7 +9,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Bytes of one write of a flood without an interval, at least.
@@ -94,6 +94,8 @@
 struct Shared {
     behavior: Behavior,
     arrivals: Vec<Arrival>,
+    /// When each request, or health check, arrived.
+    arrival_times: Vec<Instant>,
     /// Number of requests whose connection was closed while they ran.
     aborted: usize,
     finished: usize,
@@ -129,6 +131,11 @@
         self.lock().arrivals.clone()
     }
 
+    /// When requests and health checks arrived.
+    pub fn arrival_times(&self) -> Vec<Instant> {
+        self.lock().arrival_times.clone()
+    }
+
     pub fn aborted(&self) -> usize {
         self.lock().aborted
     }
@@ -161,6 +168,7 @@
             };
             let behavior = self.lock().behavior;
             if request.starts_with("GET /health ") {
+                self.lock().arrival_times.push(Instant::now());
                 let status = if behavior.unhealthy { 503 } else { 200 };
                 let id = &self.id;
                 let answer = format!(
@@ -190,6 +198,7 @@
                 tcp.write_all(answer.as_bytes()).await?;
                 continue;
             }
+            self.lock().arrival_times.push(Instant::now());
             self.lock().arrivals.push(request.clone());
             if !self.work(&mut tcp, behavior.delay).await {
                 self.lock().aborted += 1;
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -2,6 +2,7 @@
 //! the targets are fakes inside the test process.
 
 mod backend;
+mod cold;
 mod departed;
 mod distribution;
 mod endless;
--- a/fulmarreel-route/src/table.rs
+++ b/fulmarreel-route/src/table.rs
@@ -1,7 +1,7 @@
 //! The routes of one configuration, indexed by host.
 
 use crate::{Accounts, Limits, Route, WeightedSplit};
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 /// The routes of one version of the configuration.
 #[derive(Debug, Default)]
@@ -16,6 +16,8 @@
     pub health_paths: HashMap<String, String>,
     /// The most requests per second that a cold target of a service may get, by service.
     pub cold_limits_per_s: HashMap<String, f64>,
+    /// How long a target of a service is cold after its start, by service.
+    pub cold_times: HashMap<String, Duration>,
     /// The client accounts; without any, requests need no API key.
     pub accounts: Accounts,
     /// Routes by host in lower case, those with the longest prefix first.
@@ -51,6 +53,7 @@
             limits,
             health_paths: HashMap::new(),
             cold_limits_per_s: HashMap::new(),
+            cold_times: HashMap::new(),
             accounts: Accounts::default(),
             entries_by_host,
         }
