--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -2,6 +2,7 @@
 
 mod authenticate;
 mod choose;
+mod cold_targets;
 mod delivery;
 mod eligible;
 mod head;
@@ -22,6 +23,7 @@
     runtime::{self, Task},
 };
 use authenticate::authenticate;
+use cold_targets::ColdTargets;
 use delivery::InFlightGuard;
 use fulmarreel_balance::Budget;
 use fulmarreel_platform::request;
@@ -61,6 +63,7 @@
     server: Arc<Server>,
     rollouts: Arc<Rollouts>,
     targets: Arc<TargetStats>,
+    cold_targets: ColdTargets,
     pool: Arc<Pool>,
     /// Retry budgets by service.
     budgets: Mutex<HashMap<String, Budget>>,
@@ -107,6 +110,7 @@
             server,
             rollouts,
             targets: Arc::default(),
+            cold_targets: ColdTargets::default(),
             pool,
             budgets: Mutex::default(),
             response_kilobytes: Mutex::default(),
