feat: the age of a node's copy of the store is proved, by a clock that counts suspensions

Requests with API keys go by the earliest time at which the store can have made what the copy holds. The decisions of configurations without accounts stay as they were.

--- a/fulmarreel-distribution/src/copy_proof.rs
+++ b/fulmarreel-distribution/src/copy_proof.rs
@@ -64,11 +64,16 @@
         self.complete_as_of
     }
 
+    /// Time since then.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let as_of = self.complete_as_of?;
+        Some(now.saturating_duration_since(as_of))
+    }
+
     /// Whether requests with API keys of the copy may run, if a key that was removed longer than
     /// `revocation_limit` ago must not be accepted.
     pub fn allows_keys(&self, revocation_limit: Duration, now: Instant) -> bool {
         let max_age = revocation_limit.mul_f64(MAX_AGE_FRACTION);
-        self.complete_as_of
-            .is_some_and(|as_of| now.saturating_duration_since(as_of) <= max_age)
+        self.age(now).is_some_and(|age| age <= max_age)
     }
 }
--- a/fulmarreel-distribution/tests/distribution.rs
+++ b/fulmarreel-distribution/tests/distribution.rs
@@ -7,6 +7,7 @@
     mod knowledge;
     mod log;
     mod pace;
+    mod proof;
     mod readers;
     mod readiness;
     mod schedule;
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -102,6 +102,7 @@
         metrics::request_ended(status as u16, reason);
         let id = conn.request_headers().get_str(request::REQUEST_ID);
         let age = self.context.contact_age().map(|age| age.as_millis() as u64);
+        let proof_age = self.context.proof_age().map(|age| age.as_millis() as u64);
         log::info!(
             id = id.unwrap_or_default(),
             host = conn.host().unwrap_or_default(),
@@ -110,7 +111,8 @@
             revision,
             known = self.context.revision(),
             heard = self.context.highest_heard_revision(),
-            contact_age_ms = age;
+            contact_age_ms = age,
+            proof_age_ms = proof_age;
             "{reason}"
         );
     }
--- a/fulmarreel-node/src/mesh/context.rs
+++ b/fulmarreel-node/src/mesh/context.rs
@@ -1,9 +1,13 @@
 //! The state that all parts of the node share.
 
-use super::view::{Location, View};
+use super::{
+    boot_clock,
+    view::{Location, View},
+};
 use crate::state::unix_millis;
 use fulmarreel_distribution::{
-    CopyFreshness, Mirror, Readers, StoreContact,
+    CopyFreshness, CopyProof, Mirror, Readers, StoreContact,
+    copy_proof::StoreCall,
     mirror::{self, Change, Item},
 };
 use fulmarreel_platform::{Settings, store};
@@ -24,10 +28,6 @@
 /// node whether they have run, and to send their responses.
 const LAST_RESPONSE_TIME: Duration = Duration::from_millis(150);
 
-/// The fraction of the limit for revocations that the mirror's proved age may take up. The rest is for
-/// requests and notices that are under way, and for clocks that differ.
-const MAX_PROOF_AGE_FRACTION: f64 = 0.6;
-
 /// The state that all parts of the node share.
 #[derive(Debug)]
 pub struct Context {
@@ -46,6 +46,8 @@
     stop_signal: (Sender<()>, Receiver<()>),
     /// How recent the mirror is.
     copy_freshness: Mutex<CopyFreshness>,
+    /// As of when the mirror is proved complete.
+    copy_proof: Mutex<CopyProof>,
     /// This node's own contact with the store.
     contact: Mutex<StoreContact>,
     /// The nodes of this region that read the store, and whether this one does.
@@ -59,7 +61,7 @@
 impl Context {
     /// The state at the start of the process, when only the settings are known.
     pub fn new(settings: Settings) -> Self {
-        let readers = Readers::new(settings.peer_address, Instant::now(), fastrand::f64());
+        let readers = Readers::new(settings.peer_address, boot_clock::now(), fastrand::f64());
         Self {
             started_at_ms: unix_millis(),
             store: store::Client::new(settings.store_address, store::Options::default()),
@@ -69,6 +71,7 @@
             end: OnceLock::new(),
             stop_signal: bounded(1),
             copy_freshness: Mutex::default(),
+            copy_proof: Mutex::default(),
             contact: Mutex::default(),
             readers: Mutex::new(readers),
             reader_role_changed: bounded(1),
@@ -139,9 +142,12 @@
         Ok(())
     }
 
-    /// Records that the mirror has just received all that the store had.
-    pub fn mark_up_to_date(&self) {
-        self.copy_freshness().confirm_now(Instant::now());
+    /// Records that the mirror has just received all that the store had when it answered `call`.
+    pub fn mark_up_to_date(&self, call: &StoreCall, has_events: bool) {
+        let now = boot_clock::now();
+        self.copy_proof()
+            .record(call.answered_as_of(has_events, now));
+        self.copy_freshness().confirm_now(now);
         self.mark_contact();
         // Fails if a signal is pending, which is enough.
         let _ = self.store_responded.0.try_send(());
@@ -149,7 +155,7 @@
 
     /// Records a sign that the store answers this node.
     pub fn mark_contact(&self) {
-        let now = Instant::now();
+        let now = boot_clock::now();
         self.contact
             .lock()
             .expect("contact lock")
@@ -159,13 +165,13 @@
 
     /// Records that a call to the store has failed.
     pub fn mark_store_failure(&self) {
-        self.readers().record_failure(Instant::now());
+        self.readers().record_failure(boot_clock::now());
     }
 
     /// Whether this node is a reader of the store, is in contact with it, and is not stopping.
     pub fn is_reader_in_contact(&self) -> bool {
         let contact = self.contact.lock().expect("contact lock");
-        let in_contact = contact.is_in_contact(Instant::now());
+        let in_contact = contact.is_in_contact(boot_clock::now());
         drop(contact);
         in_contact && self.is_reader() && !self.is_stopping()
     }
@@ -179,13 +185,14 @@
     /// Records the store revision that another node knows.
     pub fn record_peer_revision(&self, revision: u64) {
         self.copy_freshness()
-            .record_peer_revision(revision, Instant::now());
+            .record_peer_revision(revision, boot_clock::now());
     }
 
     /// The earliest time that a message of that age, received now, may refer to. A pause of this
     /// process, during which the message may have been queued, is taken into account.
     pub fn time_of(&self, age: Duration) -> Option<Instant> {
-        self.copy_freshness().earliest_time_of(age, Instant::now())
+        self.copy_freshness()
+            .earliest_time_of(age, boot_clock::now())
     }
 
     /// Records that the mirror holds everything that the store had at `time`, as given by
@@ -196,29 +203,82 @@
 
     /// How long ago the mirror held all that the store had; `None` if it never did.
     pub fn contact_age(&self) -> Option<Duration> {
-        self.copy_freshness().age(Instant::now())
+        self.copy_freshness().age(boot_clock::now())
+    }
+
+    /// Whether the age of the mirror has to be proved: the configuration has accounts, or is not known.
+    pub fn needs_proof(&self) -> bool {
+        let view = self.view();
+        let table = view.table.as_ref();
+        table.is_none_or(|table| !table.accounts.is_empty())
+    }
+
+    /// Records that no notice was unread at some time not before `checked_at`.
+    pub fn record_empty_notice_queue(&self, checked_at: Instant) {
+        self.copy_proof().record_empty_queue(checked_at);
+    }
+
+    /// The earliest time to which a notice read now can refer, if its content was `age` old when it was
+    /// sent.
+    pub fn earliest_time_of_notice(&self, age: Duration) -> Option<Instant> {
+        self.copy_proof().earliest_time_of_notice(age)
+    }
+
+    /// Records that a reader which knew the store up to `revision` knew all that the store had at
+    /// `time`, as given by [`Context::earliest_time_of_notice`]. The mirror has to hold that revision.
+    pub fn prove_known_as_of(&self, time: Instant, revision: u64) {
+        let view = self.view();
+        let table = view.table.as_ref();
+        // The reader proved that time only if its configuration has accounts too.
+        if table.is_some_and(|table| !table.accounts.is_empty() && table.revision <= revision) {
+            self.copy_proof().record(time);
+        }
+    }
+
+    /// What this node tells others of its mirror: when at the latest the mirror is known to have held
+    /// all that the store had, and its revision.
+    pub fn announced_knowledge(&self) -> (Option<Instant>, u64) {
+        let now = boot_clock::now();
+        let proved = self.copy_proof().complete_as_of();
+        let confirmed = self
+            .copy_freshness()
+            .age(now)
+            .and_then(|age| now.checked_sub(age));
+        // Read after the times, as it rises first: what is known of a revision holds for a later one.
+        let revision = self.revision();
+        let as_of = if self.needs_proof() {
+            proved
+        } else {
+            confirmed
+        };
+        (as_of, revision)
     }
 
     /// Whether the mirror is proved recent enough to accept requests with API keys: a key that it holds
     /// was not removed longer ago than the limit for revocations.
     pub fn is_proved(&self) -> bool {
-        let limit = self
-            .settings()
-            .revocation_limit
-            .mul_f64(MAX_PROOF_AGE_FRACTION);
-        self.contact_age().is_some_and(|age| age <= limit)
+        let limit = self.settings().revocation_limit;
+        self.copy_proof().allows_keys(limit, boot_clock::now())
+    }
+
+    /// How long ago the mirror is proved to have held all that the store had; `None` if it never was.
+    pub fn proof_age(&self) -> Option<Duration> {
+        self.copy_proof().age(boot_clock::now())
     }
 
     /// The highest store revision that this node knows or has lately heard of.
     pub fn highest_heard_revision(&self) -> u64 {
-        let heard = self.copy_freshness().highest_peer_revision(Instant::now());
+        let heard = self
+            .copy_freshness()
+            .highest_peer_revision(boot_clock::now());
         heard.max(self.revision())
     }
 
     /// Whether the mirror is recent enough to reject a request for good.
     pub fn is_current(&self) -> bool {
         let revision = self.revision();
-        self.copy_freshness().is_current(revision, Instant::now())
+        self.copy_freshness()
+            .is_current(revision, boot_clock::now())
     }
 
     /// Records whether another node of the region read the store at a time.
@@ -233,7 +293,7 @@
 
     /// Decides whether this node reads the store for its region from now on.
     pub fn update_reader_role(&self) {
-        self.copy_freshness().observe(Instant::now());
+        self.copy_freshness().observe(boot_clock::now());
         let view = self.view();
         let region_nodes = view.nodes.iter().filter(|node| node.1);
         let members: Vec<SocketAddr> = region_nodes.map(|node| node.0).collect();
@@ -243,7 +303,7 @@
         let reads = if self.is_stopping() {
             readers.stop_reading()
         } else {
-            readers.decide(&members, lags, Instant::now())
+            readers.decide(&members, lags, boot_clock::now())
         };
         if reads != was_reader {
             log::info!(reads, lags; "reader of the store");
@@ -298,6 +358,10 @@
         self.copy_freshness.lock().expect("copy freshness lock")
     }
 
+    fn copy_proof(&self) -> MutexGuard<'_, CopyProof> {
+        self.copy_proof.lock().expect("copy proof lock")
+    }
+
     fn readers(&self) -> MutexGuard<'_, Readers> {
         self.readers.lock().expect("readers lock")
     }
--- a/fulmarreel-node/src/mesh/mod.rs
+++ b/fulmarreel-node/src/mesh/mod.rs
@@ -11,6 +11,7 @@
 //! down without cutting off a request.
 
 pub(crate) mod announce;
+pub(crate) mod boot_clock;
 pub(crate) mod caller;
 pub(crate) mod context;
 pub(crate) mod credential;
--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -1,15 +1,15 @@
 //! Notices: UDP datagrams between nodes, about contact with the store and about rollouts.
 
-use super::{context::Context, sync::pull, takeover::Rollouts};
+use super::{boot_clock, context::Context, sync::pull, takeover::Rollouts};
 use fulmarreel_distribution::{AnnouncementSchedule, fanout::branches};
 use fulmarreel_wire::{
     PROTOCOL,
     notice::{Datagram, MAX_DATAGRAM_BYTES, Notice, ReaderContact},
 };
-use smol::{Timer, future::or, lock::Mutex, net::UdpSocket};
+use smol::{Async, Timer, future::or, lock::Mutex, net::UdpSocket};
 use std::{
     io,
-    net::SocketAddr,
+    net::{self, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -20,10 +20,23 @@
 /// How often the sender checks for notices that are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How often the socket is checked for unread notices while the age of the mirror has to be proved: a
+/// notice may have waited since the last check.
+const EMPTY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How long a node waits for its region's readers to announce a revision before it fetches that
 /// revision from the node that gossiped it.
 const READER_HEAD_START: Duration = Duration::from_millis(400);
 
+/// As of when a reader knew all that the store had, by its notice.
+#[derive(Debug, Clone, Copy)]
+struct ContactTime {
+    /// By when the notice was read, unless this process was paused.
+    confirmed: Option<Instant>,
+    /// By when the notice can have arrived at the earliest.
+    proved: Option<Instant>,
+}
+
 /// The socket over which the node sends and receives notices.
 #[derive(Debug)]
 pub struct NoticeSocket {
@@ -85,10 +98,12 @@
             })
             .await;
             self.context.update_reader_role();
-            let (now, revision) = (Instant::now(), self.context.revision());
+            let (known_as_of, revision) = self.context.announced_knowledge();
+            let now = Instant::now();
             let is_reading = self.context.is_reader_in_contact();
             if schedule.is_due(is_reading, revision, now) {
-                self.announce_contact(is_reading, revision).await;
+                self.announce_contact(is_reading, revision, known_as_of)
+                    .await;
             }
             if now >= next_gossip && revision > 0 {
                 next_gossip = now + GOSSIP_INTERVAL.mul_f64(0.5 + fastrand::f64());
@@ -99,8 +114,12 @@
 
     /// Announces to the nodes of this region, over a tree, whether this one reads the store: the first
     /// node of each branch forwards the announcement to the others of its branch.
-    async fn announce_contact(&self, is_reading: bool, revision: u64) {
-        let age = self.context.contact_age().unwrap_or(Duration::MAX);
+    async fn announce_contact(
+        &self,
+        is_reading: bool,
+        revision: u64,
+        known_as_of: Option<Instant>,
+    ) {
         let mut region_nodes = self.other_nodes(true);
         fastrand::shuffle(&mut region_nodes);
         for branch in branches(&region_nodes) {
@@ -112,7 +131,7 @@
                 reader: self.context.settings().peer_address,
                 is_reading,
                 revision,
-                age_ms: to_millis(age),
+                age_ms: age_ms(known_as_of),
                 forward_to: members.collect(),
             };
             self.send(first, Notice::Contact(contact)).await;
@@ -147,7 +166,7 @@
     pub async fn receive(self: Arc<Self>, rollouts: Arc<Rollouts>) {
         let mut buffer = [0; 2 * MAX_DATAGRAM_BYTES];
         loop {
-            let received = self.socket.recv_from(&mut buffer).await;
+            let received = self.receive_datagram(&mut buffer).await;
             let (length, peer) = match received {
                 Ok(received) => received,
                 Err(error) => {
@@ -166,6 +185,28 @@
         }
     }
 
+    /// Receives one datagram, and records when none was unread before.
+    async fn receive_datagram(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        let socket: Arc<Async<net::UdpSocket>> = self.socket.clone().into();
+        loop {
+            let checked_at = boot_clock::now();
+            match socket.get_ref().recv_from(buffer) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.context.record_empty_notice_queue(checked_at);
+                }
+                received => return received,
+            }
+            let check = async {
+                if !self.context.needs_proof() {
+                    std::future::pending::<()>().await;
+                }
+                Timer::after(EMPTY_CHECK_INTERVAL).await;
+                Ok(())
+            };
+            or(socket.readable(), check).await?;
+        }
+    }
+
     fn handle(self: &Arc<Self>, rollouts: &Rollouts, datagram: Datagram) {
         let from = datagram.from;
         match datagram.notice {
@@ -204,7 +245,11 @@
         if let Some(sent_at) = context.time_of(Duration::ZERO) {
             context.record_reader(contact.reader, contact.is_reading, sent_at);
         }
-        let contact_at = context.time_of(Duration::from_millis(u64::from(contact.age_ms)));
+        let age = Duration::from_millis(u64::from(contact.age_ms));
+        let contact_at = ContactTime {
+            confirmed: context.time_of(age),
+            proved: context.earliest_time_of_notice(age),
+        };
         let notices = Arc::clone(self);
         crate::runtime::spawn(
             async move { notices.follow_contact(from, contact, contact_at).await },
@@ -217,30 +262,39 @@
         &self,
         from: SocketAddr,
         contact: ReaderContact,
-        contact_at: Option<Instant>,
+        contact_at: ContactTime,
     ) {
         self.catch_up(from, contact.revision).await;
         if from != contact.reader {
             self.catch_up(contact.reader, contact.revision).await;
         }
-        if let Some(contact_at) = contact_at
-            && contact.is_reading
-            && self.context.revision() >= contact.revision
-        {
-            self.context.confirm_known_as_of(contact_at);
+        let context = &self.context;
+        let knows_revision = context.revision() >= contact.revision;
+        if contact.is_reading && knows_revision {
+            if let Some(time) = contact_at.confirmed {
+                context.confirm_known_as_of(time);
+            }
+            if let Some(time) = contact_at.proved {
+                context.prove_known_as_of(time, contact.revision);
+            }
         }
-        let region_nodes = self.other_nodes(true);
-        let passed_on = ReaderContact {
-            age_ms: contact_at.map_or(u32::MAX, |contact_at| to_millis(contact_at.elapsed())),
-            forward_to: Vec::new(),
-            ..contact
+        let passed_on_time = if knows_revision && !context.needs_proof() {
+            contact_at.confirmed
+        } else {
+            contact_at.proved
         };
+        let region_nodes = self.other_nodes(true);
         for to in contact
             .forward_to
             .iter()
             .filter(|to| region_nodes.contains(to))
         {
-            self.send(*to, Notice::Contact(passed_on.clone())).await;
+            let passed_on = ReaderContact {
+                age_ms: age_ms(passed_on_time),
+                forward_to: Vec::new(),
+                ..contact
+            };
+            self.send(*to, Notice::Contact(passed_on)).await;
         }
     }
 
@@ -259,6 +313,9 @@
     }
 }
 
-fn to_millis(age: Duration) -> u32 {
-    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+/// The age of what was known as of a time, in milliseconds.
+fn age_ms(known_as_of: Option<Instant>) -> u32 {
+    let age = known_as_of.map(|time| boot_clock::now().saturating_duration_since(time));
+    age.and_then(|age| u32::try_from(age.as_millis()).ok())
+        .unwrap_or(u32::MAX)
 }
--- a/fulmarreel-node/src/mesh/ready.rs
+++ b/fulmarreel-node/src/mesh/ready.rs
@@ -33,6 +33,9 @@
     if let Some(age) = context.contact_age() {
         metrics::set_store_contact_age(age);
     }
+    if let Some(age) = context.proof_age() {
+        metrics::set_store_proof_age(age);
+    }
     metrics::set_configuration_revision(view.table.as_ref().map_or(0, |table| table.revision));
     for (service, targets) in &view.targets {
         let mut versions = std::collections::BTreeMap::new();
--- a/fulmarreel-node/src/mesh/sync/read.rs
+++ b/fulmarreel-node/src/mesh/sync/read.rs
@@ -1,9 +1,13 @@
 //! The node's own reads of the store: once after its start, and while it is one of its region's readers.
 
-use crate::{mesh::context::Context, telemetry::metrics};
+use crate::{
+    mesh::{boot_clock, context::Context},
+    telemetry::metrics,
+};
 use fulmarreel_distribution::{
     backoff::Backoff,
     contact::WATCH_HOLD_TIME,
+    copy_proof::StoreCall,
     mirror::{Change, Item},
 };
 use fulmarreel_store::{Batch, Entry, Error, Event, Revision, Store, watch::Watch};
@@ -78,10 +82,15 @@
     }
     let from = Revision(context.revision()).next();
     // The first watch returns at once, so that other nodes soon hear that this one is in contact.
-    let mut watch = context.store.watch("", from, Duration::ZERO).await?;
+    let mut hold_time = Duration::ZERO;
+    let mut watch = context.store.watch("", from, hold_time).await?;
     let received_bytes = watch.received_bytes_counter();
     loop {
         let bytes_before = received_bytes.load(Ordering::Relaxed);
+        let call = StoreCall {
+            sent_at: boot_clock::now(),
+            hold_time,
+        };
         let next = or(watch.next(), observe_progress(context, &received_bytes));
         let next = or(async { next.await.map(Some) }, async {
             context.wait_reader_role(false).await;
@@ -94,9 +103,10 @@
             log::info!(revision = batch.revision.0; "store regained");
         }
         backoff.reset();
-        watch.set_max_wait(WATCH_HOLD_TIME);
         let bytes = received_bytes.load(Ordering::Relaxed) - bytes_before;
-        let changed = apply_batch(context, batch, bytes);
+        let changed = apply_batch(context, batch, bytes, &call);
+        hold_time = next_hold_time(context, changed);
+        watch.set_max_wait(hold_time);
         metrics::store_watch_ended(if changed { "events" } else { "quiet" });
         if changed {
             Timer::after(BATCH_DELAY).await;
@@ -105,6 +115,17 @@
     }
 }
 
+/// How long the store may hold the next watch. The response to a watch that brings changes proves the
+/// copy complete only as of when that watch was sent; where that matters, another one follows at once
+/// after the batch delay, and is not held.
+fn next_hold_time(context: &Context, changed: bool) -> Duration {
+    if changed && context.needs_proof() {
+        Duration::ZERO
+    } else {
+        WATCH_HOLD_TIME
+    }
+}
+
 /// Records contact with the store while bytes of a response arrive; never ends.
 async fn observe_progress<T>(context: &Context, received_bytes: &AtomicU64) -> T {
     let mut last = received_bytes.load(Ordering::Relaxed);
@@ -119,6 +140,10 @@
 
 /// Reads the whole store into the mirror.
 async fn read_all(context: &Context) -> Result<(), Error> {
+    let call = StoreCall {
+        sent_at: boot_clock::now(),
+        hold_time: Duration::ZERO,
+    };
     let listing = context.store.list("").await?;
     let items = listing.entries.into_iter().map(|entry| {
         let Entry {
@@ -131,12 +156,12 @@
         (key, Item { revision, value })
     });
     context.replace(listing.revision.0, items.collect());
-    context.mark_up_to_date();
+    context.mark_up_to_date(&call, true);
     Ok(())
 }
 
 /// Applies the response of a watch to the mirror; returns whether there was any change.
-fn apply_batch(context: &Context, batch: Batch, bytes: u64) -> bool {
+fn apply_batch(context: &Context, batch: Batch, bytes: u64, call: &StoreCall) -> bool {
     let (revision, events) = (batch.revision.0, batch.events.len());
     let changes = batch.events.into_iter().map(|event| match event {
         Event::Put(entry) => Change {
@@ -151,7 +176,7 @@
         },
     });
     context.apply(revision, changes.collect());
-    context.mark_up_to_date();
+    context.mark_up_to_date(call, events > 0);
     if events > 0 {
         log::info!(revision, events, bytes; "store changed");
     }
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -233,6 +233,11 @@
     gauge!("fulmarreel_store_contact_age_seconds").set(age.as_secs_f64());
 }
 
+/// Sets the proved age of this node's copy of the store.
+pub fn set_store_proof_age(age: Duration) {
+    gauge!("fulmarreel_store_proof_age_seconds").set(age.as_secs_f64());
+}
+
 /// Sets the share of calls of a rollout's new version, from 0 to 1.
 pub fn set_share(service: &str, version: &str, share: f64) {
     let labels = [
--- a/fulmarreel-node/tests/mesh/keys.rs
+++ b/fulmarreel-node/tests/mesh/keys.rs
@@ -28,6 +28,12 @@
     page: 0,
 };
 
+/// The metric of the proved age of a node's copy of the store.
+const PROOF_AGE: &str = "fulmarreel_store_proof_age_seconds";
+
+/// The highest proved age while nothing fails, in seconds.
+const MAX_CALM_AGE: f64 = 2.0;
+
 /// Slots of each target.
 const SLOTS: usize = 4;
 
@@ -288,6 +294,54 @@
     })
 }
 
+/// Fails if frequent changes of the store leave a node without a recent proof, so that it would refuse
+/// keys.
+#[test]
+fn the_proof_stays_recent_while_the_configuration_changes() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (store, caller, target) = start().await?;
+        for change in 0..24 {
+            put_accounts(&store, 3 + change, &format!("\"{KEY}\""));
+            for _ in 0..4 {
+                Timer::after(Duration::from_millis(60)).await;
+                for node in [&caller, &target] {
+                    let metrics = call(node.metrics, "GET", "/metrics", "node", &[], "").await?;
+                    let line = metrics
+                        .text
+                        .lines()
+                        .find_map(|line| line.strip_prefix(PROOF_AGE));
+                    let age: f64 = line.unwrap_or_default().trim().parse()?;
+                    ensure!(age < MAX_CALM_AGE, "{age} s old after change {change}");
+                }
+            }
+        }
+        Ok(())
+    })
+}
+
+/// Fails if a node that was paused takes the notices that waited in its socket for recent.
+#[test]
+fn a_paused_node_accepts_no_key_by_what_waited_for_it() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (store, caller, target) = start().await?;
+        caller.process.signal("STOP")?;
+        // The other node announces its contact with the store meanwhile.
+        Timer::after(Duration::from_millis(700)).await;
+        store.set_faults(SILENT);
+        put_accounts(&store, 3, "\"k-new\"");
+        Timer::after(Duration::from_secs(5)).await;
+        let before = target.backend.arrivals().len();
+        caller.process.signal("CONT")?;
+        let resumed_at = Instant::now();
+        while resumed_at.elapsed() < Duration::from_secs(1) {
+            let answer = with_key(&caller, "/s/", KEY).await?;
+            ensure!(answer.status == 503, "{}", answer.text);
+        }
+        ensure!(target.backend.arrivals().len() == before, "ran");
+        Ok(())
+    })
+}
+
 /// Fails if a request that waited for its body runs although the store was lost meanwhile.
 #[test]
 fn a_key_is_checked_again_after_the_body_arrived() -> anyhow::Result<()> {
