--- a/fulmarreel-node/src/mesh/context.rs
+++ b/fulmarreel-node/src/mesh/context.rs
@@ -277,8 +277,10 @@
     /// Whether the mirror is recent enough to reject a request for good.
     pub fn is_current(&self) -> bool {
         let revision = self.revision();
-        self.copy_freshness()
-            .is_current(revision, boot_clock::now())
+        let is_current = self
+            .copy_freshness()
+            .is_current(revision, boot_clock::now());
+        is_current && (!self.needs_proof() || self.is_proved())
     }
 
     /// Records whether another node of the region read the store at a time.
--- a/fulmarreel-node/tests/mesh/keys.rs
+++ b/fulmarreel-node/tests/mesh/keys.rs
@@ -300,11 +300,21 @@
 fn the_proof_stays_recent_while_the_configuration_changes() -> anyhow::Result<()> {
     smol::block_on(async {
         let (store, caller, target) = start().await?;
-        for change in 0..24 {
-            put_accounts(&store, 3 + change, &format!("\"{KEY}\""));
+        let mut nodes = vec![caller, target];
+        // Two nodes read the store, these hear of it from them.
+        for _ in 0..2 {
+            let node = Instance::start(store.address(), "own", "v1").await?;
+            node.wait_ready().await?;
+            nodes.push(node);
+        }
+        Timer::after(Duration::from_secs(2)).await;
+        for change in 0..32 {
+            if change < 24 {
+                put_accounts(&store, 3 + change, &format!("\"{KEY}\""));
+            }
             for _ in 0..4 {
                 Timer::after(Duration::from_millis(60)).await;
-                for node in [&caller, &target] {
+                for node in &nodes {
                     let metrics = call(node.metrics, "GET", "/metrics", "node", &[], "").await?;
                     let line = metrics
                         .text
--- a/fulmarreel-route/src/account.rs
+++ b/fulmarreel-route/src/account.rs
@@ -48,6 +48,12 @@
         /// The other account with the key.
         second: String,
     },
+    /// The name cannot be sent in a header.
+    #[error("account name {name:?} has control characters")]
+    Name {
+        /// The name.
+        name: String,
+    },
     /// Two accounts have the same name.
     #[error("account {name:?} is named twice")]
     SameName {
@@ -69,12 +75,15 @@
     ///
     /// # Errors
     ///
-    /// Another account has the name or one of the keys.
+    /// The name has control characters, or another account has the name or one of the keys.
     pub fn add<'a>(
         &mut self,
         account: Account,
         keys: impl IntoIterator<Item = &'a str>,
     ) -> Result<(), Error> {
+        if account.name.contains(char::is_control) {
+            return Err(Error::Name { name: account.name });
+        }
         if self.by_name.contains_key(&account.name) {
             return Err(Error::SameName { name: account.name });
         }
