feat: quotas of client accounts are shared by all nodes

One node coordinates under a lease of the store. Nodes report their demand and spend what the coordinator grants. Requests beyond the quota are refused with 429.

--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -5,12 +5,15 @@
 mod head;
 mod offer;
 mod pipeline;
+mod quota;
 mod respond;
 mod routed;
 
 pub use pipeline::CallerConnection;
 
-use super::{context::Context, serve::Server, takeover::Rollouts, targets::TargetStats};
+use super::{
+    context::Context, quota::Quotas, serve::Server, takeover::Rollouts, targets::TargetStats,
+};
 use crate::{
     peer::{Identity, Pool},
     runtime::{self, Task},
@@ -53,6 +56,7 @@
     context: Arc<Context>,
     server: Arc<Server>,
     rollouts: Arc<Rollouts>,
+    quotas: Arc<Quotas>,
     targets: Arc<TargetStats>,
     pool: Arc<Pool>,
     /// Retry budgets by service.
@@ -85,7 +89,12 @@
 }
 
 impl RequestHandler {
-    pub fn new(context: Arc<Context>, server: Arc<Server>, rollouts: Arc<Rollouts>) -> Self {
+    pub fn new(
+        context: Arc<Context>,
+        server: Arc<Server>,
+        rollouts: Arc<Rollouts>,
+        quotas: Arc<Quotas>,
+    ) -> Self {
         let own = Identity {
             address: context.settings().peer_address,
             started_at_ms: context.started_at_ms,
@@ -97,6 +106,7 @@
             context,
             server,
             rollouts,
+            quotas,
             targets: Arc::default(),
             pool,
             budgets: Mutex::default(),
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -48,6 +48,10 @@
         reason: &'static str,
         retry_after: Duration,
     },
+    /// Not run, as its account is over its quota.
+    OverQuota {
+        retry_after: Duration,
+    },
     /// It may have run.
     Unknown {
         reason: &'static str,
@@ -81,6 +85,10 @@
             reason: "no target is known",
             retry_after: Duration::ZERO,
         };
+        let mut permit = match self.admit(request).await {
+            Ok(permit) => permit,
+            Err(refusal) => return refusal,
+        };
         self.with_budget(request.service, |budget| {
             budget.record_request(Instant::now());
         });
@@ -115,11 +123,19 @@
                 own: self.context.settings().peer_address,
                 deadline: request.deadline,
             };
+            if permit.as_mut().is_some_and(|permit| !permit.begin()) {
+                return last.or_over_quota();
+            }
             let in_flight = self.targets.start_request(target.address);
             let tracker = self.track_call(request, &target, &version_choice);
             let outcome = exchange.run(&open, request.body).await;
             drop(in_flight);
             self.record_attempt(request, &target, tracker, &outcome);
+            if let Some(permit) = &mut permit
+                && was_not_run(&outcome)
+            {
+                permit.not_run();
+            }
             match outcome {
                 AttemptOutcome::Answered(response) if is_not_run(&response) => {
                     offers.reached += 1;
@@ -283,6 +299,15 @@
     }
 }
 
+/// Whether an attempt did not run the request.
+fn was_not_run(outcome: &AttemptOutcome) -> bool {
+    match outcome {
+        AttemptOutcome::Answered(response) => is_not_run(response),
+        AttemptOutcome::NotRun { .. } => true,
+        AttemptOutcome::Unknown { .. } => false,
+    }
+}
+
 /// Whether a response says that the target did not run the request.
 pub(super) fn is_not_run(response: &WholeResponse) -> bool {
     let names = response
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -3,6 +3,7 @@
 use super::{
     CallerConnection, FIRST_SERVER_ERROR, MIN_RETRY_AFTER, Request, RequestHandler, delivery,
     offer::{Offers, RequestOutcome},
+    quota::OVER_QUOTA,
 };
 use crate::{
     telemetry::metrics::{self, Outcome as OutcomeLabel},
@@ -54,6 +55,9 @@
                 let latest = left.mul_f64(MAX_RETRY_AFTER_FRACTION).max(MIN_RETRY_AFTER);
                 refuse(conn, reason, retry_after.clamp(MIN_RETRY_AFTER, latest))
             }
+            RequestOutcome::OverQuota { retry_after } => {
+                refuse(conn, OVER_QUOTA, retry_after).with_status(Status::TooManyRequests)
+            }
             RequestOutcome::Unknown { reason, late } => {
                 let status = if late {
                     Status::GatewayTimeout
@@ -144,6 +148,7 @@
                 (OutcomeLabel::Answered, response.head.status, "answered")
             }
             RequestOutcome::NotRun { reason, .. } => (OutcomeLabel::NotRun, 503, *reason),
+            RequestOutcome::OverQuota { .. } => (OutcomeLabel::NotRun, 429, OVER_QUOTA),
             RequestOutcome::Unknown { reason, late } => (
                 OutcomeLabel::Unknown,
                 if *late { 504 } else { 502 },
@@ -163,7 +168,9 @@
         }
         let target_ms = match outcome {
             RequestOutcome::Answered(response) => response.head.target_micros / 1_000,
-            RequestOutcome::NotRun { .. } | RequestOutcome::Unknown { .. } => 0,
+            RequestOutcome::NotRun { .. }
+            | RequestOutcome::OverQuota { .. }
+            | RequestOutcome::Unknown { .. } => 0,
         };
         let target = offers.addresses.last().map(ToString::to_string);
         log::info!(
--- a/fulmarreel-node/src/mesh/mod.rs
+++ b/fulmarreel-node/src/mesh/mod.rs
@@ -6,25 +6,27 @@
 //! through [`endpoint`]. [`targets`] keeps statistics for the choice.
 //!
 //! [`sync`] replicates the store into the node's [`context`], [`notices`] are the datagrams between
-//! nodes, and [`takeover`] rolls new versions of services out. [`announce`] receives the own
+//! nodes, [`quota`] shares the quotas of client accounts, and [`takeover`] rolls new versions of
+//! services out. [`announce`] receives the own
 //! target's announcements, [`publish`] writes the node's entry to the store, [`ready`] serves readiness and metrics, and [`stop`] shuts the process
 //! down without cutting off a request.
 
 pub(crate) mod announce;
 pub(crate) mod caller;
-pub(crate) mod context;
+pub mod context;
 pub(crate) mod endpoint;
 pub(crate) mod exchange;
 pub(crate) mod keys;
 pub(crate) mod listen;
-pub(crate) mod notices;
+pub mod notices;
 pub(crate) mod publish;
+pub mod quota;
 pub(crate) mod ready;
 pub mod run;
 pub(crate) mod serve;
 pub(crate) mod stop;
-pub(crate) mod sync;
-pub(crate) mod takeover;
+pub mod sync;
+pub mod takeover;
 pub(crate) mod targets;
 pub(crate) mod view;
 
--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -1,6 +1,6 @@
-//! Notices: UDP datagrams between nodes, about contact with the store and about rollouts.
+//! Notices: UDP datagrams between nodes, about contact with the store, rollouts and quotas.
 
-use super::{context::Context, sync::pull, takeover::Rollouts};
+use super::{context::Context, quota::Quotas, sync::pull, takeover::Rollouts};
 use fulmarreel_distribution::{AnnouncementSchedule, fanout::branches};
 use fulmarreel_wire::{
     PROTOCOL,
@@ -144,7 +144,7 @@
     }
 
     /// Receives and handles notices until the process ends.
-    pub async fn receive(self: Arc<Self>, rollouts: Arc<Rollouts>) {
+    pub async fn receive(self: Arc<Self>, rollouts: Arc<Rollouts>, quotas: Arc<Quotas>) {
         let mut buffer = [0; 2 * MAX_DATAGRAM_BYTES];
         loop {
             let received = self.socket.recv_from(&mut buffer).await;
@@ -156,7 +156,9 @@
                 }
             };
             match Datagram::decode(&buffer[..length]) {
-                Ok(datagram) if datagram.protocol == PROTOCOL => self.handle(&rollouts, datagram),
+                Ok(datagram) if datagram.protocol == PROTOCOL => {
+                    self.handle(&rollouts, &quotas, datagram);
+                }
                 Ok(datagram) => log::warn!(
                     "notice from {peer} ignored: its protocol version is {}",
                     datagram.protocol
@@ -166,7 +168,7 @@
         }
     }
 
-    fn handle(self: &Arc<Self>, rollouts: &Rollouts, datagram: Datagram) {
+    fn handle(self: &Arc<Self>, rollouts: &Rollouts, quotas: &Arc<Quotas>, datagram: Datagram) {
         let from = datagram.from;
         match datagram.notice {
             Notice::Revision(revision) => self.handle_revision(from, revision),
@@ -176,13 +178,24 @@
             | Notice::VersionBad { .. }
             | Notice::RolloutCompleted { .. } => {
                 if let Some(reply) = rollouts.handle(from, datagram.notice) {
-                    let notices = Arc::clone(self);
-                    crate::runtime::spawn(async move { notices.send(from, reply).await });
+                    self.reply(from, reply);
+                }
+            }
+            notice @ (Notice::QuotaReport(_)
+            | Notice::QuotaAnswer(_)
+            | Notice::QuotaCoordinator(_)) => {
+                if let Some(reply) = quotas.handle(from, &notice) {
+                    self.reply(from, reply);
                 }
             }
         }
     }
 
+    fn reply(self: &Arc<Self>, to: SocketAddr, notice: Notice) {
+        let notices = Arc::clone(self);
+        crate::runtime::spawn(async move { notices.send(to, notice).await });
+    }
+
     /// Fetches a revision that a peer knows, unless the region's readers announce it soon.
     fn handle_revision(self: &Arc<Self>, peer: SocketAddr, revision: u64) {
         self.context.record_peer_revision(revision);
--- /dev/null
+++ b/fulmarreel-node/src/mesh/quota/driver.rs
@@ -0,0 +1,113 @@
+//! Reports to the coordinator, and what is received on quotas.
+
+use super::{
+    Quotas, Term, clock,
+    messages::{answer_from_wire, answer_to_wire, report_from_wire, report_to_wire},
+};
+use crate::mesh::notices::NoticeSocket;
+use fulmarreel_quota::{Limit, Time, member::Token};
+use fulmarreel_wire::notice::{MAX_QUOTA_DEMANDS, Notice, QuotaReport};
+use smol::{Timer, future::or};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// The shortest time between two checks for what is due.
+const MIN_PAUSE: Duration = Duration::from_millis(2);
+
+/// The time over which nodes spread their first reports to a new coordinator.
+const FIRST_REPORT_SPREAD: Duration = Duration::from_millis(100);
+
+/// Decides on waiting requests and reports demand, until the process ends. Sleeps while no account with
+/// a limit has requests.
+pub async fn run(quotas: Arc<Quotas>, notices: Arc<NoticeSocket>) {
+    loop {
+        let pause = quotas.due_at().map(|at| at.saturating_sub(clock::now()));
+        or(
+            async {
+                // Cannot fail: the sender lives as long as the receiver.
+                let _ = quotas.waits.1.recv().await;
+            },
+            async {
+                match pause {
+                    Some(pause) => {
+                        Timer::after(pause.max(MIN_PAUSE)).await;
+                    }
+                    None => std::future::pending().await,
+                }
+            },
+        )
+        .await;
+        quotas.settle();
+        quotas.report(&notices).await;
+    }
+}
+
+impl Quotas {
+    /// Handles a notice on quotas; returns the reply to it.
+    pub fn handle(self: &Arc<Self>, from: SocketAddr, notice: &Notice) -> Option<Notice> {
+        match notice {
+            Notice::QuotaReport(report) => return self.answer(from, report),
+            Notice::QuotaAnswer(answer) => {
+                let answer = answer_from_wire(answer);
+                self.requests().member.apply(&answer, clock::now());
+                self.settle();
+            }
+            Notice::QuotaCoordinator(revision) => self.note_coordinator(from, *revision),
+            _ => {}
+        }
+        None
+    }
+
+    /// Records that a node has become the coordinator.
+    pub(super) fn note_coordinator(&self, address: SocketAddr, revision: u64) {
+        let mut known = self.known.lock().expect("coordinators lock");
+        let latest = known.announced.map_or(0, |(term, _)| term.revision);
+        if revision >= latest {
+            known.announced = Some((Term { revision, address }, clock::now()));
+        }
+    }
+
+    /// Takes a token for another attempt of a request.
+    pub(super) fn take_again(&self, account: u64, now: Time) -> Option<Token> {
+        let limit: Limit = self.limits.by_hash(&self.context)(account)?;
+        self.requests().member.take_again(account, limit, now)
+    }
+
+    fn answer(&self, from: SocketAddr, report: &QuotaReport) -> Option<Notice> {
+        let limits = self.limits.by_hash(&self.context);
+        let answer = self.duty.answer(from, &report_from_wire(report), limits)?;
+        Some(Notice::QuotaAnswer(answer_to_wire(&answer)))
+    }
+
+    fn due_at(&self) -> Option<Time> {
+        self.requests().member.due_at(clock::now())
+    }
+
+    /// Sends the reports that are due to the coordinator, if there is one.
+    async fn report(&self, notices: &NoticeSocket) {
+        let coordinator = self.coordinator();
+        let is_new = {
+            let mut known = self.known.lock().expect("coordinators lock");
+            let is_new = coordinator.is_some() && known.reported_to != coordinator;
+            if is_new {
+                known.reported_to = coordinator;
+            }
+            is_new
+        };
+        let now = clock::now();
+        let reports = {
+            let mut requests = self.requests();
+            if is_new {
+                let delay = FIRST_REPORT_SPREAD.mul_f64(fastrand::f64());
+                requests.member.report_by(now + delay);
+            }
+            requests.member.reports(MAX_QUOTA_DEMANDS, now)
+        };
+        let Some(coordinator) = coordinator else {
+            return;
+        };
+        for report in reports {
+            let notice = Notice::QuotaReport(report_to_wire(&report));
+            notices.send(coordinator.address, notice).await;
+        }
+    }
+}
--- a/fulmarreel-node/src/mesh/run.rs
+++ b/fulmarreel-node/src/mesh/run.rs
@@ -7,6 +7,7 @@
     listen::listen,
     notices::NoticeSocket,
     publish::Publisher,
+    quota::{self, Quotas},
     ready,
     serve::Server,
     stop, sync,
@@ -57,10 +58,12 @@
     let context = Arc::new(Context::new(settings));
     let rollouts = Arc::new(Rollouts::default());
     let server = Arc::new(Server::new(Arc::clone(&context)));
+    let quotas = Quotas::new(Arc::clone(&context));
     let handler = Arc::new(RequestHandler::new(
         Arc::clone(&context),
         Arc::clone(&server),
         Arc::clone(&rollouts),
+        Arc::clone(&quotas),
     ));
     let notices = NoticeSocket::bind(Arc::clone(&context)).await?;
 
@@ -85,7 +88,12 @@
     spawn(sync::run(Arc::clone(&context)));
     spawn(Arc::clone(&publisher).run());
     spawn(Arc::clone(&notices).send_store_notices());
-    spawn(Arc::clone(&notices).receive(Arc::clone(&rollouts)));
+    spawn(Arc::clone(&notices).receive(Arc::clone(&rollouts), Arc::clone(&quotas)));
+    spawn(quota::driver::run(
+        Arc::clone(&quotas),
+        Arc::clone(&notices),
+    ));
+    spawn(quota::claim::run(quotas, Arc::clone(&notices)));
     spawn(takeover::run(Arc::clone(&context), rollouts, notices));
     spawn(stop::watch_settings(Arc::clone(&context)));
     let (targets, pool) = handler.targets_and_pool();
--- a/fulmarreel-node/src/mesh/takeover/messages.rs
+++ b/fulmarreel-node/src/mesh/takeover/messages.rs
@@ -59,7 +59,11 @@
                 Message::Grant(grant),
             ))
         }
-        Notice::Revision(_) | Notice::Contact(_) => None,
+        Notice::Revision(_)
+        | Notice::Contact(_)
+        | Notice::QuotaReport(_)
+        | Notice::QuotaAnswer(_)
+        | Notice::QuotaCoordinator(_) => None,
     }
 }
 
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -118,6 +118,12 @@
     counter!("fulmarreel_retries_total", "service" => service.to_owned()).increment(1);
 }
 
+/// Counts a request of an account with a quota that was admitted or refused.
+pub fn quota_decided(is_admitted: bool) {
+    let outcome = if is_admitted { "admitted" } else { "refused" };
+    counter!("fulmarreel_quota_requests_total", "outcome" => outcome).increment(1);
+}
+
 /// Records how the work on a call ended after its caller had disconnected, and how long after that,
 /// as far as this node was told.
 pub fn abandoned_call_ended(end: AbandonedEnd, after: Duration) {
--- /dev/null
+++ b/fulmarreel-quota/src/coordinator/mod.rs
@@ -0,0 +1,83 @@
+//! The coordinator's side: how the quotas of accounts are shared by the nodes.
+//!
+//! A coordinator knows of each grant that it has made until the grant has expired or the node has
+//! reported a later one. It starts without knowledge of what its predecessor granted. While such grants
+//! may live it renews those that nodes report to hold, and otherwise gives out tokens of a small rate
+//! that the quota's allowance pays for, see [`Limit::takeover_per_s`].
+
+mod book;
+mod pool;
+
+use crate::{
+    GRANT_LIFETIME, Limit, Time,
+    message::{Answer, Report},
+};
+use pool::Pool;
+use std::{collections::HashMap, hash::Hash, time::Duration};
+
+/// How often accounts without demand are dropped.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The quotas of all accounts at their coordinator. `N` identifies a node.
+#[derive(Debug)]
+pub struct Coordinator<N> {
+    taken_over_at: Time,
+    /// When the last grant of the predecessor has expired.
+    predecessor_until: Time,
+    pools: HashMap<u64, Pool<N>>,
+    next_sweep: Time,
+}
+
+impl<N: Copy + Eq + Hash> Coordinator<N> {
+    /// A coordinator that takes over at `now`; its predecessor makes grants until `predecessor_ends` at
+    /// the latest.
+    pub fn new(predecessor_ends: Time, now: Time) -> Self {
+        Self {
+            taken_over_at: now,
+            predecessor_until: predecessor_ends.max(now) + GRANT_LIFETIME,
+            pools: HashMap::new(),
+            next_sweep: now + SWEEP_INTERVAL,
+        }
+    }
+
+    /// Answers a report of a node. `limits` tells the limit of an account, `None` if it has none.
+    pub fn answer(
+        &mut self,
+        node: N,
+        report: &Report,
+        limits: impl Fn(u64) -> Option<Limit>,
+        now: Time,
+    ) -> Answer {
+        self.sweep(now);
+        let mut grants = Vec::with_capacity(report.demands.len());
+        for demand in &report.demands {
+            let Some(limit) = limits(demand.account) else {
+                continue;
+            };
+            let pool = self.pools.entry(demand.account);
+            let (taken_over_at, until) = (self.taken_over_at, self.predecessor_until);
+            let pool = pool.or_insert_with(|| Pool::new(limit, taken_over_at, until));
+            pool.advance(limit, now);
+            grants.extend(pool.answer(node, report.boot, report.sequence, demand, now));
+        }
+        Answer {
+            boot: report.boot,
+            sequence: report.sequence,
+            sent_at: report.sent_at,
+            grants,
+        }
+    }
+
+    /// The number of accounts that it keeps state of.
+    pub fn accounts(&self) -> usize {
+        self.pools.len()
+    }
+
+    /// Drops accounts without demand, once their buckets would be full.
+    fn sweep(&mut self, now: Time) {
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP_INTERVAL;
+            self.pools.retain(|_, pool| !pool.is_idle(now));
+        }
+    }
+}
--- /dev/null
+++ b/fulmarreel-quota/tests/quota/main.rs
@@ -0,0 +1,5 @@
+//! One account with clients at many nodes, played without a network.
+
+mod bound;
+mod play;
+mod useful;
--- a/fulmarreel-wire/src/notice.rs
+++ b/fulmarreel-wire/src/notice.rs
@@ -1,4 +1,4 @@
-//! Short messages between nodes over UDP, on the store and on rollouts.
+//! Short messages between nodes over UDP, on the store, rollouts and quotas.
 
 use crate::framing;
 use serde::{Deserialize, Serialize};
@@ -7,6 +7,10 @@
 /// Limit of a datagram in bytes, below the smallest usual MTU.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 
+/// Limit of the demands in a report, so that neither the report nor its answer exceeds a datagram
+/// whatever the numbers are.
+pub const MAX_QUOTA_DEMANDS: usize = 18;
+
 /// One notice and its sender.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Datagram {
@@ -18,7 +22,7 @@
     pub notice: Notice,
 }
 
-/// A message on the store or on a rollout.
+/// A message on the store, a rollout or quotas.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Notice {
     /// The store revision that the sender is up to date with.
@@ -43,6 +47,12 @@
         /// Store revision of the order for the rollout.
         order: u64,
     },
+    /// The sender's demand of accounts, for the coordinator of quotas.
+    QuotaReport(QuotaReport),
+    /// The coordinator's answer to a report.
+    QuotaAnswer(QuotaAnswer),
+    /// The sender has become the coordinator of quotas, with a key that was created at this store revision.
+    QuotaCoordinator(u64),
 }
 
 /// Whether and how recently a node read the store.
@@ -128,6 +138,76 @@
     pub proven_permille: u16,
 }
 
+/// Demand of accounts at one process of a node.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QuotaReport {
+    /// When the sending process started, in milliseconds since the Unix epoch.
+    pub boot: u64,
+    /// Number of the report among those of the process.
+    pub sequence: u32,
+    /// The time of sending in milliseconds, on a clock of the sender; the answer repeats it.
+    pub sent_ms: u64,
+    /// Demands, at most [`MAX_QUOTA_DEMANDS`].
+    pub demands: Vec<QuotaDemand>,
+}
+
+/// The demand of one account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaDemand {
+    /// Hash of the account's name.
+    pub account: u64,
+    /// Requests per second, in thousandths.
+    pub rate_milli: u64,
+    /// Tokens that are wanted.
+    pub wanted: u32,
+    /// Tokens that are wanted for requests to come.
+    pub ahead: u32,
+    /// Tokens that are given back.
+    pub returned: u32,
+    /// Number of the last report whose answer was applied.
+    pub applied: u32,
+    /// Tokens per second that are held, in thousandths.
+    pub held_rate_milli: u64,
+    /// The size of the bucket that is held.
+    pub held_bucket: u32,
+    /// Time to the expiry of what is held, in milliseconds.
+    pub held_ms: u32,
+}
+
+/// Grants to one process of a node.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QuotaAnswer {
+    /// The `boot` of the report.
+    pub boot: u64,
+    /// The `sequence` of the report.
+    pub sequence: u32,
+    /// The `sent_ms` of the report.
+    pub sent_ms: u64,
+    /// Grants for accounts of the report.
+    pub grants: Vec<QuotaGrant>,
+}
+
+/// A grant for one account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaGrant {
+    /// Hash of the account's name.
+    pub account: u64,
+    /// Tokens per second, in thousandths.
+    pub rate_milli: u64,
+    /// The size of the bucket.
+    pub bucket: u32,
+    /// Tokens that are handed over.
+    pub tokens: u32,
+    /// Tokens that were wanted for requests that wait.
+    pub wanted: u32,
+    /// Those of them that are not there.
+    pub missing: u32,
+    /// The account's rate, in thousandths per second.
+    pub of_rate_milli: u64,
+    /// The capacity of the account's buckets.
+    pub of_capacity: u32,
+}
+
 impl Datagram {
     /// Encodes the datagram.
     ///
