--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -8,6 +8,7 @@
 mod head;
 mod offer;
 mod pipeline;
+mod quota;
 mod respond;
 mod routed;
 mod uneven;
@@ -15,7 +16,7 @@
 pub use pipeline::CallerConnection;
 
 use super::{
-    context::Context, credential::Credential, serve::Server, takeover::Rollouts,
+    context::Context, credential::Credential, quota::Quotas, serve::Server, takeover::Rollouts,
     targets::TargetStats,
 };
 use crate::{
@@ -62,6 +63,7 @@
     context: Arc<Context>,
     server: Arc<Server>,
     rollouts: Arc<Rollouts>,
+    quotas: Arc<Quotas>,
     targets: Arc<TargetStats>,
     cold_targets: ColdTargets,
     pool: Arc<Pool>,
@@ -97,7 +99,12 @@
 }
 
 impl RequestHandler {
-    pub fn new(context: Arc<Context>, server: Arc<Server>, rollouts: Arc<Rollouts>) -> Self {
+    pub fn new(
+        context: Arc<Context>,
+        server: Arc<Server>,
+        rollouts: Arc<Rollouts>,
+        quotas: Arc<Quotas>,
+    ) -> Self {
         let own = Identity {
             address: context.settings().peer_address,
             started_at_ms: context.started_at_ms,
@@ -109,6 +116,7 @@
             context,
             server,
             rollouts,
+            quotas,
             targets: Arc::default(),
             cold_targets: ColdTargets::default(),
             pool,
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -49,6 +49,10 @@
         reason: &'static str,
         retry_after: Duration,
     },
+    /// Not run, as its account is over its quota.
+    OverQuota {
+        retry_after: Duration,
+    },
     /// It may have run.
     Unknown {
         reason: &'static str,
@@ -82,6 +86,10 @@
             reason: "no target is known",
             retry_after: Duration::ZERO,
         };
+        let mut permit = match self.admit(request).await {
+            Ok(permit) => permit,
+            Err(refusal) => return refusal,
+        };
         self.with_budget(request.service, |budget| {
             budget.record_request(Instant::now());
         });
@@ -123,6 +131,9 @@
                 credential: request.credential,
                 deadline: request.deadline,
             };
+            if permit.as_mut().is_some_and(|permit| !permit.begin()) {
+                return last.or_over_quota();
+            }
             self.cold_targets.record_offer(&target);
             let in_flight = self.targets.start_request(target.address);
             let tracker = self.track_call(request, &target, &version_choice);
@@ -130,6 +141,11 @@
             drop(in_flight);
             self.cold_targets.record_outcome(&target, &mut outcome);
             self.record_attempt(request, &target, tracker, &outcome);
+            if let Some(permit) = &mut permit
+                && was_not_run(&outcome)
+            {
+                permit.not_run();
+            }
             match outcome {
                 AttemptOutcome::Answered(response) if is_not_run(&response) => {
                     offers.reached += 1;
@@ -290,6 +306,15 @@
     }
 }
 
+/// Whether an attempt did not run the request.
+fn was_not_run(outcome: &AttemptOutcome) -> bool {
+    match outcome {
+        AttemptOutcome::Answered(response) => is_not_run(response),
+        AttemptOutcome::NotRun { .. } => true,
+        AttemptOutcome::Unknown { .. } => false,
+    }
+}
+
 /// Whether a response says that the target did not run the request.
 pub(super) fn is_not_run(response: &WholeResponse) -> bool {
     let names = response
