--- a/fulmarreel-balance/src/admission.rs
+++ b/fulmarreel-balance/src/admission.rs
@@ -267,6 +267,11 @@
         self.expected_wait(last.map_or(0, |key| key.0), self.queue.len())
     }
 
+    /// Mean time that a call holds a slot; zero if none has.
+    pub fn mean_hold_time(&self) -> Duration {
+        self.mean_hold_time
+    }
+
     /// Number of queued calls ahead of a new one with this rank and deadline.
     fn queued_ahead(&self, rank: u8, deadline: Instant) -> usize {
         self.queue
--- a/fulmarreel-balance/src/lib.rs
+++ b/fulmarreel-balance/src/lib.rs
@@ -5,10 +5,13 @@
 pub mod admission;
 pub mod budget;
 pub mod choice;
+pub mod link;
 pub mod placement;
 pub mod speed;
 pub mod uneven;
+pub mod zones;
 
 pub use admission::Admission;
 pub use budget::Budget;
+pub use link::Link;
 pub use speed::Speed;
--- a/fulmarreel-balance/src/placement.rs
+++ b/fulmarreel-balance/src/placement.rs
@@ -90,12 +90,7 @@
 
 /// The expected value of sending a request to a candidate, in units of one timely response.
 pub fn expected_value(candidate: &Candidate, request: &Request) -> f64 {
-    let latency_s = expected_latency(candidate).as_secs_f64();
-    let objective_ratio = latency_s / request.until_objective.as_secs_f64().max(0.001);
-    let in_time = ((LATE_RATIO - objective_ratio) / (LATE_RATIO - ON_TIME_RATIO)).clamp(0.0, 1.0);
-    let limit_ratio = latency_s / request.until_deadline.as_secs_f64().max(0.001);
-    let answered = ((LATE_RATIO - limit_ratio) / (LATE_RATIO - ON_TIME_RATIO)).clamp(0.0, 1.0);
-    let response_value = in_time + (1.0 - in_time) * LATE_VALUE * answered;
+    let response_value = response_value(expected_latency(candidate), request);
     let utilization = f64::from(candidate.load) / f64::from(candidate.slots.max(1));
     let avoid_penalty = if candidate.avoided {
         AVOID_PENALTY
@@ -108,6 +103,16 @@
         - avoid_penalty
 }
 
+/// The expected value of a response after this time, in units of one timely response.
+pub(crate) fn response_value(latency: Duration, request: &Request) -> f64 {
+    let latency_s = latency.as_secs_f64();
+    let objective_ratio = latency_s / request.until_objective.as_secs_f64().max(0.001);
+    let in_time = ((LATE_RATIO - objective_ratio) / (LATE_RATIO - ON_TIME_RATIO)).clamp(0.0, 1.0);
+    let limit_ratio = latency_s / request.until_deadline.as_secs_f64().max(0.001);
+    let answered = ((LATE_RATIO - limit_ratio) / (LATE_RATIO - ON_TIME_RATIO)).clamp(0.0, 1.0);
+    in_time + (1.0 - in_time) * LATE_VALUE * answered
+}
+
 /// Expected time from sending a request to receiving the response.
 fn expected_latency(candidate: &Candidate) -> Duration {
     let slots = u32::from(candidate.slots.max(1));
@@ -115,11 +120,14 @@
     let queueing = candidate
         .mean_hold_time
         .mul_f64(f64::from(queued_ahead) / f64::from(slots));
-    let round_trip = match candidate.tier {
+    queueing + candidate.processing_time + round_trip(candidate.tier)
+}
+
+pub(crate) fn round_trip(tier: Tier) -> Duration {
+    match tier {
         Tier::OtherRegion => CROSS_REGION_LATENCY * 2,
         Tier::SameZone | Tier::SameRegion => Duration::ZERO,
-    };
-    queueing + candidate.processing_time + round_trip
+    }
 }
 
 pub(crate) fn transfer_cost(tier: Tier, kilobytes: f64) -> f64 {
--- a/fulmarreel-node/src/mesh/caller/choose.rs
+++ b/fulmarreel-node/src/mesh/caller/choose.rs
@@ -79,7 +79,14 @@
             kilobytes: self.expected_kilobytes(request),
         };
         let chosen = if self.is_uneven(view) {
-            self.choose_uneven(request, &usable, &candidates, &placement_request)?
+            self.choose_uneven(
+                view,
+                request,
+                offers,
+                &usable,
+                &candidates,
+                &placement_request,
+            )?
         } else {
             placement::choose(&candidates, &placement_request, &mut fastrand::Rng::new())?
         };
@@ -135,6 +142,9 @@
                 self.targets.set_reachable(address, true);
                 self.targets
                     .record_load(address, u32::from(response.head.in_flight));
+                self.targets
+                    .zones
+                    .record(request.service, target, response.head.in_flight);
                 let is_answered = !is_not_run(response);
                 let succeeded = is_answered && response.head.status < FIRST_SERVER_ERROR;
                 let latency = Duration::from_micros(u64::from(response.head.target_micros));
@@ -158,6 +168,7 @@
                 );
                 self.targets.record_run(address, route, latency, failed);
                 if !failed {
+                    self.record_crossing(request, response.body.len());
                     let kilobytes = response.body.len() as f64 / 1024.0;
                     let mut means = self.response_kilobytes.lock().expect("sizes lock");
                     let mean = means.entry(route.to_owned()).or_insert(kilobytes);
@@ -174,6 +185,7 @@
                 let pause = if retry_after.is_zero() {
                     UNAVAILABLE_PAUSE
                 } else {
+                    self.targets.zones.record_refusal(request.service, target);
                     (*retry_after).clamp(MIN_RETRY_AFTER, MAX_OVERLOADED_PAUSE)
                 };
                 self.targets.avoid_until(address, Instant::now() + pause);
--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -1,6 +1,7 @@
 //! Requests of callers and of the own target, from their arrival to their response.
 
 mod choose;
+mod crossing;
 mod delivery;
 mod head;
 mod offer;
@@ -91,7 +92,7 @@
             address: context.settings().peer_address,
             started_at_ms: context.started_at_ms,
         };
-        let pool = Arc::new(Pool::new(own));
+        let pool = Arc::new(Pool::with_turns(own, server.links.in_turns()));
         let watched = Arc::clone(&pool);
         crate::runtime::spawn(async move { watched.close_silent_connections().await });
         Self {
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -1,7 +1,7 @@
 //! Attempts of a request at one target after another, within the limits of its route and of the
 //! service's retry budget.
 
-use super::{FIRST_SERVER_ERROR, Request, RequestHandler, STOPPING};
+use super::{FIRST_SERVER_ERROR, Request, RequestHandler, STOPPING, crossing::LINK_FULL};
 use crate::{
     mesh::{
         exchange::{AttemptOutcome, Exchange},
@@ -115,10 +115,18 @@
                 own: self.context.settings().peer_address,
                 deadline: request.deadline,
             };
+            let crossing = match self.expect_crossing(&view, request, &target) {
+                Ok(crossing) => crossing,
+                Err(retry_after) => {
+                    offers.record_retry_after(retry_after);
+                    last = last.or_not_run(LINK_FULL, retry_after);
+                    return last.with_retry_after(offers);
+                }
+            };
             let in_flight = self.targets.start_request(target.address);
             let tracker = self.track_call(request, &target, &version_choice);
             let outcome = exchange.run(&open, request.body).await;
-            drop(in_flight);
+            drop((in_flight, crossing));
             self.record_attempt(request, &target, tracker, &outcome);
             match outcome {
                 AttemptOutcome::Answered(response) if is_not_run(&response) => {
--- /dev/null
+++ b/fulmarreel-node/src/mesh/links.rs
@@ -0,0 +1,175 @@
+//! Both directions of this machine's link, and the sizes of bodies that are expected to cross it.
+//!
+//! Where the link is narrow and the configuration has routes with large bodies, a request whose body
+//! could not cross in time is refused at once, as not run.
+
+use super::context::Context;
+use crate::telemetry::metrics;
+use fulmarreel_balance::link::{Body, Link};
+use fulmarreel_route::Route;
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+/// The bandwidth below which a link counts as a capacity: 100 Mbit/s.
+const NARROW_BYTES_PER_S: f64 = 12_500_000.0;
+
+/// The expected size of a large body on a route that has had none.
+const DEFAULT_BULK_BYTES: f64 = 65_536.0;
+
+/// The expected size of any other body on a route that has had none.
+const DEFAULT_BYTES: f64 = 2_048.0;
+
+/// The weight of the newest response in the mean size of a route's responses.
+const SIZE_WEIGHT: f64 = 0.1;
+
+/// A direction of the link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// From other machines.
+    Incoming,
+    /// To other machines.
+    Outgoing,
+}
+
+impl Direction {
+    /// The direction's name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Incoming => "incoming",
+            Self::Outgoing => "outgoing",
+        }
+    }
+}
+
+/// Both directions of this machine's link.
+#[derive(Debug)]
+pub struct Links {
+    context: Arc<Context>,
+    incoming: Mutex<Link>,
+    outgoing: Mutex<Link>,
+    /// The mean size of response bodies by route, in bytes.
+    response_bytes: Mutex<HashMap<String, f64>>,
+    /// Whether calls take turns in writing.
+    in_turns: Arc<AtomicBool>,
+}
+
+/// A body that is expected to cross the link, until dropped.
+#[derive(Debug)]
+pub struct Expected {
+    links: Arc<Links>,
+    direction: Direction,
+    bytes: f64,
+}
+
+impl Drop for Expected {
+    fn drop(&mut self) {
+        self.links.direction(self.direction).forget(self.bytes);
+    }
+}
+
+impl Links {
+    /// The link of the settings, with nothing on it.
+    pub fn new(context: Arc<Context>) -> Arc<Self> {
+        let link = Link::new(context.settings().link_bytes_per_s, Instant::now());
+        Arc::new(Self {
+            context,
+            incoming: Mutex::new(link.clone()),
+            outgoing: Mutex::new(link),
+            response_bytes: Mutex::default(),
+            in_turns: Arc::default(),
+        })
+    }
+
+    /// Whether the link's bandwidth is a capacity: it is narrow, and the configuration has routes with
+    /// large bodies.
+    pub fn are_narrow(&self) -> bool {
+        self.context.settings().link_bytes_per_s < NARROW_BYTES_PER_S
+            && self.context.view().has_bulk_routes
+    }
+
+    /// Set while calls take turns in writing to other nodes.
+    pub fn in_turns(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.in_turns)
+    }
+
+    /// Takes over changes of the settings and the configuration, and sets the metrics.
+    pub fn update(&self) {
+        let is_narrow = self.are_narrow();
+        self.in_turns.store(is_narrow, Ordering::Relaxed);
+        if !is_narrow {
+            return;
+        }
+        let bytes_per_s = self.context.settings().link_bytes_per_s;
+        for direction in [Direction::Incoming, Direction::Outgoing] {
+            let mut link = self.direction(direction);
+            link.set_bandwidth(bytes_per_s);
+            metrics::set_link_backlog(direction.name(), link.backlog(Instant::now()));
+        }
+    }
+
+    /// The expected size of a response on a route.
+    pub fn response_bytes(&self, route: &Route) -> f64 {
+        let means = self.response_bytes.lock().expect("sizes lock");
+        means.get(&route.name).copied().unwrap_or(if route.is_bulk {
+            DEFAULT_BULK_BYTES
+        } else {
+            DEFAULT_BYTES
+        })
+    }
+
+    /// Records the size of a response's body.
+    pub fn record_response(&self, route: &Route, bytes: usize) {
+        let bytes = bytes as f64;
+        let mut means = self.response_bytes.lock().expect("sizes lock");
+        match means.get_mut(&route.name) {
+            Some(mean) => *mean += (bytes - *mean) * SIZE_WEIGHT,
+            None => _ = means.insert(route.name.clone(), bytes),
+        }
+    }
+
+    /// Expects a body to cross the link.
+    ///
+    /// # Errors
+    ///
+    /// It could not cross in time; its request may come back after the returned time.
+    pub fn expect(
+        self: &Arc<Self>,
+        direction: Direction,
+        body: &Body,
+    ) -> Result<Expected, Duration> {
+        let expected = self.direction(direction).expect(body, Instant::now());
+        if expected.is_err() {
+            metrics::link_refused(direction.name());
+        }
+        expected.map(|()| Expected {
+            links: Arc::clone(self),
+            direction,
+            bytes: body.bytes,
+        })
+    }
+
+    /// Records bytes that are sent to another machine.
+    pub fn send(&self, bytes: usize) {
+        self.direction(Direction::Outgoing)
+            .send(bytes as f64, Instant::now());
+    }
+
+    /// The time until everything known has crossed the link.
+    pub fn backlog(&self, direction: Direction) -> Duration {
+        self.direction(direction).backlog(Instant::now())
+    }
+
+    fn direction(&self, direction: Direction) -> MutexGuard<'_, Link> {
+        let link = match direction {
+            Direction::Incoming => &self.incoming,
+            Direction::Outgoing => &self.outgoing,
+        };
+        link.lock().expect("link lock")
+    }
+}
--- a/fulmarreel-node/src/mesh/mod.rs
+++ b/fulmarreel-node/src/mesh/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod endpoint;
 pub(crate) mod exchange;
 pub(crate) mod keys;
+pub(crate) mod links;
 pub(crate) mod listen;
 pub(crate) mod notices;
 pub(crate) mod publish;
@@ -28,5 +29,6 @@
 pub(crate) mod takeover;
 mod targets;
 pub(crate) mod view;
+mod zone_loads;
 
 pub use run::run;
--- /dev/null
+++ b/fulmarreel-node/src/mesh/serve/crossing.rs
@@ -0,0 +1,98 @@
+//! Responses of the own target that cross this machine's narrow link to other nodes.
+
+use super::{Rejection, Server, request_id};
+use crate::mesh::links::{Direction, Expected};
+use fulmarreel_balance::link::Body;
+use fulmarreel_route::Entry;
+use fulmarreel_wire::call::{Open, Refusal};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// The route of a request, and its response as it is expected on the link.
+#[derive(Debug)]
+pub(super) struct Crossing {
+    entry: Arc<Entry>,
+    /// The response if it is a large one.
+    _expected: Option<Expected>,
+}
+
+impl Server {
+    /// Expects the response of another node's request on the link, if that is narrow.
+    ///
+    /// # Errors
+    ///
+    /// The response could not cross in time; the request is not run.
+    pub(super) fn expect_response(&self, open: &Open) -> Result<Option<Crossing>, Rejection> {
+        if !self.links.are_narrow() {
+            return Ok(None);
+        }
+        let Some(entry) = self.route_of(open) else {
+            return Ok(None);
+        };
+        if !entry.route.is_bulk {
+            let _expected = None;
+            return Ok(Some(Crossing { entry, _expected }));
+        }
+        let now = Instant::now();
+        let after_ms = |ms: u32| now + Duration::from_millis(u64::from(ms));
+        let work = self.slot_queue.mean_hold_time();
+        let body = Body {
+            bytes: self.links.response_bytes(&entry.route),
+            ready_at: now + work,
+            // The caller wants a slot by when the work can end within the objective, with a margin of
+            // once the work's time.
+            objective: after_ms(open.wanted_ms) + work * 2,
+            deadline: after_ms(open.remaining_ms),
+        };
+        match self.links.expect(Direction::Outgoing, &body) {
+            Ok(expected) => Ok(Some(Crossing {
+                entry,
+                _expected: Some(expected),
+            })),
+            Err(retry_after) => {
+                log::info!(
+                    id = request_id(open),
+                    bytes = body.bytes as u64,
+                    wanted_ms = open.wanted_ms,
+                    backlog_ms = self.links.backlog(Direction::Outgoing).as_millis() as u64,
+                    retry_after_ms = retry_after.as_millis() as u64;
+                    "refused, the link cannot carry the response in time"
+                );
+                let reason = Refusal::Overloaded;
+                Err(Rejection::refused(open, reason, retry_after))
+            }
+        }
+    }
+
+    /// Records that a response is handed to the link.
+    pub(super) fn send_crossing(&self, crossing: Option<Crossing>, bytes: usize) {
+        if let Some(crossing) = crossing {
+            self.links.record_response(&crossing.entry.route, bytes);
+            drop(crossing);
+            self.links.send(bytes);
+        }
+    }
+
+    /// The load with the link's backlog: as many requests as the target would run in that time.
+    pub(super) fn load_with_link(&self, in_flight: u16, slots: u16) -> u16 {
+        if !self.links.are_narrow() {
+            return in_flight;
+        }
+        let backlog = self.links.backlog(Direction::Outgoing).as_secs_f64();
+        let hold = self.slot_queue.mean_hold_time().as_secs_f64().max(0.001);
+        // A conversion to integers saturates.
+        in_flight.max((f64::from(slots) * backlog / hold) as u16)
+    }
+
+    /// The route of a request by this node's own configuration.
+    fn route_of(&self, open: &Open) -> Option<Arc<Entry>> {
+        let view = self.context.view();
+        let mut headers = open.headers.iter();
+        let host = headers.find(|header| header.name.eq_ignore_ascii_case("host"))?;
+        let host = std::str::from_utf8(&host.value).ok()?;
+        let entry = view.table.as_ref()?.find_route(host, &open.path)?;
+        Some(Arc::clone(entry))
+    }
+}
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -1,12 +1,14 @@
 //! Serves requests, from this node and from others, for this node's own target: queues them for its
 //! slots and forwards them over HTTP.
 
+mod crossing;
 mod own_target;
 mod peer;
 
 use super::{
     context::Context,
     endpoint::{self, Endpoint},
+    links::Links,
 };
 use crate::{
     serve::{
@@ -44,6 +46,8 @@
     /// Whether the target of an announcement is being asked whether it is there.
     is_confirming: AtomicBool,
     sessions: Sessions,
+    /// This machine's link.
+    pub links: Arc<Links>,
 }
 
 /// Why a request has no response.
@@ -85,6 +89,7 @@
         let settings = context.settings();
         let quota = Quota::new(settings.memory_limit_bytes / RESPONSE_MEMORY_DIVISOR);
         Self {
+            links: Links::new(Arc::clone(&context)),
             context,
             slot_queue: Arc::default(),
             endpoint: Endpoint::new(settings.endpoint, quota),
@@ -242,7 +247,7 @@
             headers: headers.collect(),
             length: Some(response.body.len() as u64),
             target_micros: u32::try_from(latency.as_micros()).unwrap_or(u32::MAX),
-            in_flight: in_flight.max(reported),
+            in_flight: self.load_with_link(in_flight.max(reported), slots),
             slots,
         };
         let body = response.body;
@@ -277,6 +282,7 @@
             let (in_flight, slots) = self.slot_queue.load();
             metrics::set_target_load(in_flight, slots);
             self.sessions.remove_idle();
+            self.links.update();
         }
     }
 }
--- a/fulmarreel-node/src/mesh/serve/peer.rs
+++ b/fulmarreel-node/src/mesh/serve/peer.rs
@@ -48,7 +48,8 @@
         if !self.accepts_requests() {
             let _ = outgoing.send(Frame::Leaving).await;
         }
-        crate::runtime::spawn(stream::write_call_frames(tcp.clone(), frames));
+        let in_turns = self.links.in_turns();
+        crate::runtime::spawn(stream::write_call_frames(tcp.clone(), frames, in_turns));
         // The node that received the request from its caller enforces the configured body limit.
         let mut connection = IncomingConnection::new(session, outgoing, generation, u64::MAX);
         let result = self.receive_calls(&mut connection, tcp).await;
@@ -80,6 +81,10 @@
             let after_ms = opened_at.elapsed().as_millis() as u64;
             log::info!(id = request_id(&open), after_ms; "withdrawn, its caller left");
         };
+        let crossing = match self.expect_response(&open) {
+            Ok(crossing) => crossing,
+            Err(rejection) => return reject(session, sequence, rejection).await,
+        };
         let admitted = match call.until_cancelled(self.admit(&open)).await {
             Some(Ok(admitted)) => admitted,
             Some(Err(rejection)) => return reject(session, sequence, rejection).await,
@@ -108,6 +113,7 @@
                     let mut ledger = session.ledger.lock().expect("ledger lock");
                     ledger.store_response(sequence, Arc::clone(&response), bytes, Instant::now());
                 }
+                self.send_crossing(crossing, response.body.len());
                 session.send(&response).await;
             }
             Some(Err(rejection)) => reject(session, sequence, rejection).await,
--- a/fulmarreel-node/src/mesh/targets.rs
+++ b/fulmarreel-node/src/mesh/targets.rs
@@ -1,6 +1,6 @@
 //! Statistics of targets from this node's own requests: load, latency, failures and reachability.
 
-use super::{speeds::Speeds, view::Target};
+use super::{speeds::Speeds, view::Target, zone_loads::ZoneLoads};
 use fulmarreel_balance::placement::Candidate;
 use fulmarreel_route::Route;
 use std::{
@@ -37,6 +37,8 @@
     inner: Mutex<Inner>,
     /// How fast the targets work.
     pub speeds: Speeds,
+    /// How loaded their zones are.
+    pub zones: ZoneLoads,
 }
 
 #[derive(Debug, Default)]
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -27,6 +27,8 @@
     pub id: String,
     /// The version that it runs.
     pub version: String,
+    /// Its availability zone.
+    pub zone: String,
     /// The number of requests that it runs at once.
     pub slots: u16,
     /// Its distance from this node.
@@ -62,6 +64,8 @@
     pub table: Option<Arc<Table>>,
     /// Targets by service.
     pub targets: HashMap<String, Vec<Arc<Target>>>,
+    /// Whether the active configuration has routes with large bodies.
+    pub has_bulk_routes: bool,
     /// Rollouts by service.
     pub rollouts: HashMap<String, Rollout>,
     /// Every node's address, with whether the node is in this node's region.
@@ -76,6 +80,10 @@
     pub fn new(mirror: &Mirror, own: Location<'_>, last: &Self) -> Self {
         let mut view = Self::default();
         view.table = view.active_table(mirror, last);
+        view.has_bulk_routes = view
+            .table
+            .as_ref()
+            .is_some_and(|table| table.has_bulk_routes());
         for (instance, item) in mirror.items_under_prefix(keys::NODES) {
             match Node::decode(&item.value) {
                 Ok(node) => view.add(node, own),
@@ -138,6 +146,7 @@
             address: node.address,
             id: target.id,
             version: target.version,
+            zone: node.zone,
             slots: target.slots,
             tier,
         }));
--- a/fulmarreel-node/src/peer/connection.rs
+++ b/fulmarreel-node/src/peer/connection.rs
@@ -85,6 +85,8 @@
     last_received: Mutex<Instant>,
     open: AtomicBool,
     leaving: AtomicBool,
+    /// Whether calls take turns in writing, as they do over a narrow link.
+    in_turns: Arc<AtomicBool>,
 }
 
 #[derive(Debug)]
@@ -108,7 +110,8 @@
 
 impl Connection {
     /// Opens a connection and starts its reader and writer; `last_started_at_ms` is the start
-    /// time of the process to which the previous connection to this address led.
+    /// time of the process to which the previous connection to this address led. Calls take turns in
+    /// writing while `in_turns` is set.
     ///
     /// # Errors
     ///
@@ -118,9 +121,10 @@
         own: Identity,
         generation: u64,
         last_started_at_ms: Option<u64>,
+        in_turns: Arc<AtomicBool>,
     ) -> io::Result<Arc<Self>> {
         or(
-            Self::handshake(peer, own, generation, last_started_at_ms),
+            Self::handshake(peer, own, generation, last_started_at_ms, in_turns),
             async {
                 Timer::after(CONNECT_TIMEOUT).await;
                 Err(io::ErrorKind::TimedOut.into())
@@ -134,6 +138,7 @@
         own: Identity,
         generation: u64,
         last_started_at_ms: Option<u64>,
+        in_turns: Arc<AtomicBool>,
     ) -> io::Result<Arc<Self>> {
         let mut tcp = TcpStream::connect(peer).await?;
         tcp.set_nodelay(true)?;
@@ -169,6 +174,7 @@
             last_received: Mutex::new(now),
             open: AtomicBool::new(true),
             leaving: AtomicBool::new(false),
+            in_turns,
         });
         let writing = Arc::clone(&connection);
         crate::runtime::spawn(async move { writing.write_frames(&frames).await });
@@ -338,8 +344,10 @@
 
     async fn write_frames(&self, frames: &Receiver<Frame>) {
         let mut tcp = self.tcp.clone();
-        let result =
-            stream::write_all_frames(&mut tcp, frames, |frame| self.mark_written(frame)).await;
+        let result = stream::write_all_frames(&mut tcp, frames, &self.in_turns, |frame| {
+            self.mark_written(frame);
+        })
+        .await;
         if let Err(error) = result {
             log::debug!("connection to {}: {error}", self.peer);
         }
--- a/fulmarreel-node/src/peer/mod.rs
+++ b/fulmarreel-node/src/peer/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 pub mod stream;
+pub mod turns;
 
 pub use connection::{Connection, Event};
 
@@ -10,7 +11,7 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::AtomicBool},
     time::{Duration, Instant},
 };
 
@@ -30,6 +31,8 @@
 #[derive(Debug)]
 pub struct Pool {
     own: Identity,
+    /// Whether calls take turns in writing, as they do over a narrow link.
+    in_turns: Arc<AtomicBool>,
     peers: Mutex<HashMap<SocketAddr, Arc<Peer>>>,
 }
 
@@ -53,8 +56,14 @@
 impl Pool {
     /// Creates a pool without connections.
     pub fn new(own: Identity) -> Self {
+        Self::with_turns(own, Arc::default())
+    }
+
+    /// Creates a pool without connections, on which calls take turns in writing while `in_turns` is set.
+    pub fn with_turns(own: Identity, in_turns: Arc<AtomicBool>) -> Self {
         Self {
             own,
+            in_turns,
             peers: Mutex::default(),
         }
     }
@@ -83,7 +92,10 @@
         connect_state.generation += 1;
         let (generation, last_started_at_ms) =
             (connect_state.generation, connect_state.last_started_at_ms);
-        match Connection::connect(address, self.own, generation, last_started_at_ms).await {
+        let in_turns = Arc::clone(&self.in_turns);
+        let connected =
+            Connection::connect(address, self.own, generation, last_started_at_ms, in_turns);
+        match connected.await {
             Ok(connection) => {
                 connect_state.last_started_at_ms = Some(connection.peer_started_at_ms());
                 *peer.connection.lock().expect("connection lock") = Some(Arc::clone(&connection));
--- a/fulmarreel-node/src/peer/stream.rs
+++ b/fulmarreel-node/src/peer/stream.rs
@@ -1,6 +1,6 @@
 //! Reads and writes length-prefixed frames on a byte stream.
 
-use super::Identity;
+use super::{Identity, turns::Turns};
 use fulmarreel_wire::{Hello, PROTOCOL, Purpose, call::Frame, framing};
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use serde::{Serialize, de::DeserializeOwned};
@@ -10,11 +10,23 @@
     future::or,
     net::{Shutdown, TcpStream},
 };
-use std::{io, time::Duration};
+use socket2::SockRef;
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 /// Queued frames are encoded into one batch until it has this many bytes.
 const BATCH_BYTES: usize = 65_536;
 
+/// Over a narrow link, the system holds at most this many bytes that it has not sent, since what it
+/// holds is no longer written in turns.
+const NARROW_UNSENT_BYTES: u32 = 16_384;
+
 /// How long one batch may take to write before the connection is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -74,9 +86,14 @@
     }
 }
 
-/// Writes frames to a peer until the channel is closed or the stream fails, then closes both.
-pub async fn write_call_frames(mut tcp: TcpStream, frames: Receiver<Frame>) {
-    if let Err(error) = write_all_frames(&mut tcp, &frames, |_| {}).await {
+/// Writes frames to a peer until the channel is closed or the stream fails, then closes both. Calls take
+/// turns while `in_turns` is set.
+pub async fn write_call_frames(
+    mut tcp: TcpStream,
+    frames: Receiver<Frame>,
+    in_turns: Arc<AtomicBool>,
+) {
+    if let Err(error) = write_all_frames(&mut tcp, &frames, &in_turns, |_| {}).await {
         log::debug!("peer connection: {error}");
     }
     frames.close();
@@ -84,41 +101,81 @@
     let _ = tcp.shutdown(Shutdown::Both);
 }
 
-/// Writes queued frames in batches until the channel is closed; `before_write` is called with each
-/// frame before any of its bytes are written.
+/// Writes queued frames in batches until the channel is closed; calls take turns while `in_turns` is set.
+/// `before_write` is called with each frame before any of its bytes are written.
 ///
 /// # Errors
 ///
 /// The stream failed, a batch was not written within `WRITE_TIMEOUT`, or a frame is too long.
-pub async fn write_all_frames<T, W>(
-    stream: &mut W,
-    frames: &Receiver<T>,
-    mut before_write: impl FnMut(&T),
-) -> io::Result<()>
-where
-    T: Serialize,
-    W: AsyncWrite + Unpin,
-{
+pub async fn write_all_frames(
+    tcp: &mut TcpStream,
+    frames: &Receiver<Frame>,
+    in_turns: &AtomicBool,
+    mut before_write: impl FnMut(&Frame),
+) -> io::Result<()> {
+    let mut turns = Turns::default();
     let mut batch = Vec::new();
+    let mut is_limited = false;
     while let Ok(first) = frames.recv().await {
         batch.clear();
-        let mut next = Some(first);
-        while let Some(frame) = next {
-            before_write(&frame);
-            framing::encode(&frame, &mut batch).map_err(invalid_data)?;
-            next = (batch.len() < BATCH_BYTES)
-                .then(|| frames.try_recv().ok())
-                .flatten();
+        if !in_turns.load(Ordering::Relaxed) {
+            fill_batch(first, frames, &mut batch, &mut before_write)?;
+            write_batch(tcp, &batch).await?;
+            continue;
+        }
+        if !is_limited {
+            // A system that cannot limit it writes larger parts at once.
+            let _ = SockRef::from(&*tcp).set_tcp_notsent_lowat(NARROW_UNSENT_BYTES);
+            is_limited = true;
+        }
+        turns.push(first);
+        loop {
+            while turns.has_room()
+                && let Ok(frame) = frames.try_recv()
+            {
+                turns.push(frame);
+            }
+            let turn = turns.next_turn();
+            if turn.is_empty() {
+                break;
+            }
+            batch.clear();
+            for frame in &turn {
+                before_write(frame);
+                framing::encode(frame, &mut batch).map_err(invalid_data)?;
+            }
+            write_batch(tcp, &batch).await?;
         }
-        or(stream.write_all(&batch), async {
-            Timer::after(WRITE_TIMEOUT).await;
-            Err(io::ErrorKind::TimedOut.into())
-        })
-        .await?;
     }
     Ok(())
 }
 
+/// Encodes a frame and those that are queued into one batch.
+fn fill_batch(
+    first: Frame,
+    frames: &Receiver<Frame>,
+    batch: &mut Vec<u8>,
+    before_write: &mut impl FnMut(&Frame),
+) -> io::Result<()> {
+    let mut next = Some(first);
+    while let Some(frame) = next {
+        before_write(&frame);
+        framing::encode(&frame, batch).map_err(invalid_data)?;
+        next = (batch.len() < BATCH_BYTES)
+            .then(|| frames.try_recv().ok())
+            .flatten();
+    }
+    Ok(())
+}
+
+async fn write_batch(tcp: &mut TcpStream, batch: &[u8]) -> io::Result<()> {
+    or(tcp.write_all(batch), async {
+        Timer::after(WRITE_TIMEOUT).await;
+        Err(io::ErrorKind::TimedOut.into())
+    })
+    .await
+}
+
 fn invalid_data(error: framing::Error) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, error)
 }
--- a/fulmarreel-node/src/serve/connection.rs
+++ b/fulmarreel-node/src/serve/connection.rs
@@ -47,7 +47,11 @@
         if self.is_leaving() {
             let _ = outgoing.send(Frame::Leaving).await;
         }
-        crate::runtime::spawn(stream::write_call_frames(tcp.clone(), frames));
+        crate::runtime::spawn(stream::write_call_frames(
+            tcp.clone(),
+            frames,
+            Arc::default(),
+        ));
         let limit = self.state.settings.limits.request_bytes;
         let mut connection = IncomingConnection::new(session, outgoing, generation, limit);
         let result = self.serve_calls(&mut connection, tcp).await;
--- a/fulmarreel-node/src/serve/slot_queue.rs
+++ b/fulmarreel-node/src/serve/slot_queue.rs
@@ -114,6 +114,14 @@
         self.admission.lock().expect("admission lock").backlog()
     }
 
+    /// Mean time that a call holds a slot; zero if none has.
+    pub fn mean_hold_time(&self) -> Duration {
+        self.admission
+            .lock()
+            .expect("admission lock")
+            .mean_hold_time()
+    }
+
     /// Changes the number of slots.
     pub fn resize(self: &Arc<Self>, slots: u16) {
         let now = Instant::now();
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -145,6 +145,25 @@
     gauge!("fulmarreel_target_slots").set(f64::from(slots));
 }
 
+/// Sets the time until everything known has crossed a direction of this machine's link.
+pub fn set_link_backlog(direction: &'static str, backlog: Duration) {
+    gauge!("fulmarreel_link_backlog_seconds", "direction" => direction).set(backlog.as_secs_f64());
+}
+
+/// Counts a request that was refused since its body could not cross this machine's link in time.
+pub fn link_refused(direction: &'static str) {
+    counter!("fulmarreel_link_refusals_total", "direction" => direction).increment(1);
+}
+
+/// Counts a request that was sent to a target outside of this node's zone; `reason` says why.
+pub fn left_zone(service: &str, reason: &'static str) {
+    let labels = [
+        ("service", service.to_owned()),
+        ("reason", reason.to_owned()),
+    ];
+    counter!("fulmarreel_left_zone_total", &labels).increment(1);
+}
+
 /// Counts a watch of the store that ended; `result` says whether it brought events, brought none or
 /// failed.
 pub fn store_watch_ended(result: &'static str) {
