--- a/fulmarreel-node/src/mesh/serve/crossing.rs
+++ b/fulmarreel-node/src/mesh/serve/crossing.rs
@@ -1,15 +1,32 @@
 //! Responses of the own target that cross this machine's narrow link to other nodes.
 
 use super::{Rejection, Server, request_id};
-use crate::mesh::links::{Direction, Expected};
+use crate::{
+    mesh::links::{Direction, Expected},
+    serve::link::IncomingConnection,
+    telemetry::metrics,
+};
 use fulmarreel_balance::link::Body;
 use fulmarreel_route::Entry;
 use fulmarreel_wire::call::{Open, Refusal};
 use std::{
+    collections::HashMap,
     sync::Arc,
     time::{Duration, Instant},
 };
 
+/// Bodies of one connection that are still arriving, with the time after which they are no longer waited
+/// for.
+#[derive(Debug, Default)]
+pub(super) struct Uploads(HashMap<u64, (Expected, Instant)>);
+
+impl Uploads {
+    /// The body of a request has arrived, or never will.
+    pub fn remove(&mut self, sequence: u64) {
+        self.0.remove(&sequence);
+    }
+}
+
 /// The route of a request, and its response as it is expected on the link.
 #[derive(Debug)]
 pub(super) struct Crossing {
@@ -52,20 +69,68 @@
                 _expected: Some(expected),
             })),
             Err(retry_after) => {
-                log::info!(
-                    id = request_id(open),
-                    bytes = body.bytes as u64,
-                    wanted_ms = open.wanted_ms,
-                    backlog_ms = self.links.backlog(Direction::Outgoing).as_millis() as u64,
-                    retry_after_ms = retry_after.as_millis() as u64;
-                    "refused, the link cannot carry the response in time"
-                );
+                self.log_link_refusal(open, Direction::Outgoing, &body, retry_after);
                 let reason = Refusal::Overloaded;
                 Err(Rejection::refused(open, reason, retry_after))
             }
         }
     }
 
+    /// Expects the body of an announced request on the link, or refuses the request if the body could not
+    /// cross in time.
+    pub(super) fn expect_upload(
+        &self,
+        uploads: &mut Uploads,
+        connection: &mut IncomingConnection,
+        sequence: u64,
+    ) {
+        let Some(open) = connection.announced(sequence) else {
+            return;
+        };
+        let is_bulk = self.route_of(open).is_some_and(|entry| entry.route.is_bulk);
+        if !is_bulk {
+            return;
+        }
+        let now = Instant::now();
+        uploads.0.retain(|_, (_, until)| *until > now);
+        let after_ms = |ms: u32| now + Duration::from_millis(u64::from(ms));
+        let work = self.slot_queue.mean_hold_time();
+        let deadline = after_ms(open.remaining_ms);
+        let body = Body {
+            bytes: open.length as f64,
+            ready_at: now,
+            // The slot is wanted with a margin of once the work's time.
+            objective: after_ms(open.wanted_ms) + work,
+            deadline: after_ms(open.latest_ms),
+        };
+        match self.links.expect(Direction::Incoming, &body) {
+            Ok(expected) => _ = uploads.0.insert(sequence, (expected, deadline)),
+            Err(retry_after) => {
+                self.log_link_refusal(open, Direction::Incoming, &body, retry_after);
+                metrics::call_refused(&open.service, Refusal::Overloaded);
+                connection.refuse_announced(sequence, Refusal::Overloaded, retry_after);
+            }
+        }
+    }
+
+    fn log_link_refusal(
+        &self,
+        open: &Open,
+        direction: Direction,
+        body: &Body,
+        retry_after: Duration,
+    ) {
+        log::info!(
+            id = request_id(open),
+            direction = direction.name(),
+            bytes = body.bytes as u64,
+            wanted_ms = open.wanted_ms,
+            backlog_ms = self.links.backlog(direction).as_millis() as u64,
+            retry_after_ms = retry_after.as_millis() as u64;
+            "refused, the link cannot carry the body in time"
+        );
+    }
+
     /// Records that a response is handed to the link.
     pub(super) fn send_crossing(&self, crossing: Option<Crossing>, bytes: usize) {
         if let Some(crossing) = crossing {
@@ -80,7 +145,11 @@
         if !self.links.are_narrow() {
             return in_flight;
         }
-        let backlog = self.links.backlog(Direction::Outgoing).as_secs_f64();
+        let backlog = [Direction::Incoming, Direction::Outgoing]
+            .map(|direction| self.links.backlog(direction))
+            .into_iter()
+            .max();
+        let backlog = backlog.unwrap_or_default().as_secs_f64();
         let hold = self.slot_queue.mean_hold_time().as_secs_f64().max(0.001);
         // A conversion to integers saturates.
         in_flight.max((f64::from(slots) * backlog / hold) as u16)
--- a/fulmarreel-node/src/mesh/serve/peer.rs
+++ b/fulmarreel-node/src/mesh/serve/peer.rs
@@ -1,6 +1,6 @@
 //! Connections from other nodes, over which they send requests for this node's target.
 
-use super::{Rejection, Server, request_id};
+use super::{Rejection, Server, crossing::Uploads, request_id};
 use crate::{
     mesh::sync,
     peer::{Identity, stream},
@@ -63,12 +63,19 @@
         tcp: TcpStream,
     ) -> io::Result<()> {
         let mut tcp = BufReader::new(tcp);
+        let mut uploads = Uploads::default();
         loop {
+            connection.announces_bodies = self.links.are_narrow();
             match connection.next(&mut tcp).await? {
+                Event::Announced { sequence } => {
+                    self.expect_upload(&mut uploads, connection, sequence);
+                }
                 Event::Opened(call, open, body) => {
+                    uploads.remove(open.sequence);
                     crate::runtime::spawn(Arc::clone(self).serve_call(call, open, body));
                 }
-                Event::Cancelled { .. } | Event::Credit { .. } => {}
+                Event::Cancelled { sequence } => uploads.remove(sequence),
+                Event::Credit { .. } => {}
             }
         }
     }
--- a/fulmarreel-node/src/peer/connection.rs
+++ b/fulmarreel-node/src/peer/connection.rs
@@ -346,6 +346,7 @@
         let mut tcp = self.tcp.clone();
         let result = stream::write_all_frames(&mut tcp, frames, &self.in_turns, |frame| {
             self.mark_written(frame);
+            self.is_wanted(frame)
         })
         .await;
         if let Err(error) = result {
@@ -354,6 +355,17 @@
         self.close();
     }
 
+    /// Whether the peer still needs a frame: not the rest of the body of a call that has ended, for example
+    /// by a refusal. A call that ends otherwise before its body is written is cancelled, so that the
+    /// peer does not wait for the rest.
+    fn is_wanted(&self, frame: &Frame) -> bool {
+        let Frame::Chunk(chunk) = frame else {
+            return true;
+        };
+        let calls = self.calls.lock().expect("calls lock");
+        calls.pending.contains_key(&chunk.sequence)
+    }
+
     fn mark_written(&self, frame: &Frame) {
         if let Frame::Open(open) = frame {
             let mut calls = self.calls.lock().expect("calls lock");
--- a/fulmarreel-node/src/peer/stream.rs
+++ b/fulmarreel-node/src/peer/stream.rs
@@ -93,7 +93,7 @@
     frames: Receiver<Frame>,
     in_turns: Arc<AtomicBool>,
 ) {
-    if let Err(error) = write_all_frames(&mut tcp, &frames, &in_turns, |_| {}).await {
+    if let Err(error) = write_all_frames(&mut tcp, &frames, &in_turns, |_| true).await {
         log::debug!("peer connection: {error}");
     }
     frames.close();
@@ -102,7 +102,8 @@
 }
 
 /// Writes queued frames in batches until the channel is closed; calls take turns while `in_turns` is set.
-/// `before_write` is called with each frame before any of its bytes are written.
+/// `before_write` is called with each frame before any of its bytes are written, and says whether it still
+/// has to be; a frame that does not is left out while calls take turns.
 ///
 /// # Errors
 ///
@@ -111,7 +112,7 @@
     tcp: &mut TcpStream,
     frames: &Receiver<Frame>,
     in_turns: &AtomicBool,
-    mut before_write: impl FnMut(&Frame),
+    mut before_write: impl FnMut(&Frame) -> bool,
 ) -> io::Result<()> {
     let mut turns = Turns::default();
     let mut batch = Vec::new();
@@ -140,8 +141,7 @@
                 break;
             }
             batch.clear();
-            for frame in &turn {
-                before_write(frame);
+            for frame in turn.iter().filter(|frame| before_write(frame)) {
                 framing::encode(frame, &mut batch).map_err(invalid_data)?;
             }
             write_batch(tcp, &batch).await?;
@@ -155,7 +155,7 @@
     first: Frame,
     frames: &Receiver<Frame>,
     batch: &mut Vec<u8>,
-    before_write: &mut impl FnMut(&Frame),
+    before_write: &mut impl FnMut(&Frame) -> bool,
 ) -> io::Result<()> {
     let mut next = Some(first);
     while let Some(frame) = next {
--- a/fulmarreel-node/src/serve/connection.rs
+++ b/fulmarreel-node/src/serve/connection.rs
@@ -79,6 +79,7 @@
                     let mut credits = connection.session.credits.lock().expect("credits lock");
                     credits.remove(&sequence);
                 }
+                Event::Announced { .. } => {}
                 Event::Credit { sequence, bytes } => {
                     let credits = connection.session.credits.lock().expect("credits lock");
                     if let Some(credit) = credits.get(&sequence) {
--- a/fulmarreel-node/src/serve/link.rs
+++ b/fulmarreel-node/src/serve/link.rs
@@ -37,6 +37,8 @@
     pub generation: u64,
     /// The longest request body that is accepted.
     pub max_body_bytes: u64,
+    /// Whether calls with a body are announced before it has arrived.
+    pub announces_bodies: bool,
     /// Calls whose body has not arrived completely.
     incomplete: HashMap<u64, (Open, Vec<u8>)>,
 }
@@ -44,6 +46,8 @@
 /// What the owner of the connection has to act on.
 #[derive(Debug)]
 pub(crate) enum Event {
+    /// A call arrived whose body is still to arrive; it is opened or refused later.
+    Announced { sequence: u64 },
     /// A call arrived completely and was recorded in the origin's ledger.
     Opened(OpenCall, Open, Vec<u8>),
     /// A call was cancelled, and the origin was told whether that came in time.
@@ -66,6 +70,7 @@
             outgoing,
             generation,
             max_body_bytes,
+            announces_bodies: false,
             incomplete: HashMap::new(),
         }
     }
@@ -81,7 +86,13 @@
                 Frame::Open(open) if open.length > self.max_body_bytes => {
                     self.refuse_incomplete(open.sequence);
                 }
-                Frame::Open(open) => _ = self.incomplete.insert(open.sequence, (open, Vec::new())),
+                Frame::Open(open) => {
+                    let (sequence, has_body) = (open.sequence, open.length > 0);
+                    self.incomplete.insert(sequence, (open, Vec::new()));
+                    if has_body && self.announces_bodies {
+                        return Ok(Event::Announced { sequence });
+                    }
+                }
                 Frame::Chunk(chunk) => {
                     if let Some((open, body)) = self.append_chunk(&chunk) {
                         let session = Arc::clone(&self.session);
@@ -102,6 +113,23 @@
         }
     }
 
+    /// A call whose body has not arrived completely.
+    pub fn announced(&self, sequence: u64) -> Option<&Open> {
+        self.incomplete.get(&sequence).map(|(open, _)| open)
+    }
+
+    /// Refuses a call whose body has not arrived completely; the rest of the body is ignored.
+    pub fn refuse_announced(&mut self, sequence: u64, reason: Refusal, retry_after: Duration) {
+        self.incomplete.remove(&sequence);
+        if self.session.cancel(sequence) == Cancellation::NotRun {
+            self.queue_reply(Frame::Refused(Refused {
+                sequence,
+                reason,
+                retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
+            }));
+        }
+    }
+
     /// Appends a chunk to its call; returns the call once it is complete and the ledger accepts it.
     fn append_chunk(&mut self, chunk: &Chunk) -> Option<(Open, Vec<u8>)> {
         let (open, body) = self.incomplete.get_mut(&chunk.sequence)?;
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -9,6 +9,7 @@
 mod frames;
 mod left;
 mod moves;
+mod narrow;
 mod odd;
 mod path;
 mod pipeline;
--- a/fulmarreel-node/tests/mesh/support.rs
+++ b/fulmarreel-node/tests/mesh/support.rs
@@ -114,6 +114,14 @@
         )?)
     }
 
+    /// Adds a line to the node's settings, which the node then reads again.
+    pub fn add_setting(&self, line: &str) -> anyhow::Result<()> {
+        let mut settings = std::fs::read_to_string(&self.settings)?;
+        settings.push_str(line);
+        settings.push('\n');
+        Ok(std::fs::write(&self.settings, settings)?)
+    }
+
     /// Starts the node's process again, with the same settings.
     pub fn restart(&mut self) -> anyhow::Result<()> {
         self.process = start_node(&self.settings, self.metrics)?;
@@ -217,6 +225,16 @@
     put_config(store, version, &routes.collect::<Vec<_>>(), services)
 }
 
+/// Writes a configuration with a route `/SERVICE/` for downloads of each service. Returns the store's
+/// revision.
+pub fn configure_bulk(store: &FakePlatformStore, version: u64, services: &[&str]) -> u64 {
+    let routes = services.iter().map(|service| {
+        let prefix = format!("/{service}/");
+        route(service, "h.example", &prefix, "download", service)
+    });
+    put_config(store, version, &routes.collect::<Vec<_>>(), services)
+}
+
 /// As [`configure`] for one service, with `idle_routes` routes that get no requests, and a route
 /// `/added-N/` to the service for each version N up to this one.
 pub fn configure_with_idle(
