--- a/fulmarreel-node/tests/mesh/narrow.rs
+++ b/fulmarreel-node/tests/mesh/narrow.rs
@@ -5,6 +5,7 @@
     support::{Instance, call, configure_bulk, eventually},
 };
 use anyhow::ensure;
+use fulmarreel::explain::{LogLine, explain};
 use fulmarreel_testing::kv::FakePlatformStore;
 use std::time::Duration;
 
@@ -42,8 +43,19 @@
             (2..=5).contains(&answered) && refused == DOWNLOADS - answered,
             "{answered} answered, {refused} refused"
         );
+        let line = |text| LogLine {
+            file: "target",
+            text,
+        };
         let log = target.log()?;
-        ensure!(log.contains("refused, the link cannot carry the body in time"));
+        let explanations = (0..DOWNLOADS).filter_map(|number| {
+            explain(&format!("download-{number}"), log.lines().map(line)).ok()
+        });
+        let words = "on its link before";
+        let found = explanations
+            .filter(|found| found.summary.contains(words))
+            .count();
+        ensure!(found == refused, "{found} of {refused} explained");
         Ok(())
     })
 }
--- a/fulmarreel/src/explain.rs
+++ b/fulmarreel/src/explain.rs
@@ -61,6 +61,8 @@
     /// The time within which the request wanted a slot.
     wanted_ms: Option<u64>,
     backlog_ms: Option<u64>,
+    /// The size of the body that the link could not carry in time.
+    bytes: Option<u64>,
     /// The store revision up to which the node knew the store.
     known: Option<u64>,
     /// The latest store revision that the node had heard of.
@@ -131,6 +133,12 @@
                 line.wanted_ms.unwrap_or_default(),
             ));
         }
+        if let (Some(backlog), Some(bytes)) = (line.backlog_ms, line.bytes) {
+            return Some(format!(
+                "{} refused it with a backlog of {backlog} ms on its link before the {bytes} bytes of its body",
+                self.node,
+            ));
+        }
         let lost = line.message.strip_prefix("no answer: ")?;
         let after = line.took_ms.unwrap_or_default();
         Some(format!(
