--- a/fulmarreel-balance/src/lib.rs
+++ b/fulmarreel-balance/src/lib.rs
@@ -6,11 +6,14 @@
 pub mod budget;
 pub mod choice;
 pub mod cold;
+pub mod link;
 pub mod overload;
 pub mod placement;
 pub mod speed;
 pub mod uneven;
+pub mod zones;
 
 pub use admission::Admission;
 pub use budget::Budget;
+pub use link::Link;
 pub use speed::Speed;
--- a/fulmarreel-balance/src/overload/pace.rs
+++ b/fulmarreel-balance/src/overload/pace.rs
@@ -69,6 +69,11 @@
         self.record_wait(now, group, slots, ahead, expected.mul_f64(DISPLACED_FACTOR));
     }
 
+    /// Mean time that a request holds a slot; zero if none has.
+    pub fn mean_hold_time(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_hold_s.unwrap_or_default())
+    }
+
     /// The mean time between two slots that become free while all are taken.
     pub fn interval(&self, slots: usize) -> Duration {
         Duration::from_secs_f64(self.interval_s(slots))
--- a/fulmarreel-balance/src/overload/queue.rs
+++ b/fulmarreel-balance/src/overload/queue.rs
@@ -126,6 +126,11 @@
         }
     }
 
+    /// Mean time that a request holds a slot; zero if none has.
+    pub fn mean_hold_time(&self) -> Duration {
+        self.paces.mean_hold_time()
+    }
+
     /// Number of requests that hold a slot.
     pub fn running(&self) -> usize {
         self.running
--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -3,6 +3,7 @@
 mod authenticate;
 mod choose;
 mod cold_targets;
+mod crossing;
 mod delivery;
 mod eligible;
 mod head;
@@ -109,7 +110,7 @@
             address: context.settings().peer_address,
             started_at_ms: context.started_at_ms,
         };
-        let pool = Arc::new(Pool::new(own));
+        let pool = Arc::new(Pool::with_turns(own, server.links.in_turns()));
         let watched = Arc::clone(&pool);
         crate::runtime::spawn(async move { watched.close_silent_connections().await });
         Self {
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -1,7 +1,7 @@
 //! Attempts of a request at one target after another, within the limits of its route and of the
 //! service's retry budget.
 
-use super::{FIRST_SERVER_ERROR, Request, RequestHandler, STOPPING, eligible};
+use super::{FIRST_SERVER_ERROR, Request, RequestHandler, STOPPING, crossing::LINK_FULL, eligible};
 use crate::{
     mesh::{
         credential::{MAY_BE_REVOKED, REVOCATION_RETRY_AFTER},
@@ -131,6 +131,14 @@
                 credential: request.credential,
                 deadline: request.deadline,
             };
+            let crossing = match self.expect_crossing(&view, request, &target) {
+                Ok(crossing) => crossing,
+                Err(retry_after) => {
+                    offers.record_retry_after(retry_after);
+                    last = last.or_not_run(LINK_FULL, retry_after);
+                    return last.with_retry_after(offers);
+                }
+            };
             if permit.as_mut().is_some_and(|permit| !permit.begin()) {
                 return last.or_over_quota();
             }
@@ -138,7 +146,7 @@
             let in_flight = self.targets.start_request(target.address);
             let tracker = self.track_call(request, &target, &version_choice);
             let mut outcome = exchange.run(&open, request.body).await;
-            drop(in_flight);
+            drop((in_flight, crossing));
             self.cold_targets.record_outcome(&target, &mut outcome);
             self.record_attempt(request, &target, tracker, &outcome);
             if let Some(permit) = &mut permit
--- a/fulmarreel-node/src/mesh/mod.rs
+++ b/fulmarreel-node/src/mesh/mod.rs
@@ -19,6 +19,7 @@
 pub(crate) mod endpoint;
 pub(crate) mod exchange;
 pub(crate) mod keys;
+pub(crate) mod links;
 pub(crate) mod listen;
 pub mod notices;
 pub(crate) mod publish;
@@ -32,5 +33,6 @@
 pub mod takeover;
 pub(crate) mod targets;
 pub(crate) mod view;
+mod zone_loads;
 
 pub use run::run;
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -29,12 +29,12 @@
     pub started_at_ms: Option<u64>,
     /// The version that it runs.
     pub version: String,
+    /// Its availability zone.
+    pub zone: String,
     /// The number of requests that it runs at once.
     pub slots: u16,
     /// Its distance from this node.
     pub tier: Tier,
-    /// The availability zone of its node.
-    pub zone: String,
     /// The region of its node.
     pub region: String,
 }
@@ -70,6 +70,8 @@
     pub restricts_regions: bool,
     /// Targets by service.
     pub targets: HashMap<String, Vec<Arc<Target>>>,
+    /// Whether the active configuration has routes with large bodies.
+    pub has_bulk_routes: bool,
     /// Rollouts by service.
     pub rollouts: HashMap<String, Rollout>,
     /// Every node's address, with whether the node is in this node's region.
@@ -94,6 +96,7 @@
         view.table = view.active_table(mirror, last);
         let table = view.table.as_deref();
         view.restricts_regions = table.is_some_and(Table::has_allowed_regions);
+        view.has_bulk_routes = table.is_some_and(Table::has_bulk_routes);
         for (instance, item) in mirror.items_under_prefix(keys::NODES) {
             match Node::decode(&item.value) {
                 Ok(node) => view.add(node, own),
@@ -162,9 +165,9 @@
             id: target.id,
             started_at_ms: target.started_at_ms,
             version: target.version,
+            zone: node.zone,
             slots: target.slots,
             tier,
-            zone: node.zone,
             region: node.region,
         }));
     }
--- a/fulmarreel-node/src/serve/slot_queue.rs
+++ b/fulmarreel-node/src/serve/slot_queue.rs
@@ -186,6 +186,11 @@
         self.lock().backlog()
     }
 
+    /// Mean time that a call holds a slot; zero if none has.
+    pub fn mean_hold_time(&self) -> Duration {
+        self.lock().mean_hold_time()
+    }
+
     /// Changes the number of slots.
     pub fn resize(self: &Arc<Self>, slots: u16) {
         let now = Instant::now();
--- a/fulmarreel-node/src/serve/slots.rs
+++ b/fulmarreel-node/src/serve/slots.rs
@@ -69,6 +69,14 @@
         self.ranked.backlog().max(classed.unwrap_or_default())
     }
 
+    /// Mean time that a request holds a slot; zero if none has.
+    pub fn mean_hold_time(&self) -> Duration {
+        let classed = self.classed.as_ref().map(Queue::mean_hold_time);
+        self.ranked
+            .mean_hold_time()
+            .max(classed.unwrap_or_default())
+    }
+
     /// Works on the queue by rank.
     pub fn with_ranked<R>(
         &mut self,
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -11,6 +11,7 @@
 mod keys;
 mod left;
 mod moves;
+mod narrow;
 mod odd;
 mod path;
 mod pipeline;
