--- a/fulmarreel-testing/src/kv/data.rs
+++ b/fulmarreel-testing/src/kv/data.rs
@@ -29,7 +29,7 @@
 }
 
 /// The contents of the store.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Data {
     pub revision: u64,
     /// The history up to and including this revision is gone.
@@ -68,6 +68,11 @@
         self.items.get(key)
     }
 
+    /// Whether anything was written or granted since the other contents.
+    pub fn differs(&self, other: &Self) -> bool {
+        (self.revision, self.next_lease) != (other.revision, other.next_lease)
+    }
+
     pub fn keys(&self) -> Vec<String> {
         self.items.keys().cloned().collect()
     }
@@ -174,6 +179,13 @@
         known
     }
 
+    /// Starts the time to live of every lease again, as a store does that has just started.
+    pub fn restart_leases(&mut self, now: Instant) {
+        for (ttl, expires_at) in self.leases.values_mut() {
+            *expires_at = now + *ttl;
+        }
+    }
+
     /// Revokes every lease that has expired by `now`.
     pub fn expire(&mut self, now: Instant) {
         let expired = self
--- a/fulmarreel-testing/src/kv/mod.rs
+++ b/fulmarreel-testing/src/kv/mod.rs
@@ -1,9 +1,11 @@
 //! An in-memory fake of the platform's key-value store, with faults that tests can inject.
 
+mod copies;
 mod data;
 mod serve;
 
 use base64::{Engine, engine::general_purpose::STANDARD};
+use copies::Copies;
 use data::Data;
 use smol::{Timer, net};
 use std::{
@@ -12,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-/// How often expired leases are removed.
+/// How often expired leases are removed, and a copy is made.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The faults that are injected; none by default.
@@ -26,6 +28,8 @@
     pub lost_writes: bool,
     /// The largest number of items in a range answer; 0 for no limit.
     pub page: usize,
+    /// How long each answer is held back after it was made.
+    pub delay: Duration,
 }
 
 /// A running fake store; it serves until the process ends.
@@ -39,6 +43,8 @@
 struct Shared {
     data: Data,
     faults: Faults,
+    /// Copies of the contents; `None` for a store that names no era.
+    copies: Option<Copies>,
     /// Number of calls so far; each long poll of a watch counts as one.
     calls: u64,
 }
@@ -61,13 +67,42 @@
         smol::spawn(async move {
             loop {
                 Timer::after(EXPIRY_INTERVAL).await;
-                lock(&expiring_state).data.expire(Instant::now());
+                let shared = &mut *lock(&expiring_state);
+                let now = Instant::now();
+                shared.data.expire(now);
+                if let Some(copies) = &mut shared.copies {
+                    copies.add(&shared.data, now);
+                }
             }
         })
         .detach();
         Ok(Self { address, shared })
     }
 
+    /// Starts a store as [`Self::start`] does, which names its era in each response: 1 at first.
+    ///
+    /// # Errors
+    ///
+    /// No port can be bound.
+    pub fn start_with_eras() -> anyhow::Result<Self> {
+        let store = Self::start()?;
+        {
+            let shared = &mut *lock(&store.shared);
+            shared.copies = Some(Copies::new(1, &shared.data, Instant::now()));
+        }
+        Ok(store)
+    }
+
+    /// Goes back to the contents as of `age` ago, leases included, and enters the next era. Watches that
+    /// wait are answered as in the new era. Only for a store with eras.
+    pub fn go_back(&self, age: Duration) {
+        let shared = &mut *lock(&self.shared);
+        let now = Instant::now();
+        if let Some(copies) = &mut shared.copies {
+            shared.data = copies.go_back(now.checked_sub(age).unwrap_or(now), now);
+        }
+    }
+
     /// The address that it listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/fulmarreel-testing/src/kv/serve.rs
+++ b/fulmarreel-testing/src/kv/serve.rs
@@ -10,6 +10,9 @@
 };
 use trillium::{Conn, Method, Status};
 
+/// The header that names the store's era.
+const ERA_HEADER: &str = "Store-Era";
+
 /// How often a watch that waits checks for changes.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -63,6 +66,7 @@
         std::future::pending::<()>().await;
     }
     if let Some(status) = faults.status {
+        let conn = name_era(conn, current_era(shared));
         return conn.with_status(status).with_body("{}").halt();
     }
     let path = conn.path().to_owned();
@@ -75,12 +79,28 @@
         "/-/kv-lease" => grant(shared, &body),
         _ => renew_or_revoke(shared, &path),
     };
+    let era = current_era(shared);
     if is_write && faults.lost_writes {
         std::future::pending::<()>().await;
     }
+    if !faults.delay.is_zero() {
+        Timer::after(faults.delay).await;
+    }
+    let conn = name_era(conn, era);
     conn.with_status(status).with_body(body.to_string()).halt()
 }
 
+fn current_era(shared: &Mutex<Shared>) -> Option<u64> {
+    lock(shared).copies.as_ref().map(|copies| copies.era)
+}
+
+fn name_era(conn: Conn, era: Option<u64>) -> Conn {
+    match era {
+        Some(era) => conn.with_response_header(ERA_HEADER, era.to_string()),
+        None => conn,
+    }
+}
+
 fn read_key(shared: &Mutex<Shared>, query: &Query) -> (Status, Value) {
     let shared = lock(shared);
     match shared.data.get(&query.get("key")) {
@@ -109,7 +129,8 @@
     loop {
         {
             let shared = lock(shared);
-            if after < shared.data.compacted {
+            let is_unknown = shared.copies.is_some() && after > shared.data.revision;
+            if after < shared.data.compacted || is_unknown {
                 return (Status::Gone, json!({}));
             }
             let events = shared.data.changes(&prefix, after);
