feat: a node that was frozen runs nothing from before an evacuation

Requests wait in the sockets of a process that does not run. After a pause of half the limit for evacuations, what may have waited is refused as not run.

--- a/fulmarreel-node/src/mesh/serve/cold_gate.rs
+++ b/fulmarreel-node/src/mesh/serve/cold_gate.rs
@@ -1,7 +1,7 @@
 //! The gate that each request passes right before it is handed over to the own target. It limits the
 //! requests that the target gets while it is cold.
 
-use super::Server;
+use super::{Server, request_id};
 use crate::telemetry::metrics::{self, RefusalCause};
 use fulmarreel_balance::{
     admission::QueueDeadlines,
@@ -234,6 +234,8 @@
             Ok(hand_over) => Ok(Some(hand_over)),
             Err(wait) => {
                 metrics::request_refused(&open.service, RefusalCause::Cold);
+                let wait_ms = wait.as_millis() as u64;
+                log::info!(id = request_id(open), wait_ms; "refused, the target is cold");
                 Err((Refusal::Overloaded, wait))
             }
         }
--- a/fulmarreel-node/src/mesh/serve/place.rs
+++ b/fulmarreel-node/src/mesh/serve/place.rs
@@ -8,6 +8,9 @@
 use fulmarreel_route::Table;
 use fulmarreel_wire::call::{Frame, Open, Refusal};
 
+/// A pause of the process counts from this fraction of the limit for evacuations on.
+const MAX_PAUSE_FRACTION: f64 = 0.5;
+
 impl Server {
     /// Whether the own zone is known to be in service.
     pub(super) fn is_zone_in_service(&self) -> bool {
@@ -18,7 +21,13 @@
     /// Refuses a request if the own zone is evacuated, or if the request is not allowed in the own region.
     pub(super) fn check_place(&self, open: &Open) -> Result<(), Refusal> {
         let (settings, view) = (self.context.settings(), self.context.view());
-        if !view.is_in_service(&settings.zone) {
+        // A process that was paused may read requests now that were sent before an order which it has not
+        // read yet.
+        let pause = self.context.pause_with_backlog();
+        let is_late = settings
+            .evacuation_limit
+            .is_some_and(|limit| !pause.is_zero() && pause >= limit.mul_f64(MAX_PAUSE_FRACTION));
+        if is_late || !view.is_in_service(&settings.zone) {
             metrics::request_refused(&open.service, RefusalCause::Evacuated);
             return Err(Refusal::Leaving);
         }
--- a/fulmarreel-node/tests/mesh/places.rs
+++ b/fulmarreel-node/tests/mesh/places.rs
@@ -10,7 +10,7 @@
 use fulmarreel_testing::kv::FakePlatformStore;
 use fulmarreel_wire::call::{Chunk, Frame, Header, Refusal};
 use rstest::rstest;
-use smol::Timer;
+use smol::{Timer, net::TcpStream};
 use std::time::Duration;
 
 /// Routes to `s`: `/s/` to all regions, `/far/` to one, and `/nowhere/` to a region without targets; with
@@ -83,6 +83,11 @@
     account: Option<&str>,
 ) -> anyhow::Result<Option<Refusal>> {
     let mut tcp = connect(to).await?;
+    send_frames(&mut tcp, path, account).await?;
+    read_refusal(&mut tcp).await
+}
+
+async fn send_frames(tcp: &mut TcpStream, path: &str, account: Option<&str>) -> anyhow::Result<()> {
     let Frame::Open(mut open) = open_frame(false, 0) else {
         bail!("no request");
     };
@@ -95,16 +100,21 @@
     });
     open.headers = headers.collect();
     open.path = path.to_owned();
-    write(&mut tcp, &Frame::Open(open)).await?;
+    write(tcp, &Frame::Open(open)).await?;
     let body = Chunk {
         sequence: 1,
         offset: 0,
         bytes: Vec::new(),
         last: true,
     };
-    write(&mut tcp, &Frame::Chunk(body)).await?;
+    write(tcp, &Frame::Chunk(body)).await?;
+    Ok(())
+}
+
+/// Why the request was refused; `None` if it was answered.
+async fn read_refusal(tcp: &mut TcpStream) -> anyhow::Result<Option<Refusal>> {
     loop {
-        match read(&mut tcp).await? {
+        match read(tcp).await? {
             Frame::Refused(refused) => return Ok(Some(refused.reason)),
             Frame::Head(_) => return Ok(None),
             Frame::Leaving | Frame::Accepting => {}
@@ -250,3 +260,31 @@
         .await
     })
 }
+
+/// Fails if a node that was frozen runs what was sent before the evacuation of its zone, which it does
+/// not know of yet when it goes on.
+#[test]
+fn a_node_that_was_frozen_runs_nothing_from_before_an_evacuation() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let fleet = Fleet::start().await?;
+        let limit = EVACUATION_LIMIT.as_secs();
+        let setting = format!("bounds.evacuate_s={limit}");
+        fleet.near.add_setting(&setting).await?;
+        let mut tcp = connect(&fleet.near).await?;
+        let (near, _) = fleet.arrivals();
+        fleet.near.process.signal("STOP")?;
+        send_frames(&mut tcp, "/s/", None).await?;
+        let order = format!("op/evacuate/{}", NEAR.zone);
+        fleet.store.put(&order, b"{}");
+        Timer::after(EVACUATION_LIMIT).await;
+        fleet.near.process.signal("CONT")?;
+        let refused = read_refusal(&mut tcp).await?;
+        ensure!(refused == Some(Refusal::Leaving), "{refused:?}");
+        ensure!(fleet.arrivals().0 == near);
+        fleet.store.remove(&order);
+        eventually("taken back", || async {
+            matches!(refusal(&fleet.near, "/s/", None).await, Ok(None))
+        })
+        .await
+    })
+}
--- a/fulmarreel-node/tests/mesh/support.rs
+++ b/fulmarreel-node/tests/mesh/support.rs
@@ -114,6 +114,17 @@
         )?)
     }
 
+    /// Adds a line to the node's settings, and waits until it has read them.
+    pub async fn add_setting(&self, line: &str) -> anyhow::Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        std::fs::write(&self.settings, format!("{text}{line}\n"))?;
+        let reloaded = || async {
+            self.log()
+                .is_ok_and(|log| log.contains("settings reloaded"))
+        };
+        eventually("reloaded", reloaded).await
+    }
+
     /// Starts the node's process again, with the same settings.
     pub fn restart(&mut self) -> anyhow::Result<()> {
         self.process = start_node(&self.settings, self.metrics)?;
--- a/fulmarreel-route/tests/table.rs
+++ b/fulmarreel-route/tests/table.rs
@@ -1,6 +1,6 @@
 //! Which route matches a request, and which service of the route gets it.
 
-use fulmarreel_route::{Limits, Route, Table, WeightedService, WeightedSplit};
+use fulmarreel_route::{Account, Accounts, Limits, Route, Table, WeightedService, WeightedSplit};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -75,3 +75,34 @@
         }
     }
 }
+
+/// Fails if one of the lists of a route and of an account binds without the other, or an empty one binds.
+#[rstest]
+#[case::neither(&[], &[], true)]
+#[case::route(&["a", "b"], &[], true)]
+#[case::other_route(&["a"], &[], false)]
+#[case::account(&[], &["b"], true)]
+#[case::other_account(&[], &["a"], false)]
+#[case::both(&["a", "b"], &["b", "c"], true)]
+#[case::disjoint(&["b"], &["a"], false)]
+fn a_region_has_to_be_allowed_by_route_and_account(
+    #[case] of_route: &[&str],
+    #[case] of_account: &[&str],
+    #[case] expected: bool,
+) {
+    let to_list = |regions: &[&str]| regions.iter().map(ToString::to_string).collect();
+    let mut restricted = route("one", "a.example", "/one/");
+    restricted.allowed_regions = to_list(of_route);
+    let account = Account {
+        name: "account".to_owned(),
+        priority: 0,
+        quota: None,
+        allowed_regions: to_list(of_account),
+    };
+    assert_eq!(restricted.allows_region(Some(&account), "b"), expected);
+    let mut table = Table::new(1, 1, Limits::default(), vec![restricted]);
+    table.accounts = Accounts::new([0; 16]);
+    table.accounts.add(account, ["key"]).expect("account");
+    let is_restricted = !of_route.is_empty() || !of_account.is_empty();
+    assert_eq!(table.has_allowed_regions(), is_restricted);
+}
