--- a/fulmarreel-node/tests/mesh/narrow.rs
+++ b/fulmarreel-node/tests/mesh/narrow.rs
@@ -32,7 +32,7 @@
         let (answered, refused) = download(&caller, &target).await?;
         ensure!(refused == 0, "{answered} answered, {refused} refused");
 
-        target.add_setting("limits.link_mbps=3")?;
+        target.add_setting("limits.link_mbps=3").await?;
         eventually("narrow", || async {
             let metrics = call(target.metrics, "GET", "/metrics", "node", &[], "").await;
             metrics.is_ok_and(|metrics| metrics.text.contains("fulmarreel_link_backlog_seconds"))
--- a/fulmarreel-node/tests/mesh/support.rs
+++ b/fulmarreel-node/tests/mesh/support.rs
@@ -114,12 +114,15 @@
         )?)
     }
 
-    /// Adds a line to the node's settings, which the node then reads again.
-    pub fn add_setting(&self, line: &str) -> anyhow::Result<()> {
-        let mut settings = std::fs::read_to_string(&self.settings)?;
-        settings.push_str(line);
-        settings.push('\n');
-        Ok(std::fs::write(&self.settings, settings)?)
+    /// Adds a line to the node's settings, and waits until it has read them.
+    pub async fn add_setting(&self, line: &str) -> anyhow::Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        std::fs::write(&self.settings, format!("{text}{line}\n"))?;
+        let reloaded = || async {
+            self.log()
+                .is_ok_and(|log| log.contains("settings reloaded"))
+        };
+        eventually("reloaded", reloaded).await
     }
 
     /// Starts the node's process again, with the same settings.
