--- a/fulmarreel-balance/src/overload/mod.rs
+++ b/fulmarreel-balance/src/overload/mod.rs
@@ -2,7 +2,8 @@
 //! than it can run.
 //!
 //! The [`Queue`] serves calls that targets make before new work, and new work by priority and by fair
-//! shares of the accounts. [`Origins`] tells the two kinds of requests apart. [`Shares`] finds accounts
+//! shares of the accounts. [`Origins`] tells the two kinds of requests apart, [`Shares`] finds accounts
+//! that priorities would starve, [`Returns`] spreads the retries of refused requests, and [`Throttle`]
 //! admits less work whose calls are refused elsewhere.
 
 mod class;
@@ -12,9 +13,11 @@
 mod queue;
 mod returns;
 mod share;
+mod throttle;
 
 pub use class::{Class, Kind};
 pub use origin::{Hint, Origins};
 pub use queue::{Arrival, Cause, Decision, Key, Queue, Released, Request};
 pub use returns::Returns;
 pub use share::Shares;
+pub use throttle::Throttle;
--- a/fulmarreel-balance/tests/overload/main.rs
+++ b/fulmarreel-balance/tests/overload/main.rs
@@ -4,3 +4,4 @@
 mod play;
 mod queue;
 mod shares;
+mod throttle;
--- a/fulmarreel-balance/tests/overload/play.rs
+++ b/fulmarreel-balance/tests/overload/play.rs
@@ -2,7 +2,7 @@
 
 use fulmarreel_balance::{
     admission::QueueDeadlines,
-    overload::{Class, Decision, Key, Kind, Queue, Released, Request},
+    overload::{Class, Decision, Key, Queue, Released, Request},
 };
 use std::{
     collections::BTreeMap,
--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -7,6 +7,7 @@
 mod pipeline;
 mod respond;
 mod routed;
+mod shed;
 
 pub use pipeline::CallerConnection;
 
@@ -197,6 +198,7 @@
         let Some(outcome) = connection.while_connected(outcome).await else {
             return self.end_abandoned(conn, &request, &offers);
         };
+        self.record_target_call(&request, &outcome, &offers);
         self.log_outcome(&request, &outcome, &offers);
         self.respond(conn, connection, &request, outcome)
     }
@@ -228,6 +230,7 @@
         let Some((outcome, offers)) = connection.while_connected(started.task).await else {
             return self.end_abandoned(conn, &request, &Offers::default());
         };
+        self.record_target_call(&request, &outcome, &offers);
         self.log_outcome(&request, &outcome, &offers);
         self.respond(conn, connection, &request, outcome)
     }
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -89,6 +89,9 @@
                 return last.or_not_run(STOPPING, self.time_until_restart());
             }
             let view = self.context.view();
+            if self.is_hopeless(&view, request, offers) {
+                return last.or_given_up(offers);
+            }
             let chosen = self.choose_target(&view, request, offers);
             let Some((target, version_choice)) = chosen else {
                 return last.with_retry_after(offers);
@@ -261,6 +264,13 @@
         }
     }
 
+    /// The outcome of a request that is offered to no further target, since it cannot be answered in time.
+    fn or_given_up(self, offers: &Offers) -> Self {
+        let reason = "it cannot be answered in time";
+        self.or_not_run(reason, Duration::ZERO)
+            .with_retry_after(offers)
+    }
+
     /// Replaces the retry delay of a request that was not run by the shortest that a target asked for.
     fn with_retry_after(self, offers: &Offers) -> Self {
         match self {
@@ -277,6 +287,11 @@
 }
 
 impl Offers {
+    /// Whether a target had no room for the request.
+    pub fn found_no_room(&self) -> bool {
+        self.retry_after.is_some_and(|delay| !delay.is_zero())
+    }
+
     fn record_retry_after(&mut self, retry_after: Duration) {
         let shortest = self.retry_after.unwrap_or(Duration::MAX);
         self.retry_after = Some(shortest.min(retry_after));
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -1,7 +1,8 @@
 //! Serves requests, from this node and from others, for this node's own target: queues them for its
 //! slots and forwards them over HTTP.
 
-mod order;
+mod feedback;
+pub(super) mod order;
 mod own_target;
 mod peer;
 
@@ -21,7 +22,7 @@
 use fulmarreel_membership::{Announcement, announcement::CurrentTarget};
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::{Failure, Frame, Head, Header, Open, Refusal};
-use order::Orders;
+use order::{NewRun, Orders};
 use own_target::OwnTarget;
 use smol::{Timer, net::TcpListener, stream::StreamExt};
 use std::{
@@ -70,6 +71,8 @@
     target: Announcement,
     /// When its caller stops waiting.
     deadline: Instant,
+    /// Set if its end is to be recorded as one of new work.
+    new_run: Option<NewRun>,
 }
 
 impl Rejection {
@@ -156,7 +159,7 @@
             wanted: after_ms(open.wanted_ms),
             latest: after_ms(open.latest_ms),
         };
-        let permit = self.acquire_slot(open, deadlines).await?;
+        let (permit, new_run) = self.acquire_slot(open, deadlines).await?;
         // The target may have left while the request waited.
         let target = self
             .target_for(open)
@@ -165,6 +168,7 @@
             permit,
             target,
             deadline,
+            new_run,
         })
     }
 
@@ -173,14 +177,14 @@
         &self,
         open: &Open,
         deadlines: QueueDeadlines,
-    ) -> Result<Permit, Rejection> {
+    ) -> Result<(Permit, Option<NewRun>), Rejection> {
         let view = self.context.view();
         let table = view.table.as_ref();
         if let Some(table) = table.filter(|table| order::is_active(table)) {
             return self.acquire_in_order(open, table, deadlines).await;
         }
         let permit = self.slot_queue.acquire_ranked(open.rank, deadlines).await;
-        permit.map_err(|reason| {
+        let permit = permit.map_err(|reason| {
             let (load, slots) = self.slot_queue.load();
             let backlog = self.slot_queue.backlog();
             log::info!(
@@ -192,7 +196,8 @@
                 "refused, no slot in time"
             );
             Rejection::refused(open, reason, backlog)
-        })
+        })?;
+        Ok((permit, None))
     }
 
     /// Forwards an admitted request to the target, and reads its whole response.
@@ -210,10 +215,14 @@
             permit,
             target,
             deadline,
+            new_run,
         } = admitted;
         let started = Instant::now();
         let result = self.endpoint.call(open, body, &target.id, deadline).await;
         let latency = started.elapsed();
+        if let (Some(run), Ok(response)) = (&new_run, &result) {
+            self.record_run(run, started, response.status);
+        }
         match result {
             Ok(response) => Ok(self.complete(open.sequence, response, latency, permit)),
             Err(error) => {
--- a/fulmarreel-node/src/mesh/serve/order.rs
+++ b/fulmarreel-node/src/mesh/serve/order.rs
@@ -1,19 +1,19 @@
 //! The order of requests for this node's own target, where the configuration has accounts or bulk routes:
 //! their classes, accounts and weights.
 
-use super::{Rejection, Server, request_id};
-use crate::{
-    serve::slot_queue::{ClassedRefusal, Permit},
-    telemetry::metrics,
-};
+use super::{Rejection, Server, feedback::Feedback, request_id};
+use crate::{serve::slot_queue::Permit, telemetry::metrics};
 use fulmarreel_balance::{
     admission::QueueDeadlines,
     overload::{Cause, Class, Hint, Kind, Origins, Request},
 };
 use fulmarreel_platform::request;
-use fulmarreel_route::{Account, Accounts, Route, Table};
-use fulmarreel_wire::call::Open;
-use std::{sync::Mutex, time::Instant};
+use fulmarreel_route::{Account, Accounts, Entry, Route, Table};
+use fulmarreel_wire::call::{Open, Refusal};
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The weight of accounts while no account has a quota.
@@ -25,13 +25,23 @@
 /// The priority of requests without an account, as of accounts without a priority.
 const LOWEST_PRIORITY: u8 = u8::MAX;
 
+/// The cause of a refusal because calls of such runs are refused elsewhere.
+const THROTTLED: &str = "throttled";
+
+/// The cause of a refusal because the deadline passed.
+const EXPIRED: &str = "expired";
+
 /// What the order of requests depends on besides the requests themselves.
 #[derive(Debug, Default)]
 pub(super) struct Orders {
     origins: Mutex<Origins>,
     default_weight: Mutex<DefaultWeight>,
+    pub feedback: Feedback,
 }
 
+/// The route of new work that runs; its end is told to the [`Feedback`].
+pub(super) type NewRun = Arc<Entry>;
+
 /// The weight of accounts without a quota.
 #[derive(Debug, Default)]
 struct DefaultWeight {
@@ -41,7 +51,7 @@
 }
 
 /// Whether a configuration calls for the order by class and account.
-pub(crate) fn is_active(table: &Table) -> bool {
+pub fn is_active(table: &Table) -> bool {
     !table.accounts.is_empty() || table.has_bulk_routes()
 }
 
@@ -52,18 +62,55 @@
         open: &Open,
         table: &Table,
         deadlines: QueueDeadlines,
-    ) -> Result<Permit, Rejection> {
+    ) -> Result<(Permit, Option<NewRun>), Rejection> {
         let arrived = Instant::now();
-        let request = self.orders.request(arrived, open, table, deadlines);
+        let host = header(open, "host").unwrap_or_default();
+        let entry = table.find_route(host, &open.path);
+        let route = entry.map(|entry| &entry.route);
+        let request = self.orders.request(arrived, open, table, route, deadlines);
         let kind = request.class.kind;
+        let new_work = entry.filter(|_| kind != Kind::Internal);
+        if let Some(entry) = new_work {
+            let allowed = self.orders.feedback.check(arrived, &entry.route);
+            allowed.map_err(|retry_after| {
+                self.reject_in_order(open, kind, THROTTLED, Refusal::Overloaded, retry_after)
+            })?;
+        }
         let result = self.slot_queue.acquire_classed(request).await;
         metrics::slot_waited(kind.name(), arrived.elapsed(), result.is_ok());
-        result.map_err(|refusal| self.reject_in_order(open, kind, &refusal))
+        let permit = result.map_err(|refusal| {
+            let cause = refusal.cause.map_or(EXPIRED, Cause::name);
+            self.reject_in_order(open, kind, cause, refusal.reason, refusal.retry_after)
+        })?;
+        if let Some(entry) = new_work {
+            let now = Instant::now();
+            self.orders.feedback.record_start(now, &entry.route);
+        }
+        Ok((permit, new_work.cloned()))
     }
 
-    fn reject_in_order(&self, open: &Open, kind: Kind, refusal: &ClassedRefusal) -> Rejection {
+    /// Records that a call of the own target was refused for lack of room.
+    pub fn record_refused_call(&self) {
+        metrics::target_call_refused();
+        self.orders.feedback.record_refused_call(Instant::now());
+    }
+
+    /// Records the end of new work that ran.
+    pub(super) fn record_run(&self, run: &NewRun, started: Instant, status: u16) {
+        if self.orders.feedback.record_end(&run.route, started, status) {
+            metrics::run_wasted(&run.route.name);
+        }
+    }
+
+    fn reject_in_order(
+        &self,
+        open: &Open,
+        kind: Kind,
+        cause: &'static str,
+        reason: Refusal,
+        retry_after: Duration,
+    ) -> Rejection {
         let (load, slots) = self.slot_queue.load();
-        let cause = refusal.cause.map_or("expired", Cause::name);
         metrics::request_shed(kind.name(), cause);
         log::info!(
             id = request_id(open),
@@ -73,10 +120,11 @@
             cause,
             wanted_ms = open.wanted_ms,
             latest_ms = open.latest_ms,
-            retry_after_ms = refusal.retry_after.as_millis() as u64;
+            backlog_ms = self.slot_queue.backlog().as_millis() as u64,
+            retry_after_ms = retry_after.as_millis() as u64;
             "refused, no slot in time"
         );
-        Rejection::refused(open, refusal.reason, refusal.retry_after)
+        Rejection::refused(open, reason, retry_after)
     }
 }
 
@@ -87,12 +135,10 @@
         now: Instant,
         open: &Open,
         table: &Table,
+        route: Option<&Route>,
         deadlines: QueueDeadlines,
     ) -> Request {
         let account = header(open, request::ACCOUNT).and_then(|name| table.accounts.named(name));
-        let host = header(open, "host").unwrap_or_default();
-        let entry = table.find_route(host, &open.path);
-        let route = entry.map(|entry| &entry.route);
         let route_priority = route.map_or(open.rank, |route| route.priority);
         let is_internal = account.is_none()
             && route.is_some_and(|route| self.is_internal(now, open, route, &table.accounts));
--- a/fulmarreel-node/src/serve/slot_queue.rs
+++ b/fulmarreel-node/src/serve/slot_queue.rs
@@ -173,7 +173,7 @@
     }
 
     /// The refusal of a request now, with the delay after which it is told to come back.
-    pub fn refusal(&self, reason: Refusal, cause: Option<Cause>) -> ClassedRefusal {
+    fn refusal(&self, reason: Refusal, cause: Option<Cause>) -> ClassedRefusal {
         ClassedRefusal {
             reason,
             cause,
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -152,6 +152,22 @@
         .record(waited.as_secs_f64());
 }
 
+/// Counts a call of the local target that was refused for lack of room at other targets.
+pub fn target_call_refused() {
+    counter!("fulmarreel_target_calls_refused_total").increment(1);
+}
+
+/// Counts a run of the local target that failed while a call of the target was refused.
+pub fn run_wasted(route: &str) {
+    counter!("fulmarreel_wasted_runs_total", "route" => route.to_owned()).increment(1);
+}
+
+/// Counts a request that was refused without another offer to a target, since it could not be answered in
+/// time.
+pub fn request_given_up(service: &str) {
+    counter!("fulmarreel_given_up_total", "service" => service.to_owned()).increment(1);
+}
+
 /// Sets the number of calls that run or wait at the local target, and its number of slots.
 pub fn set_target_load(in_flight: u16, slots: u16) {
     gauge!("fulmarreel_target_in_flight").set(f64::from(in_flight));
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -10,6 +10,7 @@
 mod left;
 mod moves;
 mod odd;
+mod overload;
 mod path;
 mod pipeline;
 mod stop;
--- a/fulmarreel-route/src/table.rs
+++ b/fulmarreel-route/src/table.rs
@@ -18,6 +18,8 @@
     pub cold_limits_per_s: HashMap<String, f64>,
     /// The client accounts; without any, requests need no API key.
     pub accounts: Accounts,
+    /// Whether any route has large bodies.
+    has_bulk_routes: bool,
     /// Routes by host in lower case, those with the longest prefix first.
     entries_by_host: HashMap<String, Vec<Arc<Entry>>>,
 }
@@ -35,6 +37,7 @@
     /// Creates a table of these routes, without accounts and settings of services.
     pub fn new(revision: u64, version: u64, limits: Limits, routes: Vec<Route>) -> Self {
         let mut entries_by_host: HashMap<String, Vec<Arc<Entry>>> = HashMap::new();
+        let has_bulk_routes = routes.iter().any(|route| route.is_bulk);
         for route in routes {
             let split = WeightedSplit::new(&route.services);
             let entries = entries_by_host
@@ -52,6 +55,7 @@
             health_paths: HashMap::new(),
             cold_limits_per_s: HashMap::new(),
             accounts: Accounts::default(),
+            has_bulk_routes,
             entries_by_host,
         }
     }
@@ -75,7 +79,7 @@
 
     /// Whether any route has large bodies.
     pub fn has_bulk_routes(&self) -> bool {
-        self.routes().any(|route| route.is_bulk)
+        self.has_bulk_routes
     }
 
     /// All routes, in no particular order.
