--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -12,6 +12,7 @@
 mod quota;
 mod respond;
 mod routed;
+mod shed;
 mod uneven;
 
 pub use pipeline::CallerConnection;
@@ -233,6 +234,7 @@
         let Some(outcome) = connection.while_connected(outcome).await else {
             return self.end_abandoned(conn, &request, &offers);
         };
+        self.record_target_call(&request, &outcome, &offers);
         self.log_outcome(&request, &outcome, &offers);
         self.respond(conn, connection, &request, outcome)
     }
@@ -264,6 +266,7 @@
         let Some((outcome, offers)) = connection.while_connected(started.task).await else {
             return self.end_abandoned(conn, &request, &Offers::default());
         };
+        self.record_target_call(&request, &outcome, &offers);
         self.log_outcome(&request, &outcome, &offers);
         self.respond(conn, connection, &request, outcome)
     }
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -3,7 +3,8 @@
 
 mod cold_gate;
 mod crossing;
-mod order;
+mod feedback;
+pub(super) mod order;
 mod own_target;
 mod peer;
 mod place;
@@ -27,7 +28,7 @@
 use fulmarreel_membership::{Announcement, announcement::CurrentTarget};
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::{Failure, Frame, Head, Header, Open, Refusal};
-use order::Orders;
+use order::{NewRun, Orders};
 use own_target::OwnTarget;
 use smol::{Timer, net::TcpListener, stream::StreamExt};
 use std::{
@@ -81,6 +82,8 @@
     hand_over: Option<HandOver>,
     /// When its caller stops waiting.
     deadline: Instant,
+    /// Set if its end is to be recorded as one of new work.
+    new_run: Option<NewRun>,
 }
 
 impl Rejection {
@@ -171,7 +174,7 @@
             wanted: after_ms(open.wanted_ms),
             latest: after_ms(open.latest_ms),
         };
-        let permit = self.acquire_slot(open, deadlines).await?;
+        let (permit, new_run) = self.acquire_slot(open, deadlines).await?;
         let hand_over = self.pass_cold_gate(open, deadlines).await;
         let hand_over = hand_over.map_err(|(reason, wait)| refused(reason, wait))?;
         // The target may have left while the request waited.
@@ -183,6 +186,7 @@
             target,
             hand_over,
             deadline,
+            new_run,
         })
     }
 
@@ -191,14 +195,14 @@
         &self,
         open: &Open,
         deadlines: QueueDeadlines,
-    ) -> Result<Permit, Rejection> {
+    ) -> Result<(Permit, Option<NewRun>), Rejection> {
         let view = self.context.view();
         let table = view.table.as_ref();
         if let Some(table) = table.filter(|table| order::is_active(table)) {
             return self.acquire_in_order(open, table, deadlines).await;
         }
         let permit = self.slot_queue.acquire_ranked(open.rank, deadlines).await;
-        permit.map_err(|reason| {
+        let permit = permit.map_err(|reason| {
             let (load, slots) = self.slot_queue.load();
             let backlog = self.slot_queue.backlog();
             log::info!(
@@ -210,7 +214,8 @@
                 "refused, no slot in time"
             );
             Rejection::refused(open, reason, backlog)
-        })
+        })?;
+        Ok((permit, None))
     }
 
     /// Forwards an admitted request to the target, and reads its whole response.
@@ -229,6 +234,7 @@
             target,
             mut hand_over,
             deadline,
+            new_run,
         } = admitted;
         if let Some(hand_over) = &mut hand_over {
             hand_over.send();
@@ -236,6 +242,9 @@
         let started = Instant::now();
         let result = self.endpoint.call(open, body, &target.id, deadline).await;
         let latency = started.elapsed();
+        if let (Some(run), Ok(response)) = (&new_run, &result) {
+            self.record_run(run, started, response.status);
+        }
         match result {
             Ok(response) => {
                 let cold = hand_over.and_then(|hand_over| hand_over.answer(&response));
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -13,6 +13,7 @@
 mod moves;
 mod narrow;
 mod odd;
+mod overload;
 mod path;
 mod pipeline;
 mod places;
--- a/fulmarreel-route/src/table.rs
+++ b/fulmarreel-route/src/table.rs
@@ -20,6 +20,8 @@
     pub cold_times: HashMap<String, Duration>,
     /// The client accounts; without any, requests need no API key.
     pub accounts: Accounts,
+    /// Whether any route has large bodies.
+    has_bulk_routes: bool,
     /// Routes by host in lower case, those with the longest prefix first.
     entries_by_host: HashMap<String, Vec<Arc<Entry>>>,
 }
@@ -37,6 +39,7 @@
     /// Creates a table of these routes, without accounts and settings of services.
     pub fn new(revision: u64, version: u64, limits: Limits, routes: Vec<Route>) -> Self {
         let mut entries_by_host: HashMap<String, Vec<Arc<Entry>>> = HashMap::new();
+        let has_bulk_routes = routes.iter().any(|route| route.is_bulk);
         for route in routes {
             let split = WeightedSplit::new(&route.services);
             let entries = entries_by_host
@@ -55,6 +58,7 @@
             cold_limits_per_s: HashMap::new(),
             cold_times: HashMap::new(),
             accounts: Accounts::default(),
+            has_bulk_routes,
             entries_by_host,
         }
     }
@@ -78,7 +82,7 @@
 
     /// Whether any route has large bodies.
     pub fn has_bulk_routes(&self) -> bool {
-        self.routes().any(|route| route.is_bulk)
+        self.has_bulk_routes
     }
 
     /// Whether any route or account names the regions that may serve its requests.
