--- a/fulmarreel-node/tests/mesh/keys.rs
+++ b/fulmarreel-node/tests/mesh/keys.rs
@@ -26,6 +26,7 @@
     silent: true,
     lost_writes: false,
     page: 0,
+    delay: Duration::ZERO,
 };
 
 /// The metric of the proved age of a node's copy of the store.
