--- a/fulmarreel-balance/src/overload/lane.rs
+++ b/fulmarreel-balance/src/overload/lane.rs
@@ -11,6 +11,10 @@
 /// How far the tag of an account with a weight of 1 grows with each request.
 const TAG_UNIT: f64 = 1e9;
 
+/// The requests for which an account that sent less than its share may be served before others. Without
+/// them, small accounts, whose few requests come at uneven intervals, would get less than large ones.
+const CREDIT_REQUESTS: u64 = 4;
+
 /// The least weight of an account.
 const MIN_WEIGHT: f64 = 0.01;
 
@@ -75,12 +79,24 @@
     /// The tag that the next request of an account would have behind those that wait.
     pub fn next_tag(&self, id: u64, weight: f64) -> u64 {
         match self.accounts.get(&id) {
-            Some(account) if account.waiting.is_empty() => account.tag.max(self.virtual_time),
+            Some(account) if account.waiting.is_empty() => account.tag.max(self.lowest_tag(weight)),
             Some(account) => account.tail_tag().saturating_add(step(weight)),
-            None => self.virtual_time,
+            None => self.lowest_tag(weight),
         }
     }
 
+    /// Whether an account has got more than its share lately.
+    pub fn is_ahead(&self, id: u64) -> bool {
+        let account = self.accounts.get(&id);
+        account.is_some_and(|account| account.tag > self.virtual_time)
+    }
+
+    /// The lowest tag that an account with this weight can have.
+    fn lowest_tag(&self, weight: f64) -> u64 {
+        let credit = step(weight).saturating_mul(CREDIT_REQUESTS);
+        self.virtual_time.saturating_sub(credit)
+    }
+
     /// The tag at which a request of an account would be served, before those of the account that have
     /// later deadlines. Takes time in the number of the account's waiting requests.
     pub fn tag_at(&self, id: u64, weight: f64, place: Place) -> u64 {
@@ -117,10 +133,10 @@
     }
 
     pub fn push(&mut self, id: u64, weight: f64, place: Place, item: T) {
-        let virtual_time = self.virtual_time;
+        let lowest_tag = self.lowest_tag(weight);
         self.update(id, weight, |account| {
             if account.waiting.is_empty() {
-                account.tag = account.tag.max(virtual_time);
+                account.tag = account.tag.max(lowest_tag);
             }
             account.waiting.insert(place, item);
         });
@@ -163,13 +179,12 @@
 
     /// Charges an account for a request that is served without having waited.
     pub fn charge(&mut self, id: u64, weight: f64) {
-        let virtual_time = self.virtual_time;
-        let mut tag = virtual_time;
+        let mut tag = self.lowest_tag(weight);
         self.update(id, weight, |account| {
-            tag = account.tag.max(virtual_time);
+            tag = account.tag.max(tag);
             account.tag = tag.saturating_add(account.step);
         });
-        self.virtual_time = tag;
+        self.virtual_time = self.virtual_time.max(tag);
     }
 
     fn take(
@@ -205,7 +220,10 @@
             return;
         }
         let virtual_time = self.virtual_time;
-        let has_effect = |account: &Account<T>| account.tag > virtual_time;
+        let has_effect = |account: &Account<T>| {
+            let credit = account.step.saturating_mul(CREDIT_REQUESTS);
+            account.tag > virtual_time.saturating_sub(credit)
+        };
         self.accounts
             .retain(|_, account| !account.waiting.is_empty() || has_effect(account));
         if self.accounts.len() > self.heads.len() + MAX_IDLE_ACCOUNTS {
--- a/fulmarreel-balance/src/overload/pace.rs
+++ b/fulmarreel-balance/src/overload/pace.rs
@@ -1,4 +1,4 @@
-//! The pace at which requests of an account get slots.
+//! The pace at which requests get slots.
 
 use super::class::Class;
 use std::{
@@ -9,20 +9,26 @@
 /// The weight of the newest sample in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
-/// The time in which a learned pace decays half of the way to the one that follows from the slots. An
-/// account whose requests are all refused brings no samples that could show a faster pace.
+/// The time in which a learned pace decays half of the way to the one that follows from the slots. A
+/// group whose requests are all refused brings no samples that could show a faster pace.
 const HALF_LIFE: Duration = Duration::from_millis(1_000);
 
 /// A request that is displaced counts as one that waited longer than expected by this factor.
 const DISPLACED_FACTOR: f64 = 2.0;
 
-/// The paces of more accounts than this are forgotten.
-const MAX_ACCOUNTS: usize = 4_096;
+/// The paces of more groups than this are forgotten.
+const MAX_GROUPS: usize = 4_096;
 
-/// Identifies the requests that share a pace: their class and account.
-pub(super) type Group = (Class, u64);
+/// The requests that share a pace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) enum Group {
+    /// Those of accounts that got no more than their share.
+    Class(Class),
+    /// Those of one account that got more than its share, so that others overtake it.
+    Account(Class, u64),
+}
 
-/// How fast slots become free, and how fast requests of each class and account get them. Requests of more
+/// How fast slots become free, and how fast requests of each group get them. Requests of more
 /// urgent classes, and of accounts that got less, overtake those that wait, so the latter is slower.
 #[derive(Debug, Default)]
 pub(super) struct Paces {
@@ -56,7 +62,7 @@
     ) {
         let sample_s = waited.as_secs_f64() / (ahead + 1) as f64;
         let expected_s = self.seconds(now, group, slots);
-        if self.by_group.len() >= MAX_ACCOUNTS {
+        if self.by_group.len() >= MAX_GROUPS {
             self.by_group.clear();
         }
         let seconds = expected_s + (sample_s - expected_s) * SAMPLE_WEIGHT;
@@ -86,11 +92,14 @@
     }
 
     fn seconds(&self, now: Instant, group: Group, slots: usize) -> f64 {
-        let interval_s = self.interval_s(slots);
-        self.by_group.get(&group).map_or(interval_s, |pace| {
+        let default_s = match group {
+            Group::Class(_) => self.interval_s(slots),
+            Group::Account(class, _) => self.seconds(now, Group::Class(class), slots),
+        };
+        self.by_group.get(&group).map_or(default_s, |pace| {
             let age = now.saturating_duration_since(pace.at);
             let decay = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
-            interval_s + (pace.seconds - interval_s) * decay
+            default_s + (pace.seconds - default_s) * decay
         })
     }
 
--- a/fulmarreel-balance/src/overload/queue.rs
+++ b/fulmarreel-balance/src/overload/queue.rs
@@ -4,7 +4,7 @@
 use super::{
     class::{Class, Kind},
     lane::{Lane, Place},
-    pace::Paces,
+    pace::{Group, Paces},
     returns::Returns,
     share::Shares,
 };
@@ -93,6 +93,7 @@
     since: Instant,
     latest: Instant,
     weight: f64,
+    group: Group,
     /// The number of requests before it when it arrived.
     ahead: usize,
     handle: T,
@@ -212,7 +213,7 @@
             return Err(Cause::Full);
         }
         let ahead = self.count_ahead(request);
-        let group = (class, request.account);
+        let group = self.group(class, request.account);
         let wait = self.paces.expected_wait(now, group, self.slots, ahead);
         let QueueDeadlines { wanted, latest } = request.deadlines;
         // Whoever is next gets a slot soon if the expectation is too long.
@@ -243,6 +244,7 @@
             since: now,
             latest,
             weight: request.weight,
+            group: self.group(class, request.account),
             ahead,
             handle,
         };
@@ -261,7 +263,7 @@
                 break;
             };
             let ahead = self.waiting - 1;
-            let group = (class, last.key.account);
+            let group = last.group;
             let wait = self.paces.expected_wait(now, group, self.slots, ahead);
             let is_late = ahead > 0 && now + wait > last.latest;
             if self.waiting <= self.waiting_limit() && !is_late {
@@ -273,7 +275,7 @@
             };
             self.waiting -= 1;
             self.paces
-                .record_displaced(now, (class, last.key.account), self.slots, last.ahead);
+                .record_displaced(now, last.group, self.slots, last.ahead);
             self.record_end(now, class, last.key.account, last.weight, false);
             displaced.push(last.handle);
         }
@@ -301,7 +303,7 @@
             let waited = now.saturating_duration_since(first.since);
             let Key { class, account, .. } = first.key;
             self.paces
-                .record_wait(now, (class, account), self.slots, first.ahead, waited);
+                .record_wait(now, first.group, self.slots, first.ahead, waited);
             self.record_end(now, class, account, first.weight, true);
             released.push(Released::Admitted(first.handle));
         }
@@ -339,6 +341,16 @@
         Some((*class, lane))
     }
 
+    /// The requests with which one of this class and account shares its pace.
+    fn group(&self, class: Class, account: u64) -> Group {
+        let lane = self.lanes.get(&class);
+        if lane.is_some_and(|lane| lane.is_ahead(account)) {
+            Group::Account(class, account)
+        } else {
+            Group::Class(class)
+        }
+    }
+
     /// The number of waiting requests that go before one that arrives now.
     fn count_ahead(&self, request: &Request) -> usize {
         let class = request.class;
--- a/fulmarreel-balance/src/overload/share.rs
+++ b/fulmarreel-balance/src/overload/share.rs
@@ -6,7 +6,7 @@
 };
 
 /// The time in which counts decay by half.
-const HALF_LIFE: Duration = Duration::from_secs(2);
+const HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// An account is starved if the served fraction of its requests is below this part of the fraction over
 /// all accounts. Leaves a margin above the guaranteed quarter.
@@ -16,7 +16,7 @@
 const ENOUGH_OF_SHARE: f64 = 0.5;
 
 /// With fewer requests than this lately, an account is not called starved.
-const MIN_ASKED: f64 = 2.0;
+const MIN_ASKED: f64 = 0.7;
 
 /// Accounts whose count of requests has decayed below this are forgotten.
 const MIN_COUNT: f64 = 0.01;
