--- a/fulmarreel-balance/src/overload/mod.rs
+++ b/fulmarreel-balance/src/overload/mod.rs
@@ -4,8 +4,10 @@
 //! The [`Queue`] serves calls that targets make before new work, and new work by priority and by fair
 //! shares of the accounts. [`Origins`] tells the two kinds of requests apart, [`Shares`] finds accounts
 //! that priorities would starve, [`Returns`] spreads the retries of refused requests, and [`Throttle`]
-//! admits less work whose calls are refused elsewhere.
+//! admits less work whose calls are refused elsewhere. [`Attempt`] decides at the node that received a
+//! request whether it is worth another offer.
 
+mod attempt;
 mod class;
 mod lane;
 mod origin;
@@ -15,6 +17,7 @@
 mod share;
 mod throttle;
 
+pub use attempt::Attempt;
 pub use class::{Class, Kind};
 pub use origin::{Hint, Origins};
 pub use queue::{Arrival, Cause, Decision, Key, Queue, Released, Request};
--- a/fulmarreel-balance/tests/overload/main.rs
+++ b/fulmarreel-balance/tests/overload/main.rs
@@ -1,5 +1,6 @@
 //! Order and admission under overload.
 
+mod attempt;
 mod origin;
 mod play;
 mod queue;
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -89,7 +89,7 @@
                 return last.or_not_run(STOPPING, self.time_until_restart());
             }
             let view = self.context.view();
-            if self.is_hopeless(&view, request, offers) {
+            if self.gives_up(&view, request, offers) {
                 return last.or_given_up(offers);
             }
             let chosen = self.choose_target(&view, request, offers);
