--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -102,7 +102,7 @@
                 return last.or_not_run(MAY_BE_REVOKED, REVOCATION_RETRY_AFTER);
             }
             let view = self.context.view();
-            if self.is_hopeless(&view, request, offers) {
+            if self.gives_up(&view, request, offers) {
                 return last.or_given_up(offers);
             }
             let chosen = self.choose_target(&view, request, offers);
