--- a/fulmarreel-node/src/mesh/caller/cold_targets.rs
+++ b/fulmarreel-node/src/mesh/caller/cold_targets.rs
@@ -29,6 +29,7 @@
 #[derive(Debug)]
 struct ColdTarget {
     id: String,
+    limit_per_s: f64,
     state: State,
     share: Share,
 }
@@ -58,11 +59,12 @@
         let has_room = |target: &&Arc<Target>| {
             let new = || ColdTarget {
                 id: target.id.clone(),
+                limit_per_s,
                 state: State::new(estimate(target, cold_time.unwrap_or_default()), now),
                 share: Share::new(limit_per_s, view.nodes.len(), fastrand::f64(), now),
             };
             let known = targets.entry(target.address).or_insert_with(new);
-            if known.id != target.id {
+            if known.id != target.id || known.limit_per_s != limit_per_s {
                 *known = new();
             }
             known.state.remaining(now).is_zero() || known.share.has_room(now)
--- a/fulmarreel-node/tests/mesh/cold.rs
+++ b/fulmarreel-node/tests/mesh/cold.rs
@@ -2,12 +2,15 @@
 
 use crate::{
     backend::header,
-    support::{Instance, call, eventually},
+    support::{Instance, TIMEOUT, call, eventually},
 };
 use anyhow::ensure;
 use fulmarreel_testing::kv::FakePlatformStore;
 use smol::{Task, Timer};
-use std::time::{Duration, Instant};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
 
 /// A cold target may get 5 x 1.5 + 8 requests in any second, by the limits that are not configured.
 const CONFIG: &str = r#"{"version": 1, "services": [
@@ -17,6 +20,8 @@
 
 const BOUND: usize = 15;
 
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The time between two requests of [`send_load`].
 const INTERVAL: Duration = Duration::from_millis(10);
 
@@ -29,15 +34,29 @@
     Ok((store, caller, target))
 }
 
-/// Has a target announce that it is cold, or is not, in place of its usual announcements.
-async fn announce_cold(instance: &mut Instance, sequence: u64, seconds: u32) -> anyhow::Result<()> {
+/// Has a target announce that it stays cold for a time, in place of its usual announcements, until the
+/// result is dropped.
+async fn announce_cold(instance: &mut Instance, seconds: u32) -> anyhow::Result<Task<()>> {
+    static NEXT_SEQUENCE: AtomicU64 = AtomicU64::new(1_000_000);
     instance.stop_announcing();
     let cold = format!("\"cold_remaining_s\":{seconds}");
     let body = instance.announcement("ready");
-    let body = body.replace("SEQ", &sequence.to_string());
     let body = body.replace("\"cold_remaining_s\":0", &cold);
-    ensure!(instance.announce(&body).await?, "not acknowledged");
-    Ok(())
+    let (to, id) = (instance.announcements, instance.backend.id.clone());
+    let announce = move || {
+        let sequence = NEXT_SEQUENCE.fetch_add(1, Ordering::Relaxed);
+        let body = body.replace("SEQ", &sequence.to_string());
+        let path = format!("/-/instances/{id}");
+        async move { call(to, "PUT", &path, "node", &[], &body).await }
+    };
+    ensure!(announce().await?.status == 200, "not acknowledged");
+    Ok(smol::spawn(async move {
+        loop {
+            Timer::after(ANNOUNCEMENT_INTERVAL).await;
+            // The node may be down at the moment.
+            let _ = announce().await;
+        }
+    }))
 }
 
 /// Sends many requests for a time; returns the status and the text of each response.
@@ -78,7 +97,7 @@
     smol::block_on(async {
         let (_store, caller, mut target) = start().await?;
         let from = Instant::now();
-        announce_cold(&mut target, 1_000_000, 60).await?;
+        let announcing = announce_cold(&mut target, 60).await?;
         let answers = send_load(&caller, Duration::from_secs(4)).await;
         let densest = densest_second(&target, from);
         ensure!(densest <= BOUND, "{densest} requests in a second");
@@ -90,7 +109,8 @@
             ensure!(header(text, "x-fulmarreel-cold-ms").is_none(), "{text}");
         }
         ensure!(target.log()?.contains("\"cold\":true"), "{}", target.log()?);
-        announce_cold(&mut target, 1_000_001, 0).await?;
+        drop(announcing);
+        let _announcing = announce_cold(&mut target, 0).await?;
         Timer::after(Duration::from_secs(1)).await;
         let answers = send_load(&caller, Duration::from_secs(1)).await;
         let answered = answers.iter().filter(|(status, _)| *status == 200);
@@ -105,7 +125,7 @@
     smol::block_on(async {
         let (store, caller, mut cold) = start().await?;
         let warm = Instance::start(store.address(), "s", "v1").await?;
-        announce_cold(&mut cold, 1_000_000, 60).await?;
+        let _announcing = announce_cold(&mut cold, 60).await?;
         let from = Instant::now();
         eventually("both known", || async {
             let answer = caller.request("POST", "/s/", "r").await;
@@ -115,6 +135,13 @@
         let answers = send_load(&caller, Duration::from_secs(3)).await;
         let refused = answers.iter().filter(|(status, _)| *status != 200).count();
         ensure!(refused * 50 <= answers.len(), "{answers:?}");
+        let log = cold.log()?;
+        let offered = log.matches("refused, the target is cold").count();
+        ensure!(
+            offered * 20 <= answers.len(),
+            "{offered} of {}",
+            answers.len()
+        );
         let densest = densest_second(&cold, from);
         ensure!(
             (1..=BOUND).contains(&densest),
@@ -131,10 +158,11 @@
     smol::block_on(async {
         let (_store, caller, mut target) = start().await?;
         let from = Instant::now();
-        announce_cold(&mut target, 1_000_000, 60).await?;
+        let _announcing = announce_cold(&mut target, 60).await?;
         for _ in 0..2 {
             send_load(&caller, Duration::from_secs(1)).await;
             target.process.signal("KILL")?;
+            target.process.wait_for_exit(TIMEOUT)?;
             target.restart()?;
             let before = target.backend.arrivals().len();
             eventually("served again", || async {
--- a/fulmarreel-node/tests/mesh/places.rs
+++ b/fulmarreel-node/tests/mesh/places.rs
@@ -3,11 +3,11 @@
 use crate::{
     backend::{Behavior, header},
     frames::{connect, open_frame},
-    support::{Answer, Instance, Location, call, eventually},
+    support::{Answer, Instance, Location, TIMEOUT, call, eventually},
 };
 use anyhow::{bail, ensure};
 use fulmarreel_node::peer::stream::{read, write};
-use fulmarreel_testing::kv::FakePlatformStore;
+use fulmarreel_testing::kv::{FakePlatformStore, Faults};
 use fulmarreel_wire::call::{Chunk, Frame, Header, Refusal};
 use rstest::rstest;
 use smol::{Timer, net::TcpStream};
@@ -228,7 +228,8 @@
     })
 }
 
-/// Fails if a node that starts in an evacuated zone serves its target until it has read the order.
+/// Fails if a node that starts in an evacuated zone serves its target until it has read the order, also if
+/// that takes longer than to know the target.
 #[test]
 fn a_restarted_node_keeps_its_zone_evacuated() -> anyhow::Result<()> {
     smol::block_on(async {
@@ -242,12 +243,29 @@
         .await?;
         let (near, _) = fleet.arrivals();
         fleet.near.process.signal("KILL")?;
+        fleet.near.process.wait_for_exit(TIMEOUT)?;
+        let silent = Faults {
+            silent: true,
+            ..Faults::default()
+        };
+        fleet.store.set_faults(silent);
+        for other in [&fleet.caller, &fleet.far] {
+            other.process.signal("STOP")?;
+        }
         fleet.near.restart()?;
-        for _ in 0..200 {
+        eventually("target known", || async {
             // The node does not listen yet at first.
             let _ = refusal(&fleet.near, "/s/", None).await;
-            Timer::after(Duration::from_millis(10)).await;
+            let log = fleet.near.log();
+            log.is_ok_and(|log| log.contains("announcements are used without"))
+        })
+        .await?;
+        let refused = refusal(&fleet.near, "/s/", None).await?;
+        ensure!(refused == Some(Refusal::Leaving), "{refused:?}");
+        for other in [&fleet.caller, &fleet.far] {
+            other.process.signal("CONT")?;
         }
+        fleet.store.set_faults(Faults::default());
         fleet.near.wait_ready().await?;
         let refused = refusal(&fleet.near, "/s/", None).await?;
         ensure!(refused == Some(Refusal::Leaving), "{refused:?}");
@@ -261,28 +279,23 @@
     })
 }
 
-/// Fails if a node that was frozen runs what was sent before the evacuation of its zone, which it does
-/// not know of yet when it goes on.
+/// Fails if a node that was frozen runs what was sent meanwhile, by orders that it may not have read yet.
 #[test]
-fn a_node_that_was_frozen_runs_nothing_from_before_an_evacuation() -> anyhow::Result<()> {
+fn a_node_that_was_frozen_runs_nothing_from_before() -> anyhow::Result<()> {
     smol::block_on(async {
         let fleet = Fleet::start().await?;
-        let limit = EVACUATION_LIMIT.as_secs();
-        let setting = format!("bounds.evacuate_s={limit}");
+        let setting = format!("bounds.evacuate_s={}", EVACUATION_LIMIT.as_secs());
         fleet.near.add_setting(&setting).await?;
         let mut tcp = connect(&fleet.near).await?;
         let (near, _) = fleet.arrivals();
         fleet.near.process.signal("STOP")?;
         send_frames(&mut tcp, "/s/", None).await?;
-        let order = format!("op/evacuate/{}", NEAR.zone);
-        fleet.store.put(&order, b"{}");
-        Timer::after(EVACUATION_LIMIT).await;
+        Timer::after(EVACUATION_LIMIT * 3 / 4).await;
         fleet.near.process.signal("CONT")?;
         let refused = read_refusal(&mut tcp).await?;
         ensure!(refused == Some(Refusal::Leaving), "{refused:?}");
         ensure!(fleet.arrivals().0 == near);
-        fleet.store.remove(&order);
-        eventually("taken back", || async {
+        eventually("served again", || async {
             matches!(refusal(&fleet.near, "/s/", None).await, Ok(None))
         })
         .await
