--- a/fulmarreel-balance/src/link.rs
+++ b/fulmarreel-balance/src/link.rs
@@ -59,8 +59,9 @@
         self.free_at.saturating_duration_since(now) + self.time_of(self.expected)
     }
 
-    /// Expects a body, unless it cannot cross in time: by its objective, or by its deadline if the link
-    /// is free. A body that is late for its objective would take the link from one that is not.
+    /// Expects a body, unless it cannot cross in time: by its objective, or by its deadline if less than one
+    /// such body is before it. A body that is late for its objective would take the link from one that is
+    /// not.
     ///
     /// # Errors
     ///
@@ -70,7 +71,7 @@
         let backlog = self.backlog(now);
         let starts_at = body.ready_at.max(now + backlog);
         let crosses_at = starts_at + self.time_of(body.bytes);
-        let limit = if backlog.is_zero() {
+        let limit = if backlog < self.time_of(body.bytes) {
             body.deadline
         } else {
             body.objective.min(body.deadline)
--- a/fulmarreel-balance/src/zones.rs
+++ b/fulmarreel-balance/src/zones.rs
@@ -203,12 +203,13 @@
 ) -> Option<usize> {
     let mut usable = zones.to_vec();
     for (index, zone) in usable.iter_mut().enumerate() {
-        let mut in_zone = candidates
-            .iter()
-            .filter(|candidate| candidate.zone == index);
-        let all_refuse = in_zone.all(|candidate| candidate.target.avoided);
-        if all_refuse || refusals[index] >= REFUSALS_TO_LEAVE {
-            zone.slots = 0;
+        let mut in_zone = candidates.iter().filter(|one| one.zone == index);
+        match zone.tier {
+            Tier::SameZone if refusals[index] >= REFUSALS_TO_LEAVE => zone.slots = 0,
+            Tier::SameZone => {}
+            _ if in_zone.all(|one| one.target.avoided) => zone.slots = 0,
+            _ if refusals[index] > 0 => zone.busy = REFUSED_BUSY,
+            _ => {}
         }
     }
     let drawn = draw(&shares(&usable, request), random);
