--- a/fulmarreel-balance/src/zones.rs
+++ b/fulmarreel-balance/src/zones.rs
@@ -71,6 +71,8 @@
     pub hold_time: Duration,
     /// Mean processing time of a request of the route.
     pub processing_time: Duration,
+    /// Fraction of the requests of its best target that fail, 0 to 1.
+    pub failure_rate: f64,
 }
 
 impl ZoneLoad {
@@ -115,7 +117,8 @@
             .hold_time
             .mul_f64((self.busy - WAIT_FROM_BUSY).max(0.0));
         let latency = wait + self.processing_time + placement::round_trip(self.tier);
-        response_value(latency, request) - transfer_cost(self.tier, request.kilobytes)
+        response_value(latency, request) * (1.0 - self.failure_rate)
+            - transfer_cost(self.tier, request.kilobytes)
     }
 
     /// By how much leaving for this zone is better than staying, as far as it counts.
--- a/fulmarreel-balance/tests/zones/main.rs
+++ b/fulmarreel-balance/tests/zones/main.rs
@@ -138,10 +138,11 @@
         slots: 24,
         hold_time: Duration::from_millis(250),
         processing_time: Duration::from_millis(220),
+        failure_rate: 0.0,
     }
 }
 
-/// Fails if requests leave for a zone that is as loaded, for the dearer of two that are alike, or if large
+/// Fails if requests stay in a zone whose targets fail, if they leave for one that is as loaded, for the dearer of two that are alike, or if large
 /// bodies leave at a cost above the worth of their responses.
 #[test]
 fn requests_leave_where_it_pays() {
@@ -162,6 +163,11 @@
         ..REQUEST
     };
     assert_eq!(shares(&full, &large), [1.0, 0.0, 0.0]);
+    let failing = Zone {
+        failure_rate: 0.5,
+        ..zone(Tier::SameZone, 0.8)
+    };
+    assert!(shares(&[failing, near, far], &REQUEST)[0] < 0.5);
     let refusing = Zone {
         slots: 0,
         ..full[0]
--- a/fulmarreel-balance/tests/zones/play.rs
+++ b/fulmarreel-balance/tests/zones/play.rs
@@ -269,6 +269,7 @@
             slots: u32::from(SLOTS) * TARGETS_PER_ZONE as u32,
             hold_time: WORK,
             processing_time: WORK,
+            failure_rate: 0.0,
         }
     }
 
--- a/fulmarreel-node/src/mesh/caller/uneven.rs
+++ b/fulmarreel-node/src/mesh/caller/uneven.rs
@@ -121,6 +121,9 @@
             slots: targets().map(|target| u32::from(target.slots)).sum(),
             hold_time: mean(|target| target.mean_hold_time),
             processing_time: mean(|target| target.processing_time),
+            failure_rate: targets()
+                .map(|target| target.failure_rate)
+                .fold(1.0, f64::min),
         }
     }
 }
