--- a/fulmarreel-balance/src/zones.rs
+++ b/fulmarreel-balance/src/zones.rs
@@ -71,6 +71,8 @@
     pub hold_time: Duration,
     /// Mean processing time of a request of the route.
     pub processing_time: Duration,
+    /// Fraction of the requests of its best target that fail, 0 to 1.
+    pub failure_rate: f64,
 }
 
 impl ZoneLoad {
@@ -115,7 +117,8 @@
             .hold_time
             .mul_f64((self.busy - WAIT_FROM_BUSY).max(0.0));
         let latency = wait + self.processing_time + placement::round_trip(self.tier);
-        response_value(latency, request) - transfer_cost(self.tier, request.kilobytes)
+        response_value(latency, request) * (1.0 - self.failure_rate)
+            - transfer_cost(self.tier, request.kilobytes)
     }
 
     /// By how much leaving for this zone is better than staying, as far as it counts.
@@ -203,12 +206,13 @@
 ) -> Option<usize> {
     let mut usable = zones.to_vec();
     for (index, zone) in usable.iter_mut().enumerate() {
-        let mut in_zone = candidates
-            .iter()
-            .filter(|candidate| candidate.zone == index);
-        let all_refuse = in_zone.all(|candidate| candidate.target.avoided);
-        if all_refuse || refusals[index] >= REFUSALS_TO_LEAVE {
-            zone.slots = 0;
+        let mut in_zone = candidates.iter().filter(|one| one.zone == index);
+        match zone.tier {
+            Tier::SameZone if refusals[index] >= REFUSALS_TO_LEAVE => zone.slots = 0,
+            Tier::SameZone => {}
+            _ if in_zone.all(|one| one.target.avoided) => zone.slots = 0,
+            _ if refusals[index] > 0 => zone.busy = REFUSED_BUSY,
+            _ => {}
         }
     }
     let drawn = draw(&shares(&usable, request), random);
