feat(node): what was acknowledged binds although the store went back

Nodes keep serving by the entries of the earlier era until these are written again, ended rollouts stay ended and their outcomes are written again, owners claim their rollouts again, and a configuration of a lower version than the active one is never used.

--- a/fulmarreel-node/src/mesh/context.rs
+++ b/fulmarreel-node/src/mesh/context.rs
@@ -1,12 +1,19 @@
 //! The state that all parts of the node share.
 
-use super::view::{Location, View};
+use super::{
+    era::{
+        self,
+        nodes::{FormerItems, FormerNodes},
+    },
+    view::{Location, View},
+};
 use crate::state::unix_millis;
 use fulmarreel_distribution::{
     CopyFreshness, Mirror, Readers, StoreContact,
     mirror::{self, Change, Item},
 };
 use fulmarreel_platform::{Settings, store};
+use fulmarreel_store::Revision;
 use fulmarreel_wire::mirror::Update;
 use serde::de::DeserializeOwned;
 use smol::{
@@ -116,8 +123,9 @@
     /// Replaces the mirror's content by all items of the store as of a revision.
     pub fn replace(&self, revision: u64, items: BTreeMap<String, Item>) {
         let mut mirror = self.mirror.lock().expect("mirror lock");
+        let former = former_items(&mirror, revision);
         if mirror.replace(revision, items) {
-            self.rebuild_view(&mirror);
+            self.rebuild_view(&mirror, former);
         }
     }
 
@@ -125,7 +133,7 @@
     pub fn apply(&self, revision: u64, changes: Vec<Change>) {
         let mut mirror = self.mirror.lock().expect("mirror lock");
         if mirror.apply(revision, changes) {
-            self.rebuild_view(&mirror);
+            self.rebuild_view(&mirror, None);
         }
     }
 
@@ -136,8 +144,10 @@
     /// The update does not fit the mirror, which then stays as it was.
     pub fn apply_update(&self, update: Update) -> Result<(), mirror::Error> {
         let mut mirror = self.mirror.lock().expect("mirror lock");
+        let former = former_items(&mirror, update.up_to_revision);
         if mirror.apply_update(update)? {
-            self.rebuild_view(&mirror);
+            self.store.record_peer_revision(Revision(mirror.revision()));
+            self.rebuild_view(&mirror, former);
         }
         Ok(())
     }
@@ -243,6 +253,7 @@
     /// Decides whether this node reads the store for its region from now on.
     pub fn update_reader_role(&self) {
         self.copy_freshness().observe(Instant::now());
+        self.release_held_entries();
         let view = self.view();
         let region_nodes = view.nodes.iter().filter(|node| node.1);
         let members: Vec<SocketAddr> = region_nodes.map(|node| node.0).collect();
@@ -303,6 +314,16 @@
         self.end.get().is_some()
     }
 
+    /// Rebuilds the view without the nodes' entries of an earlier era of the store once they are no longer
+    /// in force.
+    fn release_held_entries(&self) {
+        let until = self.view().held_until;
+        if until.is_some_and(|until| Instant::now() >= until) {
+            let mirror = self.mirror.lock().expect("mirror lock");
+            self.rebuild_view(&mirror, None);
+        }
+    }
+
     fn copy_freshness(&self) -> MutexGuard<'_, CopyFreshness> {
         self.copy_freshness.lock().expect("copy freshness lock")
     }
@@ -311,15 +332,24 @@
         self.readers.lock().expect("readers lock")
     }
 
-    /// Rebuilds the view from the mirror.
-    fn rebuild_view(&self, mirror: &Mirror) {
+    /// Rebuilds the view from the mirror; `former` is what the mirror had if it has entered a new era of
+    /// the store.
+    fn rebuild_view(&self, mirror: &Mirror, former: Option<FormerItems>) {
         let settings = self.settings();
         let own = Location {
             zone: &settings.zone,
             region: &settings.region,
         };
         let last = self.view();
-        let view = View::new(mirror, own, &last);
+        let former_nodes = match former {
+            Some(items) => {
+                let known = last.former_nodes.as_deref();
+                let former = FormerNodes::new(items, known, mirror, Instant::now());
+                Some(Arc::new(former))
+            }
+            None => last.former_nodes.clone(),
+        };
+        let view = View::new(mirror, own, &last, former_nodes);
         let is_zone_changed = view.is_in_service(own.zone) != last.is_in_service(own.zone);
         *self.view.write().expect("view lock") = Arc::new(view);
         if is_zone_changed {
@@ -328,3 +358,9 @@
         }
     }
 }
+
+/// The items of a mirror to compare with, if `revision` is of a later era of the store than its own.
+fn former_items(mirror: &Mirror, revision: u64) -> Option<FormerItems> {
+    let is_new_era = mirror.revision() > 0 && era::of(revision) > era::of(mirror.revision());
+    is_new_era.then(|| FormerItems::new(mirror))
+}
--- a/fulmarreel-node/src/mesh/publish.rs
+++ b/fulmarreel-node/src/mesh/publish.rs
@@ -8,12 +8,14 @@
 
 use super::{
     context::Context,
+    era,
     keys::{self, Departure, Node},
     serve::Server,
 };
 use fastrand::Rng;
 use fulmarreel_distribution::backoff::Backoff;
 use fulmarreel_membership::announcement::History;
+use fulmarreel_platform::store::Era;
 use fulmarreel_store::{Entry, Error, Outcome, Revision, Store, Transaction};
 use smol::{Timer, future::or, lock::Mutex};
 use std::{
@@ -176,7 +178,9 @@
         crate::runtime::spawn(async move { resuming.resume_target().await });
         let mut backoff = Backoff::new(INITIAL_BACKOFF, MAX_BACKOFF);
         let mut rng = Rng::new();
+        let mut last_revision = self.context.revision();
         while !self.context.is_stopping() {
+            self.await_turn(&mut last_revision, &mut rng).await;
             match self.sync().await {
                 Ok(()) => {
                     backoff.reset();
@@ -190,6 +194,17 @@
         }
     }
 
+    /// Waits for a random time if the store has entered a new era, in which all nodes may have to write
+    /// their entries again.
+    async fn await_turn(&self, last_revision: &mut u64, rng: &mut Rng) {
+        let revision = self.context.revision();
+        let last = std::mem::replace(last_revision, revision);
+        if last > 0 && era::of(revision) > era::of(last) {
+            let nodes = self.context.view().nodes.len();
+            Timer::after(era::entry_delay(nodes, rng.f64())).await;
+        }
+    }
+
     /// Records in the store which targets have left, before their leaving is acknowledged. Returns false
     /// if the store has not confirmed it in time.
     pub async fn record_departures(&self) -> bool {
@@ -343,7 +358,12 @@
                 .revision
                 .is_some_and(|revision| mirror.revision() > revision.0);
             let item = mirror.get(&key);
-            if is_later && item.map(|item| &item.value) != record.value.as_ref() {
+            let is_changed = item.map(|item| &item.value) != record.value.as_ref();
+            // A revision of an earlier era is no condition any more.
+            let is_of_other_era = record
+                .revision
+                .is_some_and(|revision| Era::of(revision) != era::of(mirror.revision()));
+            if is_later && (is_changed || is_of_other_era) {
                 let revision = item.map_or(Revision::ABSENT, |item| Revision(item.revision));
                 record.set(revision, item.map(|item| item.value.clone()));
             }
--- a/fulmarreel-node/src/mesh/sync/read.rs
+++ b/fulmarreel-node/src/mesh/sync/read.rs
@@ -1,6 +1,9 @@
 //! The node's own reads of the store: once after its start, and while it is one of its region's readers.
 
-use crate::{mesh::context::Context, telemetry::metrics};
+use crate::{
+    mesh::{context::Context, era},
+    telemetry::metrics,
+};
 use fulmarreel_distribution::{
     backoff::Backoff,
     contact::WATCH_HOLD_TIME,
@@ -131,7 +134,10 @@
         (key, Item { revision, value })
     });
     context.replace(listing.revision.0, items.collect());
-    context.mark_up_to_date();
+    // A peer may have told of a later era meanwhile.
+    if era::of(listing.revision.0) >= era::of(context.revision()) {
+        context.mark_up_to_date();
+    }
     Ok(())
 }
 
--- a/fulmarreel-node/src/mesh/takeover/mod.rs
+++ b/fulmarreel-node/src/mesh/takeover/mod.rs
@@ -8,10 +8,11 @@
 mod driver;
 mod messages;
 mod owner;
+mod rewrite;
 
 pub use driver::run;
 
-use super::view::{Target, View};
+use super::view::{Rollout, Target, View};
 use crate::telemetry::metrics;
 use fulmarreel_platform::order::State;
 use fulmarreel_rollout::brief::{
@@ -90,7 +91,8 @@
 pub struct CallTracker<'a> {
     rollouts: &'a Rollouts,
     service: &'a str,
-    order: u64,
+    /// The revision by which this node first knew the order.
+    first_order: u64,
     /// Identifies the call in [`Member`].
     number: u64,
     /// A response that takes longer counts as slow.
@@ -116,13 +118,14 @@
     fn record(&self, end: End) {
         let mut rollouts = self.rollouts.by_service.lock().expect("rollouts lock");
         let local_rollout = rollouts.get_mut(self.service);
-        let local_rollout = local_rollout.filter(|local_rollout| local_rollout.order == self.order);
+        let local_rollout =
+            local_rollout.filter(|local_rollout| local_rollout.first_order == self.first_order);
         if local_rollout.is_some_and(|local_rollout| {
             local_rollout
                 .member
                 .record_end(self.number, end, Instant::now())
         }) {
-            log::warn!(service = self.service, order = self.order; "the new version fails here, it is not used further");
+            log::warn!(service = self.service, order = self.first_order; "the new version fails here, it is not used further");
         }
     }
 }
@@ -147,6 +150,8 @@
 struct LocalRollout {
     /// The store revision of the order.
     order: u64,
+    /// The revision by which this node first knew the order; a later era of the store gives it another.
+    first_order: u64,
     /// The new version.
     version: String,
     member: Member<SocketAddr>,
@@ -199,6 +204,7 @@
     fn new(order: u64, version: &str, started_at_ms: u64) -> Self {
         Self {
             order,
+            first_order: order,
             version: version.to_owned(),
             member: Member::new(started_at_ms, fastrand::f64(), Instant::now()),
             grant_sender: None,
@@ -207,6 +213,11 @@
         }
     }
 
+    /// Whether it belongs to an order, by the order's revision in any era of the store.
+    fn is_of(&self, ordered_rollout: &Rollout) -> bool {
+        ordered_rollout.includes(self.order) && ordered_rollout.version == self.version
+    }
+
     /// Identifies the latest grant: the store revision by which its sender became the owner, and the
     /// grant's number.
     fn grant_id(&self) -> Option<(u64, u32)> {
@@ -291,7 +302,7 @@
         let mut rollouts = self.by_service.lock().expect("rollouts lock");
         let local_rollout = rollouts
             .get_mut(service)
-            .filter(|local_rollout| local_rollout.order == ordered_rollout.order);
+            .filter(|local_rollout| local_rollout.is_of(ordered_rollout));
         match ordered_rollout.state {
             Some(State::Completed) if runs_new() => return VersionChoice::New { new },
             Some(State::Completed) => return VersionChoice::Any,
@@ -337,7 +348,7 @@
         Some(CallTracker {
             rollouts: self,
             service,
-            order: local_rollout.order,
+            first_order: local_rollout.first_order,
             number,
             slow_after: call.slow_after(),
             finished: false,
@@ -369,15 +380,15 @@
         let mut rollouts = self.by_service.lock().expect("rollouts lock");
         rollouts.retain(|service, local_rollout| {
             let ordered_rollout = view.rollouts.get(service);
-            ordered_rollout
-                .is_some_and(|ordered_rollout| ordered_rollout.order == local_rollout.order)
+            let ordered_rollout =
+                ordered_rollout.filter(|ordered_rollout| local_rollout.is_of(ordered_rollout));
+            if let Some(ordered_rollout) = ordered_rollout {
+                local_rollout.order = ordered_rollout.order;
+            }
+            ordered_rollout.is_some()
         });
         for (service, ordered_rollout) in &view.rollouts {
-            let is_over = matches!(
-                ordered_rollout.state,
-                Some(State::Completed | State::RolledBack)
-            );
-            if !is_over && !rollouts.contains_key(service) {
+            if !ordered_rollout.is_over() && !rollouts.contains_key(service) {
                 let version = ordered_rollout.version.as_str();
                 log::info!(service = service.as_str(), version, order = ordered_rollout.order; "move ordered");
                 rollouts.insert(
@@ -419,6 +430,13 @@
         })
     }
 
+    /// Whether this node knows a rollout to be complete.
+    fn is_completed(&self, service: &str) -> bool {
+        let is_completed =
+            |local_rollout: &mut LocalRollout| local_rollout.member.agent().is_completed();
+        self.with(service, is_completed).unwrap_or(false)
+    }
+
     /// Records the outcome of a rollout.
     fn finish(&self, service: &str, state: State) {
         self.with(service, |local_rollout| match state {
--- a/fulmarreel-node/src/mesh/takeover/owner.rs
+++ b/fulmarreel-node/src/mesh/takeover/owner.rs
@@ -85,13 +85,23 @@
     }
 }
 
+/// What a claim of a rollout goes by.
+#[derive(Debug, Default)]
+pub(super) struct Claim {
+    /// The revision of the owner's key, which is absent or an earlier claim of this process.
+    pub known: Revision,
+    /// When the rollout began, if this process owned it before.
+    pub start: Option<Instant>,
+}
+
 /// Claims a rollout; `None` if another node owns it or the store failed.
 pub(super) async fn claim(
     context: &Arc<Context>,
     service: &str,
     ordered_rollout: &view::Rollout,
+    claim: Claim,
 ) -> Option<Ownership> {
-    match try_claim(context, service, ordered_rollout).await {
+    match try_claim(context, service, ordered_rollout, claim).await {
         Ok(ownership) => ownership,
         Err(error) => {
             log::warn!(service; "move not claimed: {error}");
@@ -104,6 +114,7 @@
     context: &Arc<Context>,
     service: &str,
     ordered_rollout: &view::Rollout,
+    claim: Claim,
 ) -> Result<Option<Ownership>, Error> {
     let requested_at = Instant::now();
     let lease_id = context
@@ -114,7 +125,13 @@
         address: context.settings().peer_address,
         boot: context.started_at_ms,
     };
-    let start = known_or_new_start(context, service, ordered_rollout);
+    let start = match claim.start {
+        Some(start) => Start {
+            order: ordered_rollout.order,
+            at: unix_millis().saturating_sub(start.elapsed().as_millis() as u64),
+        },
+        None => known_or_new_start(context, service, ordered_rollout),
+    };
     let (Ok(owner_value), Ok(start_value)) =
         (serde_json::to_vec(&owner), serde_json::to_vec(&start))
     else {
@@ -127,7 +144,7 @@
         state: State::Running,
     };
     let mut transaction = Transaction::new()
-        .when_absent(&owner_key)
+        .when_mod_revision(&owner_key, claim.known)
         .put_leased(&owner_key, &owner_value, lease_id)
         .put(&start_key, &start_value);
     if ordered_rollout.state.is_none()
@@ -164,7 +181,7 @@
 /// When the rollout began: as a former owner recorded it, or now.
 fn known_or_new_start(context: &Context, service: &str, ordered_rollout: &view::Rollout) -> Start {
     let known: Option<Start> = context.decode(&format!("{}{service}", keys::STARTS));
-    let known = known.filter(|start| start.order == ordered_rollout.order);
+    let known = known.filter(|start| ordered_rollout.includes(start.order));
     known.unwrap_or(Start {
         order: ordered_rollout.order,
         at: unix_millis(),
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -1,7 +1,11 @@
 //! The routing view: what requests are routed by, decoded from the mirror of the store. It is rebuilt
 //! as a whole after each change and replaced atomically.
 
-use super::keys::{self, Node};
+pub use super::era::rollouts::Rollout;
+use super::{
+    era::{self, nodes::FormerNodes},
+    keys::{self, Node},
+};
 use crate::telemetry::metrics;
 use fulmarreel_balance::choice::Tier;
 use fulmarreel_distribution::{Mirror, mirror::Item};
@@ -15,7 +19,7 @@
     fmt::Display,
     net::SocketAddr,
     sync::Arc,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 /// A target, as its node's entry in the store describes it.
@@ -37,19 +41,6 @@
     pub region: String,
 }
 
-/// An order to roll a service's new version out, and its outcome.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Rollout {
-    /// The store revision of the order.
-    pub order: u64,
-    /// The new version.
-    pub version: String,
-    /// How long after the order the rollout has to be complete.
-    pub time_limit: Duration,
-    /// The state that the rollout's owner last wrote to the store, if any.
-    pub state: Option<State>,
-}
-
 /// The location of a node.
 #[derive(Debug, Clone, Copy)]
 pub struct Location<'a> {
@@ -76,6 +67,13 @@
     pub evacuated_zones: BTreeSet<String>,
     /// Whether it was decoded from a mirror; before that, no zone is known to be in service.
     is_known: bool,
+    /// What an earlier era of the store had of nodes, once there was one.
+    pub former_nodes: Option<Arc<FormerNodes>>,
+    /// Until when entries of nodes of an earlier era are in force, if any are.
+    pub held_until: Option<Instant>,
+    /// The revision of a configuration that is left out because its version is lower than the active
+    /// one's.
+    outdated_config: Option<u64>,
     /// The items that are left out because they are malformed: their revisions by key.
     malformed: HashMap<String, u64>,
 }
@@ -83,42 +81,23 @@
 impl View {
     /// Decodes a mirror for a node at `own`. The routing table is taken over from the last view if the
     /// configuration has not changed.
-    pub fn new(mirror: &Mirror, own: Location<'_>, last: &Self) -> Self {
+    pub fn new(
+        mirror: &Mirror,
+        own: Location<'_>,
+        last: &Self,
+        former_nodes: Option<Arc<FormerNodes>>,
+    ) -> Self {
         let mut view = Self {
             evacuated_zones: evacuated_zones(mirror, last),
             is_known: true,
+            former_nodes,
             ..Self::default()
         };
         view.table = view.active_table(mirror, last);
         let table = view.table.as_deref();
         view.restricts_regions = table.is_some_and(Table::has_allowed_regions);
-        for (instance, item) in mirror.items_under_prefix(keys::NODES) {
-            match Node::decode(&item.value) {
-                Ok(node) => view.add(node, own),
-                Err(error) => {
-                    let key = format!("{}{instance}", keys::NODES);
-                    view.leave_out(key, item, &error, last);
-                }
-            }
-        }
-        for (service, item) in mirror.items_under_prefix(order::ORDERS) {
-            match order::decode(&item.value) {
-                Ok(order) => {
-                    let state = view.recorded_state(mirror, service, item, &order.version, last);
-                    let ordered_rollout = Rollout {
-                        order: item.revision,
-                        version: order.version,
-                        time_limit: order.time_limit,
-                        state,
-                    };
-                    view.rollouts.insert(service.to_owned(), ordered_rollout);
-                }
-                Err(error) => {
-                    let key = format!("{}{service}", order::ORDERS);
-                    view.leave_out(key, item, &error, last);
-                }
-            }
-        }
+        view.add_nodes(mirror, own, last);
+        view.add_rollouts(mirror, last);
         view
     }
 
@@ -143,6 +122,65 @@
         self.is_known && !self.evacuated_zones.contains(zone)
     }
 
+    fn add_nodes(&mut self, mirror: &Mirror, own: Location<'_>, last: &Self) {
+        let former = self.former_nodes.clone();
+        let former = former.as_deref();
+        let held = former.map(|former| former.in_force(mirror, Instant::now()));
+        let held = held.unwrap_or_default();
+        self.held_until = former
+            .filter(|_| !held.is_empty())
+            .map(|former| former.held_until);
+        for (instance, item) in mirror.items_under_prefix(keys::NODES) {
+            if held.contains_key(instance) {
+                continue;
+            }
+            match Node::decode(&item.value) {
+                Ok(mut node) => {
+                    if let Some(former) = former {
+                        former.remove_departed(instance, &mut node);
+                    }
+                    self.add(node, own);
+                }
+                Err(error) => {
+                    let key = format!("{}{instance}", keys::NODES);
+                    self.leave_out(key, item, &error, last);
+                }
+            }
+        }
+        for node in held.into_values() {
+            self.add(node.clone(), own);
+        }
+    }
+
+    fn add_rollouts(&mut self, mirror: &Mirror, last: &Self) {
+        for (service, item) in mirror.items_under_prefix(order::ORDERS) {
+            match order::decode(&item.value) {
+                Ok(order) => {
+                    let state = self.recorded_state(mirror, service, item, &order.version, last);
+                    let rollout =
+                        Rollout::new(item.revision, order.version, order.time_limit, state);
+                    let rollout = rollout.after(last.rollouts.get(service));
+                    self.rollouts.insert(service.to_owned(), rollout);
+                }
+                Err(error) => {
+                    let key = format!("{}{service}", order::ORDERS);
+                    self.leave_out(key, item, &error, last);
+                }
+            }
+        }
+        let era = era::of(mirror.revision());
+        for (service, known) in &last.rollouts {
+            if era::of(known.order) < era && !self.rollouts.contains_key(service) {
+                let recorded = outcome(mirror, service);
+                let is_recorded = recorded.is_some_and(|outcome| {
+                    outcome.version == known.version && Some(outcome.state) == known.state
+                });
+                self.rollouts
+                    .insert(service.clone(), known.lost(is_recorded));
+            }
+        }
+    }
+
     fn add(&mut self, node: Node, own: Location<'_>) {
         let in_own_region = node.region == own.region;
         self.nodes.push((node.address, in_own_region));
@@ -187,8 +225,20 @@
         {
             return last.table.clone();
         }
+        if last.outdated_config == Some(item.revision) {
+            self.outdated_config = last.outdated_config;
+            return last.table.clone();
+        }
         let started = Instant::now();
         match config::decode(item.revision, &item.value) {
+            Ok(table) if last.has_later_table(&table) => {
+                log::warn!(
+                    revision = item.revision, version = table.version;
+                    "configuration ignored: its version is lower than the active one's"
+                );
+                self.outdated_config = Some(item.revision);
+                last.table.clone()
+            }
             Ok(table) => {
                 log::info!(
                     revision = item.revision,
@@ -206,6 +256,12 @@
         }
     }
 
+    /// Whether the active configuration has a higher version than another one.
+    fn has_later_table(&self, other: &Table) -> bool {
+        let table = self.table.as_ref();
+        table.is_some_and(|table| table.version > other.version)
+    }
+
     /// The state that was written for a rollout; `None` if the last one belongs to an earlier order.
     fn recorded_state(
         &mut self,
@@ -230,6 +286,12 @@
     }
 }
 
+/// The outcome of a service's last rollout, if it can be decoded.
+fn outcome(mirror: &Mirror, service: &str) -> Option<order::Outcome> {
+    let item = mirror.get(&format!("{}{service}", order::OUTCOMES))?;
+    order::decode_outcome(&item.value).ok()
+}
+
 /// The zones that are evacuated; logs which ones were not, or are not any more.
 fn evacuated_zones(mirror: &Mirror, last: &View) -> BTreeSet<String> {
     let orders = mirror.items_under_prefix(evacuation::ORDERS);
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -14,6 +14,7 @@
 mod path;
 mod pipeline;
 mod places;
+mod restored;
 mod stop;
 mod store;
 mod stray;
--- a/fulmarreel-testing/src/kv/mod.rs
+++ b/fulmarreel-testing/src/kv/mod.rs
@@ -28,8 +28,6 @@
     pub lost_writes: bool,
     /// The largest number of items in a range answer; 0 for no limit.
     pub page: usize,
-    /// How long each answer is held back after it was made.
-    pub delay: Duration,
 }
 
 /// A running fake store; it serves until the process ends.
@@ -43,6 +41,8 @@
 struct Shared {
     data: Data,
     faults: Faults,
+    /// How long each answer is held back after it was made.
+    delay: Duration,
     /// Copies of the contents; `None` for a store that names no era.
     copies: Option<Copies>,
     /// Number of calls so far; each long poll of a watch counts as one.
@@ -113,6 +113,11 @@
         lock(&self.shared).faults = faults;
     }
 
+    /// Holds each answer back for a time after it was made.
+    pub fn set_delay(&self, delay: Duration) {
+        lock(&self.shared).delay = delay;
+    }
+
     /// Writes a key, as an operator of the platform would; returns the revision.
     pub fn put(&self, key: &str, value: &[u8]) -> u64 {
         let mut shared = lock(&self.shared);
--- a/fulmarreel-testing/src/kv/serve.rs
+++ b/fulmarreel-testing/src/kv/serve.rs
@@ -57,10 +57,10 @@
 async fn handle(shared: &Mutex<Shared>, mut conn: Conn) -> Conn {
     let body = conn.request_body().read_bytes().await.unwrap_or_default();
     let query = Query::parse(conn.querystring());
-    let faults = {
+    let (faults, delay) = {
         let mut shared = lock(shared);
         shared.calls += 1;
-        shared.faults.clone()
+        (shared.faults.clone(), shared.delay)
     };
     if faults.silent {
         std::future::pending::<()>().await;
@@ -83,8 +83,8 @@
     if is_write && faults.lost_writes {
         std::future::pending::<()>().await;
     }
-    if !faults.delay.is_zero() {
-        Timer::after(faults.delay).await;
+    if !delay.is_zero() {
+        Timer::after(delay).await;
     }
     let conn = name_era(conn, era);
     conn.with_status(status).with_body(body.to_string()).halt()
