--- a/fulmarreel-node/src/mesh/mod.rs
+++ b/fulmarreel-node/src/mesh/mod.rs
@@ -17,6 +17,7 @@
 pub mod context;
 pub(crate) mod credential;
 pub(crate) mod endpoint;
+pub(crate) mod era;
 pub(crate) mod exchange;
 pub(crate) mod keys;
 pub(crate) mod links;
--- a/fulmarreel-node/src/mesh/sync/read.rs
+++ b/fulmarreel-node/src/mesh/sync/read.rs
@@ -1,7 +1,7 @@
 //! The node's own reads of the store: once after its start, and while it is one of its region's readers.
 
 use crate::{
-    mesh::{boot_clock, context::Context},
+    mesh::{boot_clock, context::Context, era},
     telemetry::metrics,
 };
 use fulmarreel_distribution::{
@@ -156,7 +156,10 @@
         (key, Item { revision, value })
     });
     context.replace(listing.revision.0, items.collect());
-    context.mark_up_to_date(&call, true);
+    // A peer may have told of a later era meanwhile.
+    if era::of(listing.revision.0) >= era::of(context.revision()) {
+        context.mark_up_to_date(&call, true);
+    }
     Ok(())
 }
 
--- a/fulmarreel-node/tests/mesh/keys.rs
+++ b/fulmarreel-node/tests/mesh/keys.rs
@@ -26,7 +26,6 @@
     silent: true,
     lost_writes: false,
     page: 0,
-    delay: Duration::ZERO,
 };
 
 /// The metric of the proved age of a node's copy of the store.
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -17,6 +17,7 @@
 mod path;
 mod pipeline;
 mod places;
+mod restored;
 mod stop;
 mod store;
 mod stray;
