--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -183,7 +183,9 @@
             }
             notice @ (Notice::QuotaReport(_)
             | Notice::QuotaAnswer(_)
-            | Notice::QuotaCoordinator(_)) => {
+            | Notice::QuotaCoordinator(_)
+            | Notice::QuotaWish(_)
+            | Notice::QuotaLoan(_)) => {
                 if let Some(reply) = quotas.handle(from, &notice) {
                     self.reply(from, reply);
                 }
--- a/fulmarreel-node/src/mesh/quota/driver.rs
+++ b/fulmarreel-node/src/mesh/quota/driver.rs
@@ -2,11 +2,17 @@
 
 use super::{
     Quotas, Term, clock,
-    messages::{answer_from_wire, answer_to_wire, report_from_wire, report_to_wire},
+    messages::{
+        answer_from_wire, answer_to_wire, loan_from_wire, report_from_wire, report_to_wire,
+        wish_from_wire, wish_to_wire,
+    },
 };
 use crate::mesh::notices::NoticeSocket;
-use fulmarreel_quota::{Limit, Time, member::Token};
-use fulmarreel_wire::notice::{MAX_QUOTA_DEMANDS, Notice, QuotaReport};
+use fulmarreel_quota::{
+    Limit, Time,
+    member::{Outgoing, Token},
+};
+use fulmarreel_wire::notice::{MAX_QUOTA_DEMANDS, Notice, QuotaLoan, QuotaReport, QuotaWish};
 use smol::{Timer, future::or};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -48,8 +54,18 @@
             Notice::QuotaReport(report) => return self.answer(from, report),
             Notice::QuotaAnswer(answer) => {
                 let answer = answer_from_wire(answer);
-                self.requests().member.apply(&answer, clock::now());
-                self.settle();
+                self.settle_after(|member| {
+                    let now = clock::now();
+                    member.apply(&answer, now);
+                    member.decide(now)
+                });
+                self.ask_further();
+            }
+            Notice::QuotaWish(wish) => return self.lend(wish),
+            Notice::QuotaLoan(loan) => {
+                let loan = loan_from_wire(loan);
+                self.settle_after(|member| member.accept(&loan, clock::now()));
+                self.ask_further();
             }
             Notice::QuotaCoordinator(revision) => self.note_coordinator(from, *revision),
             _ => {}
@@ -78,6 +94,27 @@
         Some(Notice::QuotaAnswer(answer_to_wire(&answer)))
     }
 
+    fn lend(&self, wish: &QuotaWish) -> Option<Notice> {
+        let limit = self.limits.by_hash(&self.context)(wish.account)?;
+        let loan = {
+            let mut requests = self.requests();
+            let now = clock::now();
+            requests.member.lend(&wish_from_wire(wish), limit, now)
+        };
+        // The driver may sleep; it has to report the demand that others have of this node.
+        self.ask_further();
+        Some(Notice::QuotaLoan(QuotaLoan {
+            wish: *wish,
+            tokens: loan.tokens,
+        }))
+    }
+
+    /// Wakes the driver, which may have something to do earlier than before.
+    fn ask_further(&self) {
+        // Fails if a signal is pending, which is enough.
+        let _ = self.waits.0.try_send(());
+    }
+
     fn due_at(&self) -> Option<Time> {
         self.requests().member.due_at(clock::now())
     }
@@ -94,20 +131,29 @@
             is_new
         };
         let now = clock::now();
-        let reports = {
+        let messages = {
             let mut requests = self.requests();
             if is_new {
                 let delay = FIRST_REPORT_SPREAD.mul_f64(fastrand::f64());
                 requests.member.report_by(now + delay);
             }
-            requests.member.reports(MAX_QUOTA_DEMANDS, now)
-        };
-        let Some(coordinator) = coordinator else {
-            return;
+            let deputies =
+                |account, limit: &Limit| self.deputies.of_account(&self.context, account, limit);
+            requests.member.messages(MAX_QUOTA_DEMANDS, deputies, now)
         };
-        for report in reports {
-            let notice = Notice::QuotaReport(report_to_wire(&report));
-            notices.send(coordinator.address, notice).await;
+        for message in messages {
+            match (message, coordinator) {
+                (Outgoing::Wish(deputy, wish), _) => {
+                    let notice = Notice::QuotaWish(wish_to_wire(&wish));
+                    notices.send(deputy, notice).await;
+                }
+                (Outgoing::Report(report), Some(coordinator)) => {
+                    let notice = Notice::QuotaReport(report_to_wire(&report));
+                    notices.send(coordinator.address, notice).await;
+                }
+                // The requests ask a deputy next.
+                (Outgoing::Report(_), None) => {}
+            }
         }
     }
 }
--- a/fulmarreel-node/src/mesh/quota/messages.rs
+++ b/fulmarreel-node/src/mesh/quota/messages.rs
@@ -2,9 +2,11 @@
 
 use fulmarreel_quota::{
     Time,
-    message::{Answer, Demand, Grant, Held, Report},
+    message::{Answer, Demand, Grant, Held, Loan, Report, Wish},
+};
+use fulmarreel_wire::notice::{
+    QuotaAnswer, QuotaDemand, QuotaGrant, QuotaLoan, QuotaReport, QuotaWish,
 };
-use fulmarreel_wire::notice::{QuotaAnswer, QuotaDemand, QuotaGrant, QuotaReport};
 use std::time::Duration;
 
 /// The wire form of a report.
@@ -68,6 +70,37 @@
     }
 }
 
+/// The wire form of a question to a deputy.
+pub(super) fn wish_to_wire(wish: &Wish) -> QuotaWish {
+    QuotaWish {
+        boot: wish.boot,
+        sequence: wish.sequence,
+        sent_ms: to_millis(wish.sent_at),
+        account: wish.account,
+        wanted: wish.wanted,
+    }
+}
+
+/// The question in its wire form.
+pub(super) fn wish_from_wire(wish: &QuotaWish) -> Wish {
+    Wish {
+        boot: wish.boot,
+        sequence: wish.sequence,
+        sent_at: Time::from_millis(wish.sent_ms),
+        account: wish.account,
+        wanted: wish.wanted,
+    }
+}
+
+/// The deputy's answer in its wire form.
+pub(super) fn loan_from_wire(loan: &QuotaLoan) -> Loan {
+    let wish = wish_from_wire(&loan.wish);
+    Loan {
+        wish,
+        tokens: loan.tokens,
+    }
+}
+
 fn demand_to_wire(demand: &Demand) -> QuotaDemand {
     let held_ms = demand.held.remaining.as_micros().div_ceil(1_000);
     QuotaDemand {
--- a/fulmarreel-node/src/mesh/quota/mod.rs
+++ b/fulmarreel-node/src/mesh/quota/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod claim;
 mod clock;
+mod deputies;
 pub mod driver;
 mod duty;
 mod limits;
@@ -17,6 +18,7 @@
 
 use super::{context::Context, keys::Owner};
 use crate::telemetry::metrics;
+use deputies::Deputies;
 use duty::Duty;
 use fulmarreel_quota::{
     Limit, Member, Time,
@@ -50,6 +52,7 @@
 pub struct Quotas {
     context: Arc<Context>,
     limits: Limits,
+    deputies: Deputies,
     requests: Mutex<Requests>,
     duty: Duty,
     known: Mutex<Known>,
@@ -105,6 +108,7 @@
         Arc::new(Self {
             context,
             limits: Limits::default(),
+            deputies: Deputies::default(),
             requests: Mutex::new(requests),
             duty: Duty::default(),
             known: Mutex::default(),
@@ -178,8 +182,13 @@
 
     /// Decides on waiting requests.
     fn settle(self: &Arc<Self>) {
+        self.settle_after(|member| member.decide(clock::now()));
+    }
+
+    /// Changes the member's state, and tells waiting requests what was decided on them.
+    fn settle_after(self: &Arc<Self>, change: impl FnOnce(&mut Member<u64>) -> Vec<Decision<u64>>) {
         let mut requests = self.requests();
-        let decisions = requests.member.decide(clock::now());
+        let decisions = change(&mut requests.member);
         let with_senders: Vec<_> = decisions
             .into_iter()
             .map(|decision| (requests.waiting.remove(&decision.id), decision))
--- a/fulmarreel-node/src/mesh/takeover/messages.rs
+++ b/fulmarreel-node/src/mesh/takeover/messages.rs
@@ -63,7 +63,9 @@
         | Notice::Contact(_)
         | Notice::QuotaReport(_)
         | Notice::QuotaAnswer(_)
-        | Notice::QuotaCoordinator(_) => None,
+        | Notice::QuotaCoordinator(_)
+        | Notice::QuotaWish(_)
+        | Notice::QuotaLoan(_) => None,
     }
 }
 
--- a/fulmarreel-quota/src/coordinator/book.rs
+++ b/fulmarreel-quota/src/coordinator/book.rs
@@ -56,6 +56,11 @@
         true
     }
 
+    /// Whether a report was handled before. A repeated one may be taken for new otherwise.
+    pub fn is_known(&self) -> bool {
+        self.sequence > 0
+    }
+
     /// Whether nothing was granted yet.
     pub fn is_empty(&self) -> bool {
         self.outstanding.is_empty()
--- a/fulmarreel-quota/src/coordinator/pool.rs
+++ b/fulmarreel-quota/src/coordinator/pool.rs
@@ -17,13 +17,9 @@
 /// The part of an account's capacity that nodes with a rate can keep at most.
 const KEPT_SHARE: f64 = 0.6;
 
-/// The least rate that is granted, in thousandths per second.
-/// A node that has a rate keeps it down to half of this: each change loses a part of a token.
-const MIN_RATE_MILLI: u64 = 2_000;
-
-/// The least demand of a node that is granted a rate, in thousandths per second. Less demand than this is
-/// seen after a single clump of requests.
-const MIN_DEMAND_MILLI: u64 = 3_000;
+/// The least rate that is granted, as a part of the demand from which one is. A node that has a rate
+/// keeps it down to half of this: each change loses a part of a token.
+const MIN_RATE_PART: f64 = 1.0;
 
 /// A node keeps its rate while the one it should have differs by no more than this part. Until the node
 /// reports that it has a lower rate, what it gives up is at nobody's disposal.
@@ -32,9 +28,6 @@
 /// The least bucket of a node with a rate: requests come in clumps.
 const MIN_BUCKET: u64 = 2;
 
-/// The time in which a node's bucket fills, beyond the least one.
-const BUCKET_TIME: Duration = Duration::from_millis(500);
-
 /// The demand of a node that does not report is forgotten after this time.
 const DEMAND_LIFETIME: Duration = Duration::from_secs(5);
 
@@ -92,7 +85,11 @@
     ) -> Option<Grant> {
         let mut book = self.books.remove(&node).unwrap_or_default();
         self.subtract(&book);
+        let is_known = book.is_known();
         let accepted = book.accept(boot, sequence, demand, now);
+        if accepted && is_known {
+            self.level += f64::from(demand.returned);
+        }
         let grant = accepted.then(|| self.grant(&mut book, sequence, demand, now));
         self.add(&book);
         self.books.insert(node, book);
@@ -110,7 +107,6 @@
 
     /// Decides on a grant for a node whose book has been subtracted from the sums.
     fn grant(&mut self, book: &mut Book, sequence: u32, demand: &Demand, now: Time) -> Grant {
-        self.level += f64::from(demand.returned);
         let (rate_milli, kept) = if now < self.predecessor_until {
             self.renewed(book, demand, now)
         } else {
@@ -177,19 +173,18 @@
         let free_capacity = kept
             .saturating_sub(self.held.rated_bucket)
             .min(u64::from(self.limit.capacity).saturating_sub(self.held.bucket));
-        let min_rate_milli = if demand.held.rate_milli > 0 {
-            MIN_RATE_MILLI / 2
-        } else {
-            MIN_RATE_MILLI
-        };
-        if demand.rate_milli < MIN_DEMAND_MILLI
-            || rate_milli < min_rate_milli
-            || free_capacity < MIN_BUCKET
-        {
+        let mut least_milli = self.limit.dense_milli() as f64;
+        if held_milli > 0 {
+            least_milli /= 2.0;
+        }
+        let is_sparse = (demand.rate_milli as f64) < least_milli
+            || (rate_milli as f64) < least_milli * MIN_RATE_PART;
+        if is_sparse || free_capacity < MIN_BUCKET {
             return (0, 0);
         }
-        let filled = rate_milli as f64 / 1e3 * BUCKET_TIME.as_secs_f64();
-        (rate_milli, (MIN_BUCKET + filled as u64).min(free_capacity))
+        let part = kept as f64 * demand.rate_milli as f64 / demand_milli;
+        let bucket = (part as u64).clamp(MIN_BUCKET, free_capacity);
+        (rate_milli, bucket)
     }
 
     /// Adds the tokens that have come into being and were not granted as rates. The sum of the rates
--- a/fulmarreel-quota/src/lib.rs
+++ b/fulmarreel-quota/src/lib.rs
@@ -3,6 +3,10 @@
 //! One node of the fleet is the [`Coordinator`]. Every node is a [`Member`]: it reports the demand that
 //! it sees to the coordinator, and spends what the coordinator grants.
 //!
+//! A node with much demand of an account is granted a rate. Other nodes ask one of the account's two
+//! *deputies*, which are nodes chosen by hash: as they are asked, they have much demand, and lend the
+//! tokens of their own rate. So nodes are served without the coordinator for as long as grants live.
+//!
 //! The upper bound follows from the conservation of *tokens*, each of which admits one request. Tokens
 //! come into being at the rates that are granted and, at the coordinator, at the rate that is not
 //! granted; these rates add up to the account's quota. They are kept in buckets, whose sizes add up to
@@ -34,6 +38,9 @@
 /// are for wait for 100 ms at most.
 pub const TOKEN_LIFETIME: Duration = Duration::from_millis(300);
 
+/// How long tokens that a deputy lends can be used, from the time at which they were asked for.
+pub const LOAN_LIFETIME: Duration = Duration::from_millis(100);
+
 /// How long after it was admitted a request may be sent to a target.
 pub const HOLD_TIME: Duration = Duration::from_secs(2);
 
--- a/fulmarreel-quota/src/limit.rs
+++ b/fulmarreel-quota/src/limit.rs
@@ -11,6 +11,12 @@
 /// How long tokens of a new coordinator's first rate can be kept, by itself and by nodes.
 const TAKEOVER_KEPT: Duration = Duration::from_secs(2);
 
+/// See [`Limit::dense_milli`].
+const MAX_DENSE_MILLI: u64 = 3_000;
+
+/// The rate from which the demand of an account suffices for two deputies, in thousandths per second.
+const TWO_DEPUTIES_MILLI: u64 = 15_000;
+
 /// A quota, as the operator configures it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Quota {
@@ -61,6 +67,17 @@
         }
     }
 
+    /// The demand at one node from which it is granted a rate, in thousandths per second. Less demand than
+    /// this is seen after a single clump of requests.
+    pub(crate) fn dense_milli(&self) -> u64 {
+        (self.rate_milli * 3 / 10).min(MAX_DENSE_MILLI)
+    }
+
+    /// Whether the nodes ask either of two deputies first, or all the same one.
+    pub fn has_two_deputies(&self) -> bool {
+        self.rate_milli >= TWO_DEPUTIES_MILLI
+    }
+
     /// The most requests that run in a window, as a matter of construction.
     pub fn bound(&self, window: Duration) -> f64 {
         let window_s = window.as_secs_f64();
--- a/fulmarreel-quota/src/member/meter.rs
+++ b/fulmarreel-quota/src/member/meter.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 /// Time constant of the exponential decay.
-const DECAY_TIME: Duration = Duration::from_secs(3);
+const DECAY_TIME: Duration = Duration::from_secs(4);
 
 /// A moving average of the rate of events.
 #[derive(Debug, Default)]
--- a/fulmarreel-quota/src/member/mod.rs
+++ b/fulmarreel-quota/src/member/mod.rs
@@ -1,17 +1,19 @@
 //! A node's side: what it may spend, and what it reports.
 //!
 //! A request takes a token of its account from a bucket. Where there is none, the coordinator is asked
-//! at once and the request waits for a short time. Requests that have not been run give their tokens
+//! or a deputy at once and the request waits for a short time. Requests that have not been run give their tokens
 //! back.
 
+mod asking;
 mod bucket;
 mod meter;
 mod share;
 
 use crate::{
     Limit, Time,
-    message::{Answer, Demand, Report},
+    message::{Answer, Demand, Loan, Report, Wish},
 };
+use asking::Source;
 use share::Share;
 use std::{
     collections::{BTreeSet, HashMap},
@@ -63,6 +65,15 @@
     pub result: Result<Token, Duration>,
 }
 
+/// What a node sends.
+#[derive(Debug)]
+pub enum Outgoing<N> {
+    /// To the coordinator.
+    Report(Report),
+    /// To a deputy.
+    Wish(N, Wish),
+}
+
 /// The quotas of accounts at one process of a node. `W` identifies a waiting request.
 #[derive(Debug)]
 pub struct Member<W> {
@@ -90,10 +101,7 @@
 
     /// Decides on a request of an account that may wait for a token until `until`.
     pub fn take(&mut self, account: u64, limit: Limit, id: W, until: Time, now: Time) -> Take {
-        let share = self.shares.entry(account);
-        let share = share.or_insert_with(|| Share::new(account, limit, now));
-        share.set_limit(limit, now);
-        let take = share.take(id, until, now);
+        let take = self.share(account, limit, now).take(id, until, now);
         if matches!(take, Take::Wait) {
             self.waiting.insert(account);
         }
@@ -147,16 +155,51 @@
         decisions
     }
 
-    /// The reports that are due, each with at most `max_demands` accounts.
-    pub fn reports(&mut self, max_demands: usize, now: Time) -> Vec<Report> {
-        let demands = if now >= self.next_report && !self.shares.is_empty() {
+    /// The messages that are due. Each report has at most `max_demands` accounts. `deputies` tells the
+    /// nodes that lend tokens of an account, in the order in which this node asks them.
+    pub fn messages<N: Copy>(
+        &mut self,
+        max_demands: usize,
+        deputies: impl Fn(u64, &Limit) -> [Option<N>; 2],
+        now: Time,
+    ) -> Vec<Outgoing<N>> {
+        let mut messages = Vec::new();
+        let mut demands = self.questions(deputies, &mut messages, now);
+        if now >= self.next_report && !self.shares.is_empty() {
             self.next_report = now + REPORT_INTERVAL;
-            self.regular_demands(now)
-        } else {
-            self.urgent_demands(now)
-        };
-        let chunks = demands.chunks(max_demands);
-        chunks.map(|demands| self.report(demands, now)).collect()
+            demands.extend(self.regular_demands(&demands, now));
+        }
+        for demands in demands.chunks(max_demands) {
+            let demands = demands.to_vec();
+            let sequence = self.next_sequence();
+            messages.push(Outgoing::Report(Report {
+                boot: self.boot,
+                sequence,
+                sent_at: now,
+                demands,
+            }));
+        }
+        messages
+    }
+
+    /// Lends tokens to another node.
+    pub fn lend(&mut self, wish: &Wish, limit: Limit, now: Time) -> Loan {
+        let share = self.share(wish.account, limit, now);
+        let tokens = share.lend(wish.wanted, now);
+        Loan {
+            wish: *wish,
+            tokens,
+        }
+    }
+
+    /// Admits waiting requests with tokens that a deputy has lent.
+    pub fn accept(&mut self, loan: &Loan, now: Time) -> Vec<Decision<W>> {
+        let mut decisions = Vec::new();
+        let share = self.shares.get_mut(&loan.wish.account);
+        if let Some(share) = share.filter(|_| loan.wish.boot == self.boot) {
+            share.accept(loan, now, &mut decisions);
+        }
+        decisions
     }
 
     /// Makes the next regular report due by `at`, as after a change of the coordinator.
@@ -164,7 +207,7 @@
         self.next_report = self.next_report.min(at);
     }
 
-    /// When [`Self::decide`] or [`Self::reports`] has something to do; `None` if only after a request.
+    /// When [`Self::decide`] or [`Self::messages`] has something to do; `None` if only after a request.
     pub fn due_at(&self, now: Time) -> Option<Time> {
         let waiting = self.waiting.iter();
         let urgent = waiting.filter_map(|account| self.shares.get(account)?.due_at(now));
@@ -177,34 +220,63 @@
         self.shares.len()
     }
 
-    fn regular_demands(&mut self, now: Time) -> Vec<Demand> {
-        self.shares.retain(|_, share| !share.is_forgotten(now));
-        let shares = self.shares.iter_mut();
-        let reported = shares.filter(|(_, share)| share.is_reported(now) || share.asks(now));
-        reported
-            .map(|(account, share)| share.demand(*account, now))
-            .collect()
-    }
-
-    fn urgent_demands(&mut self, now: Time) -> Vec<Demand> {
+    /// Asks deputies for tokens; returns what the coordinator is asked for.
+    fn questions<N: Copy>(
+        &mut self,
+        deputies: impl Fn(u64, &Limit) -> [Option<N>; 2],
+        messages: &mut Vec<Outgoing<N>>,
+        now: Time,
+    ) -> Vec<Demand> {
         let mut demands = Vec::new();
         for account in &self.waiting {
-            if let Some(share) = self.shares.get_mut(account)
-                && share.asks(now)
-            {
-                demands.push(share.demand(*account, now));
+            let Some(share) = self.shares.get_mut(account) else {
+                continue;
+            };
+            let nodes = deputies(*account, share.limit());
+            let source = share.source(|index| nodes[index].is_some(), now);
+            match source {
+                Some(Source::Coordinator) => demands.push(share.demand(*account, now)),
+                Some(Source::Deputy(index)) => {
+                    let (wanted, node) = (share.wish(now), nodes[index]);
+                    let Some(node) = node.filter(|_| wanted > 0) else {
+                        continue;
+                    };
+                    self.sequence += 1;
+                    let wish = Wish {
+                        boot: self.boot,
+                        sequence: self.sequence,
+                        sent_at: now,
+                        account: *account,
+                        wanted,
+                    };
+                    messages.push(Outgoing::Wish(node, wish));
+                }
+                None => {}
             }
         }
         demands
     }
 
-    fn report(&mut self, demands: &[Demand], now: Time) -> Report {
+    /// The demands of the regular report, without those that are reported anyway.
+    fn regular_demands(&mut self, reported: &[Demand], now: Time) -> Vec<Demand> {
+        self.shares.retain(|_, share| !share.is_forgotten(now));
+        let is_new = |account: &u64| reported.iter().all(|demand| demand.account != *account);
+        let shares = self.shares.iter_mut();
+        shares
+            .filter(|(account, share)| share.is_reported(now) && is_new(account))
+            .map(|(account, share)| share.demand(*account, now))
+            .collect()
+    }
+
+    fn next_sequence(&mut self) -> u32 {
         self.sequence += 1;
-        Report {
-            boot: self.boot,
-            sequence: self.sequence,
-            sent_at: now,
-            demands: demands.to_vec(),
-        }
+        self.sequence
+    }
+
+    fn share(&mut self, account: u64, limit: Limit, now: Time) -> &mut Share<W> {
+        let share = self.shares.entry(account);
+        let share = share.or_insert_with(|| Share::new(account, limit, now));
+        share.set_limit(limit, now);
+        share
     }
 }
--- a/fulmarreel-quota/src/member/share.rs
+++ b/fulmarreel-quota/src/member/share.rs
@@ -1,30 +1,26 @@
 //! One account at one node.
 
-use super::{Decision, Take, Token, bucket::Bucket, meter::Meter};
+use super::{
+    Decision, Take, Token,
+    asking::{Asking, DENIED_TIME, Source},
+    bucket::Bucket,
+    meter::Meter,
+};
 use crate::{
-    HOLD_TIME, Limit, Time, lifetime,
-    message::{Demand, Grant, Held},
+    HOLD_TIME, LOAN_LIFETIME, Limit, Time, lifetime,
+    message::{Demand, Grant, Held, Loan, Wish},
 };
 use std::{collections::VecDeque, time::Duration};
 
-/// How long the answer to a report may take before its requests are asked for again.
-const ANSWER_TIME: Duration = Duration::from_millis(40);
-
-/// The time between two reports of an account for which the coordinator has no tokens left.
-const DENIED_INTERVAL: Duration = Duration::from_millis(200);
-
-/// The shortest time between two reports of an account that are not regular ones.
-const MIN_INTERVAL: Duration = Duration::from_millis(2);
-
 /// Tokens without a rate are given back if no request came for this long.
 const IDLE_TIME: Duration = Duration::from_millis(100);
 
+/// The most tokens that a node lends at once.
+const MAX_LENT: u32 = 1_000;
+
 /// An account is forgotten if no request came for this long, when each of its grants has expired.
 const FORGET_TIME: Duration = Duration::from_secs(10);
 
-/// The demand from which an account is reported regularly, in requests per second.
-const REPORTED_PER_S: f64 = 0.5;
-
 /// The shortest and the longest retry delay that a refused caller is told.
 const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(2)];
 
@@ -47,11 +43,9 @@
     last_request_at: Time,
     /// Requests that wait for a token, in the order of their arrival.
     waiting: VecDeque<Waiter<W>>,
-    /// Waiting requests for which tokens were asked for and no answer came yet.
-    asked: usize,
-    asked_at: Time,
-    /// When the coordinator can be asked again after it had too few tokens.
-    denied_until: Time,
+    asking: Asking,
+    /// The number of the last wish that a deputy has answered.
+    last_loan: u32,
     /// The time that the next refused caller is told to return at.
     return_at: Time,
     refused: u32,
@@ -75,14 +69,17 @@
             served: Meter::default(),
             last_request_at: now,
             waiting: VecDeque::new(),
-            asked: 0,
-            asked_at: Time::ZERO,
-            denied_until: Time::ZERO,
+            asking: Asking::new(),
+            last_loan: 0,
             return_at: now,
             refused: 0,
         }
     }
 
+    pub fn limit(&self) -> &Limit {
+        &self.limit
+    }
+
     pub fn set_limit(&mut self, limit: Limit, now: Time) {
         if limit != self.limit {
             self.bucket.fill(&self.limit, now);
@@ -113,11 +110,7 @@
         if !self.bucket.take(1) {
             return None;
         }
-        self.served.record(now);
-        Some(Token {
-            account: self.account,
-            expires_at: now + HOLD_TIME,
-        })
+        Some(self.token(now))
     }
 
     /// Decides on the waiting requests that can be admitted, that have waited long enough, or that can
@@ -141,7 +134,7 @@
                 continue;
             }
             let waiter = self.waiting.remove(position).expect("a waiting request");
-            self.asked = self.asked.min(self.waiting.len());
+            self.asking.forget_beyond(self.waiting.len());
             let result = Err(self.refuse(now));
             decisions.push(Decision {
                 id: waiter.id,
@@ -154,13 +147,13 @@
     fn has_hope(&self, position: usize, until: Time, now: Time) -> bool {
         let count = u32::try_from(position).unwrap_or(u32::MAX);
         let refill = self.bucket.time_of(count, &self.limit, now);
-        self.denied_until <= now || refill.is_some_and(|at| at <= until)
+        self.asking.has_hope(now) || refill.is_some_and(|at| at <= until)
     }
 
     /// Removes a waiting request whose caller has left.
     pub fn abandon(&mut self, id: W) {
         self.waiting.retain(|waiter| waiter.id != id);
-        self.asked = self.asked.min(self.waiting.len());
+        self.asking.forget_beyond(self.waiting.len());
     }
 
     pub fn is_waiting(&self) -> bool {
@@ -188,33 +181,96 @@
         max.mul_f64(0.5 + 0.5 * (f64::from(self.refused) * GOLDEN_RATIO).fract())
     }
 
-    /// When a decision on a waiting request is due, or the coordinator has to be asked for tokens.
+    /// When a decision on a waiting request or a question is due.
     pub fn due_at(&self, now: Time) -> Option<Time> {
         let until = self.waiting.iter().map(|waiter| waiter.until).min()?;
         let refill = self.bucket.time_of(1, &self.limit, now);
         let refill = refill.unwrap_or(until);
-        Some(until.min(refill).min(self.asks_at()))
+        let question = self.asking.due_at(self.waiting.len());
+        Some(until.min(refill).min(question))
+    }
+
+    /// Whom to ask for tokens now.
+    pub fn source(&mut self, has_deputy: impl Fn(usize) -> bool, now: Time) -> Option<Source> {
+        if self.waiting.is_empty() || self.asking.due_at(self.waiting.len()) > now {
+            return None;
+        }
+        let is_dense = self.is_dense(now);
+        Some(self.asking.choose(is_dense, has_deputy, now))
+    }
+
+    /// Asks a deputy; returns for how many tokens.
+    pub fn wish(&mut self, now: Time) -> u32 {
+        self.asking.ask(self.waiting.len(), now)
+    }
+
+    /// Lends tokens to another node. Its requests count as demand of this one, so that it is granted a
+    /// rate for them.
+    pub fn lend(&mut self, wanted: u32, now: Time) -> u32 {
+        self.last_request_at = now;
+        let wanted = wanted.min(MAX_LENT);
+        self.bucket.fill(&self.limit, now);
+        for _ in 0..wanted {
+            self.demand.record(now);
+        }
+        let tokens = wanted.min(self.bucket.tokens());
+        self.bucket.take(tokens);
+        tokens
     }
 
-    /// Whether the coordinator has to be asked for tokens.
-    pub fn asks(&self, now: Time) -> bool {
-        self.is_waiting() && self.asks_at() <= now
+    /// Admits waiting requests with tokens that a deputy has lent; tokens beyond those are lost.
+    pub fn accept(&mut self, loan: &Loan, now: Time, decisions: &mut Vec<Decision<W>>) {
+        let Wish {
+            sequence,
+            sent_at,
+            wanted,
+            ..
+        } = loan.wish;
+        let is_late = now < sent_at || now >= sent_at + LOAN_LIFETIME;
+        if is_late || sequence <= self.last_loan {
+            return;
+        }
+        self.last_loan = sequence;
+        let missing = wanted.saturating_sub(loan.tokens);
+        let by = Source::Deputy(0);
+        self.asking.answered(by, wanted, missing, now);
+        for _ in 0..loan.tokens {
+            let Some(waiter) = self.waiting.pop_front() else {
+                return;
+            };
+            let id = waiter.id;
+            let result = Ok(self.token(now));
+            decisions.push(Decision { id, result });
+        }
     }
 
-    fn asks_at(&self) -> Time {
-        let is_new = self.waiting.len() > self.asked;
-        let after = if is_new { MIN_INTERVAL } else { ANSWER_TIME };
-        (self.asked_at + after).max(self.denied_until)
+    /// Whether this node sees enough demand to be granted a rate.
+    fn is_dense(&self, now: Time) -> bool {
+        let dense = self.limit.dense_milli() as f64 / 1e3;
+        let has_rate = self
+            .bucket
+            .grant(now)
+            .is_some_and(|grant| grant.rate_milli > 0);
+        let least = if has_rate { dense / 2.0 } else { dense };
+        self.demand.per_s(now) >= least
     }
 
     /// Whether the account belongs into the regular report.
     pub fn is_reported(&self, now: Time) -> bool {
         let grant = self.bucket.grant(now);
         grant.is_some_and(|grant| grant.rate_milli > 0)
-            || self.demand.per_s(now) >= REPORTED_PER_S
+            || self.is_dense(now)
             || self.bucket.tokens() > 0
     }
 
+    fn token(&mut self, now: Time) -> Token {
+        self.served.record(now);
+        Token {
+            account: self.account,
+            expires_at: now + HOLD_TIME,
+        }
+    }
+
     pub fn is_forgotten(&self, now: Time) -> bool {
         self.waiting.is_empty() && now.saturating_sub(self.last_request_at) > FORGET_TIME
     }
@@ -222,13 +278,10 @@
     /// What to report; tokens that are given back leave the bucket.
     pub fn demand(&mut self, account: u64, now: Time) -> Demand {
         self.bucket.fill(&self.limit, now);
-        let is_lost = now >= self.asked_at + ANSWER_TIME;
-        let in_flight = if is_lost { 0 } else { self.asked };
-        let wanted = self.waiting.len().saturating_sub(in_flight);
-        if wanted > 0 {
-            self.asked = in_flight + wanted;
-            self.asked_at = now;
-        }
+        let wanted = match self.asking.source() {
+            Source::Coordinator => self.asking.ask(self.waiting.len(), now),
+            Source::Deputy(_) => 0,
+        };
         let held = self
             .bucket
             .grant(now)
@@ -237,10 +290,15 @@
                 bucket: grant.bucket,
                 remaining: self.bucket.expires_at() - now,
             });
-        let demand_milli = (self.demand.per_s(now) * 1e3) as u64;
+        // The demand of other nodes is reported by the deputies that they ask.
+        let demand_milli = if self.is_dense(now) {
+            (self.demand.per_s(now) * 1e3) as u64
+        } else {
+            0
+        };
         let ahead = if wanted > 0 {
             let lacking = demand_milli.saturating_sub(held.rate_milli) as f64 / 1e3;
-            (lacking * DENIED_INTERVAL.as_secs_f64()) as u32
+            (lacking * DENIED_TIME.as_secs_f64()) as u32
         } else {
             0
         };
@@ -254,7 +312,7 @@
         Demand {
             account,
             rate_milli: demand_milli,
-            wanted: u32::try_from(wanted).unwrap_or(u32::MAX),
+            wanted,
             ahead,
             returned,
             applied: self.applied,
@@ -270,9 +328,7 @@
         }
         self.applied = sequence;
         self.bucket.apply(grant, expires_at, &self.limit, now);
-        self.asked = self.asked.saturating_sub(grant.wanted as usize);
-        if grant.missing > 0 {
-            self.denied_until = now + DENIED_INTERVAL;
-        }
+        let by = Source::Coordinator;
+        self.asking.answered(by, grant.wanted, grant.missing, now);
     }
 }
--- a/fulmarreel-quota/src/message.rs
+++ b/fulmarreel-quota/src/message.rs
@@ -60,6 +60,30 @@
     pub grants: Vec<Grant>,
 }
 
+/// A node's question to a deputy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wish {
+    /// When the asking process started, in milliseconds since the Unix epoch.
+    pub boot: u64,
+    /// Number of the question; rises with each report and question of a process.
+    pub sequence: u32,
+    /// When the question was sent, on the sender's clock; the answer repeats it.
+    pub sent_at: Time,
+    /// Hash of the account's name.
+    pub account: u64,
+    /// Requests that wait for a token.
+    pub wanted: u32,
+}
+
+/// A deputy's answer. Its tokens are for requests that wait, and cannot be kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Loan {
+    /// The question.
+    pub wish: Wish,
+    /// Tokens that are handed over.
+    pub tokens: u32,
+}
+
 /// A grant to one node for one account; replaces the earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Grant {
--- a/fulmarreel-wire/src/notice.rs
+++ b/fulmarreel-wire/src/notice.rs
@@ -53,6 +53,10 @@
     QuotaAnswer(QuotaAnswer),
     /// The sender has become the coordinator of quotas, with a key that was created at this store revision.
     QuotaCoordinator(u64),
+    /// A question for tokens of an account, to one of its deputies.
+    QuotaWish(QuotaWish),
+    /// The deputy's answer.
+    QuotaLoan(QuotaLoan),
 }
 
 /// Whether and how recently a node read the store.
@@ -187,6 +191,30 @@
     pub grants: Vec<QuotaGrant>,
 }
 
+/// A question for tokens of an account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaWish {
+    /// When the sending process started, in milliseconds since the Unix epoch.
+    pub boot: u64,
+    /// Number of the question among the reports and questions of the process.
+    pub sequence: u32,
+    /// The time of sending in milliseconds, on a clock of the sender; the answer repeats it.
+    pub sent_ms: u64,
+    /// Hash of the account's name.
+    pub account: u64,
+    /// Tokens that are wanted.
+    pub wanted: u32,
+}
+
+/// The answer to a question for tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaLoan {
+    /// The question.
+    pub wish: QuotaWish,
+    /// Tokens that are handed over.
+    pub tokens: u32,
+}
+
 /// A grant for one account.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaGrant {
