--- a/fulmarreel-balance/src/overload/queue.rs
+++ b/fulmarreel-balance/src/overload/queue.rs
@@ -72,6 +72,8 @@
 /// What an arrival changes.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Arrival<T> {
+    /// The class that the request was treated as: its own, unless its account is starved.
+    pub class: Class,
     /// What happens to the request that arrived.
     pub decision: Decision<T>,
     /// Requests that waited until now and are not run.
@@ -150,16 +152,16 @@
             let lane = self.lanes.entry(request.class).or_default();
             lane.charge(account, weight);
             self.record_end(now, request.class, account, weight, true);
-            return Decision::Admitted(handle).into();
+            return Arrival::new(request.class, Decision::Admitted(handle));
         }
         if let Err(cause) = self.check(now, &request) {
             self.record_end(now, request.class, account, weight, false);
-            return Decision::Refused(handle, cause).into();
+            return Arrival::new(request.class, Decision::Refused(handle, cause));
         }
         let key = self.insert(now, &request, handle);
         Arrival {
-            decision: Decision::Queued(key),
             displaced: self.displace(now),
+            ..Arrival::new(request.class, Decision::Queued(key))
         }
     }
 
@@ -364,9 +366,10 @@
     }
 }
 
-impl<T> From<Decision<T>> for Arrival<T> {
-    fn from(decision: Decision<T>) -> Self {
+impl<T> Arrival<T> {
+    fn new(class: Class, decision: Decision<T>) -> Self {
         Self {
+            class,
             decision,
             displaced: Vec::new(),
         }
--- a/fulmarreel-node/src/mesh/serve/order.rs
+++ b/fulmarreel-node/src/mesh/serve/order.rs
@@ -22,9 +22,6 @@
 /// The identifier of requests without an account in the queue.
 const NO_ACCOUNT: u64 = 0;
 
-/// The priority of requests without an account, as of accounts without a priority.
-const LOWEST_PRIORITY: u8 = u8::MAX;
-
 /// The cause of a refusal because calls of such runs are refused elsewhere.
 const THROTTLED: &str = "throttled";
 
@@ -35,19 +32,22 @@
 #[derive(Debug, Default)]
 pub(super) struct Orders {
     origins: Mutex<Origins>,
-    default_weight: Mutex<DefaultWeight>,
+    default_account: Mutex<Option<DefaultAccount>>,
     pub feedback: Feedback,
 }
 
 /// The route of new work that runs; its end is told to the [`Feedback`].
 pub(super) type NewRun = Arc<Entry>;
 
-/// The weight of accounts without a quota.
-#[derive(Debug, Default)]
-struct DefaultWeight {
-    /// The revision of the configuration that it was calculated for.
-    revision: Option<u64>,
+/// What is assumed of requests without an account, and of accounts without a quota.
+#[derive(Debug, Clone, Copy)]
+struct DefaultAccount {
+    /// The revision of the configuration that this was calculated for.
+    revision: u64,
+    /// The mean quota per second.
     weight: f64,
+    /// The priority of the least urgent account.
+    priority: u8,
 }
 
 /// Whether a configuration calls for the order by class and account.
@@ -76,7 +76,7 @@
                 self.reject_in_order(open, kind, THROTTLED, Refusal::Overloaded, retry_after)
             })?;
         }
-        let result = self.slot_queue.acquire_classed(request).await;
+        let (kind, result) = self.slot_queue.acquire_classed(request).await;
         metrics::slot_waited(kind.name(), arrived.elapsed(), result.is_ok());
         let permit = result.map_err(|refusal| {
             let cause = refusal.cause.map_or(EXPIRED, Cause::name);
@@ -142,16 +142,17 @@
         let route_priority = route.map_or(open.rank, |route| route.priority);
         let is_internal = account.is_none()
             && route.is_some_and(|route| self.is_internal(now, open, route, &table.accounts));
+        let default = self.default_account(table);
         let class = if is_internal {
             Class::internal(route_priority)
         } else {
-            let priority = account.map_or(LOWEST_PRIORITY, |account| account.priority);
+            let priority = account.map_or(default.priority, |account| account.priority);
             Class::new_work(priority, route_priority)
         };
         Request {
             class,
             account: account.map_or(NO_ACCOUNT, |account| xxh3_64(account.name.as_bytes())),
-            weight: self.weight(account.map(AsRef::as_ref), table),
+            weight: weight(account.map(AsRef::as_ref), &default),
             deadlines,
         }
     }
@@ -167,27 +168,40 @@
         origins.record(now, &route.name, service, hint)
     }
 
-    /// An account's weight is its quota, so that under overload all accounts are served the same fraction
-    /// of what they may send. Accounts without a quota have the mean weight of the others.
-    fn weight(&self, account: Option<&Account>, table: &Table) -> f64 {
-        if let Some(quota) = account.and_then(|account| account.quota) {
-            return quota.rate_per_s;
-        }
-        let mut default = self.default_weight.lock().expect("weight lock");
-        if default.revision != Some(table.revision) {
-            default.revision = Some(table.revision);
-            default.weight = mean_rate(&table.accounts).unwrap_or(DEFAULT_WEIGHT);
+    fn default_account(&self, table: &Table) -> DefaultAccount {
+        let mut default = self.default_account.lock().expect("default account lock");
+        let known = default.filter(|default| default.revision == table.revision);
+        *default.insert(known.unwrap_or_else(|| DefaultAccount::new(table)))
+    }
+}
+
+impl DefaultAccount {
+    fn new(table: &Table) -> Self {
+        let accounts = || table.accounts.iter();
+        let quotas = accounts().filter_map(|account| account.quota);
+        let (sum, count) = quotas.fold((0.0, 0), |(sum, count), quota| {
+            (sum + quota.rate_per_s, count + 1)
+        });
+        Self {
+            revision: table.revision,
+            weight: if count > 0 {
+                sum / f64::from(count)
+            } else {
+                DEFAULT_WEIGHT
+            },
+            priority: accounts()
+                .map(|account| account.priority)
+                .max()
+                .unwrap_or_default(),
         }
-        default.weight
     }
 }
 
-fn mean_rate(accounts: &Accounts) -> Option<f64> {
-    let quotas = accounts.iter().filter_map(|account| account.quota);
-    let (sum, count) = quotas.fold((0.0, 0), |(sum, count), quota| {
-        (sum + quota.rate_per_s, count + 1)
-    });
-    (count > 0).then(|| sum / f64::from(count))
+/// An account's weight is its quota, so that under overload all accounts are served the same fraction of
+/// what they may send.
+fn weight(account: Option<&Account>, default: &DefaultAccount) -> f64 {
+    let quota = account.and_then(|account| account.quota);
+    quota.map_or(default.weight, |quota| quota.rate_per_s)
 }
 
 /// The first value of a header that is UTF-8.
--- a/fulmarreel-node/src/serve/slot_queue.rs
+++ b/fulmarreel-node/src/serve/slot_queue.rs
@@ -3,7 +3,7 @@
 use super::slots::{Grantor, Leaving, Slots};
 use fulmarreel_balance::{
     admission::{Admission, AdmissionOutcome, Dequeued, QueueDeadlines, QueueKey},
-    overload::{Arrival, Cause, Decision, Key, Released, Request},
+    overload::{Arrival, Cause, Decision, Key, Kind, Released, Request},
 };
 use fulmarreel_wire::call::Refusal;
 use smol::{
@@ -127,15 +127,13 @@
         }
     }
 
-    /// Waits for a slot in the order of classes and accounts.
+    /// Waits for a slot in the order of classes and accounts. Also returns what the request was treated as.
     ///
-    /// # Errors
-    ///
-    /// The request gets no slot in time.
+    /// The result is an error if the request gets no slot in time.
     pub async fn acquire_classed(
         self: &Arc<Self>,
         request: Request,
-    ) -> Result<Permit, ClassedRefusal> {
+    ) -> (Kind, Result<Permit, ClassedRefusal>) {
         let (sender, receiver) = bounded(1);
         let now = Instant::now();
         let (arrival, mut leaving) = {
@@ -143,15 +141,21 @@
             slots.with_classed(now, |queue| queue.admit(now, request, sender))
         };
         let Arrival {
+            class,
             decision,
             displaced,
         } = arrival;
         leaving.displaced = displaced;
         self.release(leaving, now);
         let key = match decision {
-            Decision::Admitted(_) => return Ok(self.permit(Grantor::Classed, now)),
+            Decision::Admitted(_) => {
+                return (class.kind, Ok(self.permit(Grantor::Classed, now)));
+            }
             Decision::Refused(_, cause) => {
-                return Err(self.refusal(Refusal::Overloaded, Some(cause)));
+                return (
+                    class.kind,
+                    Err(self.refusal(Refusal::Overloaded, Some(cause))),
+                );
             }
             Decision::Queued(key) => key,
         };
@@ -166,10 +170,11 @@
         };
         let result = or(granted, expired).await;
         drop(queued);
-        result.map_err(|reason| {
+        let result = result.map_err(|reason| {
             let is_displaced = reason == Refusal::Overloaded;
             self.refusal(reason, is_displaced.then_some(Cause::Displaced))
-        })
+        });
+        (class.kind, result)
     }
 
     /// The refusal of a request now, with the delay after which it is told to come back.
