--- a/fulmarreel-distribution/tests/mirror.rs
+++ b/fulmarreel-distribution/tests/mirror.rs
@@ -1,6 +1,7 @@
 //! A node's copy of the store.
 
 mod mirror {
+    mod era;
     mod exchange;
     mod schedule;
 }
--- a/fulmarreel-node/src/mesh/era/mod.rs
+++ b/fulmarreel-node/src/mesh/era/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! Such a store names a later era ([`fulmarreel_platform::store::era`]). Nodes and operators write again
 //! what it lacks; until then [`nodes`] keeps the entries of nodes in force and targets that have left
-//! out, and [`rollouts`] keeps the outcomes of rollouts.
+//! out, [`rollouts`] keeps the outcomes of rollouts, and [`zones`] the evacuations.
 
 pub mod nodes;
 pub mod rollouts;
+pub mod zones;
 
 use fulmarreel_platform::store::{Era, era::Stamp};
 use fulmarreel_store::Revision;
--- a/fulmarreel-node/src/mesh/takeover/driver.rs
+++ b/fulmarreel-node/src/mesh/takeover/driver.rs
@@ -4,6 +4,7 @@
 use super::{
     Rollouts, messages,
     owner::{self, Claim, Ownership},
+    ranking::NodeRankings,
     rewrite::{self, Rewrites},
 };
 use crate::mesh::{
@@ -23,7 +24,6 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// How often the rollouts are checked for work that is due.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -71,34 +71,6 @@
     start: Instant,
 }
 
-/// The order in which nodes claim each rollout, computed once per service and view.
-#[derive(Default)]
-struct NodeRankings {
-    view: Arc<View>,
-    nodes_by_service: HashMap<String, Vec<SocketAddr>>,
-}
-
-impl NodeRankings {
-    /// All nodes, best rank first.
-    fn for_service(&mut self, view: &Arc<View>, service: &str) -> &[SocketAddr] {
-        if !Arc::ptr_eq(&self.view, view) {
-            self.view = Arc::clone(view);
-            self.nodes_by_service.clear();
-        }
-        let nodes = self.nodes_by_service.entry(service.to_owned());
-        nodes.or_insert_with(|| rank_nodes(view, service))
-    }
-}
-
-/// Ranks all nodes for a service by rendezvous hashing.
-fn rank_nodes(view: &View, service: &str) -> Vec<SocketAddr> {
-    let seed = xxh3_64(service.as_bytes());
-    let score = |node: &SocketAddr| xxh3_64_with_seed(node.to_string().as_bytes(), seed);
-    let mut nodes: Vec<SocketAddr> = view.nodes.iter().map(|node| node.0).collect();
-    nodes.sort_by_cached_key(|node| std::cmp::Reverse(score(node)));
-    nodes
-}
-
 /// Advances all rollouts until the process ends.
 pub async fn run(context: Arc<Context>, rollouts: Arc<Rollouts>, notices: Arc<NoticeSocket>) {
     let mut driver = RolloutDriver {
@@ -346,7 +318,7 @@
         {
             Some(true) => self.rollouts.finish(service, state),
             Some(false) => {
-                self.owned.remove(service);
+                self.release(service);
                 self.rollouts.with(service, |local_rollout| {
                     local_rollout.member.lose_ownership();
                 });
--- a/fulmarreel-node/src/mesh/takeover/mod.rs
+++ b/fulmarreel-node/src/mesh/takeover/mod.rs
@@ -8,6 +8,7 @@
 mod driver;
 mod messages;
 mod owner;
+mod ranking;
 mod rewrite;
 
 pub use driver::run;
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -3,7 +3,7 @@
 
 pub use super::era::rollouts::Rollout;
 use super::{
-    era::{self, nodes::FormerNodes},
+    era::{self, nodes::FormerNodes, zones::HeldZones},
     keys::{self, Node},
 };
 use crate::telemetry::metrics;
@@ -69,7 +69,11 @@
     is_known: bool,
     /// What an earlier era of the store had of nodes, once there was one.
     pub former_nodes: Option<Arc<FormerNodes>>,
-    /// Until when entries of nodes of an earlier era are in force, if any are.
+    /// Evacuations that only an earlier era of the store had.
+    held_zones: HeldZones,
+    /// The store revision up to which it is complete.
+    revision: u64,
+    /// Until when something of an earlier era is in force that is not in the store.
     pub held_until: Option<Instant>,
     /// The revision of a configuration that is left out because its version is lower than the active
     /// one's.
@@ -88,11 +92,12 @@
         former_nodes: Option<Arc<FormerNodes>>,
     ) -> Self {
         let mut view = Self {
-            evacuated_zones: evacuated_zones(mirror, last),
             is_known: true,
             former_nodes,
+            revision: mirror.revision(),
             ..Self::default()
         };
+        view.add_evacuated_zones(mirror, last, Instant::now());
         view.table = view.active_table(mirror, last);
         let table = view.table.as_deref();
         view.restricts_regions = table.is_some_and(Table::has_allowed_regions);
@@ -122,14 +127,28 @@
         self.is_known && !self.evacuated_zones.contains(zone)
     }
 
+    fn add_evacuated_zones(&mut self, mirror: &Mirror, last: &Self, now: Instant) {
+        let orders = mirror.items_under_prefix(evacuation::ORDERS);
+        let mut zones: BTreeSet<String> = orders.map(|(zone, _)| zone.to_owned()).collect();
+        self.held_zones = last.held_zones.clone();
+        if era::of(mirror.revision()) > era::of(last.revision) {
+            self.held_zones.hold(&last.evacuated_zones, now);
+        }
+        self.held_zones.release(&zones, now);
+        zones.extend(self.held_zones.zones().cloned());
+        log_evacuated_zones(&zones, &last.evacuated_zones);
+        self.evacuated_zones = zones;
+    }
+
     fn add_nodes(&mut self, mirror: &Mirror, own: Location<'_>, last: &Self) {
         let former = self.former_nodes.clone();
         let former = former.as_deref();
         let held = former.map(|former| former.in_force(mirror, Instant::now()));
         let held = held.unwrap_or_default();
-        self.held_until = former
-            .filter(|_| !held.is_empty())
-            .map(|former| former.held_until);
+        let held_until = former.filter(|_| !held.is_empty());
+        let held_until = held_until.map(|former| former.held_until);
+        let releases = [held_until, self.held_zones.next_release()];
+        self.held_until = releases.into_iter().flatten().min();
         for (instance, item) in mirror.items_under_prefix(keys::NODES) {
             if held.contains_key(instance) {
                 continue;
@@ -292,15 +311,12 @@
     order::decode_outcome(&item.value).ok()
 }
 
-/// The zones that are evacuated; logs which ones were not, or are not any more.
-fn evacuated_zones(mirror: &Mirror, last: &View) -> BTreeSet<String> {
-    let orders = mirror.items_under_prefix(evacuation::ORDERS);
-    let zones: BTreeSet<String> = orders.map(|(zone, _)| zone.to_owned()).collect();
-    for zone in zones.difference(&last.evacuated_zones) {
+/// Logs which zones were not evacuated before, or are not any more.
+fn log_evacuated_zones(zones: &BTreeSet<String>, last: &BTreeSet<String>) {
+    for zone in zones.difference(last) {
         log::info!(zone = zone.as_str(); "zone evacuated");
     }
-    for zone in last.evacuated_zones.difference(&zones) {
+    for zone in last.difference(zones) {
         log::info!(zone = zone.as_str(); "zone taken back");
     }
-    zones
 }
--- a/fulmarreel-node/tests/mesh/restored.rs
+++ b/fulmarreel-node/tests/mesh/restored.rs
@@ -7,7 +7,7 @@
 use anyhow::ensure;
 use fulmarreel_testing::kv::{FakePlatformStore, Faults};
 use rstest::rstest;
-use smol::Timer;
+use smol::{Timer, lock::Mutex};
 use std::{
     collections::BTreeMap,
     time::{Duration, Instant},
@@ -35,6 +35,9 @@
 /// store, a listing and its watches.
 const MAX_CALLS_PER_NODE: u64 = 16;
 
+/// Held by each test, so that they don't slow each other down.
+static DEPLOYMENT_LOCK: Mutex<()> = Mutex::new(());
+
 /// Takes the store away, and lets it come back as it was `age` before.
 async fn go_back(store: &FakePlatformStore, age: Duration) -> Instant {
     store.set_faults(Faults {
@@ -105,6 +108,7 @@
 #[case::copy_with_outdated_entries(false)]
 fn a_fleet_serves_on_and_writes_its_entries_again(#[case] is_empty: bool) -> anyhow::Result<()> {
     smol::block_on(async {
+        let _lock = DEPLOYMENT_LOCK.lock().await;
         let store = FakePlatformStore::start_with_eras()?;
         configure(&store, 1, &["s", "own"]);
         let caller = Instance::start(store.address(), "own", "v1").await?;
@@ -162,6 +166,7 @@
 #[case::written(false)]
 fn a_removed_route_stays_removed(#[case] is_copied: bool) -> anyhow::Result<()> {
     smol::block_on(async {
+        let _lock = DEPLOYMENT_LOCK.lock().await;
         let store = FakePlatformStore::start_with_eras()?;
         configure(&store, 7, &["s", "own", "t"]);
         let caller = Instance::start(store.address(), "own", "v1").await?;
@@ -200,6 +205,7 @@
     #[values(true, false)] is_order_copied: bool,
 ) -> anyhow::Result<()> {
     smol::block_on(async {
+        let _lock = DEPLOYMENT_LOCK.lock().await;
         let store = FakePlatformStore::start_with_eras()?;
         configure(&store, 1, &["s", "own"]);
         let caller = Instance::start(store.address(), "own", "v1").await?;
@@ -267,6 +273,7 @@
     #[values(true, false)] is_owner_copied: bool,
 ) -> anyhow::Result<()> {
     smol::block_on(async {
+        let _lock = DEPLOYMENT_LOCK.lock().await;
         let store = FakePlatformStore::start_with_eras()?;
         configure(&store, 1, &["s", "own"]);
         let caller = Instance::start(store.address(), "own", "v1").await?;
@@ -319,6 +326,7 @@
 #[test]
 fn a_target_that_has_left_stays_out() -> anyhow::Result<()> {
     smol::block_on(async {
+        let _lock = DEPLOYMENT_LOCK.lock().await;
         let store = FakePlatformStore::start_with_eras()?;
         configure(&store, 1, &["s", "own"]);
         let caller = Instance::start(store.address(), "own", "v1").await?;
@@ -357,3 +365,51 @@
         Ok(())
     })
 }
+
+/// Fails if targets of an evacuated zone get requests because the store lost the evacuation, before the
+/// operator has written it again, or after that; or if the zone stays evacuated when that is removed.
+#[test]
+fn an_evacuated_zone_stays_evacuated() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let _lock = DEPLOYMENT_LOCK.lock().await;
+        let store = FakePlatformStore::start_with_eras()?;
+        configure(&store, 1, &["s", "own"]);
+        let other = Location {
+            region: "r",
+            zone: "b",
+        };
+        let caller = Instance::start(store.address(), "own", "v1").await?;
+        let _stays = Instance::start(store.address(), "s", "v1").await?;
+        let evacuated = Instance::start_at(other, store.address(), "s", "v1").await?;
+        caller.wait_served("/s/").await?;
+        wait_entries(&store, 3).await?;
+        Timer::after(COPY_TIME).await;
+        let ordered = Instant::now();
+        store.put("op/evacuate/b", b"{}");
+        Timer::after(RETURN_LIMIT).await;
+        let arrivals = evacuated.backend.arrivals().len();
+        go_back(&store, ordered.elapsed() + COPY_TIME / 2).await;
+        ensure!(store.get("op/evacuate/b").is_none(), "nothing was lost");
+        let refused = || async {
+            let answer = evacuated.request("GET", "/s/", "r").await?;
+            ensure!(answer.status == 200, "{}", answer.text);
+            ensure!(evacuated.backend.arrivals().len() == arrivals, "arrived");
+            anyhow::Ok(())
+        };
+        for _ in 0..20 {
+            refused().await?;
+            Timer::after(COPY_TIME).await;
+        }
+        store.put("op/evacuate/b", b"{}");
+        for _ in 0..10 {
+            refused().await?;
+            Timer::after(COPY_TIME).await;
+        }
+        store.remove("op/evacuate/b");
+        eventually("back", || async {
+            let _ = evacuated.request("GET", "/s/", "r").await;
+            evacuated.backend.arrivals().len() > arrivals
+        })
+        .await
+    })
+}
