feat(mesh): long request bodies over a narrow link are sent in turns, when the target's node accepts them

A body of more than one chunk is now announced, and sent when the target's node grants credit; about 100 ms of the link are under way at a time. A refused upload no longer crosses the link. Large responses wait for their turn in the same way.

--- a/fulmarreel-balance/src/lib.rs
+++ b/fulmarreel-balance/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod overload;
 pub mod placement;
 pub mod speed;
+pub mod transfers;
 pub mod uneven;
 pub mod zones;
 
--- a/fulmarreel-balance/src/link.rs
+++ b/fulmarreel-balance/src/link.rs
@@ -54,6 +54,11 @@
         self.bytes_per_s = bytes_per_s.max(1.0) * PAYLOAD_FRACTION;
     }
 
+    /// The time until everything that was handed to the link has crossed it.
+    pub fn under_way(&self, now: Instant) -> Duration {
+        self.free_at.saturating_duration_since(now)
+    }
+
     /// The time until everything that was handed to the link or is expected has crossed it.
     pub fn backlog(&self, now: Instant) -> Duration {
         self.free_at.saturating_duration_since(now) + self.time_of(self.expected)
--- a/fulmarreel-node/src/ingress/exchange.rs
+++ b/fulmarreel-node/src/ingress/exchange.rs
@@ -271,7 +271,7 @@
                 Event::State(call::State::Running | call::State::Answered) if cancelled => {
                     return Ok(CallOutcome::failed_at_target("the deadline passed"));
                 }
-                Event::State(call::State::Running | call::State::Answered) => {}
+                Event::State(call::State::Running | call::State::Answered) | Event::Credit(_) => {}
                 Event::Refused(refused) => {
                     pending.ended = true;
                     return Ok(self.refusal_outcome(refused.reason));
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -132,6 +132,7 @@
                 target: &target,
                 own: self.context.settings().peer_address,
                 credential: request.credential,
+                is_bulk: request.route.is_bulk,
                 deadline: request.deadline,
             };
             let crossing = match self.expect_crossing(&view, request, &target) {
--- a/fulmarreel-node/src/mesh/exchange.rs
+++ b/fulmarreel-node/src/mesh/exchange.rs
@@ -15,7 +15,9 @@
     peer::{Connection, Event, Pool},
     serve::session::WholeResponse,
 };
-use fulmarreel_wire::call::{self, Chunk, Failure, Frame, Head, Open, Refusal, chunks};
+use fulmarreel_wire::call::{
+    self, Chunk, Failure, Frame, Head, MAX_CHUNK_BYTES, Open, Refusal, chunks,
+};
 use smol::{Timer, channel::Receiver, future::or};
 use std::{
     net::SocketAddr,
@@ -29,6 +31,10 @@
 /// How long past its deadline a request waits for the target's node to tell its outcome.
 const DEADLINE_SLACK: Duration = Duration::from_millis(60);
 
+/// How long a long body waits for the target's node to say whether it accepts it. Over the longest path,
+/// with the node's tasks delayed, the reply takes a fraction of this.
+const CREDIT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// How long to wait for the reply to a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -78,6 +84,8 @@
     pub own: SocketAddr,
     /// The API key by which the request was authenticated, if it needed one.
     pub credential: Option<&'a Credential>,
+    /// Whether the request's route has large bodies.
+    pub is_bulk: bool,
     /// When the caller stops waiting for the request.
     pub deadline: Instant,
 }
@@ -235,18 +243,62 @@
     async fn send(&self, connection: Arc<Connection>, open: &Open, body: &[u8]) -> WaitResult {
         let sequence = open.sequence;
         let events = connection.register(sequence);
-        let pending = PendingRequest {
+        let mut pending = PendingRequest {
             connection: Arc::clone(&connection),
             sequence,
             has_ended: false,
         };
         connection.send(Frame::Open(open.clone())).await;
+        if self.awaits_credit(body)
+            && let Some(outcome) = self.await_credit(&mut pending, &events).await
+        {
+            return WaitResult::Ended(outcome);
+        }
         for chunk in chunks(sequence, body) {
             connection.send(Frame::Chunk(chunk)).await;
         }
         self.await_outcome(pending, &events, false).await
     }
 
+    /// Whether the target's node is asked before a body is sent: that of a bulk route, if it is long.
+    fn awaits_credit(&self, body: &[u8]) -> bool {
+        self.is_bulk && body.len() > MAX_CHUNK_BYTES
+    }
+
+    /// Waits until the target's node accepts the body; returns the outcome if it does not. Nothing runs
+    /// without its whole body. A node that says nothing may have another configuration: it gets the body
+    /// unasked.
+    async fn await_credit(
+        &self,
+        pending: &mut PendingRequest,
+        events: &Receiver<Event>,
+    ) -> Option<AttemptOutcome> {
+        let mut until = (Instant::now() + CREDIT_TIMEOUT).min(self.deadline);
+        loop {
+            let timeout = async {
+                Timer::at(until).await;
+                None
+            };
+            match or(async { events.recv().await.ok() }, timeout).await {
+                Some(Event::Credit(0)) => until = self.deadline,
+                Some(Event::Refused(frame)) => {
+                    pending.has_ended = true;
+                    let retry_after = Duration::from_millis(u64::from(frame.retry_after_ms));
+                    return Some(refused(frame.reason, retry_after));
+                }
+                Some(Event::Lost { .. }) => {
+                    pending.has_ended = true;
+                    return Some(refused(Refusal::Unreachable, Duration::ZERO));
+                }
+                Some(_) => return None,
+                None if Instant::now() >= self.deadline => {
+                    return Some(refused(Refusal::Deadline, Duration::ZERO));
+                }
+                None => return None,
+            }
+        }
+    }
+
     /// Queries the outcome of a request over a new connection to the same process.
     async fn query_outcome(&self, sequence: u64, peer_started_at_ms: u64) -> AttemptOutcome {
         let until = (Instant::now() + QUERY_TIMEOUT).min(self.deadline);
@@ -319,7 +371,7 @@
                 Event::State(_) if cancelled => {
                     return end(&mut pending, failed(Failure::Deadline));
                 }
-                Event::State(_) => {}
+                Event::State(_) | Event::Credit(_) => {}
                 Event::Refused(frame) => {
                     let retry_after = Duration::from_millis(u64::from(frame.retry_after_ms));
                     return end(&mut pending, refused(frame.reason, retry_after));
--- a/fulmarreel-node/src/mesh/links.rs
+++ b/fulmarreel-node/src/mesh/links.rs
@@ -5,8 +5,13 @@
 
 use super::context::Context;
 use crate::telemetry::metrics;
-use fulmarreel_balance::link::{Body, Link};
+use fulmarreel_balance::{
+    link::{Body, Link},
+    transfers::Transfers,
+};
 use fulmarreel_route::Route;
+use fulmarreel_wire::call::Frame;
+use smol::{Timer, channel::Sender};
 use std::{
     collections::HashMap,
     sync::{
@@ -19,6 +24,10 @@
 /// The bandwidth below which a link counts as a capacity: 100 Mbit/s.
 const NARROW_BYTES_PER_S: f64 = 12_500_000.0;
 
+/// Large bodies are under way to this machine, or handed to its link, for as many bytes as it carries in
+/// this time. Small requests wait that long behind them at most.
+const MAX_UNDER_WAY: Duration = Duration::from_millis(100);
+
 /// The expected size of a large body on a route that has had none.
 const DEFAULT_BULK_BYTES: f64 = 65_536.0;
 
@@ -53,6 +62,7 @@
     context: Arc<Context>,
     incoming: Mutex<Link>,
     outgoing: Mutex<Link>,
+    uploads: Mutex<Uploads>,
     /// The mean size of response bodies by route, in bytes.
     response_bytes: Mutex<HashMap<String, f64>>,
     /// Whether calls take turns in writing.
@@ -73,7 +83,103 @@
     }
 }
 
+/// The bodies of requests that arrive from other nodes.
+#[derive(Debug)]
+struct Uploads {
+    transfers: Transfers<u64>,
+    next_id: u64,
+    /// The nodes that wait for their turn.
+    waiting: HashMap<u64, Offer>,
+}
+
+impl Default for Uploads {
+    fn default() -> Self {
+        Self {
+            transfers: Transfers::new(0),
+            next_id: 0,
+            waiting: HashMap::new(),
+        }
+    }
+}
+
+/// A body that another node has announced.
+#[derive(Debug)]
+pub struct Offer {
+    /// Identifies the call on its connection.
+    pub sequence: u64,
+    /// The length of the body.
+    pub bytes: u64,
+    /// Frames to the node.
+    pub outgoing: Sender<Frame>,
+}
+
+impl Offer {
+    /// Tells the node how many bytes of the body it may send.
+    fn send_credit(&self, bytes: u64) {
+        let credit = Frame::Credit {
+            sequence: self.sequence,
+            bytes: u32::try_from(bytes).unwrap_or(u32::MAX),
+        };
+        // If the queue is full, the node sends the body unasked after a while.
+        let _ = self.outgoing.try_send(credit);
+    }
+
+    /// Accepts the body.
+    pub fn accept(&self) {
+        self.send_credit(self.bytes);
+    }
+}
+
+/// A body that is under way to this machine or waits for its turn, until dropped.
+#[derive(Debug)]
+pub struct Upload {
+    links: Arc<Links>,
+    id: u64,
+}
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        let mut uploads = self.links.uploads.lock().expect("uploads lock");
+        uploads.waiting.remove(&self.id);
+        for id in uploads.transfers.remove(self.id) {
+            if let Some(offer) = uploads.waiting.remove(&id) {
+                offer.accept();
+            }
+        }
+    }
+}
+
 impl Links {
+    /// Accepts an announced body when its turn has come.
+    pub fn start_upload(self: &Arc<Self>, offer: Offer) -> Upload {
+        let limit = self.context.settings().link_bytes_per_s * MAX_UNDER_WAY.as_secs_f64();
+        let mut uploads = self.uploads.lock().expect("uploads lock");
+        let id = uploads.next_id;
+        uploads.next_id += 1;
+        uploads.transfers.set_limit(limit as u64);
+        if uploads.transfers.add(id, offer.bytes) {
+            offer.accept();
+        } else {
+            offer.send_credit(0);
+            uploads.waiting.insert(id, offer);
+        }
+        let links = Arc::clone(self);
+        Upload { links, id }
+    }
+
+    /// Waits until little enough is under way to other machines for another large body.
+    pub async fn wait_for_turn(&self) {
+        loop {
+            let waits = self
+                .direction(Direction::Outgoing)
+                .under_way(Instant::now());
+            if waits <= MAX_UNDER_WAY {
+                return;
+            }
+            Timer::after(waits - MAX_UNDER_WAY).await;
+        }
+    }
+
     /// The link of the settings, with nothing on it.
     pub fn new(context: Arc<Context>) -> Arc<Self> {
         let link = Link::new(context.settings().link_bytes_per_s, Instant::now());
@@ -81,6 +187,7 @@
             context,
             incoming: Mutex::new(link.clone()),
             outgoing: Mutex::new(link),
+            uploads: Mutex::default(),
             response_bytes: Mutex::default(),
             in_turns: Arc::default(),
         })
--- a/fulmarreel-node/src/mesh/serve/crossing.rs
+++ b/fulmarreel-node/src/mesh/serve/crossing.rs
@@ -2,13 +2,13 @@
 
 use super::{Rejection, Server, request_id};
 use crate::{
-    mesh::links::{Direction, Expected},
+    mesh::links::{Direction, Expected, Offer, Upload},
     serve::link::IncomingConnection,
     telemetry::metrics,
 };
 use fulmarreel_balance::link::Body;
 use fulmarreel_route::Entry;
-use fulmarreel_wire::call::{Open, Refusal};
+use fulmarreel_wire::call::{MAX_CHUNK_BYTES, Open, Refusal};
 use std::{
     collections::HashMap,
     sync::Arc,
@@ -18,7 +18,16 @@
 /// Bodies of one connection that are still arriving, with the time after which they are no longer waited
 /// for.
 #[derive(Debug, Default)]
-pub(super) struct Uploads(HashMap<u64, (Expected, Instant)>);
+pub(super) struct Uploads(HashMap<u64, Arriving>);
+
+/// A body that is still arriving.
+#[derive(Debug)]
+struct Arriving {
+    _expected: Expected,
+    _upload: Option<Upload>,
+    /// When it is no longer waited for.
+    until: Instant,
+}
 
 impl Uploads {
     /// The body of a request has arrived, or never will.
@@ -91,8 +100,19 @@
         if !is_bulk {
             return;
         }
+        let offer = (open.length > MAX_CHUNK_BYTES as u64).then(|| Offer {
+            sequence,
+            bytes: open.length,
+            outgoing: connection.outgoing.clone(),
+        });
+        if !self.links.are_narrow() {
+            if let Some(offer) = offer {
+                offer.accept();
+            }
+            return;
+        }
         let now = Instant::now();
-        uploads.0.retain(|_, (_, until)| *until > now);
+        uploads.0.retain(|_, arriving| arriving.until > now);
         let after_ms = |ms: u32| now + Duration::from_millis(u64::from(ms));
         let work = self.slot_queue.mean_hold_time();
         let deadline = after_ms(open.remaining_ms);
@@ -104,7 +124,14 @@
             deadline: after_ms(open.latest_ms),
         };
         match self.links.expect(Direction::Incoming, &body) {
-            Ok(expected) => _ = uploads.0.insert(sequence, (expected, deadline)),
+            Ok(expected) => {
+                let arriving = Arriving {
+                    _expected: expected,
+                    _upload: offer.map(|offer| self.links.start_upload(offer)),
+                    until: deadline,
+                };
+                uploads.0.insert(sequence, arriving);
+            }
             Err(retry_after) => {
                 self.log_link_refusal(open, Direction::Incoming, &body, retry_after);
                 metrics::call_refused(&open.service, Refusal::Overloaded);
@@ -131,9 +158,12 @@
         );
     }
 
-    /// Records that a response is handed to the link.
-    pub(super) fn send_crossing(&self, crossing: Option<Crossing>, bytes: usize) {
+    /// Records that a response is handed to the link; a large one waits for its turn.
+    pub(super) async fn send_crossing(&self, crossing: Option<Crossing>, bytes: usize) {
         if let Some(crossing) = crossing {
+            if bytes > MAX_CHUNK_BYTES {
+                self.links.wait_for_turn().await;
+            }
             self.links.record_response(&crossing.entry.route, bytes);
             drop(crossing);
             self.links.send(bytes);
--- a/fulmarreel-node/src/mesh/serve/peer.rs
+++ b/fulmarreel-node/src/mesh/serve/peer.rs
@@ -65,7 +65,7 @@
         let mut tcp = BufReader::new(tcp);
         let mut uploads = Uploads::default();
         loop {
-            connection.announces_bodies = self.links.are_narrow();
+            connection.announces_bodies = self.context.view().has_bulk_routes;
             match connection.next(&mut tcp).await? {
                 Event::Announced { sequence } => {
                     self.expect_upload(&mut uploads, connection, sequence);
@@ -120,7 +120,7 @@
                     let mut ledger = session.ledger.lock().expect("ledger lock");
                     ledger.store_response(sequence, Arc::clone(&response), bytes, Instant::now());
                 }
-                self.send_crossing(crossing, response.body.len());
+                self.send_crossing(crossing, response.body.len()).await;
                 session.send(&response).await;
             }
             Some(Err(rejection)) => reject(session, sequence, rejection).await,
--- a/fulmarreel-node/src/peer/connection.rs
+++ b/fulmarreel-node/src/peer/connection.rs
@@ -55,6 +55,8 @@
     Failed(Failed),
     /// The reply to a query or to a cancellation.
     State(State),
+    /// The serving node accepts this many bytes of the request's body; with 0 it has to wait.
+    Credit(u32),
     /// The connection ended.
     Lost {
         /// Whether any byte of the call may have been written.
@@ -69,7 +71,7 @@
             Self::Refused(_) => Some(AbandonedEnd::NotRun),
             Self::Failed(_) => Some(AbandonedEnd::Failed),
             Self::Head(_) => Some(AbandonedEnd::Answered),
-            Self::Chunk(_) | Self::State(_) | Self::Lost { .. } => None,
+            Self::Chunk(_) | Self::State(_) | Self::Credit(_) | Self::Lost { .. } => None,
         }
     }
 }
@@ -323,6 +325,7 @@
             Frame::Refused(refused) => (refused.sequence, Event::Refused(refused)),
             Frame::Failed(failed) => (failed.sequence, Event::Failed(failed)),
             Frame::State { sequence, state } => (sequence, Event::State(state)),
+            Frame::Credit { sequence, bytes } => (sequence, Event::Credit(bytes)),
             Frame::Leaving => return self.leaving.store(true, Ordering::Release),
             Frame::Accepting => return self.leaving.store(false, Ordering::Release),
             Frame::Pong { .. } => return,
--- a/fulmarreel-wire/src/call.rs
+++ b/fulmarreel-wire/src/call.rs
@@ -46,7 +46,8 @@
         /// Its state at the serving node.
         state: State,
     },
-    /// Flow control: the receiver of a streamed response accepts more bytes.
+    /// Flow control: the receiver of a streamed response, or of the announced body of a request, accepts
+    /// more bytes. Without any, the body of the request has to wait.
     Credit {
         /// Identifies the call.
         sequence: u64,
