--- a/fulmarreel-node/src/mesh/quota/claim.rs
+++ b/fulmarreel-node/src/mesh/quota/claim.rs
@@ -72,7 +72,14 @@
         if let Some(lease) = quotas.duty.end_if_uncertain() {
             log::warn!(lease = lease.id.0; "the coordinator's lease is uncertain, quotas are not granted");
         }
-        if quotas.duty.is_held() || quotas.coordinator().is_some() {
+        if let Some(term) = quotas.coordinator() {
+            if quotas.duty.is_held() && term.address != quotas.context.settings().peer_address {
+                quotas.end_duty().await;
+            }
+            claim_at = None;
+            continue;
+        }
+        if quotas.duty.is_held() {
             claim_at = None;
             continue;
         }
@@ -154,12 +161,12 @@
         }
     }
 
-    /// Until when a predecessor may make grants. Its lease has lapsed, unless the store has forgotten
-    /// the lease: then its revisions may start again, or nothing is known of the former ones.
+    /// Until when a predecessor may make grants. Its lease has lapsed, unless the store has forgotten its
+    /// history, so that its revisions start again.
     fn predecessor_ends(&self, revision: u64) -> Time {
         let latest = self.latest_term();
         let now = clock::now();
-        if latest == 0 || latest >= revision {
+        if latest >= revision {
             now + LEASE_TTL
         } else {
             now
