--- a/fulmarreel-quota/tests/quota/useful.rs
+++ b/fulmarreel-quota/tests/quota/useful.rs
@@ -19,7 +19,11 @@
 
 /// The length of a play; the smallest account has about 500 requests in it.
 fn play_ms(rate: f64) -> u64 {
-    if rate < 10.0 { 200_000 } else { 30_000 }
+    match rate {
+        rate if rate < 10.0 => 200_000,
+        rate if rate < 30.0 => 100_000,
+        _ => 20_000,
+    }
 }
 
 /// The largest account, two in between, and the smallest.
@@ -113,7 +117,7 @@
     for rate in RATES {
         for (name, spread) in spreads() {
             let (mut offered, mut refused) = (0, 0);
-            for seed in 0..3 {
+            for seed in 0..4 {
                 let mut play = Play::new(rules(rate), 100 + seed);
                 play.run_until(play.now + ms(WARM_UP_MS));
                 demand(&mut play, &spread, rate * USUAL_DEMAND);
