--- a/fulmarreel-quota/tests/quota/play.rs
+++ b/fulmarreel-quota/tests/quota/play/mod.rs
@@ -1,8 +1,10 @@
 //! The players: nodes, a store with one lease, and messages that are delayed or lost.
 
+mod store;
+
 use fastrand::Rng;
 use fulmarreel_quota::{
-    Coordinator, Limit, Member, Time,
+    Limit, Member, Time,
     limit::{Bounds, Quota},
     member::{Decision, Outgoing, Take, Token},
     message::{Answer, Loan, Report, Wish},
@@ -12,6 +14,7 @@
     collections::{BTreeMap, BinaryHeap, HashMap},
     time::Duration,
 };
+use store::{Post, Store};
 
 /// The bounds of the settings' defaults.
 pub const BOUNDS: Bounds = Bounds {
@@ -21,9 +24,6 @@
 };
 
 const STEP: Duration = Duration::from_millis(2);
-const LEASE_TTL: Duration = Duration::from_secs(3);
-const LEASE_MARGIN: Duration = Duration::from_millis(100);
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(700);
 const MAX_WAIT: Duration = Duration::from_millis(100);
 const MAX_DEMANDS: usize = 18;
 const ACCOUNT: u64 = 7;
@@ -58,25 +58,6 @@
     follows: Option<usize>,
     /// A coordinator that the node will learn of.
     learns: Option<(usize, Time)>,
-    waiting: HashMap<u64, ()>,
-}
-
-/// A coordinator, which may have been deposed without knowing.
-struct Post {
-    coordinator: Coordinator<usize>,
-    valid_until: Time,
-    next_renewal: Time,
-    /// Identifies the lease in the store.
-    lease: u64,
-}
-
-/// The store: whether there is a lease, and until when.
-#[derive(Default)]
-struct Store {
-    lease: Option<(u64, Time)>,
-    next_lease: u64,
-    away_until: Time,
-    claim_at: Time,
 }
 
 /// How the players behave.
@@ -128,7 +109,6 @@
             cut_until: Time::ZERO,
             follows: None,
             learns: None,
-            waiting: HashMap::new(),
         };
         Self {
             now: ms(1_000),
@@ -161,14 +141,12 @@
         let Node {
             boot,
             member,
-            waiting,
             follows,
             learns,
             ..
         } = &mut self.nodes[node];
         *boot += 1_000;
         *member = Member::new(*boot);
-        waiting.clear();
         (*follows, *learns) = (None, None);
         self.posts.remove(&node);
         self.held.retain(|held| held.1 != node);
@@ -254,9 +232,7 @@
             let player = &mut self.nodes[node];
             match player.member.take(ACCOUNT, self.limit, id, until, self.now) {
                 Take::Token(token) => self.admit(node, token),
-                Take::Wait => {
-                    player.waiting.insert(id, ());
-                }
+                Take::Wait => {}
                 Take::Refused { .. } => self.refused += 1,
             }
         }
@@ -302,7 +278,7 @@
         for message in messages {
             match (message, follows) {
                 (Outgoing::Report(report), Some(to)) => {
-                    self.send(node, to, Message::Report(report))
+                    self.send(node, to, Message::Report(report));
                 }
                 (Outgoing::Wish(to, wish), _) => self.send(node, to, Message::Wish(wish)),
                 (Outgoing::Report(_), None) => {}
@@ -312,7 +288,6 @@
 
     fn settle(&mut self, node: usize, decisions: Vec<Decision<u64>>) {
         for decision in decisions {
-            self.nodes[node].waiting.remove(&decision.id);
             match decision.result {
                 Ok(token) => self.admit(node, token),
                 Err(_) => self.refused += 1,
@@ -395,84 +370,6 @@
             }
         }
     }
-
-    /// Has a node learn of the coordinator, some time after its claim.
-    fn follow(&mut self, node: usize) {
-        let Some((lease, _)) = self.store.lease else {
-            return;
-        };
-        let holder = self.posts.iter().find(|(_, post)| post.lease == lease);
-        let Some(holder) = holder.map(|(node, _)| *node) else {
-            return;
-        };
-        let delay = ms(self.rng.u64(0..300));
-        let player = &mut self.nodes[node];
-        if player.cut_until > self.now {
-            return;
-        }
-        match player.learns {
-            Some((known, at)) if known == holder => {
-                if at <= self.now && player.follows != Some(holder) {
-                    player.follows = Some(holder);
-                    player.member.report_by(self.now);
-                }
-            }
-            _ => player.learns = Some((holder, self.now + delay)),
-        }
-    }
-
-    fn keep_store(&mut self) {
-        let now = self.now;
-        if now < self.store.away_until {
-            return;
-        }
-        for (node, post) in &mut self.posts {
-            let player = &self.nodes[*node];
-            let reaches = player.suspended_until <= now && player.cut_until <= now;
-            if reaches && post.next_renewal <= now {
-                post.next_renewal = now + RENEWAL_INTERVAL;
-                if let Some((lease, until)) = &mut self.store.lease
-                    && *lease == post.lease
-                {
-                    *until = now + LEASE_TTL;
-                    post.valid_until = now + LEASE_TTL - LEASE_MARGIN;
-                }
-            }
-        }
-        match self.store.lease {
-            Some((_, until)) if now >= until => {
-                self.store.lease = None;
-                self.store.claim_at = now + ms(self.rng.u64(0..800));
-            }
-            None if now >= self.store.claim_at => self.claim(),
-            _ => {}
-        }
-    }
-
-    fn claim(&mut self) {
-        let (now, node) = (self.now, self.rng.usize(0..self.nodes.len()));
-        let player = &self.nodes[node];
-        if player.suspended_until > now || player.cut_until > now || self.posts.contains_key(&node)
-        {
-            self.posts
-                .retain(|other, post| *other != node || now < post.valid_until);
-            return;
-        }
-        let others = self.posts.values().map(|post| post.valid_until);
-        let forgotten = others.max().is_some_and(|until| until > now);
-        self.posts.retain(|_, post| now < post.valid_until);
-        let predecessor_ends = if forgotten { now + LEASE_TTL } else { now };
-        self.store.next_lease += 1;
-        let lease = self.store.next_lease;
-        self.store.lease = Some((lease, now + LEASE_TTL));
-        let post = Post {
-            coordinator: Coordinator::new(predecessor_ends, now),
-            valid_until: now + LEASE_TTL - LEASE_MARGIN,
-            next_renewal: now + RENEWAL_INTERVAL,
-            lease,
-        };
-        self.posts.insert(node, post);
-    }
 }
 
 /// The account's deputies in the order in which a node asks them.
@@ -480,7 +377,7 @@
     let all = [1 % nodes, 2 % nodes];
     match all.iter().position(|deputy| *deputy == node) {
         Some(index) => [Some(all[1 - index]), None],
-        None if node % 2 == 0 || !two => [Some(all[0]), Some(all[1])],
+        None if node.is_multiple_of(2) || !two => [Some(all[0]), Some(all[1])],
         None => [Some(all[1]), Some(all[0])],
     }
 }
