--- a/fulmarreel-balance/src/overload/mod.rs
+++ b/fulmarreel-balance/src/overload/mod.rs
@@ -4,7 +4,7 @@
 //! The [`Queue`] serves calls that targets make before new work, and new work by priority and by fair
 //! shares of the accounts. [`Origins`] tells the two kinds of requests apart, [`Shares`] finds accounts
 //! that priorities would starve, [`Returns`] spreads the retries of refused requests, and [`Throttle`]
-//! admits less work whose calls are refused elsewhere. [`Attempt`] decides at the node that received a
+//! admits less work whose calls are refused elsewhere, as [`Refusals`] tells. [`Attempt`] decides at the node that received a
 //! request whether it is worth another offer.
 
 mod attempt;
@@ -13,6 +13,7 @@
 mod origin;
 mod pace;
 mod queue;
+mod refusal;
 mod returns;
 mod share;
 mod throttle;
@@ -21,6 +22,7 @@
 pub use class::{Class, Kind};
 pub use origin::{Hint, Origins};
 pub use queue::{Arrival, Cause, Decision, Key, Queue, Released, Request};
+pub use refusal::Refusals;
 pub use returns::Returns;
 pub use share::Shares;
 pub use throttle::Throttle;
--- a/fulmarreel-balance/tests/overload/main.rs
+++ b/fulmarreel-balance/tests/overload/main.rs
@@ -4,5 +4,6 @@
 mod origin;
 mod play;
 mod queue;
+mod refusal;
 mod shares;
 mod throttle;
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -81,6 +81,7 @@
             reason: "no target is known",
             retry_after: Duration::ZERO,
         };
+        self.record_possible_call(request);
         self.with_budget(request.service, |budget| {
             budget.record_request(Instant::now());
         });
--- a/fulmarreel-node/src/mesh/caller/shed.rs
+++ b/fulmarreel-node/src/mesh/caller/shed.rs
@@ -25,7 +25,7 @@
         }
         let attempt = Attempt {
             is_first: offers.addresses.is_empty(),
-            is_unwanted: offers.found_no_room() && !may_be_target_call(view, request),
+            is_unwanted: offers.found_no_room() && !self.may_be_target_call(view, request),
             ..self.attempt(request)
         };
         let gives_up = !attempt.is_worthwhile(Instant::now());
@@ -47,6 +47,13 @@
         }
     }
 
+    /// Records the arrival of a request that the own target may have sent.
+    pub(super) fn record_possible_call(&self, request: &Request<'_>) {
+        if self.may_be_target_call(&self.context.view(), request) {
+            self.server.record_possible_call(request.route);
+        }
+    }
+
     /// Records the outcome of a request that the own target may have sent.
     pub(super) fn record_target_call(
         &self,
@@ -55,9 +62,11 @@
         offers: &Offers,
     ) {
         let is_refused = matches!(outcome, RequestOutcome::NotRun { .. });
-        if is_refused && offers.found_no_room() && may_be_target_call(&self.context.view(), request)
+        if is_refused
+            && offers.found_no_room()
+            && self.may_be_target_call(&self.context.view(), request)
         {
-            self.server.record_refused_call();
+            self.server.record_refused_call(request.route);
         }
     }
 
@@ -66,12 +75,14 @@
         let sheds_load = self.sheds_load(&self.context.view());
         sheds_load.then(|| self.attempt(request).longest_return(Instant::now()))
     }
-}
 
-/// Whether a request may be a call of the own target: it bears no key, and needs none.
-fn may_be_target_call(view: &View, request: &Request<'_>) -> bool {
-    let has_accounts = |table: &Table| !table.accounts.is_empty();
-    view.table.as_deref().is_some_and(has_accounts)
-        && request.route.auth_exempt
-        && request.account.is_none()
+    /// Whether a request may be a call of the own target: it bears no key, needs none, and goes to another
+    /// service.
+    fn may_be_target_call(&self, view: &View, request: &Request<'_>) -> bool {
+        let has_accounts = |table: &Table| !table.accounts.is_empty();
+        view.table.as_deref().is_some_and(has_accounts)
+            && request.route.auth_exempt
+            && request.account.is_none()
+            && request.service != self.context.settings().service
+    }
 }
--- a/fulmarreel-node/src/mesh/serve/feedback.rs
+++ b/fulmarreel-node/src/mesh/serve/feedback.rs
@@ -1,8 +1,8 @@
 //! Fewer new runs of the own target while the calls that it makes are refused for lack of room.
 //!
-//! A run counts as wasted if the target failed it and a call of the target was refused meanwhile.
+//! A run counts as wasted if the target failed it soon after a call of the target was refused.
 
-use fulmarreel_balance::overload::Throttle;
+use fulmarreel_balance::overload::{Refusals, Throttle};
 use fulmarreel_route::Route;
 use std::{
     sync::{Mutex, MutexGuard},
@@ -21,14 +21,20 @@
 #[derive(Debug, Default)]
 struct Inner {
     throttle: Throttle,
-    /// When a call of the own target was last refused for lack of room.
-    last_refused: Option<Instant>,
+    refusals: Refusals,
 }
 
 impl Feedback {
-    /// Records that a call of the own target was refused for lack of room.
-    pub fn record_refused_call(&self, now: Instant) {
-        self.lock().last_refused = Some(now);
+    /// Records the arrival of a request that the own target may have sent.
+    pub fn record_arrival(&self, now: Instant, route: &Route, is_target_idle: bool) {
+        let refusals = &mut self.lock().refusals;
+        refusals.record_arrival(now, &route.name, is_target_idle);
+    }
+
+    /// Records that a request was refused for lack of room, and returns whether it is taken for a call of
+    /// the own target.
+    pub fn record_refusal(&self, now: Instant, route: &Route) -> bool {
+        self.lock().refusals.record(now, &route.name)
     }
 
     /// Whether a run of a route may be started.
@@ -48,10 +54,10 @@
     /// Records a run that was answered with a status, and returns whether it was wasted.
     pub fn record_end(&self, route: &Route, started: Instant, status: u16) -> bool {
         let mut inner = self.lock();
-        let had_refused_call = inner.last_refused.is_some_and(|at| at >= started);
-        let is_wasted = had_refused_call && status >= FIRST_SERVER_ERROR;
+        let now = Instant::now();
+        let is_wasted = status >= FIRST_SERVER_ERROR && inner.refusals.explain(started, now);
         let throttle = &mut inner.throttle;
-        throttle.record_end(Instant::now(), &route.name, started, is_wasted);
+        throttle.record_end(now, &route.name, started, is_wasted);
         is_wasted
     }
 
--- a/fulmarreel-node/src/mesh/serve/order.rs
+++ b/fulmarreel-node/src/mesh/serve/order.rs
@@ -89,10 +89,18 @@
         Ok((permit, new_work.cloned()))
     }
 
-    /// Records that a call of the own target was refused for lack of room.
-    pub fn record_refused_call(&self) {
-        metrics::target_call_refused();
-        self.orders.feedback.record_refused_call(Instant::now());
+    /// Records the arrival of a request at this node that the own target may have sent.
+    pub fn record_possible_call(&self, route: &Route) {
+        let is_idle = self.slot_queue.in_flight() == 0;
+        let feedback = &self.orders.feedback;
+        feedback.record_arrival(Instant::now(), route, is_idle);
+    }
+
+    /// Records that such a request was refused for lack of room.
+    pub fn record_refused_call(&self, route: &Route) {
+        if self.orders.feedback.record_refusal(Instant::now(), route) {
+            metrics::target_call_refused();
+        }
     }
 
     /// Records the end of new work that ran.
@@ -138,9 +146,12 @@
         route: Option<&Route>,
         deadlines: QueueDeadlines,
     ) -> Request {
-        let account = header(open, request::ACCOUNT).and_then(|name| table.accounts.named(name));
+        let account_name = header(open, request::ACCOUNT);
+        let account = account_name.and_then(|name| table.accounts.named(name));
+        // An account that only the entry node knows yet is a client's too.
+        let is_client = account_name.is_some() && !table.accounts.is_empty();
         let route_priority = route.map_or(open.rank, |route| route.priority);
-        let is_internal = account.is_none()
+        let is_internal = !is_client
             && route.is_some_and(|route| self.is_internal(now, open, route, &table.accounts));
         let default = self.default_account(table);
         let class = if is_internal {
