--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -90,6 +90,7 @@
             Ok(permit) => permit,
             Err(refusal) => return refusal,
         };
+        self.record_possible_call(request);
         self.with_budget(request.service, |budget| {
             budget.record_request(Instant::now());
         });
