--- a/fulmarreel-node/src/mesh/links.rs
+++ b/fulmarreel-node/src/mesh/links.rs
@@ -89,8 +89,9 @@
     /// Whether the link's bandwidth is a capacity: it is narrow, and the configuration has routes with
     /// large bodies.
     pub fn are_narrow(&self) -> bool {
-        self.context.settings().link_bytes_per_s < NARROW_BYTES_PER_S
-            && self.context.view().has_bulk_routes
+        let bytes_per_s = self.context.settings().link_bytes_per_s;
+        // A bandwidth of 0 says that there is no limit.
+        bytes_per_s > 0.0 && bytes_per_s < NARROW_BYTES_PER_S && self.context.view().has_bulk_routes
     }
 
     /// Set while calls take turns in writing to other nodes.
