--- a/fulmarreel-node/src/mesh/era/mod.rs
+++ b/fulmarreel-node/src/mesh/era/mod.rs
@@ -4,7 +4,7 @@
 //! what it lacks; until then [`nodes`] keeps the entries of nodes in force and targets that have left
 //! out, [`rollouts`] keeps the outcomes of rollouts, and [`zones`] the evacuations.
 
-pub mod nodes;
+pub(crate) mod nodes;
 pub mod rollouts;
 pub mod zones;
 
--- a/fulmarreel-node/src/mesh/mod.rs
+++ b/fulmarreel-node/src/mesh/mod.rs
@@ -15,7 +15,7 @@
 pub(crate) mod context;
 pub(crate) mod credential;
 pub(crate) mod endpoint;
-pub(crate) mod era;
+pub mod era;
 pub(crate) mod exchange;
 pub(crate) mod keys;
 pub(crate) mod listen;
