--- a/fulmarreel-node/tests/mesh/restored.rs
+++ b/fulmarreel-node/tests/mesh/restored.rs
@@ -19,6 +19,9 @@
 /// How long the store is away before it comes back.
 const OUTAGE: Duration = Duration::from_millis(600);
 
+/// Longer than the readers of the store go on without an answer.
+const LONG_OUTAGE: Duration = Duration::from_secs(6);
+
 /// Time from which the store makes a copy of its contents.
 const COPY_TIME: Duration = Duration::from_millis(100);
 
@@ -40,12 +43,17 @@
 
 /// Takes the store away, and lets it come back as it was `age` before.
 async fn go_back(store: &FakePlatformStore, age: Duration) -> Instant {
+    go_back_after(store, OUTAGE, age).await
+}
+
+/// As [`go_back`], after an outage of a given length.
+async fn go_back_after(store: &FakePlatformStore, outage: Duration, age: Duration) -> Instant {
     store.set_faults(Faults {
         status: Some(503),
         ..Faults::default()
     });
-    Timer::after(OUTAGE).await;
-    store.go_back(age + OUTAGE);
+    Timer::after(outage).await;
+    store.go_back(age + outage);
     store.set_faults(Faults::default());
     Instant::now()
 }
@@ -104,9 +112,13 @@
 /// Fails if nodes lose each other with the store's contents, write their entries late or twice, or
 /// storm the store. Both without any entry in the copy and with outdated ones.
 #[rstest]
-#[case::copy_without_entries(true)]
-#[case::copy_with_outdated_entries(false)]
-fn a_fleet_serves_on_and_writes_its_entries_again(#[case] is_empty: bool) -> anyhow::Result<()> {
+#[case::copy_without_entries(true, OUTAGE)]
+#[case::copy_with_outdated_entries(false, OUTAGE)]
+#[case::after_a_long_outage(true, LONG_OUTAGE)]
+fn a_fleet_serves_on_and_writes_its_entries_again(
+    #[case] is_empty: bool,
+    #[case] outage: Duration,
+) -> anyhow::Result<()> {
     smol::block_on(async {
         let _lock = DEPLOYMENT_LOCK.lock().await;
         let store = FakePlatformStore::start_with_eras()?;
@@ -131,7 +143,7 @@
         }
         Timer::after(COPY_TIME).await;
         let age = if is_empty { ALL } else { 2 * COPY_TIME };
-        let returned = go_back(&store, age).await;
+        let returned = go_back_after(&store, outage, age).await;
         let calls = store.calls();
         let is_back = || entries(&store) == written;
         ensure!(
@@ -140,6 +152,10 @@
             store.keys()
         );
         let took = returned.elapsed();
+        eprintln!(
+            "entries back after {took:?}, {} calls",
+            store.calls() - calls
+        );
         ensure!(took < RETURN_LIMIT, "{took:?}");
         serve_until(&caller, Duration::from_secs(3) - took, || false).await?;
         let calls = store.calls() - calls;
