--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -2,19 +2,23 @@
 
 mod authenticate;
 mod choose;
+mod cold_targets;
+mod crossing;
 mod delivery;
 mod eligible;
 mod head;
 mod offer;
 mod pipeline;
+mod quota;
 mod respond;
 mod routed;
+mod shed;
 mod uneven;
 
 pub use pipeline::CallerConnection;
 
 use super::{
-    context::Context, credential::Credential, serve::Server, takeover::Rollouts,
+    context::Context, credential::Credential, quota::Quotas, serve::Server, takeover::Rollouts,
     targets::TargetStats,
 };
 use crate::{
@@ -22,6 +26,7 @@
     runtime::{self, Task},
 };
 use authenticate::authenticate;
+use cold_targets::ColdTargets;
 use delivery::InFlightGuard;
 use fulmarreel_balance::Budget;
 use fulmarreel_platform::request;
@@ -60,7 +65,9 @@
     context: Arc<Context>,
     server: Arc<Server>,
     rollouts: Arc<Rollouts>,
+    quotas: Arc<Quotas>,
     targets: Arc<TargetStats>,
+    cold_targets: ColdTargets,
     pool: Arc<Pool>,
     /// Retry budgets by service.
     budgets: Mutex<HashMap<String, Budget>>,
@@ -94,19 +101,26 @@
 }
 
 impl RequestHandler {
-    pub fn new(context: Arc<Context>, server: Arc<Server>, rollouts: Arc<Rollouts>) -> Self {
+    pub fn new(
+        context: Arc<Context>,
+        server: Arc<Server>,
+        rollouts: Arc<Rollouts>,
+        quotas: Arc<Quotas>,
+    ) -> Self {
         let own = Identity {
             address: context.settings().peer_address,
             started_at_ms: context.started_at_ms,
         };
-        let pool = Arc::new(Pool::new(own));
+        let pool = Arc::new(Pool::with_turns(own, server.links.in_turns()));
         let watched = Arc::clone(&pool);
         crate::runtime::spawn(async move { watched.close_silent_connections().await });
         Self {
             context,
             server,
             rollouts,
+            quotas,
             targets: Arc::default(),
+            cold_targets: ColdTargets::default(),
             pool,
             budgets: Mutex::default(),
             response_kilobytes: Mutex::default(),
@@ -220,6 +234,7 @@
         let Some(outcome) = connection.while_connected(outcome).await else {
             return self.end_abandoned(conn, &request, &offers);
         };
+        self.record_target_call(&request, &outcome, &offers);
         self.log_outcome(&request, &outcome, &offers);
         self.respond(conn, connection, &request, outcome)
     }
@@ -251,6 +266,7 @@
         let Some((outcome, offers)) = connection.while_connected(started.task).await else {
             return self.end_abandoned(conn, &request, &Offers::default());
         };
+        self.record_target_call(&request, &outcome, &offers);
         self.log_outcome(&request, &outcome, &offers);
         self.respond(conn, connection, &request, outcome)
     }
--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -1,7 +1,7 @@
 //! Attempts of a request at one target after another, within the limits of its route and of the
 //! service's retry budget.
 
-use super::{FIRST_SERVER_ERROR, Request, RequestHandler, STOPPING, eligible};
+use super::{FIRST_SERVER_ERROR, Request, RequestHandler, STOPPING, crossing::LINK_FULL, eligible};
 use crate::{
     mesh::{
         credential::{MAY_BE_REVOKED, REVOCATION_RETRY_AFTER},
@@ -49,6 +49,10 @@
         reason: &'static str,
         retry_after: Duration,
     },
+    /// Not run, as its account is over its quota.
+    OverQuota {
+        retry_after: Duration,
+    },
     /// It may have run.
     Unknown {
         reason: &'static str,
@@ -82,6 +86,10 @@
             reason: "no target is known",
             retry_after: Duration::ZERO,
         };
+        let mut permit = match self.admit(request).await {
+            Ok(permit) => permit,
+            Err(refusal) => return refusal,
+        };
         self.with_budget(request.service, |budget| {
             budget.record_request(Instant::now());
         });
@@ -94,6 +102,9 @@
                 return last.or_not_run(MAY_BE_REVOKED, REVOCATION_RETRY_AFTER);
             }
             let view = self.context.view();
+            if self.gives_up(&view, request, offers) {
+                return last.or_given_up(offers);
+            }
             let chosen = self.choose_target(&view, request, offers);
             let Some((target, version_choice)) = chosen else {
                 let refusal = eligible::refusal(&view, request);
@@ -121,13 +132,32 @@
                 target: &target,
                 own: self.context.settings().peer_address,
                 credential: request.credential,
+                is_bulk: request.route.is_bulk,
                 deadline: request.deadline,
             };
+            let crossing = match self.expect_crossing(&view, request, &target) {
+                Ok(crossing) => crossing,
+                Err(retry_after) => {
+                    offers.record_retry_after(retry_after);
+                    last = last.or_not_run(LINK_FULL, retry_after);
+                    return last.with_retry_after(offers);
+                }
+            };
+            if permit.as_mut().is_some_and(|permit| !permit.begin()) {
+                return last.or_over_quota();
+            }
+            self.cold_targets.record_offer(&target);
             let in_flight = self.targets.start_request(target.address);
             let tracker = self.track_call(request, &target, &version_choice);
-            let outcome = exchange.run(&open, request.body).await;
-            drop(in_flight);
+            let mut outcome = exchange.run(&open, request.body).await;
+            drop((in_flight, crossing));
+            self.cold_targets.record_outcome(&target, &mut outcome);
             self.record_attempt(request, &target, tracker, &outcome);
+            if let Some(permit) = &mut permit
+                && was_not_run(&outcome)
+            {
+                permit.not_run();
+            }
             match outcome {
                 AttemptOutcome::Answered(response) if is_not_run(&response) => {
                     offers.reached += 1;
@@ -266,6 +296,13 @@
         }
     }
 
+    /// The outcome of a request that is offered to no further target, since it cannot be answered in time.
+    fn or_given_up(self, offers: &Offers) -> Self {
+        let reason = "it cannot be answered in time";
+        self.or_not_run(reason, Duration::ZERO)
+            .with_retry_after(offers)
+    }
+
     /// Replaces the retry delay of a request that was not run by the shortest that a target asked for.
     fn with_retry_after(self, offers: &Offers) -> Self {
         match self {
@@ -282,12 +319,26 @@
 }
 
 impl Offers {
+    /// Whether a target had no room for the request.
+    pub fn found_no_room(&self) -> bool {
+        self.retry_after.is_some_and(|delay| !delay.is_zero())
+    }
+
     fn record_retry_after(&mut self, retry_after: Duration) {
         let shortest = self.retry_after.unwrap_or(Duration::MAX);
         self.retry_after = Some(shortest.min(retry_after));
     }
 }
 
+/// Whether an attempt did not run the request.
+fn was_not_run(outcome: &AttemptOutcome) -> bool {
+    match outcome {
+        AttemptOutcome::Answered(response) => is_not_run(response),
+        AttemptOutcome::NotRun { .. } => true,
+        AttemptOutcome::Unknown { .. } => false,
+    }
+}
+
 /// Whether a response says that the target did not run the request.
 pub(super) fn is_not_run(response: &WholeResponse) -> bool {
     let names = response
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -3,6 +3,7 @@
 use super::{
     CallerConnection, FIRST_SERVER_ERROR, MIN_RETRY_AFTER, Request, RequestHandler, delivery,
     offer::{Offers, RequestOutcome},
+    quota::OVER_QUOTA,
 };
 use crate::{
     telemetry::metrics::{self, Outcome as OutcomeLabel},
@@ -51,9 +52,14 @@
                 retry_after,
             } => {
                 let left = request.deadline.saturating_duration_since(Instant::now());
-                let latest = left.mul_f64(MAX_RETRY_AFTER_FRACTION).max(MIN_RETRY_AFTER);
+                let latest = self.longest_spread(request);
+                let latest = latest.unwrap_or_else(|| left.mul_f64(MAX_RETRY_AFTER_FRACTION));
+                let latest = latest.max(MIN_RETRY_AFTER);
                 refuse(conn, reason, retry_after.clamp(MIN_RETRY_AFTER, latest))
             }
+            RequestOutcome::OverQuota { retry_after } => {
+                refuse(conn, OVER_QUOTA, retry_after).with_status(Status::TooManyRequests)
+            }
             RequestOutcome::Unknown { reason, late } => {
                 let status = if late {
                     Status::GatewayTimeout
@@ -102,6 +108,7 @@
         metrics::request_ended(status as u16, reason);
         let id = conn.request_headers().get_str(request::REQUEST_ID);
         let age = self.context.contact_age().map(|age| age.as_millis() as u64);
+        let proof_age = self.context.proof_age().map(|age| age.as_millis() as u64);
         log::info!(
             id = id.unwrap_or_default(),
             host = conn.host().unwrap_or_default(),
@@ -110,7 +117,8 @@
             revision,
             known = self.context.revision(),
             heard = self.context.highest_heard_revision(),
-            contact_age_ms = age;
+            contact_age_ms = age,
+            proof_age_ms = proof_age;
             "{reason}"
         );
     }
@@ -144,6 +152,7 @@
                 (OutcomeLabel::Answered, response.head.status, "answered")
             }
             RequestOutcome::NotRun { reason, .. } => (OutcomeLabel::NotRun, 503, *reason),
+            RequestOutcome::OverQuota { .. } => (OutcomeLabel::NotRun, 429, OVER_QUOTA),
             RequestOutcome::Unknown { reason, late } => (
                 OutcomeLabel::Unknown,
                 if *late { 504 } else { 502 },
@@ -164,7 +173,9 @@
         let account = request.account.map(|account| account.name.as_str());
         let target_ms = match outcome {
             RequestOutcome::Answered(response) => response.head.target_micros / 1_000,
-            RequestOutcome::NotRun { .. } | RequestOutcome::Unknown { .. } => 0,
+            RequestOutcome::NotRun { .. }
+            | RequestOutcome::OverQuota { .. }
+            | RequestOutcome::Unknown { .. } => 0,
         };
         let target = offers.addresses.last().map(ToString::to_string);
         log::info!(
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -1,6 +1,10 @@
 //! Serves requests, from this node and from others, for this node's own target: queues them for its
 //! slots and forwards them over HTTP.
 
+mod cold_gate;
+mod crossing;
+mod feedback;
+pub(super) mod order;
 mod own_target;
 mod peer;
 mod place;
@@ -8,6 +12,7 @@
 use super::{
     context::Context,
     endpoint::{self, Endpoint},
+    links::Links,
 };
 use crate::{
     serve::{
@@ -16,11 +21,14 @@
     },
     telemetry::metrics,
 };
+pub use cold_gate::COLD_MS;
+use cold_gate::{ColdGate, HandOver};
 use fulmarreel_balance::admission::QueueDeadlines;
 use fulmarreel_http::{Quota, Response};
 use fulmarreel_membership::{Announcement, announcement::CurrentTarget};
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::{Failure, Frame, Head, Header, Open, Refusal};
+use order::{NewRun, Orders};
 use own_target::OwnTarget;
 use smol::{Timer, net::TcpListener, stream::StreamExt};
 use std::{
@@ -40,11 +48,15 @@
 pub struct Server {
     context: Arc<Context>,
     slot_queue: Arc<SlotQueue>,
+    orders: Orders,
     endpoint: Endpoint,
     own_target: Mutex<OwnTarget>,
+    cold_gate: Arc<ColdGate>,
     /// Whether the target of an announcement is being asked whether it is there.
     is_confirming: AtomicBool,
     sessions: Sessions,
+    /// This machine's link.
+    pub links: Arc<Links>,
 }
 
 /// Why a request has no response.
@@ -66,8 +78,12 @@
 pub struct Admitted {
     permit: Permit,
     target: Announcement,
+    /// Its hand-over, if the target is limited while it is cold.
+    hand_over: Option<HandOver>,
     /// When its caller stops waiting.
     deadline: Instant,
+    /// Set if its end is to be recorded as one of new work.
+    new_run: Option<NewRun>,
 }
 
 impl Rejection {
@@ -86,13 +102,16 @@
         let settings = context.settings();
         let quota = Quota::new(settings.memory_limit_bytes / RESPONSE_MEMORY_DIVISOR);
         Self {
+            links: Links::new(Arc::clone(&context)),
             context,
             slot_queue: Arc::default(),
+            orders: Orders::default(),
             endpoint: Endpoint::new(settings.endpoint, quota),
             own_target: Mutex::new(OwnTarget {
                 current_target: CurrentTarget::default(),
                 last_heard: Instant::now(),
             }),
+            cold_gate: Arc::new(ColdGate::new(Instant::now())),
             is_confirming: AtomicBool::new(false),
             sessions: Sessions::default(),
         }
@@ -155,6 +174,33 @@
             wanted: after_ms(open.wanted_ms),
             latest: after_ms(open.latest_ms),
         };
+        let (permit, new_run) = self.acquire_slot(open, deadlines).await?;
+        let hand_over = self.pass_cold_gate(open, deadlines).await;
+        let hand_over = hand_over.map_err(|(reason, wait)| refused(reason, wait))?;
+        // The target may have left while the request waited.
+        let target = self
+            .target_for(open)
+            .map_err(|reason| refused(reason, Duration::ZERO))?;
+        Ok(Admitted {
+            permit,
+            target,
+            hand_over,
+            deadline,
+            new_run,
+        })
+    }
+
+    /// Waits for a slot, in the order that the configuration calls for.
+    async fn acquire_slot(
+        &self,
+        open: &Open,
+        deadlines: QueueDeadlines,
+    ) -> Result<(Permit, Option<NewRun>), Rejection> {
+        let view = self.context.view();
+        let table = view.table.as_ref();
+        if let Some(table) = table.filter(|table| order::is_active(table)) {
+            return self.acquire_in_order(open, table, deadlines).await;
+        }
         let permit = self.slot_queue.acquire_ranked(open.rank, deadlines).await;
         let permit = permit.map_err(|reason| {
             let (load, slots) = self.slot_queue.load();
@@ -167,17 +213,9 @@
                 backlog_ms = backlog.as_millis() as u64;
                 "refused, no slot in time"
             );
-            refused(reason, backlog)
+            Rejection::refused(open, reason, backlog)
         })?;
-        // The target may have left while the request waited.
-        let target = self
-            .target_for(open)
-            .map_err(|reason| refused(reason, Duration::ZERO))?;
-        Ok(Admitted {
-            permit,
-            target,
-            deadline,
-        })
+        Ok((permit, None))
     }
 
     /// Forwards an admitted request to the target, and reads its whole response.
@@ -194,15 +232,33 @@
         let Admitted {
             permit,
             target,
+            mut hand_over,
             deadline,
+            new_run,
         } = admitted;
+        if let Some(hand_over) = &mut hand_over {
+            hand_over.send();
+        }
         let started = Instant::now();
         let result = self.endpoint.call(open, body, &target.id, deadline).await;
         let latency = started.elapsed();
+        if let (Some(run), Ok(response)) = (&new_run, &result) {
+            self.record_run(run, started, response.status);
+        }
         match result {
-            Ok(response) => Ok(self.complete(open.sequence, response, latency, permit)),
+            Ok(response) => {
+                let cold = hand_over.and_then(|hand_over| hand_over.answer(&response));
+                let mut response = self.complete(open.sequence, response, latency, permit);
+                response.head.headers.extend(cold);
+                Ok(response)
+            }
             Err(error) => {
                 drop(permit);
+                if let Some(hand_over) = hand_over
+                    && matches!(error, endpoint::Error::Unreachable { .. })
+                {
+                    hand_over.cancel();
+                }
                 log::info!(
                     id = request_id(open),
                     target = target.id.as_str(),
@@ -245,7 +301,7 @@
             headers: headers.collect(),
             length: Some(response.body.len() as u64),
             target_micros: u32::try_from(latency.as_micros()).unwrap_or(u32::MAX),
-            in_flight: in_flight.max(reported),
+            in_flight: self.load_with_link(in_flight.max(reported), slots),
             slots,
         };
         let body = response.body;
@@ -278,9 +334,11 @@
             Timer::after(CHECK_INTERVAL).await;
             self.withdraw_silent_target(started, &mut last_check);
             self.endpoint.close_unusable();
+            self.log_cold_state();
             let (in_flight, slots) = self.slot_queue.load();
             metrics::set_target_load(in_flight, slots);
             self.sessions.remove_idle();
+            self.links.update();
         }
     }
 }
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -29,14 +29,16 @@
     pub address: SocketAddr,
     /// Identifies one run of the target's process.
     pub id: String,
+    /// When the run started, in milliseconds since the Unix epoch, if its node tells.
+    pub started_at_ms: Option<u64>,
     /// The version that it runs.
     pub version: String,
+    /// Its availability zone.
+    pub zone: String,
     /// The number of requests that it runs at once.
     pub slots: u16,
     /// Its distance from this node.
     pub tier: Tier,
-    /// The availability zone of its node.
-    pub zone: String,
     /// The region of its node.
     pub region: String,
 }
@@ -59,6 +61,8 @@
     pub restricts_regions: bool,
     /// Targets by service.
     pub targets: HashMap<String, Vec<Arc<Target>>>,
+    /// Whether the active configuration has routes with large bodies.
+    pub has_bulk_routes: bool,
     /// Rollouts by service.
     pub rollouts: HashMap<String, Rollout>,
     /// Every node's address, with whether the node is in this node's region.
@@ -101,6 +105,7 @@
         view.table = view.active_table(mirror, last);
         let table = view.table.as_deref();
         view.restricts_regions = table.is_some_and(Table::has_allowed_regions);
+        view.has_bulk_routes = table.is_some_and(Table::has_bulk_routes);
         view.add_nodes(mirror, own, last);
         view.add_rollouts(mirror, last);
         view
@@ -215,10 +220,11 @@
         targets.push(Arc::new(Target {
             address: node.address,
             id: target.id,
+            started_at_ms: target.started_at_ms,
             version: target.version,
+            zone: node.zone,
             slots: target.slots,
             tier,
-            zone: node.zone,
             region: node.region,
         }));
     }
--- a/fulmarreel-node/src/peer/connection.rs
+++ b/fulmarreel-node/src/peer/connection.rs
@@ -55,6 +55,8 @@
     Failed(Failed),
     /// The reply to a query or to a cancellation.
     State(State),
+    /// The serving node accepts this many bytes of the request's body; with 0 it has to wait.
+    Credit(u32),
     /// The connection ended.
     Lost {
         /// Whether any byte of the call may have been written.
@@ -69,7 +71,7 @@
             Self::Refused(_) => Some(AbandonedEnd::NotRun),
             Self::Failed(_) => Some(AbandonedEnd::Failed),
             Self::Head(_) => Some(AbandonedEnd::Answered),
-            Self::Chunk(_) | Self::State(_) | Self::Lost { .. } => None,
+            Self::Chunk(_) | Self::State(_) | Self::Credit(_) | Self::Lost { .. } => None,
         }
     }
 }
@@ -85,6 +87,8 @@
     last_received: Mutex<Instant>,
     open: AtomicBool,
     leaving: AtomicBool,
+    /// Whether calls take turns in writing, as they do over a narrow link.
+    in_turns: Arc<AtomicBool>,
 }
 
 #[derive(Debug)]
@@ -108,7 +112,8 @@
 
 impl Connection {
     /// Opens a connection and starts its reader and writer; `last_started_at_ms` is the start
-    /// time of the process to which the previous connection to this address led.
+    /// time of the process to which the previous connection to this address led. Calls take turns in
+    /// writing while `in_turns` is set.
     ///
     /// # Errors
     ///
@@ -118,9 +123,10 @@
         own: Identity,
         generation: u64,
         last_started_at_ms: Option<u64>,
+        in_turns: Arc<AtomicBool>,
     ) -> io::Result<Arc<Self>> {
         or(
-            Self::handshake(peer, own, generation, last_started_at_ms),
+            Self::handshake(peer, own, generation, last_started_at_ms, in_turns),
             async {
                 Timer::after(CONNECT_TIMEOUT).await;
                 Err(io::ErrorKind::TimedOut.into())
@@ -134,6 +140,7 @@
         own: Identity,
         generation: u64,
         last_started_at_ms: Option<u64>,
+        in_turns: Arc<AtomicBool>,
     ) -> io::Result<Arc<Self>> {
         let mut tcp = TcpStream::connect(peer).await?;
         tcp.set_nodelay(true)?;
@@ -169,6 +176,7 @@
             last_received: Mutex::new(now),
             open: AtomicBool::new(true),
             leaving: AtomicBool::new(false),
+            in_turns,
         });
         let writing = Arc::clone(&connection);
         crate::runtime::spawn(async move { writing.write_frames(&frames).await });
@@ -317,6 +325,7 @@
             Frame::Refused(refused) => (refused.sequence, Event::Refused(refused)),
             Frame::Failed(failed) => (failed.sequence, Event::Failed(failed)),
             Frame::State { sequence, state } => (sequence, Event::State(state)),
+            Frame::Credit { sequence, bytes } => (sequence, Event::Credit(bytes)),
             Frame::Leaving => return self.leaving.store(true, Ordering::Release),
             Frame::Accepting => return self.leaving.store(false, Ordering::Release),
             Frame::Pong { .. } => return,
@@ -338,14 +347,28 @@
 
     async fn write_frames(&self, frames: &Receiver<Frame>) {
         let mut tcp = self.tcp.clone();
-        let result =
-            stream::write_all_frames(&mut tcp, frames, |frame| self.mark_written(frame)).await;
+        let result = stream::write_all_frames(&mut tcp, frames, &self.in_turns, |frame| {
+            self.mark_written(frame);
+            self.is_wanted(frame)
+        })
+        .await;
         if let Err(error) = result {
             log::debug!("connection to {}: {error}", self.peer);
         }
         self.close();
     }
 
+    /// Whether the peer still needs a frame: not the rest of the body of a call that has ended, for example
+    /// by a refusal. A call that ends otherwise before its body is written is cancelled, so that the
+    /// peer does not wait for the rest.
+    fn is_wanted(&self, frame: &Frame) -> bool {
+        let Frame::Chunk(chunk) = frame else {
+            return true;
+        };
+        let calls = self.calls.lock().expect("calls lock");
+        calls.pending.contains_key(&chunk.sequence)
+    }
+
     fn mark_written(&self, frame: &Frame) {
         if let Frame::Open(open) = frame {
             let mut calls = self.calls.lock().expect("calls lock");
--- a/fulmarreel-node/src/telemetry/metrics.rs
+++ b/fulmarreel-node/src/telemetry/metrics.rs
@@ -139,6 +139,12 @@
     counter!("fulmarreel_retries_total", "service" => service.to_owned()).increment(1);
 }
 
+/// Counts a request of an account with a quota that was admitted or refused.
+pub fn quota_decided(is_admitted: bool) {
+    let outcome = if is_admitted { "admitted" } else { "refused" };
+    counter!("fulmarreel_quota_requests_total", "outcome" => outcome).increment(1);
+}
+
 /// Records how the work on a call ended after its caller had disconnected, and how long after that,
 /// as far as this node was told.
 pub fn abandoned_call_ended(end: AbandonedEnd, after: Duration) {
@@ -169,12 +175,60 @@
     counter!("fulmarreel_requests_refused_total", &labels).increment(1);
 }
 
+/// Counts a request that got no slot of the local target, by its class and by why.
+pub fn request_shed(class: &'static str, cause: &'static str) {
+    counter!("fulmarreel_shed_total", "class" => class, "cause" => cause).increment(1);
+}
+
+/// Records how long a request waited for a slot of the local target, by its class and by whether it got
+/// one.
+pub fn slot_waited(class: &'static str, waited: Duration, granted: bool) {
+    let granted = if granted { "yes" } else { "no" };
+    histogram!("fulmarreel_slot_wait_seconds", "class" => class, "granted" => granted)
+        .record(waited.as_secs_f64());
+}
+
+/// Counts a call of the local target that was refused for lack of room at other targets.
+pub fn target_call_refused() {
+    counter!("fulmarreel_target_calls_refused_total").increment(1);
+}
+
+/// Counts a run of the local target that failed while a call of the target was refused.
+pub fn run_wasted(route: &str) {
+    counter!("fulmarreel_wasted_runs_total", "route" => route.to_owned()).increment(1);
+}
+
+/// Counts a request that was refused without another offer to a target, since it could not be answered in
+/// time.
+pub fn request_given_up(service: &str) {
+    counter!("fulmarreel_given_up_total", "service" => service.to_owned()).increment(1);
+}
+
 /// Sets the number of calls that run or wait at the local target, and its number of slots.
 pub fn set_target_load(in_flight: u16, slots: u16) {
     gauge!("fulmarreel_target_in_flight").set(f64::from(in_flight));
     gauge!("fulmarreel_target_slots").set(f64::from(slots));
 }
 
+/// Sets the time until everything known has crossed a direction of this machine's link.
+pub fn set_link_backlog(direction: &'static str, backlog: Duration) {
+    gauge!("fulmarreel_link_backlog_seconds", "direction" => direction).set(backlog.as_secs_f64());
+}
+
+/// Counts a request that was refused since its body could not cross this machine's link in time.
+pub fn link_refused(direction: &'static str) {
+    counter!("fulmarreel_link_refusals_total", "direction" => direction).increment(1);
+}
+
+/// Counts a request that was sent to a target outside of this node's zone; `reason` says why.
+pub fn left_zone(service: &str, reason: &'static str) {
+    let labels = [
+        ("service", service.to_owned()),
+        ("reason", reason.to_owned()),
+    ];
+    counter!("fulmarreel_left_zone_total", &labels).increment(1);
+}
+
 /// Counts a watch of the store that ended; `result` says whether it brought events, brought none or
 /// failed.
 pub fn store_watch_ended(result: &'static str) {
@@ -263,6 +317,11 @@
     gauge!("fulmarreel_store_contact_age_seconds").set(age.as_secs_f64());
 }
 
+/// Sets the proved age of this node's copy of the store.
+pub fn set_store_proof_age(age: Duration) {
+    gauge!("fulmarreel_store_proof_age_seconds").set(age.as_secs_f64());
+}
+
 /// Sets the share of calls of a rollout's new version, from 0 to 1.
 pub fn set_share(service: &str, version: &str, share: f64) {
     let labels = [
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -2,6 +2,7 @@
 //! the targets are fakes inside the test process.
 
 mod backend;
+mod cold;
 mod departed;
 mod distribution;
 mod endless;
@@ -10,7 +11,9 @@
 mod keys;
 mod left;
 mod moves;
+mod narrow;
 mod odd;
+mod overload;
 mod path;
 mod pipeline;
 mod places;
--- a/fulmarreel-node/tests/mesh/places.rs
+++ b/fulmarreel-node/tests/mesh/places.rs
@@ -3,14 +3,14 @@
 use crate::{
     backend::{Behavior, header},
     frames::{connect, open_frame},
-    support::{Answer, Instance, Location, call, eventually},
+    support::{Answer, Instance, Location, TIMEOUT, call, eventually},
 };
 use anyhow::{bail, ensure};
 use fulmarreel_node::peer::stream::{read, write};
-use fulmarreel_testing::kv::FakePlatformStore;
+use fulmarreel_testing::kv::{FakePlatformStore, Faults};
 use fulmarreel_wire::call::{Chunk, Frame, Header, Refusal};
 use rstest::rstest;
-use smol::Timer;
+use smol::{Timer, net::TcpStream};
 use std::time::Duration;
 
 /// Routes to `s`: `/s/` to all regions, `/far/` to one, and `/nowhere/` to a region without targets; with
@@ -83,6 +83,11 @@
     account: Option<&str>,
 ) -> anyhow::Result<Option<Refusal>> {
     let mut tcp = connect(to).await?;
+    send_frames(&mut tcp, path, account).await?;
+    read_refusal(&mut tcp).await
+}
+
+async fn send_frames(tcp: &mut TcpStream, path: &str, account: Option<&str>) -> anyhow::Result<()> {
     let Frame::Open(mut open) = open_frame(false, 0) else {
         bail!("no request");
     };
@@ -95,16 +100,21 @@
     });
     open.headers = headers.collect();
     open.path = path.to_owned();
-    write(&mut tcp, &Frame::Open(open)).await?;
+    write(tcp, &Frame::Open(open)).await?;
     let body = Chunk {
         sequence: 1,
         offset: 0,
         bytes: Vec::new(),
         last: true,
     };
-    write(&mut tcp, &Frame::Chunk(body)).await?;
+    write(tcp, &Frame::Chunk(body)).await?;
+    Ok(())
+}
+
+/// Why the request was refused; `None` if it was answered.
+async fn read_refusal(tcp: &mut TcpStream) -> anyhow::Result<Option<Refusal>> {
     loop {
-        match read(&mut tcp).await? {
+        match read(tcp).await? {
             Frame::Refused(refused) => return Ok(Some(refused.reason)),
             Frame::Head(_) => return Ok(None),
             Frame::Leaving | Frame::Accepting => {}
@@ -218,7 +228,8 @@
     })
 }
 
-/// Fails if a node that starts in an evacuated zone serves its target until it has read the order.
+/// Fails if a node that starts in an evacuated zone serves its target until it has read the order, also if
+/// that takes longer than to know the target.
 #[test]
 fn a_restarted_node_keeps_its_zone_evacuated() -> anyhow::Result<()> {
     smol::block_on(async {
@@ -232,12 +243,29 @@
         .await?;
         let (near, _) = fleet.arrivals();
         fleet.near.process.signal("KILL")?;
+        fleet.near.process.wait_for_exit(TIMEOUT)?;
+        let silent = Faults {
+            silent: true,
+            ..Faults::default()
+        };
+        fleet.store.set_faults(silent);
+        for other in [&fleet.caller, &fleet.far] {
+            other.process.signal("STOP")?;
+        }
         fleet.near.restart()?;
-        for _ in 0..200 {
+        eventually("target known", || async {
             // The node does not listen yet at first.
             let _ = refusal(&fleet.near, "/s/", None).await;
-            Timer::after(Duration::from_millis(10)).await;
+            let log = fleet.near.log();
+            log.is_ok_and(|log| log.contains("announcements are used without"))
+        })
+        .await?;
+        let refused = refusal(&fleet.near, "/s/", None).await?;
+        ensure!(refused == Some(Refusal::Leaving), "{refused:?}");
+        for other in [&fleet.caller, &fleet.far] {
+            other.process.signal("CONT")?;
         }
+        fleet.store.set_faults(Faults::default());
         fleet.near.wait_ready().await?;
         let refused = refusal(&fleet.near, "/s/", None).await?;
         ensure!(refused == Some(Refusal::Leaving), "{refused:?}");
@@ -250,3 +278,26 @@
         .await
     })
 }
+
+/// Fails if a node that was frozen runs what was sent meanwhile, by orders that it may not have read yet.
+#[test]
+fn a_node_that_was_frozen_runs_nothing_from_before() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let fleet = Fleet::start().await?;
+        let setting = format!("bounds.evacuate_s={}", EVACUATION_LIMIT.as_secs());
+        fleet.near.add_setting(&setting).await?;
+        let mut tcp = connect(&fleet.near).await?;
+        let (near, _) = fleet.arrivals();
+        fleet.near.process.signal("STOP")?;
+        send_frames(&mut tcp, "/s/", None).await?;
+        Timer::after(EVACUATION_LIMIT * 3 / 4).await;
+        fleet.near.process.signal("CONT")?;
+        let refused = read_refusal(&mut tcp).await?;
+        ensure!(refused == Some(Refusal::Leaving), "{refused:?}");
+        ensure!(fleet.arrivals().0 == near);
+        eventually("served again", || async {
+            matches!(refusal(&fleet.near, "/s/", None).await, Ok(None))
+        })
+        .await
+    })
+}
--- a/fulmarreel-route/src/table.rs
+++ b/fulmarreel-route/src/table.rs
@@ -1,7 +1,7 @@
 //! The routes of one configuration, indexed by host.
 
 use crate::{Accounts, Limits, Route, WeightedSplit};
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 /// The routes of one version of the configuration.
 #[derive(Debug, Default)]
@@ -16,8 +16,12 @@
     pub health_paths: HashMap<String, String>,
     /// The most requests per second that a cold target of a service may get, by service.
     pub cold_limits_per_s: HashMap<String, f64>,
+    /// How long a target of a service is cold after its start, by service.
+    pub cold_times: HashMap<String, Duration>,
     /// The client accounts; without any, requests need no API key.
     pub accounts: Accounts,
+    /// Whether any route has large bodies.
+    has_bulk_routes: bool,
     /// Routes by host in lower case, those with the longest prefix first.
     entries_by_host: HashMap<String, Vec<Arc<Entry>>>,
 }
@@ -35,6 +39,7 @@
     /// Creates a table of these routes, without accounts and settings of services.
     pub fn new(revision: u64, version: u64, limits: Limits, routes: Vec<Route>) -> Self {
         let mut entries_by_host: HashMap<String, Vec<Arc<Entry>>> = HashMap::new();
+        let has_bulk_routes = routes.iter().any(|route| route.is_bulk);
         for route in routes {
             let split = WeightedSplit::new(&route.services);
             let entries = entries_by_host
@@ -51,7 +56,9 @@
             limits,
             health_paths: HashMap::new(),
             cold_limits_per_s: HashMap::new(),
+            cold_times: HashMap::new(),
             accounts: Accounts::default(),
+            has_bulk_routes,
             entries_by_host,
         }
     }
@@ -75,7 +82,7 @@
 
     /// Whether any route has large bodies.
     pub fn has_bulk_routes(&self) -> bool {
-        self.routes().any(|route| route.is_bulk)
+        self.has_bulk_routes
     }
 
     /// Whether any route or account names the regions that may serve its requests.
