--- a/fulmarreel-distribution/src/copy_freshness.rs
+++ b/fulmarreel-distribution/src/copy_freshness.rs
@@ -66,18 +66,6 @@
         pause.map_or(now, |pause| pause.since).checked_sub(age)
     }
 
-    /// How long the process was paused, while messages that arrived during the pause may still be read;
-    /// zero otherwise.
-    pub fn pause_with_backlog(&mut self, now: Instant) -> Duration {
-        self.observe(now);
-        let pause = self.pause.as_ref();
-        let pause = pause.filter(|pause| now < pause.backlog_until);
-        pause.map_or(Duration::ZERO, |pause| {
-            let until_read = pause.backlog_until.saturating_duration_since(pause.since);
-            until_read.saturating_sub(BACKLOG_READ_TIME)
-        })
-    }
-
     /// Records that the store itself has just confirmed that the copy is complete.
     pub fn confirm_now(&mut self, now: Instant) {
         let time = self.earliest_time_of(Duration::ZERO, now);
--- a/fulmarreel-node/src/mesh/context.rs
+++ b/fulmarreel-node/src/mesh/context.rs
@@ -175,12 +175,6 @@
         let _ = self.store_responded.1.recv().await;
     }
 
-    /// How long the process was paused, while messages that arrived during the pause may still be read;
-    /// zero otherwise.
-    pub fn pause_with_backlog(&self) -> Duration {
-        self.copy_freshness().pause_with_backlog(Instant::now())
-    }
-
     /// Waits until the own zone was evacuated or taken back, or became known to be in service.
     pub async fn wait_zone_changed(&self) {
         // Cannot fail: the sender lives as long as the receiver.
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -3,6 +3,7 @@
 
 mod cold_gate;
 mod own_target;
+mod pauses;
 mod peer;
 mod place;
 
@@ -25,6 +26,7 @@
 use fulmarreel_platform::request;
 use fulmarreel_wire::call::{Failure, Frame, Head, Header, Open, Refusal};
 use own_target::OwnTarget;
+use pauses::Pauses;
 use smol::{Timer, net::TcpListener, stream::StreamExt};
 use std::{
     io,
@@ -46,6 +48,7 @@
     endpoint: Endpoint,
     own_target: Mutex<OwnTarget>,
     cold_gate: Arc<ColdGate>,
+    pauses: Mutex<Pauses>,
     /// Whether the target of an announcement is being asked whether it is there.
     is_confirming: AtomicBool,
     sessions: Sessions,
@@ -100,6 +103,7 @@
                 last_heard: Instant::now(),
             }),
             cold_gate: Arc::new(ColdGate::new(Instant::now())),
+            pauses: Mutex::new(Pauses::new(Instant::now())),
             is_confirming: AtomicBool::new(false),
             sessions: Sessions::default(),
         }
@@ -300,6 +304,10 @@
         let mut last_check = started;
         loop {
             Timer::after(CHECK_INTERVAL).await;
+            self.pauses
+                .lock()
+                .expect("pauses lock")
+                .observe(Instant::now());
             self.withdraw_silent_target(started, &mut last_check);
             self.endpoint.close_unusable();
             self.log_cold_state();
--- a/fulmarreel-node/src/mesh/serve/place.rs
+++ b/fulmarreel-node/src/mesh/serve/place.rs
@@ -7,6 +7,7 @@
 use fulmarreel_platform::request;
 use fulmarreel_route::Table;
 use fulmarreel_wire::call::{Frame, Open, Refusal};
+use std::time::Instant;
 
 /// A pause of the process counts from this fraction of the limit for evacuations on.
 const MAX_PAUSE_FRACTION: f64 = 0.5;
@@ -23,10 +24,10 @@
         let (settings, view) = (self.context.settings(), self.context.view());
         // A process that was paused may read requests now that were sent before an order which it has not
         // read yet.
-        let pause = self.context.pause_with_backlog();
-        let is_late = settings
-            .evacuation_limit
-            .is_some_and(|limit| !pause.is_zero() && pause >= limit.mul_f64(MAX_PAUSE_FRACTION));
+        let is_late = settings.evacuation_limit.is_some_and(|limit| {
+            let mut pauses = self.pauses.lock().expect("pauses lock");
+            pauses.has_backlog(limit.mul_f64(MAX_PAUSE_FRACTION), Instant::now())
+        });
         if is_late || !view.is_in_service(&settings.zone) {
             metrics::request_refused(&open.service, RefusalCause::Evacuated);
             return Err(Refusal::Leaving);
