fix: a request without an answer counts longer against a cold target's bound

A target that does not run gets it when it goes on: drawn pauses of the target of over 4 s after the node had given the request up broke the bound.

--- a/fulmarreel-balance/src/cold/limiter.rs
+++ b/fulmarreel-balance/src/cold/limiter.rs
@@ -23,8 +23,9 @@
 /// The most tokens that requests which are not delayed may leave the bucket short of.
 const MAX_DEBT: f64 = 1.0;
 
-/// How long a request without an answer may still reach the target after its connection was closed.
-const UNANSWERED_LIFETIME: Duration = Duration::from_secs(5);
+/// How long a request without an answer counts after its connection was closed. A target that does not run
+/// for up to a second less gets it within that time.
+const UNANSWERED_LIFETIME: Duration = Duration::from_secs(10);
 
 /// When to try again while requests without an answer take up the whole bound.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
