--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -6,6 +6,7 @@
 mod feedback;
 pub(super) mod order;
 mod own_target;
+mod pauses;
 mod peer;
 mod place;
 
@@ -30,6 +31,7 @@
 use fulmarreel_wire::call::{Failure, Frame, Head, Header, Open, Refusal};
 use order::{NewRun, Orders};
 use own_target::OwnTarget;
+use pauses::Pauses;
 use smol::{Timer, net::TcpListener, stream::StreamExt};
 use std::{
     io,
@@ -52,6 +54,7 @@
     endpoint: Endpoint,
     own_target: Mutex<OwnTarget>,
     cold_gate: Arc<ColdGate>,
+    pauses: Mutex<Pauses>,
     /// Whether the target of an announcement is being asked whether it is there.
     is_confirming: AtomicBool,
     sessions: Sessions,
@@ -112,6 +115,7 @@
                 last_heard: Instant::now(),
             }),
             cold_gate: Arc::new(ColdGate::new(Instant::now())),
+            pauses: Mutex::new(Pauses::new(Instant::now())),
             is_confirming: AtomicBool::new(false),
             sessions: Sessions::default(),
         }
@@ -332,6 +336,10 @@
         let mut last_check = started;
         loop {
             Timer::after(CHECK_INTERVAL).await;
+            self.pauses
+                .lock()
+                .expect("pauses lock")
+                .observe(Instant::now());
             self.withdraw_silent_target(started, &mut last_check);
             self.endpoint.close_unusable();
             self.log_cold_state();
