--- a/fulmarreel-node/src/mesh/caller/offer.rs
+++ b/fulmarreel-node/src/mesh/caller/offer.rs
@@ -4,7 +4,7 @@
 use super::{FIRST_SERVER_ERROR, Request, RequestHandler, STOPPING};
 use crate::{
     mesh::{
-        credential::{MAY_BE_REVOKED, REVOCATION_RETRY_AFTER},
+        credential::{MAY_BE_REVOKED, REVOCATION_RETRY_AFTER, may_be_revoked},
         exchange::{AttemptOutcome, Exchange},
         view::Target,
     },
@@ -89,8 +89,7 @@
             if !self.has_time_before_end(request) {
                 return last.or_not_run(STOPPING, self.time_until_restart());
             }
-            let credential = request.credential;
-            if credential.is_some_and(|credential| !credential.is_valid(&self.context)) {
+            if may_be_revoked(request.credential, &self.context) {
                 return last.or_not_run(MAY_BE_REVOKED, REVOCATION_RETRY_AFTER);
             }
             let view = self.context.view();
--- a/fulmarreel-node/src/mesh/credential.rs
+++ b/fulmarreel-node/src/mesh/credential.rs
@@ -37,7 +37,7 @@
     }
 
     /// Whether the key is proved not to have been removed longer ago than the limit for revocations.
-    pub fn is_valid(&self, context: &Context) -> bool {
+    fn is_valid(&self, context: &Context) -> bool {
         // Read before the view: what is proved of an earlier view holds for a later one.
         let is_proved = context.is_proved();
         let view = context.view();
@@ -53,6 +53,11 @@
     }
 }
 
+/// Whether a request with a key may not run any more, as the key may have been removed.
+pub fn may_be_revoked(credential: Option<&Credential>, context: &Context) -> bool {
+    credential.is_some_and(|credential| !credential.is_valid(context))
+}
+
 impl fmt::Debug for Credential {
     /// Leaves the key out, so that it reaches no log.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/fulmarreel-node/src/mesh/exchange.rs
+++ b/fulmarreel-node/src/mesh/exchange.rs
@@ -6,7 +6,7 @@
 
 use super::{
     context::Context,
-    credential::{Credential, MAY_BE_REVOKED},
+    credential::{Credential, MAY_BE_REVOKED, may_be_revoked},
     serve::{Admitted, Rejection, Server, request_id},
     targets::TargetStats,
     view::Target,
@@ -171,9 +171,15 @@
             retry_after: Duration::ZERO,
         };
         let admitted = self.until_nearly_ended(self.server.admit(open), withdrawn);
-        let is_revocable = |credential: &Credential| !credential.is_valid(self.context);
         let result = match admitted.await {
-            Ok(_) if self.credential.is_some_and(is_revocable) => return may_be_revoked(),
+            Ok(_) if may_be_revoked(self.credential, self.context) => {
+                return AttemptOutcome::NotRun {
+                    reason: MAY_BE_REVOKED,
+                    // The target itself takes other requests at once.
+                    retry_after: Duration::from_millis(1),
+                    reached: true,
+                };
+            }
             Ok(admitted) => {
                 let run = async {
                     if open.idempotent {
@@ -378,15 +384,6 @@
     }
 }
 
-fn may_be_revoked() -> AttemptOutcome {
-    AttemptOutcome::NotRun {
-        reason: MAY_BE_REVOKED,
-        // The target itself takes other requests at once.
-        retry_after: Duration::from_millis(1),
-        reached: true,
-    }
-}
-
 fn failed(reason: Failure) -> AttemptOutcome {
     let reason = match reason {
         Failure::TargetLost => "the target's answer was lost",
