fix(node): a coordinator of quotas waits for its predecessor's lease in a new era of the store

The store has forgotten that lease, while the predecessor may still grant by it. Before revisions carried eras, a lower revision showed this.

--- a/fulmarreel-node/src/mesh/quota/claim.rs
+++ b/fulmarreel-node/src/mesh/quota/claim.rs
@@ -6,7 +6,7 @@
 
 use super::{COORDINATOR_KEY, Quotas, clock, duty::Lease};
 use crate::{
-    mesh::{keys::Owner, notices::NoticeSocket},
+    mesh::{era, keys::Owner, notices::NoticeSocket},
     runtime,
 };
 use fulmarreel_distribution::backoff::Backoff;
@@ -162,11 +162,12 @@
     }
 
     /// Until when a predecessor may make grants. Its lease has lapsed, unless the store has forgotten its
-    /// history, so that its revisions start again.
+    /// history, so that its revisions start again or are of a later era.
     fn predecessor_ends(&self, revision: u64) -> Time {
         let latest = self.latest_term();
         let now = clock::now();
-        if latest >= revision {
+        let is_new_era = era::of(latest) < era::of(revision);
+        if latest >= revision || is_new_era {
             now + LEASE_TTL
         } else {
             now
