feat(quota): a coordinator distributes quotas at once when all nodes have restarted

Nodes tell whether a grant was ever made to their process; when all nodes have told that none was, nothing of the predecessor is left. A former coordinator's new process takes over its own key without waiting for the lease.

Ruled out: a part of the burst as a higher rate.

--- a/fulmarreel-node/src/mesh/quota/claim.rs
+++ b/fulmarreel-node/src/mesh/quota/claim.rs
@@ -76,15 +76,27 @@
             if quotas.duty.is_held() && term.address != quotas.context.settings().peer_address {
                 quotas.end_duty().await;
             }
-            claim_at = None;
-            continue;
+            if quotas.has_to_introduce() {
+                quotas.ask_further();
+            }
+            if quotas.duty.is_held() || !quotas.has_former_key() {
+                claim_at = None;
+                continue;
+            }
         }
         if quotas.duty.is_held() {
             claim_at = None;
             continue;
         }
         let now = clock::now();
-        let at = *claim_at.get_or_insert_with(|| quotas.claim_time(now));
+        let first_at = || {
+            if quotas.has_former_key() {
+                now
+            } else {
+                quotas.claim_time(now)
+            }
+        };
+        let at = *claim_at.get_or_insert_with(first_at);
         if now < at {
             continue;
         }
@@ -124,9 +136,13 @@
     /// Claims the key; `false` if another node has it.
     async fn claim(self: &Arc<Self>, notices: &NoticeSocket) -> Result<bool, Error> {
         let store = &self.context.store;
-        if store.get(COORDINATOR_KEY).await?.is_some() {
-            return Ok(false);
-        }
+        let condition = match store.get(COORDINATOR_KEY).await? {
+            None => Transaction::new().when_absent(COORDINATOR_KEY),
+            Some(entry) if self.is_of_former_process(&entry.value) => {
+                Transaction::new().when_mod_revision(COORDINATOR_KEY, entry.mod_revision)
+            }
+            Some(_) => return Ok(false),
+        };
         let requested_at = clock::now();
         let ttl = LEASE_TTL.max(self.context.settings().min_lease_ttl);
         let id = store.grant(ttl).await?;
@@ -137,10 +153,7 @@
         let Ok(value) = serde_json::to_vec(&owner) else {
             return Ok(false);
         };
-        let transaction =
-            Transaction::new()
-                .when_absent(COORDINATOR_KEY)
-                .put_leased(COORDINATOR_KEY, &value, id);
+        let transaction = condition.put_leased(COORDINATOR_KEY, &value, id);
         match store.commit_with_read_back(&transaction).await? {
             Outcome::Written(revision) => {
                 let valid_until = requested_at + LEASE_TTL - LEASE_MARGIN;
@@ -161,6 +174,21 @@
         }
     }
 
+    /// Whether the store's copy names a former process of this node as the coordinator. It has ended, so
+    /// that nobody has to wait until its lease lapses.
+    fn has_former_key(&self) -> bool {
+        self.context.read(|mirror| {
+            let item = mirror.get(COORDINATOR_KEY);
+            item.is_some_and(|item| self.is_of_former_process(&item.value))
+        })
+    }
+
+    fn is_of_former_process(&self, value: &[u8]) -> bool {
+        let own = self.context.settings().peer_address;
+        let owner: Result<Owner, _> = serde_json::from_slice(value);
+        owner.is_ok_and(|owner| owner.address == own && owner.boot != self.context.started_at_ms)
+    }
+
     /// Until when a predecessor may make grants. Its lease has lapsed, unless the store has forgotten its
     /// history, so that its revisions start again or are of a later era.
     fn predecessor_ends(&self, revision: u64) -> Time {
--- a/fulmarreel-node/src/mesh/quota/driver.rs
+++ b/fulmarreel-node/src/mesh/quota/driver.rs
@@ -11,6 +11,7 @@
 use fulmarreel_quota::{
     Limit, Time,
     member::{Outgoing, Token},
+    message::Report,
 };
 use fulmarreel_wire::notice::{MAX_QUOTA_DEMANDS, Notice, QuotaLoan, QuotaReport, QuotaWish};
 use smol::{Timer, future::or};
@@ -19,6 +20,9 @@
 /// The shortest time between two checks for what is due.
 const MIN_PAUSE: Duration = Duration::from_millis(2);
 
+/// How often a node introduces itself to a new coordinator.
+const MAX_INTRODUCTIONS: u8 = 3;
+
 /// The time over which nodes spread their first reports to a new coordinator.
 const FIRST_REPORT_SPREAD: Duration = Duration::from_millis(100);
 
@@ -67,7 +71,10 @@
                 self.settle_after(|member| member.accept(&loan, clock::now()));
                 self.ask_further();
             }
-            Notice::QuotaCoordinator(revision) => self.note_coordinator(from, *revision),
+            Notice::QuotaCoordinator(revision) => {
+                self.note_coordinator(from, *revision);
+                self.ask_further();
+            }
             _ => {}
         }
         None
@@ -90,7 +97,10 @@
 
     fn answer(&self, from: SocketAddr, report: &QuotaReport) -> Option<Notice> {
         let limits = self.limits.by_hash(&self.context);
-        let answer = self.duty.answer(from, &report_from_wire(report), limits)?;
+        let view = self.context.view();
+        let nodes = view.nodes.iter().map(|node| node.0);
+        let report = report_from_wire(report);
+        let answer = self.duty.answer(from, &report, nodes, limits)?;
         Some(Notice::QuotaAnswer(answer_to_wire(&answer)))
     }
 
@@ -110,7 +120,7 @@
     }
 
     /// Wakes the driver, which may have something to do earlier than before.
-    fn ask_further(&self) {
+    pub(super) fn ask_further(&self) {
         // Fails if a signal is pending, which is enough.
         let _ = self.waits.0.try_send(());
     }
@@ -119,18 +129,41 @@
         self.requests().member.due_at(clock::now())
     }
 
+    /// What this node tells a new coordinator at first, again if the datagram may have been lost.
+    fn introduction(&self, now: Time) -> Option<Report> {
+        {
+            let mut known = self.known.lock().expect("coordinators lock");
+            known.introductions = known.introductions.checked_sub(1)?;
+        }
+        self.requests().member.introduction(now)
+    }
+
+    /// Whether this node has to report to a coordinator that it has not reported to often enough.
+    pub(super) fn has_to_introduce(&self) -> bool {
+        let coordinator = self.coordinator();
+        let known = self.known.lock().expect("coordinators lock");
+        coordinator.is_some() && (known.reported_to != coordinator || known.introductions > 0)
+    }
+
     /// Sends the reports that are due to the coordinator, if there is one.
     async fn report(&self, notices: &NoticeSocket) {
         let coordinator = self.coordinator();
+        let now = clock::now();
         let is_new = {
             let mut known = self.known.lock().expect("coordinators lock");
             let is_new = coordinator.is_some() && known.reported_to != coordinator;
             if is_new {
                 known.reported_to = coordinator;
+                known.introductions = MAX_INTRODUCTIONS;
             }
             is_new
         };
-        let now = clock::now();
+        if let Some(coordinator) = coordinator
+            && let Some(introduction) = self.introduction(now)
+        {
+            let notice = Notice::QuotaReport(report_to_wire(&introduction));
+            notices.send(coordinator.address, notice).await;
+        }
         let messages = {
             let mut requests = self.requests();
             if is_new {
--- a/fulmarreel-node/src/mesh/quota/duty.rs
+++ b/fulmarreel-node/src/mesh/quota/duty.rs
@@ -76,11 +76,12 @@
         self.held().is_some()
     }
 
-    /// Answers a report, if this node has the duty for certain.
+    /// Answers a report, if this node has the duty for certain. `nodes` are all that are known.
     pub fn answer(
         &self,
         from: SocketAddr,
         report: &Report,
+        nodes: impl Iterator<Item = SocketAddr>,
         limits: impl Fn(u64) -> Option<Limit>,
     ) -> Option<Answer> {
         let mut held = self.held();
@@ -90,7 +91,9 @@
         if !held.lease.is_valid(now) {
             return None;
         }
-        Some(held.coordinator.answer(from, report, limits, now))
+        let answer = held.coordinator.answer(from, report, limits, now);
+        held.coordinator.end_takeover(nodes, now);
+        Some(answer)
     }
 
     fn held(&self) -> MutexGuard<'_, Option<Held>> {
--- a/fulmarreel-node/src/mesh/quota/messages.rs
+++ b/fulmarreel-node/src/mesh/quota/messages.rs
@@ -16,6 +16,7 @@
         sequence: report.sequence,
         // Rounded down, so that the grant expires early rather than late.
         sent_ms: to_millis(report.sent_at),
+        never_granted: report.never_granted,
         demands: report.demands.iter().map(demand_to_wire).collect(),
     }
 }
@@ -26,6 +27,7 @@
         boot: report.boot,
         sequence: report.sequence,
         sent_at: Time::from_millis(report.sent_ms),
+        never_granted: report.never_granted,
         demands: report.demands.iter().map(demand_from_wire).collect(),
     }
 }
--- a/fulmarreel-node/src/mesh/quota/mod.rs
+++ b/fulmarreel-node/src/mesh/quota/mod.rs
@@ -95,6 +95,8 @@
     announced: Option<(Term, Time)>,
     /// The one that the last report was sent to.
     reported_to: Option<Term>,
+    /// How often this node is still to introduce itself to that one.
+    introductions: u8,
 }
 
 impl Quotas {
--- a/fulmarreel-quota/examples/costs.rs
+++ b/fulmarreel-quota/examples/costs.rs
@@ -99,6 +99,7 @@
         boot: report.boot,
         sequence: report.sequence,
         sent_ms: report.sent_at.as_millis() as u64,
+        never_granted: false,
         demands: demands.collect(),
     })
 }
@@ -248,6 +249,7 @@
             boot: 1,
             sequence: 1,
             sent_at: now,
+            never_granted: false,
             demands: demands.collect(),
         };
         coordinator.answer(node, &report, |account| limits.get(&account).copied(), now);
--- a/fulmarreel-quota/src/coordinator/mod.rs
+++ b/fulmarreel-quota/src/coordinator/mod.rs
@@ -13,7 +13,11 @@
     message::{Answer, Report},
 };
 use pool::Pool;
-use std::{collections::HashMap, hash::Hash, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    hash::Hash,
+    time::Duration,
+};
 
 /// How often accounts without demand are dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
@@ -22,6 +26,10 @@
 #[derive(Debug)]
 pub struct Coordinator<N> {
     taken_over_at: Time,
+    /// Until when the predecessor may make grants.
+    predecessor_ends: Time,
+    /// Nodes whose process was never granted anything when it first reported.
+    restarted: HashSet<N>,
     /// When the last grant of the predecessor has expired.
     predecessor_until: Time,
     pools: HashMap<u64, Pool<N>>,
@@ -34,6 +42,8 @@
     pub fn new(predecessor_ends: Time, now: Time) -> Self {
         Self {
             taken_over_at: now,
+            predecessor_ends: predecessor_ends.max(now),
+            restarted: HashSet::new(),
             predecessor_until: predecessor_ends.max(now) + GRANT_LIFETIME,
             pools: HashMap::new(),
             next_sweep: now + SWEEP_INTERVAL,
@@ -49,6 +59,9 @@
         now: Time,
     ) -> Answer {
         self.sweep(now);
+        if report.never_granted && now < self.predecessor_until {
+            self.restarted.insert(node);
+        }
         let mut grants = Vec::with_capacity(report.demands.len());
         for demand in &report.demands {
             let Some(limit) = limits(demand.account) else {
@@ -68,6 +81,22 @@
         }
     }
 
+    /// Ends the time in which grants of the predecessor are reckoned with, if all nodes that it could have
+    /// made grants to have restarted since, as after a loss of power everywhere.
+    pub fn end_takeover(&mut self, mut nodes: impl Iterator<Item = N>, now: Time) {
+        if now < self.predecessor_ends || now >= self.predecessor_until {
+            return;
+        }
+        if !nodes.all(|node| self.restarted.contains(&node)) {
+            return;
+        }
+        self.predecessor_until = now;
+        self.restarted = HashSet::new();
+        for pool in self.pools.values_mut() {
+            pool.end_takeover(now);
+        }
+    }
+
     /// The number of accounts that it keeps state of.
     pub fn accounts(&self) -> usize {
         self.pools.len()
--- a/fulmarreel-quota/src/coordinator/pool.rs
+++ b/fulmarreel-quota/src/coordinator/pool.rs
@@ -74,6 +74,12 @@
         self.clip(now);
     }
 
+    /// The predecessor's grants are all gone.
+    pub fn end_takeover(&mut self, now: Time) {
+        self.fill(now);
+        self.predecessor_until = now;
+    }
+
     /// Answers a report of a node; `None` if it is old or repeated.
     pub fn answer(
         &mut self,
--- a/fulmarreel-quota/src/member/mod.rs
+++ b/fulmarreel-quota/src/member/mod.rs
@@ -81,6 +81,8 @@
     boot: u64,
     /// The number of the last report.
     sequence: u32,
+    /// Whether no answer of a coordinator was ever applied.
+    never_granted: bool,
     shares: HashMap<u64, Share<W>>,
     /// The accounts with waiting requests.
     waiting: BTreeSet<u64>,
@@ -93,6 +95,7 @@
         Self {
             boot,
             sequence: 0,
+            never_granted: true,
             shares: HashMap::new(),
             waiting: BTreeSet::new(),
             next_report: Time::ZERO,
@@ -134,6 +137,7 @@
         if answer.boot != self.boot {
             return;
         }
+        self.never_granted &= answer.grants.is_empty();
         for grant in &answer.grants {
             if let Some(share) = self.shares.get_mut(&grant.account) {
                 share.apply(answer.sequence, answer.sent_at, *grant, now);
@@ -170,18 +174,17 @@
             demands.extend(self.regular_demands(&demands, now));
         }
         for demands in demands.chunks(max_demands) {
-            let demands = demands.to_vec();
-            let sequence = self.next_sequence();
-            messages.push(Outgoing::Report(Report {
-                boot: self.boot,
-                sequence,
-                sent_at: now,
-                demands,
-            }));
+            let report = self.new_report(demands.to_vec(), now);
+            messages.push(Outgoing::Report(report));
         }
         messages
     }
 
+    /// What a process to which no grant was ever made tells a new coordinator, even without demand.
+    pub fn introduction(&mut self, now: Time) -> Option<Report> {
+        self.never_granted.then(|| self.new_report(Vec::new(), now))
+    }
+
     /// Lends tokens to another node.
     pub fn lend(&mut self, wish: &Wish, limit: Limit, now: Time) -> Loan {
         let share = self.share(wish.account, limit, now);
@@ -268,9 +271,15 @@
             .collect()
     }
 
-    fn next_sequence(&mut self) -> u32 {
+    fn new_report(&mut self, demands: Vec<Demand>, now: Time) -> Report {
         self.sequence += 1;
-        self.sequence
+        Report {
+            boot: self.boot,
+            sequence: self.sequence,
+            sent_at: now,
+            never_granted: self.never_granted,
+            demands,
+        }
     }
 
     fn share(&mut self, account: u64, limit: Limit, now: Time) -> &mut Share<W> {
--- a/fulmarreel-quota/src/message.rs
+++ b/fulmarreel-quota/src/message.rs
@@ -12,6 +12,8 @@
     pub sequence: u32,
     /// When the report was sent, on the sender's clock; the answer repeats it.
     pub sent_at: Time,
+    /// Whether no grant was ever made to the process. Those of former processes of its node are gone then.
+    pub never_granted: bool,
     /// Accounts for which the node needs or holds something.
     pub demands: Vec<Demand>,
 }
--- a/fulmarreel-quota/tests/quota/main.rs
+++ b/fulmarreel-quota/tests/quota/main.rs
@@ -2,4 +2,5 @@
 
 mod bound;
 mod play;
+mod restart;
 mod useful;
--- a/fulmarreel-quota/tests/quota/play/mod.rs
+++ b/fulmarreel-quota/tests/quota/play/mod.rs
@@ -351,6 +351,7 @@
                     .filter(|post| now < post.valid_until);
                 if let Some(post) = post {
                     let answer = post.coordinator.answer(from, &report, |_| Some(limit), now);
+                    post.coordinator.end_takeover(0..self.nodes.len(), now);
                     self.send(to, from, Message::Answer(answer));
                 }
             }
--- a/fulmarreel-wire/src/notice.rs
+++ b/fulmarreel-wire/src/notice.rs
@@ -151,6 +151,8 @@
     pub sequence: u32,
     /// The time of sending in milliseconds, on a clock of the sender; the answer repeats it.
     pub sent_ms: u64,
+    /// Whether no grant was ever made to the process.
+    pub never_granted: bool,
     /// Demands, at most [`MAX_QUOTA_DEMANDS`].
     pub demands: Vec<QuotaDemand>,
 }
--- a/fulmarreel-wire/tests/quota.rs
+++ b/fulmarreel-wire/tests/quota.rs
@@ -37,6 +37,7 @@
         boot,
         sequence,
         sent_ms,
+        never_granted: true,
         demands: vec![demand; MAX_QUOTA_DEMANDS],
     });
     let answer = Notice::QuotaAnswer(QuotaAnswer {
