--- a/fulmarreel-balance/src/cold/limiter.rs
+++ b/fulmarreel-balance/src/cold/limiter.rs
@@ -20,17 +20,17 @@
 /// The bucket's size as a fraction of what the limits allow in a second beyond the rate.
 const BURST_FRACTION: f64 = 0.25;
 
-/// The most tokens that requests which are not delayed may leave the bucket short of.
+/// How far below zero requests that are not delayed may take the bucket.
 const MAX_DEBT: f64 = 1.0;
 
-/// How long a request without an answer counts after its connection was closed. A target that does not run
-/// for up to a second less gets it within that time.
+/// How long a request without an answer counts after its connection was closed. A target that is paused
+/// may read the request up to a [`WINDOW`] before this time ends, without exceeding the bound.
 const UNANSWERED_LIFETIME: Duration = Duration::from_secs(10);
 
-/// When to try again while requests without an answer take up the whole bound.
+/// Delay until the next attempt while requests without an answer take up the whole bound.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The longest wait that is told.
+/// The longest wait that is returned.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
 /// The requests that a target may get.
--- a/fulmarreel-balance/src/cold/share.rs
+++ b/fulmarreel-balance/src/cold/share.rs
@@ -2,7 +2,8 @@
 //!
 //! The nodes do not know each other's demand. Each sends more after each request that the target's node
 //! accepts, and half as much after each that it refuses. The first rate lies between the whole limit,
-//! for which one node alone would have to have requests, and an equal part of it, for which all would.
+//! which is right if only this node has requests, and an equal part of it, which is right if all nodes
+//! have equally many.
 
 use std::time::Instant;
 
--- a/fulmarreel-balance/src/link.rs
+++ b/fulmarreel-balance/src/link.rs
@@ -2,15 +2,15 @@
 //!
 //! What has been handed to the link drains at its bandwidth. Bodies that are expected, such as the
 //! responses of requests that run, take up what comes after that. A body that cannot cross in time is
-//! refused before any work is done for it. The load it answers: downloads at up to twice what the link
-//! carries, among small requests.
+//! refused before any work is done for it. The load it answers: downloads and uploads at up to twice what
+//! the link carries, among small requests.
 
 use std::time::{Duration, Instant};
 
 /// The part of the bandwidth that is left for bodies; the rest are headers of Ethernet, IP and TCP.
 const PAYLOAD_FRACTION: f64 = 0.94;
 
-/// The longest time after which a body that is refused may come back.
+/// The longest retry delay of a refused body.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// One direction of a machine's link.
@@ -21,8 +21,8 @@
     free_at: Instant,
     /// Bytes of the bodies that are expected.
     expected: f64,
-    /// When the body that was refused last may come back.
-    next_return: Instant,
+    /// The earliest retry of the next body that is refused.
+    next_retry: Instant,
 }
 
 /// A body that is to cross the link.
@@ -45,7 +45,7 @@
             bytes_per_s: bytes_per_s.max(1.0) * PAYLOAD_FRACTION,
             free_at: now,
             expected: 0.0,
-            next_return: now,
+            next_retry: now,
         }
     }
 
@@ -87,9 +87,9 @@
         }
         let has_room_at = now + backlog.min(crosses_at.saturating_duration_since(limit));
         let latest = now + MAX_RETRY_AFTER;
-        let returns_at = self.next_return.max(has_room_at).min(latest);
-        self.next_return = returns_at + self.time_of(body.bytes);
-        Err(returns_at.saturating_duration_since(now))
+        let retry_at = self.next_retry.max(has_room_at).min(latest);
+        self.next_retry = retry_at + self.time_of(body.bytes);
+        Err(retry_at.saturating_duration_since(now))
     }
 
     /// A body that was expected has been handed to the link, or never will be.
--- a/fulmarreel-balance/src/overload/attempt.rs
+++ b/fulmarreel-balance/src/overload/attempt.rs
@@ -10,9 +10,8 @@
 /// than that.
 const MIN_LATENCY_FRACTION: f64 = 0.5;
 
-/// A refused caller is told to come back after at most this fraction of the time in which its request can
-/// still be started.
-const MAX_RETURN_FRACTION: f64 = 0.6;
+/// The longest retry delay, as a fraction of the time in which the request can still be started.
+const MAX_RETRY_FRACTION: f64 = 0.6;
 
 /// What decides whether a request is offered to another target.
 #[derive(Debug, Clone, Copy)]
@@ -28,7 +27,7 @@
     /// Whether no target has been offered the request yet.
     pub is_first: bool,
     /// Whether it is new work for which a target had no room.
-    pub is_unwanted: bool,
+    pub is_refused_new_work: bool,
 }
 
 impl Attempt {
@@ -42,13 +41,13 @@
         let objective = self.objective.saturating_duration_since(self.started);
         let offered_until = self.started + objective.mul_f64(MAX_OFFERING_FRACTION);
         let has_time = now + needed <= self.deadline;
-        has_time && !(self.is_unwanted && now > offered_until)
+        has_time && !(self.is_refused_new_work && now > offered_until)
     }
 
-    /// The longest delay after which the caller may be told to come back.
-    pub fn longest_return(&self, now: Instant) -> Duration {
+    /// The longest retry delay after which the request can still be answered in time.
+    pub fn longest_retry_delay(&self, now: Instant) -> Duration {
         let left = self.deadline.saturating_duration_since(now);
         let usable = left.saturating_sub(self.typical_latency);
-        usable.mul_f64(MAX_RETURN_FRACTION)
+        usable.mul_f64(MAX_RETRY_FRACTION)
     }
 }
--- a/fulmarreel-balance/src/overload/mod.rs
+++ b/fulmarreel-balance/src/overload/mod.rs
@@ -3,9 +3,9 @@
 //!
 //! The [`Queue`] serves calls that targets make before new work, and new work by priority and by fair
 //! shares of the accounts. [`Origins`] tells the two kinds of requests apart, [`Shares`] finds accounts
-//! that priorities would starve, [`Returns`] spreads the retries of refused requests, and [`Throttle`]
-//! admits less work whose calls are refused elsewhere, as [`Refusals`] tells. [`Attempt`] decides at the node that received a
-//! request whether it is worth another offer.
+//! that priorities would starve, [`Retries`] spreads the retries of refused requests, and [`Throttle`]
+//! admits less work whose calls are refused elsewhere, as [`Refusals`] tells. [`Attempt`] decides, at the
+//! node that received a request, whether the request is worth another offer.
 
 mod attempt;
 mod class;
@@ -14,7 +14,7 @@
 mod pace;
 mod queue;
 mod refusal;
-mod returns;
+mod retries;
 mod share;
 mod throttle;
 
@@ -23,6 +23,6 @@
 pub use origin::{Hint, Origins};
 pub use queue::{Arrival, Cause, Decision, Key, Queue, Released, Request};
 pub use refusal::Refusals;
-pub use returns::Returns;
+pub use retries::Retries;
 pub use share::Shares;
 pub use throttle::Throttle;
--- a/fulmarreel-balance/src/overload/origin.rs
+++ b/fulmarreel-balance/src/overload/origin.rs
@@ -1,7 +1,7 @@
 //! Which routes carry calls that targets make while they run a request.
 //!
-//! Such calls bear no mark, but all of them come from machines of one service, while clients send their
-//! requests to the nodes of many services.
+//! Such calls bear no mark, but all calls on one route come from machines of one service, while clients
+//! send their requests to the nodes of many services.
 
 use std::{
     collections::HashMap,
--- a/fulmarreel-balance/src/overload/queue.rs
+++ b/fulmarreel-balance/src/overload/queue.rs
@@ -5,7 +5,7 @@
     class::{Class, Kind},
     lane::{Lane, Place},
     pace::{Group, Paces},
-    returns::Returns,
+    retries::Retries,
     share::Shares,
 };
 use crate::admission::QueueDeadlines;
@@ -111,7 +111,7 @@
     lanes: BTreeMap<Class, Lane<Waiting<T>>>,
     paces: Paces,
     shares: Shares,
-    returns: Returns,
+    retries: Retries,
 }
 
 impl<T> Queue<T> {
@@ -125,7 +125,7 @@
             lanes: BTreeMap::new(),
             paces: Paces::default(),
             shares: Shares::default(),
-            returns: Returns::default(),
+            retries: Retries::default(),
         }
     }
 
@@ -200,7 +200,7 @@
     /// The delay after which a request that is refused now is told to come back.
     pub fn retry_delay(&mut self, now: Instant) -> Duration {
         let interval = self.paces.interval(self.slots);
-        self.returns.delay(now, self.backlog() + interval, interval)
+        self.retries.delay(now, self.backlog() + interval, interval)
     }
 
     /// Whether a request may wait, or why not.
@@ -223,7 +223,7 @@
         let group = self.group(class, request.account);
         let wait = self.paces.expected_wait(now, group, self.slots, ahead);
         let QueueDeadlines { wanted, latest } = request.deadlines;
-        // Whoever is next gets a slot soon if the expectation is too long.
+        // The next request in the queue waits for one slot only, even if the learned pace says more.
         let is_next = ahead == 0;
         let limit = match class.kind {
             Kind::Internal | Kind::Starved => latest,
--- a/fulmarreel-balance/src/overload/refusal.rs
+++ b/fulmarreel-balance/src/overload/refusal.rs
@@ -1,6 +1,6 @@
 //! Refused calls of the own target, at the node that received them.
 //!
-//! They bear no mark there either, and clients of the same machine may use the same routes. A request that
+//! Such calls bear no mark, and clients of the same machine may use the same routes. A request that
 //! arrives while the own target runs nothing is a client's, and so are other requests of its route.
 
 use std::{
@@ -11,8 +11,8 @@
 /// How long a route counts as one of clients after a request that cannot have come from the target.
 const LIFETIME: Duration = Duration::from_secs(600);
 
-/// How long after the refusal of a call the run that made it ends. A longer time would have failures of
-/// other causes counted.
+/// How long after the refusal of a call the failure of a run is attributed to it. With a longer time,
+/// failures of other causes would be counted.
 const MAX_REACTION: Duration = Duration::from_millis(200);
 
 /// The most routes that are remembered.
--- a/fulmarreel-balance/src/overload/returns.rs
+++ b/fulmarreel-balance/src/overload/retries.rs
@@ -1,4 +1,4 @@
-//! When refused requests are told to come back.
+//! The retry delays of refused requests.
 
 use std::time::{Duration, Instant};
 
@@ -12,12 +12,12 @@
 /// first are told to come back first, one for each slot that becomes free. Without this, requests that
 /// are refused together come back together and are refused again.
 #[derive(Debug, Default)]
-pub struct Returns {
+pub struct Retries {
     /// When the next refused request is told to come back at the earliest.
     next: Option<Instant>,
 }
 
-impl Returns {
+impl Retries {
     /// The delay after which a request that is refused now is told to come back. `backlog` is the time in
     /// which the queue drains, `interval` the time between two slots that become free.
     pub fn delay(&mut self, now: Instant, backlog: Duration, interval: Duration) -> Duration {
--- a/fulmarreel-balance/src/overload/share.rs
+++ b/fulmarreel-balance/src/overload/share.rs
@@ -15,7 +15,8 @@
 /// An account that gets this part of its weighted share is not starved, however much it asks for.
 const ENOUGH_OF_SHARE: f64 = 0.5;
 
-/// With fewer requests than this lately, an account is not called starved.
+/// An account with fewer recent requests than this, counted with decay, is not considered starved. A single
+/// request counts for 5 s.
 const MIN_ASKED: f64 = 0.7;
 
 /// Accounts whose count of requests has decayed below this are forgotten.
--- a/fulmarreel-balance/src/overload/throttle.rs
+++ b/fulmarreel-balance/src/overload/throttle.rs
@@ -4,7 +4,7 @@
 //! rate at which runs of a route are started falls by a factor when more than a few of them are wasted,
 //! and rises by a constant amount per second while hardly any is; faster after a deep fall.
 
-use super::returns::Returns;
+use super::retries::Retries;
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
@@ -67,7 +67,7 @@
     starts: f64,
     updated: Instant,
     limit: Option<Limit>,
-    returns: Returns,
+    retries: Retries,
 }
 
 /// A limit of the rate of starts.
@@ -95,7 +95,7 @@
         match route.limit {
             Some(limit) if limit.tokens < 1.0 => {
                 let interval = Duration::from_secs_f64(1.0 / limit.per_s);
-                Err(route.returns.delay(now, interval, interval))
+                Err(route.retries.delay(now, interval, interval))
             }
             _ => Ok(()),
         }
@@ -135,7 +135,7 @@
                 starts: 0.0,
                 updated: now,
                 limit: None,
-                returns: Returns::default(),
+                retries: Retries::default(),
             };
             self.routes.insert(name.to_owned(), route);
         }
--- a/fulmarreel-balance/src/speed.rs
+++ b/fulmarreel-balance/src/speed.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-/// Requests that the assumption of an average speed counts for.
+/// The number of requests as which the assumption of an average speed counts.
 const PRIOR_REQUESTS: f64 = 1.5;
 
 /// The lowest weight of the newest request.
@@ -28,7 +28,8 @@
 /// How much longer work takes right after a start.
 const COLD_FACTOR: f64 = 2.0;
 
-/// The range of a learned speed; a target outside of it fails rather than works.
+/// The range of samples of a learned speed. A time outside of it tells of a failure rather than of the
+/// speed.
 const SLOWNESS_RANGE: (f64, f64) = (0.1, 10.0);
 
 /// The range in which a reported factor is believed.
--- a/fulmarreel-balance/src/uneven.rs
+++ b/fulmarreel-balance/src/uneven.rs
@@ -41,8 +41,8 @@
     let target = &candidate.target;
     let slots = f64::from(target.slots.max(1));
     let load = f64::from(target.load);
-    // What the base value takes off for the load as a number of requests is replaced by the work that
-    // they are, with this request among them.
+    // The base value has a penalty for the number of requests. It is replaced by one for their work, this
+    // request included.
     let correction = (load + 1.0) / slots * candidate.slowness - load / slots;
     placement::expected_value(target, request) - BUSY_PENALTY * correction
 }
--- a/fulmarreel-balance/src/zones.rs
+++ b/fulmarreel-balance/src/zones.rs
@@ -40,7 +40,7 @@
 /// The advantage of leaving, in units of one timely response, at which all requests would leave.
 const FULL_ADVANTAGE: f64 = 0.4;
 
-/// The part of the requests that leave at most: those that stay show when the zone has recovered.
+/// The largest part of the requests that leaves. Those that stay show when the zone has recovered.
 const MAX_LEAVING: f64 = 0.8;
 
 /// Where all requests have to leave, a zone whose value is lower by this much, in units of one timely
@@ -100,8 +100,8 @@
     }
 
     fn add(&mut self, sample: f64, now: Instant) {
-        // Samples that come closely after each other count for the time between them, but each for
-        // something: a node may get few.
+        // Samples in quick succession count for the time between them, but each has a least weight, since a
+        // node may get few.
         let weight = (1.0 - remaining(self.at, now, LOAD_HALF_LIFE)).max(0.03);
         let sample = sample.min(REFUSED_BUSY);
         self.busy += (sample - self.busy) * weight;
--- a/fulmarreel-balance/tests/overload/attempt.rs
+++ b/fulmarreel-balance/tests/overload/attempt.rs
@@ -10,7 +10,7 @@
         objective: started + Duration::from_millis(800),
         typical_latency: Duration::from_millis(100),
         is_first: false,
-        is_unwanted: true,
+        is_refused_new_work: true,
     }
 }
 
@@ -22,7 +22,7 @@
     assert!(attempt(start).is_worthwhile(after(99)));
     assert!(!attempt(start).is_worthwhile(after(101)));
     let mut wanted = attempt(start);
-    wanted.is_unwanted = false;
+    wanted.is_refused_new_work = false;
     assert!(wanted.is_worthwhile(after(1_900)));
 }
 
@@ -31,7 +31,7 @@
 fn a_request_without_time_left_is_offered_to_no_target() {
     let start = Instant::now();
     let mut late = attempt(start);
-    late.is_unwanted = false;
+    late.is_refused_new_work = false;
     assert!(!late.is_worthwhile(start + Duration::from_millis(1_901)));
     late.is_first = true;
     assert!(late.is_worthwhile(start + Duration::from_millis(1_949)));
@@ -43,9 +43,9 @@
 fn callers_return_while_their_requests_can_be_run() {
     let start = Instant::now();
     let now = start + Duration::from_millis(1_850);
-    let longest = attempt(start).longest_return(now);
+    let longest = attempt(start).longest_retry_delay(now);
     let usable = Duration::from_millis(50);
     assert!(longest > usable / 2 && longest < usable, "{longest:?}");
     let end = start + Duration::from_secs(3);
-    assert_eq!(attempt(start).longest_return(end), Duration::ZERO);
+    assert_eq!(attempt(start).longest_retry_delay(end), Duration::ZERO);
 }
--- a/fulmarreel-balance/tests/overload/queue.rs
+++ b/fulmarreel-balance/tests/overload/queue.rs
@@ -2,7 +2,7 @@
 
 use fulmarreel_balance::{
     admission::QueueDeadlines,
-    overload::{Cause, Class, Decision, Queue, Released, Request, Returns},
+    overload::{Cause, Class, Decision, Queue, Released, Request, Retries},
 };
 use std::time::{Duration, Instant};
 
@@ -129,10 +129,10 @@
 #[test]
 fn refused_requests_return_one_after_another() {
     let now = Instant::now();
-    let mut returns = Returns::default();
+    let mut retries = Retries::default();
     let (backlog, interval) = (Duration::from_millis(100), Duration::from_millis(20));
     let delays: Vec<Duration> = (0..10)
-        .map(|_| returns.delay(now, backlog, interval))
+        .map(|_| retries.delay(now, backlog, interval))
         .collect();
     assert_eq!(delays[0], backlog);
     for pair in delays.windows(2) {
@@ -140,7 +140,7 @@
     }
     // Nobody is told to return later than is useful.
     let last = (0..1_000)
-        .map(|_| returns.delay(now, backlog, interval))
+        .map(|_| retries.delay(now, backlog, interval))
         .max();
     assert!(last < Some(Duration::from_secs(5)));
 }
--- a/fulmarreel-node/src/mesh/caller/cold_targets.rs
+++ b/fulmarreel-node/src/mesh/caller/cold_targets.rs
@@ -35,8 +35,8 @@
 }
 
 impl ColdTargets {
-    /// Removes the cold targets of which this node has used up its share. If all are such, a request's
-    /// first attempt may go to any: its node knows whether there is room.
+    /// Removes the cold targets of which this node has used up its share. If no target would be left, a
+    /// request's first attempt may go to any of them, since the target's node knows whether there is room.
     pub fn remove_used_up(
         &self,
         view: &View,
--- a/fulmarreel-node/src/mesh/caller/crossing.rs
+++ b/fulmarreel-node/src/mesh/caller/crossing.rs
@@ -9,7 +9,7 @@
 use fulmarreel_balance::link::Body;
 use std::time::{Duration, Instant};
 
-/// Why a request is refused whose bodies the link cannot carry in time.
+/// The reason of a refusal because the link cannot carry the request's bodies in time.
 pub(super) const LINK_FULL: &str = "this machine's link has too much to carry";
 
 impl RequestHandler {
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -52,7 +52,7 @@
                 retry_after,
             } => {
                 let left = request.deadline.saturating_duration_since(Instant::now());
-                let latest = self.longest_spread(request);
+                let latest = self.longest_retry_delay(request);
                 let latest = latest.unwrap_or_else(|| left.mul_f64(MAX_RETRY_AFTER_FRACTION));
                 let latest = latest.max(MIN_RETRY_AFTER);
                 refuse(conn, reason, retry_after.clamp(MIN_RETRY_AFTER, latest))
--- a/fulmarreel-node/src/mesh/caller/shed.rs
+++ b/fulmarreel-node/src/mesh/caller/shed.rs
@@ -25,7 +25,7 @@
         }
         let attempt = Attempt {
             is_first: offers.addresses.is_empty(),
-            is_unwanted: offers.found_no_room() && !self.may_be_target_call(view, request),
+            is_refused_new_work: offers.found_no_room() && !self.may_be_target_call(view, request),
             ..self.attempt(request)
         };
         let gives_up = !attempt.is_worthwhile(Instant::now());
@@ -43,7 +43,7 @@
             objective: request.started + request.route.objective,
             typical_latency: typical_latency.unwrap_or_default(),
             is_first: false,
-            is_unwanted: false,
+            is_refused_new_work: false,
         }
     }
 
@@ -70,10 +70,10 @@
         }
     }
 
-    /// The longest retry delay that the caller of a request may be told, if retries are spread.
-    pub(super) fn longest_spread(&self, request: &Request<'_>) -> Option<Duration> {
+    /// The longest retry delay of a request, if retries are spread.
+    pub(super) fn longest_retry_delay(&self, request: &Request<'_>) -> Option<Duration> {
         let sheds_load = self.sheds_load(&self.context.view());
-        sheds_load.then(|| self.attempt(request).longest_return(Instant::now()))
+        sheds_load.then(|| self.attempt(request).longest_retry_delay(Instant::now()))
     }
 
     /// Whether a request may be a call of the own target: it bears no key, needs none, and goes to another
--- a/fulmarreel-node/src/mesh/caller/uneven.rs
+++ b/fulmarreel-node/src/mesh/caller/uneven.rs
@@ -14,12 +14,13 @@
 use fulmarreel_route::Table;
 use std::{sync::Arc, time::Duration};
 
-/// The zones of the targets that a request may be sent to, or was offered to.
+/// The zones of the targets that a request may be sent to or was offered to. The vectors have one element
+/// for each zone.
 #[derive(Debug, Default)]
 struct Zones<'a> {
     names: Vec<&'a str>,
     tiers: Vec<Tier>,
-    /// Targets of each zone that the request was offered to.
+    /// The number of targets to which the request was offered.
     refusals: Vec<usize>,
 }
 
--- a/fulmarreel-node/src/mesh/exchange.rs
+++ b/fulmarreel-node/src/mesh/exchange.rs
@@ -31,8 +31,8 @@
 /// How long past its deadline a request waits for the target's node to tell its outcome.
 const DEADLINE_SLACK: Duration = Duration::from_millis(60);
 
-/// How long a long body waits for the target's node to say whether it accepts it. Over the longest path,
-/// with the node's tasks delayed, the reply takes a fraction of this.
+/// How long a body waits for the first reply to its announcement. Over the longest path, with the node's
+/// tasks delayed, the reply takes a fraction of this.
 const CREDIT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// How long to wait for the reply to a cancellation.
@@ -266,14 +266,16 @@
         self.await_outcome(pending, &events, false).await
     }
 
-    /// Whether the target's node is asked before a body is sent: that of a bulk route, if it is long.
+    /// Whether a body is sent only with credit of the target's node: on a bulk route, if the body is longer
+    /// than one chunk.
     fn awaits_credit(&self, body: &[u8]) -> bool {
         self.is_bulk && body.len() > MAX_CHUNK_BYTES
     }
 
-    /// Waits until the target's node accepts the body; returns the outcome if it does not. Nothing runs
-    /// without its whole body. A node that says nothing may have another configuration: it gets the body
-    /// unasked.
+    /// Waits until the target's node grants credit for the body; returns the outcome if it does not. Nothing
+    /// runs without its whole body, so a request whose body was not sent is not run. A node that does not
+    /// reply may have another configuration, and gets the body unasked; one that replied with a credit of 0
+    /// is waited for until the deadline.
     async fn await_credit(
         &self,
         pending: &mut PendingRequest,
--- a/fulmarreel-node/src/mesh/links.rs
+++ b/fulmarreel-node/src/mesh/links.rs
@@ -1,7 +1,8 @@
 //! Both directions of this machine's link, and the sizes of bodies that are expected to cross it.
 //!
 //! Where the link is narrow and the configuration has routes with large bodies, a request whose body
-//! could not cross in time is refused at once, as not run.
+//! could not cross in time is refused at once, as not run. Large bodies that are accepted wait for their
+//! turn, so that few are under way at a time.
 
 use super::context::Context;
 use crate::telemetry::metrics;
@@ -88,7 +89,7 @@
 struct Uploads {
     transfers: Transfers<u64>,
     next_id: u64,
-    /// The nodes that wait for their turn.
+    /// Announced bodies that wait for their turn, by their number.
     waiting: HashMap<u64, Offer>,
 }
 
@@ -114,13 +115,14 @@
 }
 
 impl Offer {
-    /// Tells the node how many bytes of the body it may send.
+    /// Tells the node how many bytes of the body it may send; 0 tells it to wait.
     fn send_credit(&self, bytes: u64) {
         let credit = Frame::Credit {
             sequence: self.sequence,
             bytes: u32::try_from(bytes).unwrap_or(u32::MAX),
         };
-        // If the queue is full, the node sends the body unasked after a while.
+        // If the queue is full, this is lost. A node that has heard nothing sends the body unasked; one that
+        // was told to wait waits until its request's deadline, and the request is not run.
         let _ = self.outgoing.try_send(credit);
     }
 
@@ -150,7 +152,20 @@
 }
 
 impl Links {
-    /// Accepts an announced body when its turn has come.
+    /// Creates the links of the settings, with nothing on them.
+    pub fn new(context: Arc<Context>) -> Arc<Self> {
+        let link = Link::new(context.settings().link_bytes_per_s, Instant::now());
+        Arc::new(Self {
+            context,
+            incoming: Mutex::new(link.clone()),
+            outgoing: Mutex::new(link),
+            uploads: Mutex::default(),
+            response_bytes: Mutex::default(),
+            in_turns: Arc::default(),
+        })
+    }
+
+    /// Accepts an announced body at once if its turn has come, else later; its sender is told to wait.
     pub fn start_upload(self: &Arc<Self>, offer: Offer) -> Upload {
         let limit = self.context.settings().link_bytes_per_s * MAX_UNDER_WAY.as_secs_f64();
         let mut uploads = self.uploads.lock().expect("uploads lock");
@@ -167,32 +182,20 @@
         Upload { links, id }
     }
 
-    /// Waits until little enough is under way to other machines for another large body.
+    /// Waits until at most [`MAX_UNDER_WAY`] is under way to other machines, so that another large body may
+    /// be sent.
     pub async fn wait_for_turn(&self) {
         loop {
-            let waits = self
+            let under_way = self
                 .direction(Direction::Outgoing)
                 .under_way(Instant::now());
-            if waits <= MAX_UNDER_WAY {
+            if under_way <= MAX_UNDER_WAY {
                 return;
             }
-            Timer::after(waits - MAX_UNDER_WAY).await;
+            Timer::after(under_way - MAX_UNDER_WAY).await;
         }
     }
 
-    /// The link of the settings, with nothing on it.
-    pub fn new(context: Arc<Context>) -> Arc<Self> {
-        let link = Link::new(context.settings().link_bytes_per_s, Instant::now());
-        Arc::new(Self {
-            context,
-            incoming: Mutex::new(link.clone()),
-            outgoing: Mutex::new(link),
-            uploads: Mutex::default(),
-            response_bytes: Mutex::default(),
-            in_turns: Arc::default(),
-        })
-    }
-
     /// Whether the link's bandwidth is a capacity: it is narrow, and the configuration has routes with
     /// large bodies.
     pub fn are_narrow(&self) -> bool {
@@ -201,7 +204,7 @@
         bytes_per_s > 0.0 && bytes_per_s < NARROW_BYTES_PER_S && self.context.view().has_bulk_routes
     }
 
-    /// Set while calls take turns in writing to other nodes.
+    /// The flag that is set while calls take turns in writing to other nodes.
     pub fn in_turns(&self) -> Arc<AtomicBool> {
         Arc::clone(&self.in_turns)
     }
--- a/fulmarreel-node/src/mesh/serve/cold_gate.rs
+++ b/fulmarreel-node/src/mesh/serve/cold_gate.rs
@@ -24,7 +24,7 @@
 /// The shortest time between two attempts of a waiting request to pass.
 const MIN_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 
-/// The longest such time: the target may become warm meanwhile.
+/// The longest time between two attempts; the target may become warm meanwhile.
 const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The gate before the own target.
@@ -138,12 +138,12 @@
         self.lock().state = State::new(remaining, Instant::now());
     }
 
-    /// Waits until a request may be handed over. The request is to be refused on arrival if it cannot be
-    /// expected to pass by the time by which it wants to, and later once it cannot pass in time.
+    /// Waits until a request may be handed over. On arrival, the request has to be expected to pass by its
+    /// wanted time; while it waits, by its latest time.
     ///
     /// # Errors
     ///
-    /// It is to be refused; the time after which another attempt may pass.
+    /// It cannot be expected to pass in time; the time after which another attempt may pass.
     async fn pass(
         self: &Arc<Self>,
         limits: Limits,
--- a/fulmarreel-node/src/mesh/serve/crossing.rs
+++ b/fulmarreel-node/src/mesh/serve/crossing.rs
@@ -1,4 +1,5 @@
-//! Responses of the own target that cross this machine's narrow link to other nodes.
+//! Bodies that cross this machine's narrow link between other nodes and the own target: responses to
+//! requests of other nodes, and the request bodies that they send.
 
 use super::{Rejection, Server, request_id};
 use crate::{
@@ -15,8 +16,7 @@
     time::{Duration, Instant},
 };
 
-/// Bodies of one connection that are still arriving, with the time after which they are no longer waited
-/// for.
+/// Request bodies of one connection that are still arriving, by call.
 #[derive(Debug, Default)]
 pub(super) struct Uploads(HashMap<u64, Arriving>);
 
@@ -30,7 +30,7 @@
 }
 
 impl Uploads {
-    /// The body of a request has arrived, or never will.
+    /// Removes a body that has arrived or never will.
     pub fn remove(&mut self, sequence: u64) {
         self.0.remove(&sequence);
     }
@@ -58,8 +58,10 @@
             return Ok(None);
         };
         if !entry.route.is_bulk {
-            let _expected = None;
-            return Ok(Some(Crossing { entry, _expected }));
+            return Ok(Some(Crossing {
+                entry,
+                _expected: None,
+            }));
         }
         let now = Instant::now();
         let after_ms = |ms: u32| now + Duration::from_millis(u64::from(ms));
@@ -67,8 +69,7 @@
         let body = Body {
             bytes: self.links.response_bytes(&entry.route),
             ready_at: now + work,
-            // The caller wants a slot by when the work can end within the objective, with a margin of
-            // once the work's time.
+            // `wanted_ms` leaves time for the work and as much again as a margin.
             objective: after_ms(open.wanted_ms) + work * 2,
             deadline: after_ms(open.remaining_ms),
         };
@@ -85,8 +86,8 @@
         }
     }
 
-    /// Expects the body of an announced request on the link, or refuses the request if the body could not
-    /// cross in time.
+    /// Expects the body of an announced request on the link and grants credit for it in its turn, or refuses
+    /// the request if the body could not cross in time. If the link is not narrow, credit is granted at once.
     pub(super) fn expect_upload(
         &self,
         uploads: &mut Uploads,
@@ -119,7 +120,7 @@
         let body = Body {
             bytes: open.length as f64,
             ready_at: now,
-            // The slot is wanted with a margin of once the work's time.
+            // The upload may use the margin of `wanted_ms`, which is as long as the work.
             objective: after_ms(open.wanted_ms) + work,
             deadline: after_ms(open.latest_ms),
         };
--- a/fulmarreel-node/src/mesh/serve/feedback.rs
+++ b/fulmarreel-node/src/mesh/serve/feedback.rs
@@ -1,6 +1,7 @@
 //! Fewer new runs of the own target while the calls that it makes are refused for lack of room.
 //!
-//! A run counts as wasted if the target failed it soon after a call of the target was refused.
+//! A run counts as wasted if the target answers it with a server error soon after a call of the target was
+//! refused.
 
 use fulmarreel_balance::overload::{Refusals, Throttle};
 use fulmarreel_route::Route;
--- a/fulmarreel-node/src/mesh/serve/order.rs
+++ b/fulmarreel-node/src/mesh/serve/order.rs
@@ -22,13 +22,13 @@
 /// The identifier of requests without an account in the queue.
 const NO_ACCOUNT: u64 = 0;
 
-/// The cause of a refusal because calls of such runs are refused elsewhere.
+/// The cause of a refusal because calls of the route's runs are refused at other targets.
 const THROTTLED: &str = "throttled";
 
 /// The cause of a refusal because the deadline passed.
 const EXPIRED: &str = "expired";
 
-/// What the order of requests depends on besides the requests themselves.
+/// What the server has learned and derived for the order of requests.
 #[derive(Debug, Default)]
 pub(super) struct Orders {
     origins: Mutex<Origins>,
--- a/fulmarreel-node/src/mesh/speeds.rs
+++ b/fulmarreel-node/src/mesh/speeds.rs
@@ -18,7 +18,8 @@
 /// The weight of the newest request in the typical work of a route or service.
 const TYPICAL_WEIGHT: f64 = 0.04;
 
-/// A target that is first seen this long after the process's start has started itself.
+/// A target that is first seen later than this after the process's start has itself just started. Earlier,
+/// the process may only have learned of it.
 const INITIAL_TIME: Duration = Duration::from_secs(5);
 
 /// The speeds of targets, and the typical work of routes and services.
--- a/fulmarreel-node/src/peer/stream.rs
+++ b/fulmarreel-node/src/peer/stream.rs
@@ -125,7 +125,7 @@
             continue;
         }
         if !is_limited {
-            // A system that cannot limit it writes larger parts at once.
+            // Without this limit, which some systems lack, small frames wait longer; nothing else changes.
             let _ = SockRef::from(&*tcp).set_tcp_notsent_lowat(NARROW_UNSENT_BYTES);
             is_limited = true;
         }
--- a/fulmarreel-node/src/serve/slot_queue.rs
+++ b/fulmarreel-node/src/serve/slot_queue.rs
@@ -50,7 +50,7 @@
     pub reason: Refusal,
     /// `None` if its deadline passed while it waited.
     pub cause: Option<Cause>,
-    /// The delay after which it is told to come back.
+    /// The delay before a retry.
     pub retry_after: Duration,
 }
 
@@ -127,7 +127,8 @@
         }
     }
 
-    /// Waits for a slot in the order of classes and accounts. Also returns what the request was treated as.
+    /// Waits for a slot in the order of classes and accounts. Also returns the kind as which the request was
+    /// treated.
     ///
     /// The result is an error if the request gets no slot in time.
     pub async fn acquire_classed(
