--- a/fulmarreel-node/src/mesh/caller/quota.rs
+++ b/fulmarreel-node/src/mesh/caller/quota.rs
@@ -13,7 +13,8 @@
 /// Why a request of an account over its quota is refused.
 pub(super) const OVER_QUOTA: &str = "the account is over its quota";
 
-/// The retry delay of a request whose token has expired, or that is sent again without a token.
+/// The retry delay of a request that may not be sent, again or after a hold-up, because there is no token
+/// for it.
 const EXPIRED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 impl RequestHandler {
--- a/fulmarreel-node/src/mesh/era/mod.rs
+++ b/fulmarreel-node/src/mesh/era/mod.rs
@@ -1,7 +1,7 @@
-//! What binds although the store came back from an earlier copy of itself and lacks it.
+//! State that stays in force although the store has lost it, by coming back from an earlier copy of itself.
 //!
 //! Such a store names a later era ([`fulmarreel_platform::store::era`]). Nodes and operators write again
-//! what it lacks; until then [`nodes`] keeps the entries of nodes in force and targets that have left
+//! what it lacks. Until then [`nodes`] keeps the entries of nodes in force and targets that have left
 //! out, [`rollouts`] keeps the outcomes of rollouts, and [`zones`] the evacuations.
 
 pub(crate) mod nodes;
--- a/fulmarreel-node/src/mesh/era/rollouts.rs
+++ b/fulmarreel-node/src/mesh/era/rollouts.rs
@@ -53,7 +53,7 @@
         (self.first..=self.order).contains(&order)
     }
 
-    /// Whether the order has had another revision in an earlier era.
+    /// Whether the order had another revision before.
     pub fn is_continued(&self) -> bool {
         self.first != self.order
     }
@@ -63,7 +63,7 @@
         matches!(self.state, Some(State::Completed | State::RolledBack))
     }
 
-    /// This rollout, given what was known of the service's last one.
+    /// This rollout with what was `known` of the service's last one; that one if it replaced this one.
     #[must_use]
     pub fn after(mut self, known: Option<&Self>) -> Self {
         let Some(known) = known else {
--- a/fulmarreel-node/src/mesh/era/zones.rs
+++ b/fulmarreel-node/src/mesh/era/zones.rs
@@ -5,8 +5,8 @@
     time::{Duration, Instant},
 };
 
-/// How long an evacuation that the new era lacks stays in force. The operator writes it again within that
-/// time; one that is to end cannot be removed from a store that lacks it.
+/// How long an evacuation that the new era lacks stays in force, unless the operator writes it again. Without
+/// a limit it could never end, as an order cannot be removed from a store that lacks it.
 const MAX_HOLD: Duration = Duration::from_secs(10);
 
 /// Evacuations that the store lacks, and until when they are in force.
--- a/fulmarreel-node/src/mesh/notices.rs
+++ b/fulmarreel-node/src/mesh/notices.rs
@@ -31,9 +31,11 @@
 /// As of when a reader knew all that the store had, by its notice.
 #[derive(Debug, Clone, Copy)]
 struct ContactTime {
-    /// By when the notice was read, unless this process was paused.
+    /// Counted from when the notice was read, with an allowance for a pause of this process; see
+    /// [`Context::time_of`].
     confirmed: Option<Instant>,
-    /// By when the notice can have arrived at the earliest.
+    /// Counted from the earliest time at which the notice can have arrived; see
+    /// [`Context::earliest_time_of_notice`].
     proved: Option<Instant>,
 }
 
@@ -225,7 +227,7 @@
             notice @ (Notice::QuotaReport(_)
             | Notice::QuotaAnswer(_)
             | Notice::QuotaCoordinator(_)
-            | Notice::QuotaWish(_)
+            | Notice::QuotaLoanRequest(_)
             | Notice::QuotaLoan(_)) => {
                 if let Some(reply) = quotas.handle(from, &notice) {
                     self.reply(from, reply);
--- a/fulmarreel-node/src/mesh/quota/claim.rs
+++ b/fulmarreel-node/src/mesh/quota/claim.rs
@@ -4,9 +4,9 @@
 //! of a processor claim first. A candidate reads the key before it claims it, and waits longer after
 //! each failure, so that the store gets few calls when many nodes miss a coordinator.
 
-use super::{COORDINATOR_KEY, Quotas, clock, duty::Lease};
+use super::{COORDINATOR_KEY, Quotas, duty::Lease};
 use crate::{
-    mesh::{era, keys::Owner, notices::NoticeSocket},
+    mesh::{boot_clock, era, keys::Owner, notices::NoticeSocket},
     runtime,
 };
 use fulmarreel_distribution::backoff::Backoff;
@@ -27,7 +27,7 @@
 /// How long before the lease can lapse this node grants nothing any more: clocks differ slightly.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
-/// How often the lease is renewed.
+/// How often the lease is renewed: a renewal that fails can be repeated before the lease lapses.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(700);
 
 /// How often a node checks whether there is a coordinator, where accounts have limits.
@@ -36,10 +36,10 @@
 /// How often a node checks whether accounts have limits.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The most nodes that claim the key.
+/// The most nodes that claim the key, so that a store without a coordinator's key gets few calls.
 const MAX_CANDIDATES: usize = 48;
 
-/// The part of a processor from which a node belongs to those that claim first.
+/// The part of a processor core from which a node is among those that claim first.
 const LARGE_CPU_SHARE: f64 = 0.4;
 
 /// The time over which the claims of nodes with a large part of a processor are spread.
@@ -49,7 +49,7 @@
 const SMALL_DELAY: Duration = Duration::from_millis(1_200);
 const SMALL_SPREAD: Duration = Duration::from_millis(2_400);
 
-/// Limits of the delay after a failed claim.
+/// Limits of the random delay after a claim, which doubles with each claim that fails.
 const MIN_BACKOFF: Duration = Duration::from_millis(800);
 const MAX_BACKOFF: Duration = Duration::from_millis(5_000);
 
@@ -72,32 +72,12 @@
         if let Some(lease) = quotas.duty.end_if_uncertain() {
             log::warn!(lease = lease.id.0; "the coordinator's lease is uncertain, quotas are not granted");
         }
-        if let Some(term) = quotas.coordinator() {
-            if quotas.duty.is_held() && term.address != quotas.context.settings().peer_address {
-                quotas.end_duty().await;
-            }
-            if quotas.has_to_introduce() {
-                quotas.ask_further();
-            }
-            if quotas.duty.is_held() || !quotas.has_former_key() {
-                claim_at = None;
-                continue;
-            }
-        }
-        if quotas.duty.is_held() {
+        if quotas.follow_coordinator().await {
             claim_at = None;
             continue;
         }
-        let now = clock::now();
-        let first_at = || {
-            if quotas.has_former_key() {
-                now
-            } else {
-                quotas.claim_time(now)
-            }
-        };
-        let at = *claim_at.get_or_insert_with(first_at);
-        if now < at {
+        let now = boot_clock::since_start();
+        if now < *claim_at.get_or_insert_with(|| quotas.claim_time(now)) {
             continue;
         }
         match quotas.claim(&notices).await {
@@ -106,13 +86,34 @@
             Err(error) => log::warn!("coordinator's key not claimed: {error}"),
         }
         let delay = backoff.next(&mut fastrand::Rng::new());
-        claim_at = Some(clock::now() + MIN_BACKOFF + delay);
+        claim_at = Some(boot_clock::since_start() + MIN_BACKOFF + delay);
     }
 }
 
 impl Quotas {
-    /// When this node claims the key if there is no coordinator by then.
+    /// Ends this node's duty if another node is the coordinator, and introduces this node to a new one.
+    /// Returns whether there is a coordinator whose key this node does not replace.
+    async fn follow_coordinator(&self) -> bool {
+        if let Some(term) = self.coordinator() {
+            if self.duty.is_held() && term.address != self.context.settings().peer_address {
+                self.end_duty().await;
+            }
+            if self.has_to_introduce() {
+                self.wake_driver();
+            }
+            if !self.has_former_key() {
+                return true;
+            }
+        }
+        self.duty.is_held()
+    }
+
+    /// When this node claims the key if there is no coordinator by then; at once if the key is that of
+    /// its former process.
     fn claim_time(&self, now: Time) -> Time {
+        if self.has_former_key() {
+            return now;
+        }
         let seed = self.latest_term();
         let own = self.context.settings().peer_address;
         let score = |node: &SocketAddr| xxh3_64_with_seed(node.to_string().as_bytes(), seed);
@@ -143,7 +144,8 @@
             }
             Some(_) => return Ok(false),
         };
-        let requested_at = clock::now();
+        let requested_at = boot_clock::since_start();
+        // A longer lease of the platform's store is relied on for LEASE_TTL only.
         let ttl = LEASE_TTL.max(self.context.settings().min_lease_ttl);
         let id = store.grant(ttl).await?;
         let owner = Owner {
@@ -163,7 +165,7 @@
                 self.duty.begin(lease, predecessor_ends);
                 log::info!(created = revision.0; "this node coordinates quotas");
                 let notice = Notice::QuotaCoordinator(revision.0);
-                self.note_coordinator(owner.address, revision.0);
+                self.record_coordinator(owner.address, revision.0);
                 notices.send_all(&notice).await;
                 Ok(true)
             }
@@ -174,8 +176,8 @@
         }
     }
 
-    /// Whether the store's copy names a former process of this node as the coordinator. It has ended, so
-    /// that nobody has to wait until its lease lapses.
+    /// Whether the store's copy names a former process of this node as the coordinator. This process may
+    /// replace its key at once: the former one has ended, as it had the same address.
     fn has_former_key(&self) -> bool {
         self.context.read(|mirror| {
             let item = mirror.get(COORDINATOR_KEY);
@@ -189,11 +191,12 @@
         owner.is_ok_and(|owner| owner.address == own && owner.boot != self.context.started_at_ms)
     }
 
-    /// Until when a predecessor may make grants. Its lease has lapsed, unless the store has forgotten its
-    /// history, so that its revisions start again or are of a later era.
+    /// Until when a predecessor may make grants. It makes none any more if its lease has lapsed or its
+    /// process has ended. Neither is certain if the store has lost the key, so that its revisions start
+    /// again or are of a later era.
     fn predecessor_ends(&self, revision: u64) -> Time {
         let latest = self.latest_term();
-        let now = clock::now();
+        let now = boot_clock::since_start();
         let is_new_era = era::of(latest) < era::of(revision);
         if latest >= revision || is_new_era {
             now + LEASE_TTL
@@ -224,7 +227,7 @@
             return;
         };
         // The TTL counts from before the call: the store may have renewed the lease at any time since.
-        let requested_at = clock::now();
+        let requested_at = boot_clock::since_start();
         match quotas.context.store.keep_alive(lease.id).await {
             Ok(_) => lease.set_valid_until(Some(requested_at + LEASE_TTL - LEASE_MARGIN)),
             Err(Error::LeaseExpired { .. }) => {
--- a/fulmarreel-node/src/mesh/quota/driver.rs
+++ b/fulmarreel-node/src/mesh/quota/driver.rs
@@ -1,26 +1,28 @@
-//! Reports to the coordinator, and what is received on quotas.
+//! Reports to the coordinator, and the handling of received messages on quotas.
 
 use super::{
-    Quotas, Term, clock,
+    Quotas, Term,
     messages::{
-        answer_from_wire, answer_to_wire, loan_from_wire, report_from_wire, report_to_wire,
-        wish_from_wire, wish_to_wire,
+        answer_from_wire, answer_to_wire, loan_from_wire, loan_request_from_wire,
+        loan_request_to_wire, report_from_wire, report_to_wire,
     },
 };
-use crate::mesh::notices::NoticeSocket;
+use crate::mesh::{boot_clock, notices::NoticeSocket};
 use fulmarreel_quota::{
     Limit, Time,
     member::{Outgoing, Token},
     message::Report,
 };
-use fulmarreel_wire::notice::{MAX_QUOTA_DEMANDS, Notice, QuotaLoan, QuotaReport, QuotaWish};
+use fulmarreel_wire::notice::{
+    MAX_QUOTA_DEMANDS, Notice, QuotaLoan, QuotaLoanRequest, QuotaReport,
+};
 use smol::{Timer, future::or};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-/// The shortest time between two checks for what is due.
+/// The shortest time between two checks for what is due, unless a signal comes earlier.
 const MIN_PAUSE: Duration = Duration::from_millis(2);
 
-/// How often a node introduces itself to a new coordinator.
+/// How often a node introduces itself to a new coordinator, as datagrams may be lost.
 const MAX_INTRODUCTIONS: u8 = 3;
 
 /// The time over which nodes spread their first reports to a new coordinator.
@@ -30,11 +32,13 @@
 /// a limit has requests.
 pub async fn run(quotas: Arc<Quotas>, notices: Arc<NoticeSocket>) {
     loop {
-        let pause = quotas.due_at().map(|at| at.saturating_sub(clock::now()));
+        let pause = quotas
+            .due_at()
+            .map(|at| at.saturating_sub(boot_clock::since_start()));
         or(
             async {
                 // Cannot fail: the sender lives as long as the receiver.
-                let _ = quotas.waits.1.recv().await;
+                let _ = quotas.driver_signal.1.recv().await;
             },
             async {
                 match pause {
@@ -59,21 +63,21 @@
             Notice::QuotaAnswer(answer) => {
                 let answer = answer_from_wire(answer);
                 self.settle_after(|member| {
-                    let now = clock::now();
+                    let now = boot_clock::since_start();
                     member.apply(&answer, now);
                     member.decide(now)
                 });
-                self.ask_further();
+                self.wake_driver();
             }
-            Notice::QuotaWish(wish) => return self.lend(wish),
+            Notice::QuotaLoanRequest(request) => return self.lend(request),
             Notice::QuotaLoan(loan) => {
                 let loan = loan_from_wire(loan);
-                self.settle_after(|member| member.accept(&loan, clock::now()));
-                self.ask_further();
+                self.settle_after(|member| member.accept(&loan, boot_clock::since_start()));
+                self.wake_driver();
             }
             Notice::QuotaCoordinator(revision) => {
-                self.note_coordinator(from, *revision);
-                self.ask_further();
+                self.record_coordinator(from, *revision);
+                self.wake_driver();
             }
             _ => {}
         }
@@ -81,11 +85,11 @@
     }
 
     /// Records that a node has become the coordinator.
-    pub(super) fn note_coordinator(&self, address: SocketAddr, revision: u64) {
+    pub(super) fn record_coordinator(&self, address: SocketAddr, revision: u64) {
         let mut known = self.known.lock().expect("coordinators lock");
         let latest = known.announced.map_or(0, |(term, _)| term.revision);
         if revision >= latest {
-            known.announced = Some((Term { revision, address }, clock::now()));
+            known.announced = Some((Term { revision, address }, boot_clock::since_start()));
         }
     }
 
@@ -104,32 +108,34 @@
         Some(Notice::QuotaAnswer(answer_to_wire(&answer)))
     }
 
-    fn lend(&self, wish: &QuotaWish) -> Option<Notice> {
-        let limit = self.limits.by_hash(&self.context)(wish.account)?;
+    fn lend(&self, request: &QuotaLoanRequest) -> Option<Notice> {
+        let limit = self.limits.by_hash(&self.context)(request.account)?;
         let loan = {
             let mut requests = self.requests();
-            let now = clock::now();
-            requests.member.lend(&wish_from_wire(wish), limit, now)
+            let now = boot_clock::since_start();
+            requests
+                .member
+                .lend(&loan_request_from_wire(request), limit, now)
         };
-        // The driver may sleep; it has to report the demand that others have of this node.
-        self.ask_further();
+        // The driver may sleep, and has to report what was asked for as demand of this node.
+        self.wake_driver();
         Some(Notice::QuotaLoan(QuotaLoan {
-            wish: *wish,
+            request: *request,
             tokens: loan.tokens,
         }))
     }
 
     /// Wakes the driver, which may have something to do earlier than before.
-    pub(super) fn ask_further(&self) {
+    pub(super) fn wake_driver(&self) {
         // Fails if a signal is pending, which is enough.
-        let _ = self.waits.0.try_send(());
+        let _ = self.driver_signal.0.try_send(());
     }
 
     fn due_at(&self) -> Option<Time> {
-        self.requests().member.due_at(clock::now())
+        self.requests().member.due_at(boot_clock::since_start())
     }
 
-    /// What this node tells a new coordinator at first, again if the datagram may have been lost.
+    /// The next introduction to the coordinator, if one is left and no grant was ever made to this process.
     fn introduction(&self, now: Time) -> Option<Report> {
         {
             let mut known = self.known.lock().expect("coordinators lock");
@@ -138,7 +144,7 @@
         self.requests().member.introduction(now)
     }
 
-    /// Whether this node has to report to a coordinator that it has not reported to often enough.
+    /// Whether introductions to the coordinator are left to send.
     pub(super) fn has_to_introduce(&self) -> bool {
         let coordinator = self.coordinator();
         let known = self.known.lock().expect("coordinators lock");
@@ -148,7 +154,7 @@
     /// Sends the reports that are due to the coordinator, if there is one.
     async fn report(&self, notices: &NoticeSocket) {
         let coordinator = self.coordinator();
-        let now = clock::now();
+        let now = boot_clock::since_start();
         let is_new = {
             let mut known = self.known.lock().expect("coordinators lock");
             let is_new = coordinator.is_some() && known.reported_to != coordinator;
@@ -176,8 +182,8 @@
         };
         for message in messages {
             match (message, coordinator) {
-                (Outgoing::Wish(deputy, wish), _) => {
-                    let notice = Notice::QuotaWish(wish_to_wire(&wish));
+                (Outgoing::LoanRequest(deputy, request), _) => {
+                    let notice = Notice::QuotaLoanRequest(loan_request_to_wire(&request));
                     notices.send(deputy, notice).await;
                 }
                 (Outgoing::Report(report), Some(coordinator)) => {
--- a/fulmarreel-node/src/mesh/quota/duty.rs
+++ b/fulmarreel-node/src/mesh/quota/duty.rs
@@ -1,6 +1,6 @@
 //! The coordinator's duty, while this node has it.
 
-use super::clock;
+use crate::mesh::boot_clock;
 use fulmarreel_quota::{
     Coordinator, Limit, Time,
     message::{Answer, Report},
@@ -52,7 +52,7 @@
 impl Duty {
     /// Starts a term; the predecessor makes grants until `predecessor_ends` at the latest.
     pub fn begin(&self, lease: Arc<Lease>, predecessor_ends: Time) {
-        let coordinator = Coordinator::new(predecessor_ends, clock::now());
+        let coordinator = Coordinator::new(predecessor_ends, boot_clock::since_start());
         *self.held() = Some(Held { coordinator, lease });
     }
 
@@ -64,7 +64,7 @@
     /// Ends the term if its lease is not certain any more; returns the lease if so.
     pub fn end_if_uncertain(&self) -> Option<Arc<Lease>> {
         let mut held = self.held();
-        let is_uncertain = |held: &Held| !held.lease.is_valid(clock::now());
+        let is_uncertain = |held: &Held| !held.lease.is_valid(boot_clock::since_start());
         if held.as_ref().is_some_and(is_uncertain) {
             return held.take().map(|held| held.lease);
         }
@@ -76,7 +76,8 @@
         self.held().is_some()
     }
 
-    /// Answers a report, if this node has the duty for certain. `nodes` are all that are known.
+    /// Answers a report, if this node has the duty for certain. `nodes` are all known nodes, this one
+    /// included; once all have restarted, the takeover ends ([`Coordinator::end_takeover`]).
     pub fn answer(
         &self,
         from: SocketAddr,
@@ -86,8 +87,8 @@
     ) -> Option<Answer> {
         let mut held = self.held();
         let held = held.as_mut()?;
-        // Read after the report arrived: a grant is taken to expire late rather than early.
-        let now = clock::now();
+        // Read after the report arrived, so that a grant does not expire here before it does at the node.
+        let now = boot_clock::since_start();
         if !held.lease.is_valid(now) {
             return None;
         }
--- a/fulmarreel-node/src/mesh/quota/messages.rs
+++ b/fulmarreel-node/src/mesh/quota/messages.rs
@@ -2,10 +2,10 @@
 
 use fulmarreel_quota::{
     Time,
-    message::{Answer, Demand, Grant, Held, Loan, Report, Wish},
+    message::{Answer, Demand, Grant, Held, Loan, LoanRequest, Report},
 };
 use fulmarreel_wire::notice::{
-    QuotaAnswer, QuotaDemand, QuotaGrant, QuotaLoan, QuotaReport, QuotaWish,
+    QuotaAnswer, QuotaDemand, QuotaGrant, QuotaLoan, QuotaLoanRequest, QuotaReport,
 };
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
     QuotaReport {
         boot: report.boot,
         sequence: report.sequence,
-        // Rounded down, so that the grant expires early rather than late.
+        // Rounded down, so that at the node the grant expires early rather than late.
         sent_ms: to_millis(report.sent_at),
         never_granted: report.never_granted,
         demands: report.demands.iter().map(demand_to_wire).collect(),
@@ -73,32 +73,32 @@
 }
 
 /// The wire form of a question to a deputy.
-pub(super) fn wish_to_wire(wish: &Wish) -> QuotaWish {
-    QuotaWish {
-        boot: wish.boot,
-        sequence: wish.sequence,
-        sent_ms: to_millis(wish.sent_at),
-        account: wish.account,
-        wanted: wish.wanted,
+pub(super) fn loan_request_to_wire(request: &LoanRequest) -> QuotaLoanRequest {
+    QuotaLoanRequest {
+        boot: request.boot,
+        sequence: request.sequence,
+        sent_ms: to_millis(request.sent_at),
+        account: request.account,
+        wanted: request.wanted,
     }
 }
 
 /// The question in its wire form.
-pub(super) fn wish_from_wire(wish: &QuotaWish) -> Wish {
-    Wish {
-        boot: wish.boot,
-        sequence: wish.sequence,
-        sent_at: Time::from_millis(wish.sent_ms),
-        account: wish.account,
-        wanted: wish.wanted,
+pub(super) fn loan_request_from_wire(request: &QuotaLoanRequest) -> LoanRequest {
+    LoanRequest {
+        boot: request.boot,
+        sequence: request.sequence,
+        sent_at: Time::from_millis(request.sent_ms),
+        account: request.account,
+        wanted: request.wanted,
     }
 }
 
 /// The deputy's answer in its wire form.
 pub(super) fn loan_from_wire(loan: &QuotaLoan) -> Loan {
-    let wish = wish_from_wire(&loan.wish);
+    let request = loan_request_from_wire(&loan.request);
     Loan {
-        wish,
+        request,
         tokens: loan.tokens,
     }
 }
--- a/fulmarreel-node/src/mesh/quota/mod.rs
+++ b/fulmarreel-node/src/mesh/quota/mod.rs
@@ -1,12 +1,11 @@
 //! Request quotas of client accounts over all nodes.
 //!
-//! [`Quotas`] admits this node's requests. It reports demand to the coordinator and applies what that
-//! grants ([`driver`]). The coordinator is the node that holds a leased key of the store ([`claim`]).
+//! [`Quotas`] admits this node's requests. It reports their demand to the coordinator and applies the
+//! grants in its answers ([`driver`]). The coordinator is the node that holds a leased key of the store ([`claim`]).
 //! The decisions are those of [`fulmarreel_quota`]. Where the configuration limits no account, no message
 //! is sent and the store is not called.
 
 pub mod claim;
-mod clock;
 mod deputies;
 pub mod driver;
 mod duty;
@@ -16,7 +15,7 @@
 
 pub use permit::Permit;
 
-use super::{context::Context, keys::Owner};
+use super::{boot_clock, context::Context, keys::Owner};
 use crate::telemetry::metrics;
 use deputies::Deputies;
 use duty::Duty;
@@ -37,10 +36,10 @@
 /// The key of the coordinator in the store.
 const COORDINATOR_KEY: &str = "fulmarreel/quota/coordinator";
 
-/// How long a node's own word that it became the coordinator counts before the store's copy shows it.
+/// How long an announcement of a coordinator counts while this node's copy of the store lacks its key.
 const ANNOUNCED_FOR: Duration = Duration::from_secs(5);
 
-/// That an account is over its quota.
+/// The refusal of a request whose account is over its quota.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OverQuota {
     /// When the caller should try again.
@@ -56,8 +55,8 @@
     requests: Mutex<Requests>,
     duty: Duty,
     known: Mutex<Known>,
-    /// Signals that a request waits.
-    waits: (Sender<()>, Receiver<()>),
+    /// Signals that the driver may have something to do earlier than it expects.
+    driver_signal: (Sender<()>, Receiver<()>),
 }
 
 /// What this node's requests may spend, and those that wait.
@@ -95,7 +94,7 @@
     announced: Option<(Term, Time)>,
     /// The one that the last report was sent to.
     reported_to: Option<Term>,
-    /// How often this node is still to introduce itself to that one.
+    /// How many more introductions may be sent to that one.
     introductions: u8,
 }
 
@@ -114,7 +113,7 @@
             requests: Mutex::new(requests),
             duty: Duty::default(),
             known: Mutex::default(),
-            waits: bounded(1),
+            driver_signal: bounded(1),
         })
     }
 
@@ -132,12 +131,11 @@
         let (hash, Some(limit)) = self.limits.of_account(&self.context, account) else {
             return Ok(None);
         };
-        let until = clock::now() + max_wait;
+        let until = boot_clock::since_start() + max_wait;
         let result = match self.take(hash, limit, until) {
             Taken::Now(result) => result,
             Taken::Later { id, decision } => {
-                // Fails if a signal is pending, which is enough.
-                let _ = self.waits.0.try_send(());
+                self.wake_driver();
                 self.wait(hash, id, decision).await
             }
         };
@@ -152,7 +150,7 @@
         requests.next_id += 1;
         match requests
             .member
-            .take(account, limit, id, until, clock::now())
+            .take(account, limit, id, until, boot_clock::since_start())
         {
             Take::Token(token) => Taken::Now(Ok(Permit::new(Arc::clone(self), token))),
             Take::Refused { retry_after } => Taken::Now(Err(OverQuota { retry_after })),
@@ -184,7 +182,7 @@
 
     /// Decides on waiting requests.
     fn settle(self: &Arc<Self>) {
-        self.settle_after(|member| member.decide(clock::now()));
+        self.settle_after(|member| member.decide(boot_clock::since_start()));
     }
 
     /// Changes the member's state, and tells waiting requests what was decided on them.
@@ -219,7 +217,7 @@
             known.stored = stored;
         }
         let announced = known.announced.filter(|(term, at)| {
-            term.revision > last_revision && clock::now() < *at + ANNOUNCED_FOR
+            term.revision > last_revision && boot_clock::since_start() < *at + ANNOUNCED_FOR
         });
         announced.map(|(term, _)| term).or(stored)
     }
@@ -246,7 +244,7 @@
 
     fn give_back(&self, token: &Token) {
         let mut requests = self.requests();
-        requests.member.give_back(token, clock::now());
+        requests.member.give_back(token, boot_clock::since_start());
     }
 
     fn requests(&self) -> MutexGuard<'_, Requests> {
--- a/fulmarreel-node/src/mesh/quota/permit.rs
+++ b/fulmarreel-node/src/mesh/quota/permit.rs
@@ -1,6 +1,7 @@
 //! The right of one request to run.
 
-use super::{Quotas, clock};
+use super::Quotas;
+use crate::mesh::boot_clock;
 use fulmarreel_quota::member::Token;
 use std::sync::Arc;
 
@@ -28,7 +29,7 @@
     /// after one that may have run takes another token. A request that was held up, as by a suspension,
     /// until its token expired needs another one too.
     pub fn begin(&mut self) -> bool {
-        let now = clock::now();
+        let now = boot_clock::since_start();
         let token = self.token.as_ref();
         if self.used || !token.is_some_and(|token| token.is_valid(now)) {
             let Some(account) = token.map(Token::account) else {
--- a/fulmarreel-node/src/mesh/takeover/messages.rs
+++ b/fulmarreel-node/src/mesh/takeover/messages.rs
@@ -64,7 +64,7 @@
         | Notice::QuotaReport(_)
         | Notice::QuotaAnswer(_)
         | Notice::QuotaCoordinator(_)
-        | Notice::QuotaWish(_)
+        | Notice::QuotaLoanRequest(_)
         | Notice::QuotaLoan(_) => None,
     }
 }
--- a/fulmarreel-quota/examples/costs.rs
+++ b/fulmarreel-quota/examples/costs.rs
@@ -12,7 +12,7 @@
     PROTOCOL,
     notice::{
         Datagram, MAX_QUOTA_DEMANDS, Notice, QuotaAnswer, QuotaDemand, QuotaGrant, QuotaLoan,
-        QuotaReport, QuotaWish,
+        QuotaLoanRequest, QuotaReport,
     },
 };
 use std::{collections::HashMap, error::Error, fs, time::Duration};
@@ -131,19 +131,19 @@
         for message in self.members[node].messages(MAX_QUOTA_DEMANDS, deputies, now) {
             match message {
                 Outgoing::Report(report) => self.report(node, &report)?,
-                Outgoing::Wish(deputy, wish) => {
-                    let loan = self.members[deputy].lend(&wish, limit(wish.account), now);
-                    let wish = QuotaWish {
-                        boot: wish.boot,
-                        sequence: wish.sequence,
-                        sent_ms: wish.sent_at.as_millis() as u64,
-                        account: hash(wish.account),
-                        wanted: wish.wanted,
+                Outgoing::LoanRequest(deputy, request) => {
+                    let loan = self.members[deputy].lend(&request, limit(request.account), now);
+                    let request = QuotaLoanRequest {
+                        boot: request.boot,
+                        sequence: request.sequence,
+                        sent_ms: request.sent_at.as_millis() as u64,
+                        account: hash(request.account),
+                        wanted: request.wanted,
                     };
                     let tokens = loan.tokens;
-                    self.lent.add(Notice::QuotaWish(wish))?;
+                    self.lent.add(Notice::QuotaLoanRequest(request))?;
                     self.lent
-                        .add(Notice::QuotaLoan(QuotaLoan { wish, tokens }))?;
+                        .add(Notice::QuotaLoan(QuotaLoan { request, tokens }))?;
                     self.members[node].accept(&loan, now);
                 }
             }
--- a/fulmarreel-quota/src/coordinator/book.rs
+++ b/fulmarreel-quota/src/coordinator/book.rs
@@ -2,7 +2,7 @@
 
 use crate::{Time, message::Demand};
 
-/// The highest demand of a node that is believed; sums over all nodes cannot overflow.
+/// The highest demand of a node that is taken into account, so that sums over all nodes cannot overflow.
 const MAX_DEMAND_MILLI: u64 = 1 << 40;
 
 /// The grants to one process of a node that may be in force.
@@ -16,6 +16,7 @@
     outstanding: Vec<Outstanding>,
     /// Demand in thousandths of a request per second.
     pub demand_milli: u64,
+    /// When the last report arrived.
     pub heard_at: Time,
 }
 
@@ -56,7 +57,8 @@
         true
     }
 
-    /// Whether a report was handled before. A repeated one may be taken for new otherwise.
+    /// Whether a report was handled before. Otherwise the next one may be a repeated one that a forgotten
+    /// book had handled, and the tokens that it gives back do not count.
     pub fn is_known(&self) -> bool {
         self.sequence > 0
     }
@@ -66,6 +68,7 @@
         self.outstanding.is_empty()
     }
 
+    /// Adds a grant.
     pub fn push(&mut self, grant: Outstanding) {
         self.outstanding.push(grant);
     }
@@ -80,6 +83,7 @@
         self.outstanding.iter().map(|grant| grant.expires_at).min()
     }
 
+    /// The most that the node may hold: it spends from one of the outstanding grants.
     pub fn held(&self) -> Held {
         let outstanding = self.outstanding.iter();
         outstanding.fold(Held::default(), |held, grant| {
--- a/fulmarreel-quota/src/coordinator/mod.rs
+++ b/fulmarreel-quota/src/coordinator/mod.rs
@@ -1,9 +1,9 @@
 //! The coordinator's side: how the quotas of accounts are shared by the nodes.
 //!
 //! A coordinator knows of each grant that it has made until the grant has expired or the node has
-//! reported a later one. It starts without knowledge of what its predecessor granted. While such grants
-//! may live it renews those that nodes report to hold, and otherwise gives out tokens of a small rate
-//! that the quota's allowance pays for, see [`Limit::takeover_per_s`].
+//! reported a later one. It starts without knowledge of what its predecessor granted. During the
+//! *takeover*, while such grants may be in force, it renews those that nodes report to hold, and otherwise
+//! gives out tokens at a small rate that is part of the quota's allowance ([`Limit::takeover_per_s`]).
 
 mod book;
 mod pool;
@@ -28,10 +28,10 @@
     taken_over_at: Time,
     /// Until when the predecessor may make grants.
     predecessor_ends: Time,
-    /// Nodes whose process was never granted anything when it first reported.
+    /// Until when grants of the predecessor may be in force.
+    takeover_ends: Time,
+    /// Nodes that reported during the takeover that no grant was ever made to their process.
     restarted: HashSet<N>,
-    /// When the last grant of the predecessor has expired.
-    predecessor_until: Time,
     pools: HashMap<u64, Pool<N>>,
     next_sweep: Time,
 }
@@ -43,8 +43,8 @@
         Self {
             taken_over_at: now,
             predecessor_ends: predecessor_ends.max(now),
+            takeover_ends: predecessor_ends.max(now) + GRANT_LIFETIME,
             restarted: HashSet::new(),
-            predecessor_until: predecessor_ends.max(now) + GRANT_LIFETIME,
             pools: HashMap::new(),
             next_sweep: now + SWEEP_INTERVAL,
         }
@@ -59,7 +59,7 @@
         now: Time,
     ) -> Answer {
         self.sweep(now);
-        if report.never_granted && now < self.predecessor_until {
+        if report.never_granted && now < self.takeover_ends {
             self.restarted.insert(node);
         }
         let mut grants = Vec::with_capacity(report.demands.len());
@@ -68,7 +68,7 @@
                 continue;
             };
             let pool = self.pools.entry(demand.account);
-            let (taken_over_at, until) = (self.taken_over_at, self.predecessor_until);
+            let (taken_over_at, until) = (self.taken_over_at, self.takeover_ends);
             let pool = pool.or_insert_with(|| Pool::new(limit, taken_over_at, until));
             pool.advance(limit, now);
             grants.extend(pool.answer(node, report.boot, report.sequence, demand, now));
@@ -81,23 +81,24 @@
         }
     }
 
-    /// Ends the time in which grants of the predecessor are reckoned with, if all nodes that it could have
-    /// made grants to have restarted since, as after a loss of power everywhere.
+    /// Ends the takeover if all of `nodes` have reported that no grant was ever made to their process, as
+    /// after a loss of power everywhere: the grants of the predecessor ended with the former processes.
+    /// `nodes` have to be all nodes that it may have made grants to.
     pub fn end_takeover(&mut self, mut nodes: impl Iterator<Item = N>, now: Time) {
-        if now < self.predecessor_ends || now >= self.predecessor_until {
+        if now < self.predecessor_ends || now >= self.takeover_ends {
             return;
         }
         if !nodes.all(|node| self.restarted.contains(&node)) {
             return;
         }
-        self.predecessor_until = now;
+        self.takeover_ends = now;
         self.restarted = HashSet::new();
         for pool in self.pools.values_mut() {
             pool.end_takeover(now);
         }
     }
 
-    /// The number of accounts that it keeps state of.
+    /// The number of accounts of which it keeps state.
     pub fn accounts(&self) -> usize {
         self.pools.len()
     }
--- a/fulmarreel-quota/src/coordinator/pool.rs
+++ b/fulmarreel-quota/src/coordinator/pool.rs
@@ -17,15 +17,15 @@
 /// The part of an account's capacity that nodes with a rate can keep at most.
 const KEPT_SHARE: f64 = 0.6;
 
-/// The least rate that is granted, as a part of the demand from which one is. A node that has a rate
-/// keeps it down to half of this: each change loses a part of a token.
+/// The least rate that is granted, as a part of the demand from which a node is granted one. A node that
+/// has a rate keeps it down to half of this, as each change loses a part of a token.
 const MIN_RATE_PART: f64 = 1.0;
 
 /// A node keeps its rate while the one it should have differs by no more than this part. Until the node
 /// reports that it has a lower rate, what it gives up is at nobody's disposal.
 const RATE_TOLERANCE: f64 = 0.4;
 
-/// The least bucket of a node with a rate: requests come in clumps.
+/// The least bucket of a node with a rate, as requests may arrive together.
 const MIN_BUCKET: u64 = 2;
 
 /// The demand of a node that does not report is forgotten after this time.
@@ -38,8 +38,8 @@
     /// Tokens that are not granted.
     level: f64,
     filled_at: Time,
-    /// When the last grant of the former coordinator has expired.
-    predecessor_until: Time,
+    /// Until when grants of the former coordinator may be in force.
+    takeover_ends: Time,
     books: HashMap<N, Book>,
     /// The sum of what all nodes may hold.
     held: Held,
@@ -51,12 +51,12 @@
 impl<N: Copy + Eq + Hash> Pool<N> {
     /// The account at a coordinator that took over at `taken_over_at` and has not granted anything of it
     /// since, or nothing that is still missing.
-    pub fn new(limit: Limit, taken_over_at: Time, predecessor_until: Time) -> Self {
+    pub fn new(limit: Limit, taken_over_at: Time, takeover_ends: Time) -> Self {
         Self {
             limit,
             level: 0.0,
             filled_at: taken_over_at,
-            predecessor_until,
+            takeover_ends,
             books: HashMap::new(),
             held: Held::default(),
             demand_milli: 0,
@@ -74,10 +74,10 @@
         self.clip(now);
     }
 
-    /// The predecessor's grants are all gone.
+    /// Ends the takeover: no grant of the former coordinator is in force any more.
     pub fn end_takeover(&mut self, now: Time) {
         self.fill(now);
-        self.predecessor_until = now;
+        self.takeover_ends = now;
     }
 
     /// Answers a report of a node; `None` if it is old or repeated.
@@ -113,7 +113,7 @@
 
     /// Decides on a grant for a node whose book has been subtracted from the sums.
     fn grant(&mut self, book: &mut Book, sequence: u32, demand: &Demand, now: Time) -> Grant {
-        let (rate_milli, kept) = if now < self.predecessor_until {
+        let (rate_milli, kept) = if now < self.takeover_ends {
             self.renewed(book, demand, now)
         } else {
             self.share(demand)
@@ -179,13 +179,13 @@
         let free_capacity = kept
             .saturating_sub(self.held.rated_bucket)
             .min(u64::from(self.limit.capacity).saturating_sub(self.held.bucket));
-        let mut least_milli = self.limit.dense_milli() as f64;
+        let mut least_milli = self.limit.high_demand_milli() as f64;
         if held_milli > 0 {
             least_milli /= 2.0;
         }
-        let is_sparse = (demand.rate_milli as f64) < least_milli
+        let is_low = (demand.rate_milli as f64) < least_milli
             || (rate_milli as f64) < least_milli * MIN_RATE_PART;
-        if is_sparse || free_capacity < MIN_BUCKET {
+        if is_low || free_capacity < MIN_BUCKET {
             return (0, 0);
         }
         let part = kept as f64 * demand.rate_milli as f64 / demand_milli;
@@ -196,11 +196,11 @@
     /// Adds the tokens that have come into being and were not granted as rates. The sum of the rates
     /// since the last call was at most what it is now before anything expires.
     fn fill(&mut self, now: Time) {
-        let alone_at = self
-            .predecessor_until
+        let regular_from = self
+            .takeover_ends
             .clamp(self.filled_at, now.max(self.filled_at));
-        let limited = alone_at.saturating_sub(self.filled_at).as_secs_f64();
-        let regular = now.saturating_sub(alone_at).as_secs_f64();
+        let limited = regular_from.saturating_sub(self.filled_at).as_secs_f64();
+        let regular = now.saturating_sub(regular_from).as_secs_f64();
         let free_milli = self.limit.rate_milli.saturating_sub(self.held.rate_milli);
         if limited > 0.0 {
             self.level = (self.level + self.limit.takeover_per_s * limited)
@@ -214,7 +214,7 @@
     fn clip(&mut self, now: Time) {
         let free = u64::from(self.limit.capacity).saturating_sub(self.held.bucket);
         self.level = self.level.min(free as f64);
-        if now < self.predecessor_until {
+        if now < self.takeover_ends {
             self.level = self.level.min(self.limit.takeover_capacity());
         }
     }
--- a/fulmarreel-quota/src/lib.rs
+++ b/fulmarreel-quota/src/lib.rs
@@ -12,7 +12,8 @@
 //! granted; these rates add up to the account's quota. They are kept in buckets, whose sizes add up to
 //! the account's [`Limit::capacity`]. A token that moves between the coordinator and a node is
 //! subtracted before it is sent, so that a lost message loses tokens and a repeated one adds none. The
-//! requests of any window are therefore at most the capacity plus the rate times the window.
+//! requests of any window are therefore at most the capacity plus the rate times the window, and what a
+//! new coordinator adds while grants of its predecessor may be in force ([`Limit::bound`]).
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
@@ -41,7 +42,7 @@
 /// How long tokens that a deputy lends can be used, from the time at which they were asked for.
 pub const LOAN_LIFETIME: Duration = Duration::from_millis(100);
 
-/// How long after it was admitted a request may be sent to a target.
+/// How long after its admission a request may be sent to a target.
 pub const HOLD_TIME: Duration = Duration::from_secs(2);
 
 /// The lifetime of a grant with a rate in thousandths of a request per second.
--- a/fulmarreel-quota/src/limit.rs
+++ b/fulmarreel-quota/src/limit.rs
@@ -8,11 +8,13 @@
 /// The part of the allowance that a new coordinator may spend while grants of its predecessor live.
 const TAKEOVER_SHARE: f64 = 0.5;
 
-/// How long tokens of a new coordinator's first rate can be kept, by itself and by nodes.
+/// How long tokens that a new coordinator gives out during its takeover can be kept, by itself for a
+/// second ([`Limit::takeover_capacity`]) and by nodes.
 const TAKEOVER_KEPT: Duration = Duration::from_secs(2);
 
-/// See [`Limit::dense_milli`].
-const MAX_DENSE_MILLI: u64 = 3_000;
+/// The highest rate that [`Limit::high_demand_milli`] returns, in thousandths per second. At less demand
+/// per node most of an account's nodes would hold fractions of tokens.
+const MAX_HIGH_DEMAND_MILLI: u64 = 3_000;
 
 /// The rate from which the demand of an account suffices for two deputies, in thousandths per second.
 const TWO_DEPUTIES_MILLI: u64 = 15_000;
@@ -68,17 +70,17 @@
     }
 
     /// The demand at one node from which it is granted a rate, in thousandths per second. Less demand than
-    /// this is seen after a single clump of requests.
-    pub(crate) fn dense_milli(&self) -> u64 {
-        (self.rate_milli * 3 / 10).min(MAX_DENSE_MILLI)
+    /// this may be seen after a few requests at once.
+    pub(crate) fn high_demand_milli(&self) -> u64 {
+        (self.rate_milli * 3 / 10).min(MAX_HIGH_DEMAND_MILLI)
     }
 
-    /// Whether the nodes ask either of two deputies first, or all the same one.
+    /// Whether some nodes ask the one deputy first and some the other; otherwise all ask the same one first.
     pub fn has_two_deputies(&self) -> bool {
         self.rate_milli >= TWO_DEPUTIES_MILLI
     }
 
-    /// The most requests that run in a window, as a matter of construction.
+    /// The most requests that can be admitted in a window.
     pub fn bound(&self, window: Duration) -> f64 {
         let window_s = window.as_secs_f64();
         self.rate_milli as f64 / 1e3 * window_s
--- a/fulmarreel-quota/src/member/asking.rs
+++ b/fulmarreel-quota/src/member/asking.rs
@@ -65,14 +65,14 @@
     /// deputy. `has_deputy` tells whether there is a deputy with an index.
     pub fn choose(
         &mut self,
-        is_dense: bool,
+        has_high_demand: bool,
         has_deputy: impl Fn(usize) -> bool,
         now: Time,
     ) -> Source {
         if self.asked > 0 && now >= self.asked_at + ANSWER_TIME {
             self.asked = 0;
             self.source = self.source.next();
-        } else if self.is_escalated || is_dense {
+        } else if self.is_escalated || has_high_demand {
             self.source = Source::Coordinator;
         } else if self.asked == 0 {
             self.source = Source::Deputy(0);
@@ -118,7 +118,7 @@
     }
 
     /// Whether an answer may still come.
-    pub fn has_hope(&self, now: Time) -> bool {
+    pub fn may_be_answered(&self, now: Time) -> bool {
         self.denied_until <= now
     }
 }
--- a/fulmarreel-quota/src/member/mod.rs
+++ b/fulmarreel-quota/src/member/mod.rs
@@ -1,7 +1,7 @@
 //! A node's side: what it may spend, and what it reports.
 //!
-//! A request takes a token of its account from a bucket. Where there is none, the coordinator is asked
-//! or a deputy at once and the request waits for a short time. Requests that have not been run give their tokens
+//! A request takes a token of its account from a bucket. Where there is none, a deputy or the coordinator
+//! is asked at once, and the request waits for a short time. A request that was not run gives its token
 //! back.
 
 mod asking;
@@ -11,7 +11,7 @@
 
 use crate::{
     Limit, Time,
-    message::{Answer, Demand, Loan, Report, Wish},
+    message::{Answer, Demand, Loan, LoanRequest, Report},
 };
 use asking::Source;
 use share::Share;
@@ -71,7 +71,7 @@
     /// To the coordinator.
     Report(Report),
     /// To a deputy.
-    Wish(N, Wish),
+    LoanRequest(N, LoanRequest),
 }
 
 /// The quotas of accounts at one process of a node. `W` identifies a waiting request.
@@ -79,9 +79,9 @@
 pub struct Member<W> {
     /// When the process started, in milliseconds since the Unix epoch.
     boot: u64,
-    /// The number of the last report.
+    /// The number of the last report or question.
     sequence: u32,
-    /// Whether no answer of a coordinator was ever applied.
+    /// Whether no grant of a coordinator has arrived since the start of the process.
     never_granted: bool,
     shares: HashMap<u64, Share<W>>,
     /// The accounts with waiting requests.
@@ -180,17 +180,18 @@
         messages
     }
 
-    /// What a process to which no grant was ever made tells a new coordinator, even without demand.
+    /// The report by which a process to which no grant was ever made tells this to a new coordinator, also
+    /// without demand; `None` for other processes.
     pub fn introduction(&mut self, now: Time) -> Option<Report> {
         self.never_granted.then(|| self.new_report(Vec::new(), now))
     }
 
     /// Lends tokens to another node.
-    pub fn lend(&mut self, wish: &Wish, limit: Limit, now: Time) -> Loan {
-        let share = self.share(wish.account, limit, now);
-        let tokens = share.lend(wish.wanted, now);
+    pub fn lend(&mut self, request: &LoanRequest, limit: Limit, now: Time) -> Loan {
+        let share = self.share(request.account, limit, now);
+        let tokens = share.lend(request.wanted, now);
         Loan {
-            wish: *wish,
+            request: *request,
             tokens,
         }
     }
@@ -198,8 +199,8 @@
     /// Admits waiting requests with tokens that a deputy has lent.
     pub fn accept(&mut self, loan: &Loan, now: Time) -> Vec<Decision<W>> {
         let mut decisions = Vec::new();
-        let share = self.shares.get_mut(&loan.wish.account);
-        if let Some(share) = share.filter(|_| loan.wish.boot == self.boot) {
+        let share = self.shares.get_mut(&loan.request.account);
+        if let Some(share) = share.filter(|_| loan.request.boot == self.boot) {
             share.accept(loan, now, &mut decisions);
         }
         decisions
@@ -218,7 +219,7 @@
         urgent.chain(regular).min()
     }
 
-    /// The number of accounts that requests came of lately.
+    /// The number of accounts that had requests lately.
     pub fn accounts(&self) -> usize {
         self.shares.len()
     }
@@ -240,19 +241,19 @@
             match source {
                 Some(Source::Coordinator) => demands.push(share.demand(*account, now)),
                 Some(Source::Deputy(index)) => {
-                    let (wanted, node) = (share.wish(now), nodes[index]);
+                    let (wanted, node) = (share.ask_deputy(now), nodes[index]);
                     let Some(node) = node.filter(|_| wanted > 0) else {
                         continue;
                     };
                     self.sequence += 1;
-                    let wish = Wish {
+                    let request = LoanRequest {
                         boot: self.boot,
                         sequence: self.sequence,
                         sent_at: now,
                         account: *account,
                         wanted,
                     };
-                    messages.push(Outgoing::Wish(node, wish));
+                    messages.push(Outgoing::LoanRequest(node, request));
                 }
                 None => {}
             }
--- a/fulmarreel-quota/src/member/share.rs
+++ b/fulmarreel-quota/src/member/share.rs
@@ -8,17 +8,17 @@
 };
 use crate::{
     HOLD_TIME, LOAN_LIFETIME, Limit, Time, lifetime,
-    message::{Demand, Grant, Held, Loan, Wish},
+    message::{Demand, Grant, Held, Loan, LoanRequest},
 };
 use std::{collections::VecDeque, time::Duration};
 
-/// Tokens without a rate are given back if no request came for this long.
+/// Tokens that were granted without a rate are given back if no request came for this long.
 const IDLE_TIME: Duration = Duration::from_millis(100);
 
 /// The most tokens that a node lends at once.
 const MAX_LENT: u32 = 1_000;
 
-/// An account is forgotten if no request came for this long, when each of its grants has expired.
+/// An account is forgotten if no request came for this long; each of its grants has expired by then.
 const FORGET_TIME: Duration = Duration::from_secs(10);
 
 /// The shortest and the longest retry delay that a refused caller is told.
@@ -27,7 +27,7 @@
 /// The least rate at which refused callers are told to return, per second.
 const MIN_RETURN_PER_S: f64 = 0.5;
 
-/// Multiples of it, without their whole part, spread evenly over 0 to 1.
+/// The fractional part of the golden ratio; the fractional parts of its multiples spread evenly over 0 to 1.
 const GOLDEN_RATIO: f64 = 0.618_033_988_75;
 
 /// One account at one node. `W` identifies a waiting request.
@@ -44,7 +44,7 @@
     /// Requests that wait for a token, in the order of their arrival.
     waiting: VecDeque<Waiter<W>>,
     asking: Asking,
-    /// The number of the last wish that a deputy has answered.
+    /// The number of the last question that a deputy has answered.
     last_loan: u32,
     /// The time that the next refused caller is told to return at.
     return_at: Time,
@@ -96,7 +96,7 @@
         {
             return Take::Token(token);
         }
-        if until <= now || !self.has_hope(self.waiting.len() + 1, until, now) {
+        if until <= now || !self.may_get_token(self.waiting.len() + 1, until, now) {
             let retry_after = self.refuse(now);
             return Take::Refused { retry_after };
         }
@@ -129,7 +129,7 @@
         let mut position = 0;
         while let Some(waiter) = self.waiting.get(position) {
             let until = waiter.until;
-            if now < until && self.has_hope(position + 1, until, now) {
+            if now < until && self.may_get_token(position + 1, until, now) {
                 position += 1;
                 continue;
             }
@@ -144,10 +144,10 @@
     }
 
     /// Whether the request at a position of the queue, counted from 1, may get a token by `until`.
-    fn has_hope(&self, position: usize, until: Time, now: Time) -> bool {
+    fn may_get_token(&self, position: usize, until: Time, now: Time) -> bool {
         let count = u32::try_from(position).unwrap_or(u32::MAX);
         let refill = self.bucket.time_of(count, &self.limit, now);
-        self.asking.has_hope(now) || refill.is_some_and(|at| at <= until)
+        self.asking.may_be_answered(now) || refill.is_some_and(|at| at <= until)
     }
 
     /// Removes a waiting request whose caller has left.
@@ -195,12 +195,12 @@
         if self.waiting.is_empty() || self.asking.due_at(self.waiting.len()) > now {
             return None;
         }
-        let is_dense = self.is_dense(now);
-        Some(self.asking.choose(is_dense, has_deputy, now))
+        let has_high_demand = self.has_high_demand(now);
+        Some(self.asking.choose(has_high_demand, has_deputy, now))
     }
 
-    /// Asks a deputy; returns for how many tokens.
-    pub fn wish(&mut self, now: Time) -> u32 {
+    /// Records a question to a deputy; returns for how many tokens it asks.
+    pub fn ask_deputy(&mut self, now: Time) -> u32 {
         self.asking.ask(self.waiting.len(), now)
     }
 
@@ -220,12 +220,12 @@
 
     /// Admits waiting requests with tokens that a deputy has lent; tokens beyond those are lost.
     pub fn accept(&mut self, loan: &Loan, now: Time, decisions: &mut Vec<Decision<W>>) {
-        let Wish {
+        let LoanRequest {
             sequence,
             sent_at,
             wanted,
             ..
-        } = loan.wish;
+        } = loan.request;
         let is_late = now < sent_at || now >= sent_at + LOAN_LIFETIME;
         if is_late || sequence <= self.last_loan {
             return;
@@ -245,8 +245,8 @@
     }
 
     /// Whether this node sees enough demand to be granted a rate.
-    fn is_dense(&self, now: Time) -> bool {
-        let dense = self.limit.dense_milli() as f64 / 1e3;
+    fn has_high_demand(&self, now: Time) -> bool {
+        let dense = self.limit.high_demand_milli() as f64 / 1e3;
         let has_rate = self
             .bucket
             .grant(now)
@@ -259,7 +259,7 @@
     pub fn is_reported(&self, now: Time) -> bool {
         let grant = self.bucket.grant(now);
         grant.is_some_and(|grant| grant.rate_milli > 0)
-            || self.is_dense(now)
+            || self.has_high_demand(now)
             || self.bucket.tokens() > 0
     }
 
@@ -291,7 +291,7 @@
                 remaining: self.bucket.expires_at() - now,
             });
         // The demand of other nodes is reported by the deputies that they ask.
-        let demand_milli = if self.is_dense(now) {
+        let demand_milli = if self.has_high_demand(now) {
             (self.demand.per_s(now) * 1e3) as u64
         } else {
             0
--- a/fulmarreel-quota/src/message.rs
+++ b/fulmarreel-quota/src/message.rs
@@ -12,7 +12,8 @@
     pub sequence: u32,
     /// When the report was sent, on the sender's clock; the answer repeats it.
     pub sent_at: Time,
-    /// Whether no grant was ever made to the process. Those of former processes of its node are gone then.
+    /// Whether no grant has arrived at the process since its start. The grants to former processes of its
+    /// node ended with those.
     pub never_granted: bool,
     /// Accounts for which the node needs or holds something.
     pub demands: Vec<Demand>,
@@ -25,7 +26,7 @@
     pub account: u64,
     /// Thousandths of a request per second, refused requests included.
     pub rate_milli: u64,
-    /// Requests that wait for a token which was not asked for yet.
+    /// Requests that wait for a token and for which none was asked before.
     pub wanted: u32,
     /// Requests that are expected before the node can ask again, beyond the rate that it holds.
     pub ahead: u32,
@@ -62,9 +63,9 @@
     pub grants: Vec<Grant>,
 }
 
-/// A node's question to a deputy.
+/// A node's question to a deputy for tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Wish {
+pub struct LoanRequest {
     /// When the asking process started, in milliseconds since the Unix epoch.
     pub boot: u64,
     /// Number of the question; rises with each report and question of a process.
@@ -81,7 +82,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Loan {
     /// The question.
-    pub wish: Wish,
+    pub request: LoanRequest,
     /// Tokens that are handed over.
     pub tokens: u32,
 }
--- a/fulmarreel-quota/tests/quota/play/mod.rs
+++ b/fulmarreel-quota/tests/quota/play/mod.rs
@@ -7,7 +7,7 @@
     Limit, Member, Time,
     limit::{Bounds, Quota},
     member::{Decision, Outgoing, Take, Token},
-    message::{Answer, Loan, Report, Wish},
+    message::{Answer, Loan, LoanRequest, Report},
 };
 use std::{
     cmp::Reverse,
@@ -42,7 +42,7 @@
 enum Message {
     Report(Report),
     Answer(Answer),
-    Wish(Wish),
+    LoanRequest(LoanRequest),
     Loan(Loan),
 }
 
@@ -280,7 +280,9 @@
                 (Outgoing::Report(report), Some(to)) => {
                     self.send(node, to, Message::Report(report));
                 }
-                (Outgoing::Wish(to, wish), _) => self.send(node, to, Message::Wish(wish)),
+                (Outgoing::LoanRequest(to, request), _) => {
+                    self.send(node, to, Message::LoanRequest(request))
+                }
                 (Outgoing::Report(_), None) => {}
             }
         }
@@ -361,8 +363,8 @@
                 let decisions = player.member.decide(self.now);
                 self.settle(to, decisions);
             }
-            Message::Wish(wish) => {
-                let loan = self.nodes[to].member.lend(&wish, self.limit, self.now);
+            Message::LoanRequest(request) => {
+                let loan = self.nodes[to].member.lend(&request, self.limit, self.now);
                 self.send(to, from, Message::Loan(loan));
             }
             Message::Loan(loan) => {
--- a/fulmarreel-wire/src/notice.rs
+++ b/fulmarreel-wire/src/notice.rs
@@ -54,7 +54,7 @@
     /// The sender has become the coordinator of quotas, with a key that was created at this store revision.
     QuotaCoordinator(u64),
     /// A question for tokens of an account, to one of its deputies.
-    QuotaWish(QuotaWish),
+    QuotaLoanRequest(QuotaLoanRequest),
     /// The deputy's answer.
     QuotaLoan(QuotaLoan),
 }
@@ -151,7 +151,7 @@
     pub sequence: u32,
     /// The time of sending in milliseconds, on a clock of the sender; the answer repeats it.
     pub sent_ms: u64,
-    /// Whether no grant was ever made to the process.
+    /// Whether no grant has arrived at the process since its start.
     pub never_granted: bool,
     /// Demands, at most [`MAX_QUOTA_DEMANDS`].
     pub demands: Vec<QuotaDemand>,
@@ -195,7 +195,7 @@
 
 /// A question for tokens of an account.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuotaWish {
+pub struct QuotaLoanRequest {
     /// When the sending process started, in milliseconds since the Unix epoch.
     pub boot: u64,
     /// Number of the question among the reports and questions of the process.
@@ -212,7 +212,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaLoan {
     /// The question.
-    pub wish: QuotaWish,
+    pub request: QuotaLoanRequest,
     /// Tokens that are handed over.
     pub tokens: u32,
 }
@@ -230,7 +230,7 @@
     pub tokens: u32,
     /// Tokens that were wanted for requests that wait.
     pub wanted: u32,
-    /// Those of them that are not there.
+    /// Those of them that the coordinator did not have.
     pub missing: u32,
     /// The account's rate, in thousandths per second.
     pub of_rate_milli: u64,
