--- a/fulmarreel-quota/src/coordinator/book.rs
+++ b/fulmarreel-quota/src/coordinator/book.rs
@@ -63,7 +63,7 @@
         self.sequence > 0
     }
 
-    /// Whether nothing was granted yet.
+    /// Whether no grant may be in force.
     pub fn is_empty(&self) -> bool {
         self.outstanding.is_empty()
     }
--- a/fulmarreel-quota/tests/quota/play/mod.rs
+++ b/fulmarreel-quota/tests/quota/play/mod.rs
@@ -281,7 +281,7 @@
                     self.send(node, to, Message::Report(report));
                 }
                 (Outgoing::LoanRequest(to, request), _) => {
-                    self.send(node, to, Message::LoanRequest(request))
+                    self.send(node, to, Message::LoanRequest(request));
                 }
                 (Outgoing::Report(_), None) => {}
             }
