--- a/fulmarreel-node/src/mesh/caller/mod.rs
+++ b/fulmarreel-node/src/mesh/caller/mod.rs
@@ -96,7 +96,8 @@
     body: &'a [u8],
     started: Instant,
     deadline: Instant,
-    /// Its route's priority; the lowest rank goes first in a target's queue.
+    /// Its route's priority; the lowest rank goes first in a target's queue, after the priorities of
+    /// accounts.
     rank: u8,
 }
 
