fix(mesh): the turn of an upload ends with its request's deadline

A sender that was frozen or cut off after it got credit kept its turn until its connection ended, and uploads of other nodes waited behind it. A test sends uploads over a narrow link between processes. Also: a coordinator counts a node as restarted only after its predecessor has ended.

--- a/fulmarreel-node/src/mesh/links.rs
+++ b/fulmarreel-node/src/mesh/links.rs
@@ -91,6 +91,8 @@
     next_id: u64,
     /// Announced bodies that wait for their turn, by their number.
     waiting: HashMap<u64, Offer>,
+    /// When each body is no longer waited for. Its sender may be frozen or cut off.
+    deadlines: HashMap<u64, Instant>,
 }
 
 impl Default for Uploads {
@@ -99,6 +101,28 @@
             transfers: Transfers::new(0),
             next_id: 0,
             waiting: HashMap::new(),
+            deadlines: HashMap::new(),
+        }
+    }
+}
+
+impl Uploads {
+    /// Removes a body, and accepts those whose turn it is now.
+    fn remove(&mut self, id: u64) {
+        self.waiting.remove(&id);
+        self.deadlines.remove(&id);
+        for next in self.transfers.remove(id) {
+            if let Some(offer) = self.waiting.remove(&next) {
+                offer.accept();
+            }
+        }
+    }
+
+    fn remove_overdue(&mut self, now: Instant) {
+        let overdue = self.deadlines.iter().filter(|(_, until)| **until <= now);
+        let overdue: Vec<u64> = overdue.map(|(id, _)| *id).collect();
+        for id in overdue {
+            self.remove(id);
         }
     }
 }
@@ -110,6 +134,8 @@
     pub sequence: u64,
     /// The length of the body.
     pub bytes: u64,
+    /// When its request's caller stops waiting.
+    pub deadline: Instant,
     /// Frames to the node.
     pub outgoing: Sender<Frame>,
 }
@@ -142,12 +168,7 @@
 impl Drop for Upload {
     fn drop(&mut self) {
         let mut uploads = self.links.uploads.lock().expect("uploads lock");
-        uploads.waiting.remove(&self.id);
-        for id in uploads.transfers.remove(self.id) {
-            if let Some(offer) = uploads.waiting.remove(&id) {
-                offer.accept();
-            }
-        }
+        uploads.remove(self.id);
     }
 }
 
@@ -171,6 +192,8 @@
         let mut uploads = self.uploads.lock().expect("uploads lock");
         let id = uploads.next_id;
         uploads.next_id += 1;
+        uploads.remove_overdue(Instant::now());
+        uploads.deadlines.insert(id, offer.deadline);
         uploads.transfers.set_limit(limit as u64);
         if uploads.transfers.add(id, offer.bytes) {
             offer.accept();
--- a/fulmarreel-node/src/mesh/serve/crossing.rs
+++ b/fulmarreel-node/src/mesh/serve/crossing.rs
@@ -104,6 +104,7 @@
         let offer = (open.length > MAX_CHUNK_BYTES as u64).then(|| Offer {
             sequence,
             bytes: open.length,
+            deadline: Instant::now() + Duration::from_millis(u64::from(open.remaining_ms)),
             outgoing: connection.outgoing.clone(),
         });
         if !self.links.are_narrow() {
--- a/fulmarreel-node/tests/mesh/narrow.rs
+++ b/fulmarreel-node/tests/mesh/narrow.rs
@@ -85,3 +85,40 @@
     ensure!(run == answered, "{run} run, {answered} answered");
     Ok((answered, refused))
 }
+
+/// Uploads that are sent at once, of which three seconds of the link carry more than all.
+const UPLOADS: usize = 4;
+
+/// Fails if a long request body that waits for credit is never sent, or if one whose turn comes late is
+/// given up: each takes 170 ms of the link, so most wait for those before them.
+#[test]
+fn uploads_over_a_narrow_link_take_turns_and_all_arrive() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let store = FakePlatformStore::start()?;
+        configure_bulk(&store, 1, &["s", "own"]);
+        let caller = Instance::start(store.address(), "own", "v1").await?;
+        let target = Instance::start(store.address(), "s", "v1").await?;
+        caller.wait_ready().await?;
+        caller.wait_served("/s/").await?;
+        target.add_setting("limits.link_mbps=3").await?;
+        let before = target.backend.arrivals().len();
+        let callers = caller.callers;
+        let uploads: Vec<_> = (0..UPLOADS)
+            .map(|number| {
+                smol::spawn(async move {
+                    let id = format!("upload-{number}");
+                    let headers = [("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "3000")];
+                    let body = number.to_string().repeat(60_000);
+                    call(callers, "POST", "/s/", "h.example", &headers, &body).await
+                })
+            })
+            .collect();
+        for upload in uploads {
+            let answer = upload.await?;
+            ensure!(answer.status == 200, "{}", answer.text);
+        }
+        let run = target.backend.arrivals().len() - before;
+        ensure!(run == UPLOADS, "{run} run");
+        Ok(())
+    })
+}
--- a/fulmarreel-quota/src/coordinator/mod.rs
+++ b/fulmarreel-quota/src/coordinator/mod.rs
@@ -59,7 +59,8 @@
         now: Time,
     ) -> Answer {
         self.sweep(now);
-        if report.never_granted && now < self.takeover_ends {
+        // Before the predecessor has ended, it may still answer a report of the process.
+        if report.never_granted && now >= self.predecessor_ends && now < self.takeover_ends {
             self.restarted.insert(node);
         }
         let mut grants = Vec::with_capacity(report.demands.len());
@@ -85,7 +86,8 @@
     /// after a loss of power everywhere: the grants of the predecessor ended with the former processes.
     /// `nodes` have to be all nodes that it may have made grants to.
     pub fn end_takeover(&mut self, mut nodes: impl Iterator<Item = N>, now: Time) {
-        if now < self.predecessor_ends || now >= self.takeover_ends {
+        let is_taking_over = now >= self.predecessor_ends && now < self.takeover_ends;
+        if !is_taking_over || self.restarted.is_empty() {
             return;
         }
         if !nodes.all(|node| self.restarted.contains(&node)) {
