refactor: one lookup of an opened call's headers and route, one decay by half-life

The first value of a header was found by the same four lines in request_id, in the queue's order and in the check of the place, and the route of a request by each of three modules. The view kept a copy of what its table tells of bulk routes, and the condition for the order by class stood a second time at the choice of a target.

--- a/fulmarreel-balance/src/lib.rs
+++ b/fulmarreel-balance/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod choice;
 pub mod cold;
+pub mod decay;
 pub mod link;
 pub mod overload;
 pub mod placement;
--- a/fulmarreel-balance/src/overload/pace.rs
+++ b/fulmarreel-balance/src/overload/pace.rs
@@ -1,6 +1,7 @@
 //! The pace at which requests get slots.
 
 use super::class::Class;
+use crate::decay::remaining;
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
@@ -102,9 +103,7 @@
             Group::Account(class, _) => self.seconds(now, Group::Class(class), slots),
         };
         self.by_group.get(&group).map_or(default_s, |pace| {
-            let age = now.saturating_duration_since(pace.at);
-            let decay = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
-            default_s + (pace.seconds - default_s) * decay
+            default_s + (pace.seconds - default_s) * remaining(pace.at, now, HALF_LIFE)
         })
     }
 
--- a/fulmarreel-balance/src/overload/share.rs
+++ b/fulmarreel-balance/src/overload/share.rs
@@ -1,5 +1,6 @@
 //! Accounts that get far less than their share, which priorities alone would allow.
 
+use crate::decay::remaining;
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
@@ -94,8 +95,7 @@
 impl Count {
     fn decay(&mut self, now: Instant) {
         if let Some(at) = self.at {
-            let age = now.saturating_duration_since(at);
-            let factor = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+            let factor = remaining(at, now, HALF_LIFE);
             self.asked *= factor;
             self.served *= factor;
         }
--- a/fulmarreel-balance/src/overload/throttle.rs
+++ b/fulmarreel-balance/src/overload/throttle.rs
@@ -5,6 +5,7 @@
 //! and rises by a constant amount per second while hardly any is; faster after a deep fall.
 
 use super::retries::Retries;
+use crate::decay::remaining;
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
@@ -157,9 +158,9 @@
     /// Brings counts, tokens and the limit up to the present.
     fn update(&mut self, now: Instant) {
         let passed_s = now.saturating_duration_since(self.updated).as_secs_f64();
-        self.updated = now;
         self.starts *= (-passed_s / RATE_WINDOW.as_secs_f64()).exp();
-        self.wasted *= 0.5_f64.powf(passed_s / WASTED_HALF_LIFE.as_secs_f64());
+        self.wasted *= remaining(self.updated, now, WASTED_HALF_LIFE);
+        self.updated = now;
         let Some(limit) = &mut self.limit else {
             return;
         };
--- a/fulmarreel-balance/src/speed.rs
+++ b/fulmarreel-balance/src/speed.rs
@@ -4,6 +4,7 @@
 //! and for moments. Few requests of one node reach one target, so one speed is learned per target, from
 //! the requests of all routes. What a target reports of its current speed is used with its age.
 
+use crate::decay::remaining;
 use std::time::{Duration, Instant};
 
 /// The number of requests as which the assumption of an average speed counts.
@@ -113,9 +114,3 @@
         reported.max(cold)
     }
 }
-
-/// The part of a deviation that remains after its age.
-fn remaining(since: Instant, now: Instant, half_life: Duration) -> f64 {
-    let age = now.saturating_duration_since(since);
-    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
-}
--- a/fulmarreel-balance/src/zones.rs
+++ b/fulmarreel-balance/src/zones.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     choice::Tier,
+    decay::remaining,
     placement::{self, Request, response_value, transfer_cost},
     uneven::{self, Candidate},
 };
@@ -231,9 +232,3 @@
     });
     drawn.or_else(|| shares.iter().rposition(|share| *share > 0.0))
 }
-
-/// The part of a deviation that remains after its age.
-fn remaining(since: Instant, now: Instant, half_life: Duration) -> f64 {
-    let age = now.saturating_duration_since(since);
-    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
-}
--- a/fulmarreel-node/src/mesh/caller/uneven.rs
+++ b/fulmarreel-node/src/mesh/caller/uneven.rs
@@ -2,7 +2,10 @@
 
 use super::{Request, RequestHandler, offer::Offers};
 use crate::{
-    mesh::view::{Target, View},
+    mesh::{
+        serve::order,
+        view::{Target, View},
+    },
     telemetry::metrics,
 };
 use fulmarreel_balance::{
@@ -11,7 +14,6 @@
     uneven::Candidate,
     zones::{self, Zone},
 };
-use fulmarreel_route::Table;
 use std::{sync::Arc, time::Duration};
 
 /// The zones of the targets that a request may be sent to or was offered to. The vectors have one element
@@ -41,10 +43,7 @@
     /// Whether speeds and zones decide: targets report how long work takes, or the configuration has
     /// accounts or routes with large bodies.
     pub(super) fn is_uneven(&self, view: &View) -> bool {
-        let has_accounts = |table: &Table| !table.accounts.is_empty();
-        self.targets.speeds.are_reported()
-            || view.has_bulk_routes
-            || view.table.as_deref().is_some_and(has_accounts)
+        self.targets.speeds.are_reported() || view.table.as_deref().is_some_and(order::is_active)
     }
 
     /// Chooses among targets by their zones and by the time that is expected at their speeds; returns the
--- a/fulmarreel-node/src/mesh/links.rs
+++ b/fulmarreel-node/src/mesh/links.rs
@@ -224,7 +224,9 @@
     pub fn are_narrow(&self) -> bool {
         let bytes_per_s = self.context.settings().link_bytes_per_s;
         // A bandwidth of 0 says that there is no limit.
-        bytes_per_s > 0.0 && bytes_per_s < NARROW_BYTES_PER_S && self.context.view().has_bulk_routes
+        bytes_per_s > 0.0
+            && bytes_per_s < NARROW_BYTES_PER_S
+            && self.context.view().has_bulk_routes()
     }
 
     /// The flag that is set while calls take turns in writing to other nodes.
--- a/fulmarreel-node/src/mesh/serve/crossing.rs
+++ b/fulmarreel-node/src/mesh/serve/crossing.rs
@@ -1,7 +1,7 @@
 //! Bodies that cross this machine's narrow link between other nodes and the own target: responses to
 //! requests of other nodes, and the request bodies that they send.
 
-use super::{Rejection, Server, request_id};
+use super::{Rejection, Server, request_id, route_of};
 use crate::{
     mesh::links::{Direction, Expected, Offer, Upload},
     serve::link::IncomingConnection,
@@ -54,7 +54,9 @@
         if !self.links.are_narrow() {
             return Ok(None);
         }
-        let Some(entry) = self.route_of(open) else {
+        let view = self.context.view();
+        let table = view.table.as_deref();
+        let Some(entry) = table.and_then(|table| route_of(table, open)).cloned() else {
             return Ok(None);
         };
         if !entry.route.is_bulk {
@@ -97,8 +99,12 @@
         let Some(open) = connection.announced(sequence) else {
             return;
         };
-        let is_bulk = self.route_of(open).is_some_and(|entry| entry.route.is_bulk);
-        if !is_bulk {
+        let view = self.context.view();
+        let entry = view
+            .table
+            .as_deref()
+            .and_then(|table| route_of(table, open));
+        if !entry.is_some_and(|entry| entry.route.is_bulk) {
             return;
         }
         let offer = (open.length > MAX_CHUNK_BYTES as u64).then(|| Offer {
@@ -186,14 +192,4 @@
         // A conversion to integers saturates.
         in_flight.max((f64::from(slots) * backlog / hold) as u16)
     }
-
-    /// The route of a request by this node's own configuration.
-    fn route_of(&self, open: &Open) -> Option<Arc<Entry>> {
-        let view = self.context.view();
-        let mut headers = open.headers.iter();
-        let host = headers.find(|header| header.name.eq_ignore_ascii_case("host"))?;
-        let host = std::str::from_utf8(&host.value).ok()?;
-        let entry = view.table.as_ref()?.find_route(host, &open.path)?;
-        Some(Arc::clone(entry))
-    }
 }
--- a/fulmarreel-node/src/mesh/serve/mod.rs
+++ b/fulmarreel-node/src/mesh/serve/mod.rs
@@ -28,6 +28,7 @@
 use fulmarreel_http::{Quota, Response};
 use fulmarreel_membership::{Announcement, announcement::CurrentTarget};
 use fulmarreel_platform::request;
+use fulmarreel_route::{Entry, Table};
 use fulmarreel_wire::call::{Failure, Frame, Head, Header, Open, Refusal};
 use order::{NewRun, Orders};
 use own_target::OwnTarget;
@@ -353,9 +354,11 @@
 
 /// The request id that the caller gave, or an empty string; log lines of all nodes carry it.
 pub fn request_id(open: &Open) -> &str {
-    let mut headers = open.headers.iter();
-    let header = headers.find(|header| header.name.eq_ignore_ascii_case(request::REQUEST_ID));
-    header.map_or("", |header| {
-        std::str::from_utf8(&header.value).unwrap_or("")
-    })
+    open.header(request::REQUEST_ID).unwrap_or_default()
+}
+
+/// The route of a request by this node's own configuration.
+fn route_of<'a>(table: &'a Table, open: &Open) -> Option<&'a Arc<Entry>> {
+    let host = open.header("host").unwrap_or_default();
+    table.find_route(host, &open.path)
 }
--- a/fulmarreel-node/src/mesh/serve/order.rs
+++ b/fulmarreel-node/src/mesh/serve/order.rs
@@ -1,7 +1,7 @@
 //! The order of requests for this node's own target, where the configuration has accounts or bulk routes:
 //! their classes, accounts and weights.
 
-use super::{Rejection, Server, feedback::Feedback, request_id};
+use super::{Rejection, Server, feedback::Feedback, request_id, route_of};
 use crate::{serve::slot_queue::Permit, telemetry::metrics};
 use fulmarreel_balance::{
     admission::QueueDeadlines,
@@ -64,8 +64,7 @@
         deadlines: QueueDeadlines,
     ) -> Result<(Permit, Option<NewRun>), Rejection> {
         let arrived = Instant::now();
-        let host = header(open, "host").unwrap_or_default();
-        let entry = table.find_route(host, &open.path);
+        let entry = route_of(table, open);
         let route = entry.map(|entry| &entry.route);
         let request = self.orders.request(arrived, open, table, route, deadlines);
         let kind = request.class.kind;
@@ -146,7 +145,7 @@
         route: Option<&Route>,
         deadlines: QueueDeadlines,
     ) -> Request {
-        let account_name = header(open, request::ACCOUNT);
+        let account_name = open.header(request::ACCOUNT);
         let account = account_name.and_then(|name| table.accounts.named(name));
         // An account that only the entry node knows yet is a client's too.
         let is_client = account_name.is_some() && !table.accounts.is_empty();
@@ -174,7 +173,7 @@
             (false, true) => Hint::NeedsNoKey,
             (false, false) => Hint::NeedsKey,
         };
-        let service = header(open, request::CALLER_SERVICE).unwrap_or_default();
+        let service = open.header(request::CALLER_SERVICE).unwrap_or_default();
         let mut origins = self.origins.lock().expect("origins lock");
         origins.record(now, &route.name, service, hint)
     }
@@ -214,10 +213,3 @@
     let quota = account.and_then(|account| account.quota);
     quota.map_or(default.weight, |quota| quota.rate_per_s)
 }
-
-/// The first value of a header that is UTF-8.
-fn header<'a>(open: &'a Open, name: &str) -> Option<&'a str> {
-    let mut headers = open.headers.iter();
-    let header = headers.find(|header| header.name.eq_ignore_ascii_case(name))?;
-    std::str::from_utf8(&header.value).ok()
-}
--- a/fulmarreel-node/src/mesh/serve/peer.rs
+++ b/fulmarreel-node/src/mesh/serve/peer.rs
@@ -65,7 +65,7 @@
         let mut tcp = BufReader::new(tcp);
         let mut uploads = Uploads::default();
         loop {
-            connection.announces_bodies = self.context.view().has_bulk_routes;
+            connection.announces_bodies = self.context.view().has_bulk_routes();
             match connection.next(&mut tcp).await? {
                 Event::Announced { sequence } => {
                     self.expect_upload(&mut uploads, connection, sequence);
--- a/fulmarreel-node/src/mesh/serve/place.rs
+++ b/fulmarreel-node/src/mesh/serve/place.rs
@@ -2,7 +2,7 @@
 //!
 //! The node that sends a request has decided this as well, by a view that may be older or newer.
 
-use super::Server;
+use super::{Server, route_of};
 use crate::telemetry::metrics::{self, RefusalCause};
 use fulmarreel_platform::request;
 use fulmarreel_route::Table;
@@ -59,16 +59,10 @@
 /// Whether a configuration allows a request in a region. A request whose route or account it does not
 /// have was routed by another configuration, by which its sender has decided.
 fn allows_region(table: &Table, open: &Open, region: &str) -> bool {
-    let header = |name: &str| {
-        let mut headers = open.headers.iter();
-        let header = headers.find(|header| header.name.eq_ignore_ascii_case(name))?;
-        std::str::from_utf8(&header.value).ok()
-    };
-    let account = header(request::ACCOUNT).and_then(|name| table.accounts.named(name));
+    let account_name = open.header(request::ACCOUNT);
+    let account = account_name.and_then(|name| table.accounts.named(name));
     if account.is_some_and(|account| !account.allows_region(region)) {
         return false;
     }
-    let host = header("host").unwrap_or_default();
-    let entry = table.find_route(host, &open.path);
-    entry.is_none_or(|entry| entry.route.allows_region(None, region))
+    route_of(table, open).is_none_or(|entry| entry.route.allows_region(None, region))
 }
--- a/fulmarreel-node/src/mesh/targets.rs
+++ b/fulmarreel-node/src/mesh/targets.rs
@@ -1,7 +1,7 @@
 //! Statistics of targets from this node's own requests: load, latency, failures and reachability.
 
 use super::{speeds::Speeds, view::Target, zone_loads::ZoneLoads};
-use fulmarreel_balance::placement::Candidate;
+use fulmarreel_balance::{decay::remaining, placement::Candidate};
 use fulmarreel_route::Route;
 use std::{
     collections::HashMap,
@@ -120,7 +120,7 @@
             mean_hold_time: Duration::from_secs_f64(slot_time_s),
             processing_time: Duration::from_secs_f64(latency_s.unwrap_or(typical_s)),
             failure_rate: stats.failure_rate
-                * decay_factor(stats.failure_rate_at, now, FAILURE_RATE_HALF_LIFE),
+                * remaining(stats.failure_rate_at, now, FAILURE_RATE_HALF_LIFE),
             avoided: stats.avoided_until > now,
         }
     }
@@ -270,7 +270,7 @@
 
     fn update_failure_rate(&mut self, failed: bool, now: Instant) {
         let decayed =
-            self.failure_rate * decay_factor(self.failure_rate_at, now, FAILURE_RATE_HALF_LIFE);
+            self.failure_rate * remaining(self.failure_rate_at, now, FAILURE_RATE_HALF_LIFE);
         let newest = if failed { 1.0 } else { 0.0 };
         self.failure_rate = decayed + (newest - decayed) * MEAN_WEIGHT;
         self.failure_rate_at = now;
@@ -289,11 +289,6 @@
 
     /// The average in seconds, decayed towards the typical value with its age.
     fn decayed(&self, typical_s: f64, now: Instant) -> f64 {
-        typical_s + (self.seconds - typical_s) * decay_factor(self.at, now, MEAN_HALF_LIFE)
+        typical_s + (self.seconds - typical_s) * remaining(self.at, now, MEAN_HALF_LIFE)
     }
 }
-
-fn decay_factor(since: Instant, now: Instant, half_life: Duration) -> f64 {
-    let age = now.saturating_duration_since(since);
-    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
-}
--- a/fulmarreel-node/src/mesh/view.rs
+++ b/fulmarreel-node/src/mesh/view.rs
@@ -61,8 +61,6 @@
     pub restricts_regions: bool,
     /// Targets by service.
     pub targets: HashMap<String, Vec<Arc<Target>>>,
-    /// Whether the active configuration has routes with large bodies.
-    pub has_bulk_routes: bool,
     /// Rollouts by service.
     pub rollouts: HashMap<String, Rollout>,
     /// Every node's address, with whether the node is in this node's region.
@@ -105,12 +103,16 @@
         view.table = view.active_table(mirror, last);
         let table = view.table.as_deref();
         view.restricts_regions = table.is_some_and(Table::has_allowed_regions);
-        view.has_bulk_routes = table.is_some_and(Table::has_bulk_routes);
         view.add_nodes(mirror, own, last);
         view.add_rollouts(mirror, last);
         view
     }
 
+    /// Whether the active configuration has routes with large bodies.
+    pub fn has_bulk_routes(&self) -> bool {
+        self.table.as_deref().is_some_and(Table::has_bulk_routes)
+    }
+
     /// The targets of a service.
     pub fn targets(&self, service: &str) -> &[Arc<Target>] {
         self.targets.get(service).map_or(&[], Vec::as_slice)
--- a/fulmarreel-wire/src/call.rs
+++ b/fulmarreel-wire/src/call.rs
@@ -111,6 +111,15 @@
     pub length: u64,
 }
 
+impl Open {
+    /// The first value of a header, by its name in any case; `None` if it is not UTF-8.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        let header = headers.find(|header| header.name.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(&header.value).ok()
+    }
+}
+
 /// Splits a body into the [`Chunk`]s of a call; an empty body yields one empty chunk.
 pub fn chunks(sequence: u64, body: &[u8]) -> impl Iterator<Item = Chunk> {
     let total = body.len();
