refactor(quota): messages convert to their wire forms by From, in the package

The example of costs had copies of the conversions, which lay in the node. Two factors of 1.0 that changed nothing are gone.

--- a/fulmarreel-node/src/mesh/quota/driver.rs
+++ b/fulmarreel-node/src/mesh/quota/driver.rs
@@ -1,12 +1,6 @@
 //! Reports to the coordinator, and the handling of received messages on quotas.
 
-use super::{
-    Quotas, Term,
-    messages::{
-        answer_from_wire, answer_to_wire, loan_from_wire, loan_request_from_wire,
-        loan_request_to_wire, report_from_wire, report_to_wire,
-    },
-};
+use super::{Quotas, Term};
 use crate::mesh::{boot_clock, notices::NoticeSocket};
 use fulmarreel_quota::{
     Limit, Time,
@@ -61,7 +55,7 @@
         match notice {
             Notice::QuotaReport(report) => return self.answer(from, report),
             Notice::QuotaAnswer(answer) => {
-                let answer = answer_from_wire(answer);
+                let answer = answer.into();
                 self.settle_after(|member| {
                     let now = boot_clock::since_start();
                     member.apply(&answer, now);
@@ -71,7 +65,7 @@
             }
             Notice::QuotaLoanRequest(request) => return self.lend(request),
             Notice::QuotaLoan(loan) => {
-                let loan = loan_from_wire(loan);
+                let loan = loan.into();
                 self.settle_after(|member| member.accept(&loan, boot_clock::since_start()));
                 self.wake_driver();
             }
@@ -103,9 +97,9 @@
         let limits = self.limits.by_hash(&self.context);
         let view = self.context.view();
         let nodes = view.nodes.iter().map(|node| node.0);
-        let report = report_from_wire(report);
+        let report = report.into();
         let answer = self.duty.answer(from, &report, nodes, limits)?;
-        Some(Notice::QuotaAnswer(answer_to_wire(&answer)))
+        Some(Notice::QuotaAnswer((&answer).into()))
     }
 
     fn lend(&self, request: &QuotaLoanRequest) -> Option<Notice> {
@@ -113,9 +107,7 @@
         let loan = {
             let mut requests = self.requests();
             let now = boot_clock::since_start();
-            requests
-                .member
-                .lend(&loan_request_from_wire(request), limit, now)
+            requests.member.lend(&request.into(), limit, now)
         };
         // The driver may sleep, and has to report what was asked for as demand of this node.
         self.wake_driver();
@@ -167,7 +159,7 @@
         if let Some(coordinator) = coordinator
             && let Some(introduction) = self.introduction(now)
         {
-            let notice = Notice::QuotaReport(report_to_wire(&introduction));
+            let notice = Notice::QuotaReport((&introduction).into());
             notices.send(coordinator.address, notice).await;
         }
         let messages = {
@@ -183,11 +175,11 @@
         for message in messages {
             match (message, coordinator) {
                 (Outgoing::LoanRequest(deputy, request), _) => {
-                    let notice = Notice::QuotaLoanRequest(loan_request_to_wire(&request));
+                    let notice = Notice::QuotaLoanRequest((&request).into());
                     notices.send(deputy, notice).await;
                 }
                 (Outgoing::Report(report), Some(coordinator)) => {
-                    let notice = Notice::QuotaReport(report_to_wire(&report));
+                    let notice = Notice::QuotaReport((&report).into());
                     notices.send(coordinator.address, notice).await;
                 }
                 // The requests ask a deputy next.
--- a/fulmarreel-node/src/mesh/quota/mod.rs
+++ b/fulmarreel-node/src/mesh/quota/mod.rs
@@ -10,7 +10,6 @@
 pub mod driver;
 mod duty;
 mod limits;
-mod messages;
 mod permit;
 
 pub use permit::Permit;
--- a/fulmarreel-quota/examples/costs.rs
+++ b/fulmarreel-quota/examples/costs.rs
@@ -6,13 +6,12 @@
     Coordinator, Limit, Member, Time,
     limit::{Bounds, Quota},
     member::Outgoing,
-    message::{Demand, Held, Report},
+    message::{Answer, Demand, Held, Report},
 };
 use fulmarreel_wire::{
     PROTOCOL,
     notice::{
-        Datagram, MAX_QUOTA_DEMANDS, Notice, QuotaAnswer, QuotaDemand, QuotaGrant, QuotaLoan,
-        QuotaLoanRequest, QuotaReport,
+        Datagram, MAX_QUOTA_DEMANDS, Notice, QuotaAnswer, QuotaLoan, QuotaLoanRequest, QuotaReport,
     },
 };
 use std::{collections::HashMap, error::Error, fs, time::Duration};
@@ -83,25 +82,22 @@
     }
 }
 
+/// The wire form of a report whose accounts are as long as hashes.
 fn report_to_wire(report: &Report) -> Notice {
-    let demands = report.demands.iter().map(|demand| QuotaDemand {
-        account: hash(demand.account),
-        rate_milli: demand.rate_milli,
-        wanted: demand.wanted,
-        ahead: demand.ahead,
-        returned: demand.returned,
-        applied: demand.applied,
-        held_rate_milli: demand.held.rate_milli,
-        held_bucket: demand.held.bucket,
-        held_ms: demand.held.remaining.as_millis() as u32,
-    });
-    Notice::QuotaReport(QuotaReport {
-        boot: report.boot,
-        sequence: report.sequence,
-        sent_ms: report.sent_at.as_millis() as u64,
-        never_granted: false,
-        demands: demands.collect(),
-    })
+    let mut report = QuotaReport::from(report);
+    for demand in &mut report.demands {
+        demand.account = hash(demand.account);
+    }
+    Notice::QuotaReport(report)
+}
+
+/// The wire form of an answer whose accounts are as long as hashes.
+fn answer_to_wire(answer: &Answer) -> Notice {
+    let mut answer = QuotaAnswer::from(answer);
+    for grant in &mut answer.grants {
+        grant.account = hash(grant.account);
+    }
+    Notice::QuotaAnswer(answer)
 }
 
 /// A fleet whose messages take no time.
@@ -133,13 +129,8 @@
                 Outgoing::Report(report) => self.report(node, &report)?,
                 Outgoing::LoanRequest(deputy, request) => {
                     let loan = self.members[deputy].lend(&request, limit(request.account), now);
-                    let request = QuotaLoanRequest {
-                        boot: request.boot,
-                        sequence: request.sequence,
-                        sent_ms: request.sent_at.as_millis() as u64,
-                        account: hash(request.account),
-                        wanted: request.wanted,
-                    };
+                    let mut request = QuotaLoanRequest::from(&request);
+                    request.account = hash(request.account);
                     let tokens = loan.tokens;
                     self.lent.add(Notice::QuotaLoanRequest(request))?;
                     self.lent
@@ -156,23 +147,8 @@
         let answer = self.coordinator.answer(node, report, limits, self.now);
         self.members[node].apply(&answer, self.now);
         self.members[node].decide(self.now);
-        let grants = answer.grants.iter().map(|grant| QuotaGrant {
-            account: hash(grant.account),
-            rate_milli: grant.rate_milli,
-            bucket: grant.bucket,
-            tokens: grant.tokens,
-            wanted: grant.wanted,
-            missing: grant.missing,
-            of_rate_milli: grant.of_rate_milli,
-            of_capacity: grant.of_capacity,
-        });
         self.coordinated.add(report_to_wire(report))?;
-        self.coordinated.add(Notice::QuotaAnswer(QuotaAnswer {
-            boot: answer.boot,
-            sequence: answer.sequence,
-            sent_ms: answer.sent_at.as_millis() as u64,
-            grants: grants.collect(),
-        }))
+        self.coordinated.add(answer_to_wire(&answer))
     }
 }
 
--- a/fulmarreel-quota/src/coordinator/pool.rs
+++ b/fulmarreel-quota/src/coordinator/pool.rs
@@ -7,20 +7,12 @@
 };
 use std::{collections::HashMap, hash::Hash, time::Duration};
 
-/// A node gets at most this many times the rate that it reports. What it does not use of a higher rate
-/// would be missing at others, while it gets what it lacks by asking.
-const HEADROOM: f64 = 1.0;
-
 /// The part of an account's rate that is granted to nodes at most; the rest serves nodes that run out.
 const GRANTED_SHARE: f64 = 0.9;
 
 /// The part of an account's capacity that nodes with a rate can keep at most.
 const KEPT_SHARE: f64 = 0.6;
 
-/// The least rate that is granted, as a part of the demand from which a node is granted one. A node that
-/// has a rate keeps it down to half of this, as each change loses a part of a token.
-const MIN_RATE_PART: f64 = 1.0;
-
 /// A node keeps its rate while the one it should have differs by no more than this part. Until the node
 /// reports that it has a lower rate, what it gives up is at nobody's disposal.
 const RATE_TOLERANCE: f64 = 0.4;
@@ -163,11 +155,13 @@
         (rate_milli, bucket)
     }
 
-    /// The rate and bucket of a node by its part of the demand.
+    /// The rate and bucket of a node by its part of the demand. It gets no more than the rate that it
+    /// reports: what it does not use of a higher one would be missing at others, while it gets what it lacks
+    /// by asking.
     fn share(&self, demand: &Demand) -> (u64, u64) {
         let demand_milli = (self.demand_milli + demand.rate_milli).max(1) as f64;
         let granted = self.limit.rate_milli as f64 * GRANTED_SHARE;
-        let factor = HEADROOM.min(granted / demand_milli);
+        let factor = (granted / demand_milli).min(1.0);
         let free_rate = self.limit.rate_milli.saturating_sub(self.held.rate_milli);
         let mut rate_milli = (demand.rate_milli as f64 * factor) as u64;
         let held_milli = demand.held.rate_milli;
@@ -180,11 +174,11 @@
             .saturating_sub(self.held.rated_bucket)
             .min(u64::from(self.limit.capacity).saturating_sub(self.held.bucket));
         let mut least_milli = self.limit.high_demand_milli() as f64;
+        // A node that has a rate keeps it longer, as each change loses a part of a token.
         if held_milli > 0 {
             least_milli /= 2.0;
         }
-        let is_low = (demand.rate_milli as f64) < least_milli
-            || (rate_milli as f64) < least_milli * MIN_RATE_PART;
+        let is_low = (demand.rate_milli.min(rate_milli) as f64) < least_milli;
         if is_low || free_capacity < MIN_BUCKET {
             return (0, 0);
         }
--- a/fulmarreel-quota/src/lib.rs
+++ b/fulmarreel-quota/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limit;
 pub mod member;
 pub mod message;
+mod wire;
 
 pub use coordinator::Coordinator;
 pub use limit::Limit;
