--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -6,12 +6,12 @@
     collections::HashSet,
     fs::{self, File},
     io::{self, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -133,7 +133,6 @@
 pub struct Node {
     pub machine: Machine,
     child: Mutex<Child>,
-    pub starts: AtomicU64,
 }
 
 impl Node {
@@ -143,7 +142,6 @@
         Ok(Arc::new(Self {
             child: Mutex::new(Self::spawn(machine)?),
             machine: machine.clone(),
-            starts: AtomicU64::new(1),
         }))
     }
 
@@ -178,10 +176,15 @@
         let _ = child.wait();
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let id = self.child.lock().unwrap().id();
+        let _ = Command::new("kill").args(["-TERM", &id.to_string()]).status();
+    }
+
     pub fn start_again(&self) -> io::Result<()> {
         let mut child = self.child.lock().unwrap();
         *child = Self::spawn(&self.machine)?;
-        self.starts.fetch_add(1, Ordering::Relaxed);
         Ok(())
     }
 
@@ -218,8 +221,9 @@
 #[derive(Clone, Copy)]
 pub struct Work {
     pub ms: u64,
-    /// One in so many runs fails with status 500; 0 for none.
+    /// One in so many runs fails with this status; 0 for none.
     pub one_in_fails: u64,
+    pub failure: u16,
 }
 
 /// An endpoint: it announces itself to the node on its machine, and runs requests.
@@ -232,9 +236,19 @@
     sequence: AtomicU64,
     born: u64,
     running: Mutex<HashSet<u64>>,
+    pub runs: Mutex<Vec<Run>>,
+    is_stopped: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
     record: Arc<Record>,
 }
 
+/// A request that an endpoint began to run, and the status that it gave.
+pub struct Run {
+    pub id: String,
+    pub at: Instant,
+    pub status: u16,
+}
+
 impl Endpoint {
     pub fn start(
         machine: &Machine,
@@ -253,18 +267,25 @@
             sequence: AtomicU64::new(0),
             born: unix_ms(),
             running: Mutex::default(),
+            runs: Mutex::default(),
+            is_stopped: AtomicBool::new(false),
+            connections: Mutex::default(),
             record: Arc::clone(record),
         });
         let served = Arc::clone(&endpoint);
         thread::spawn(move || {
             for tcp in listener.incoming().flatten() {
+                if served.is_stopped.load(Ordering::Relaxed) {
+                    return;
+                }
+                served.connections.lock().unwrap().extend(tcp.try_clone());
                 let endpoint = Arc::clone(&served);
                 thread::spawn(move || endpoint.serve(tcp));
             }
         });
         let announced = Arc::clone(&endpoint);
         thread::spawn(move || {
-            loop {
+            while !announced.is_stopped.load(Ordering::Relaxed) {
                 announced.announce();
                 thread::sleep(Duration::from_millis(1_500));
             }
@@ -272,6 +293,24 @@
         Ok(endpoint)
     }
 
+    /// Ends at once, without a word, as old endpoints do when a roll-out is completed.
+    pub fn stop(&self) {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        let _ = TcpStream::connect(self.machine.address(8301));
+        for tcp in self.connections.lock().unwrap().drain(..) {
+            let _ = tcp.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Says that it ends, and ends.
+    pub fn leave(&self) {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        let path = format!("/-/instances/{}", self.id);
+        let to = self.machine.address(8306);
+        let _ = http::request(to, "DELETE", &path, &[], &[], Duration::from_secs(1));
+        self.stop();
+    }
+
     /// Sends one heartbeat.
     fn announce(&self) {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -331,7 +370,14 @@
             running.insert(number);
         }
         let (ms, one_in) = (self.work.ms / 2 + random(self.work.ms), self.work.one_in_fails);
-        let status = if one_in > 0 && random(one_in) == 0 { 500 } else { 200 };
+        let fails = one_in > 0 && random(one_in) == 0;
+        let status = if fails { self.work.failure } else { 200 };
+        let run = Run {
+            id: id.clone(),
+            at: Instant::now(),
+            status,
+        };
+        self.runs.lock().unwrap().push(run);
         self.record.line(&format!(
             "endpoint {} ({} {}) runs {id}: {status}, {} bytes",
             self.id,
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,10 +2,11 @@
 //! deploy file. Exit code 0: the rule held; 1: it was broken; 2: the case could not run. With
 //! `TROUBLE=0` the disturbance is left out.
 
+mod few;
 mod fleet;
 mod http;
 mod json;
-mod memory;
+mod rollout;
 mod store;
 
 use std::{env, fs, process::exit};
@@ -21,7 +22,10 @@
     let result = fs::create_dir_all(&folder)
         .and_then(|()| fleet::Record::create(&record))
         .and_then(|record| match case.as_str() {
-            "memory" => memory::run(&record, folder.clone(), is_disturbed),
+            "few" => few::run(&record, folder.clone(), is_disturbed),
+            "rollout" => rollout::run(&record, folder.clone(), is_disturbed.then_some(404)),
+            // For comparison: failures that the system looks for.
+            "rollout-500" => rollout::run(&record, folder.clone(), is_disturbed.then_some(500)),
             _ => Ok(2),
         });
     let _ = fs::remove_dir_all(&folder);
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -127,6 +127,13 @@
         self.changed.notify_all();
     }
 
+    /// The value of an item as text; empty if there is none.
+    pub fn text(&self, key: &str) -> String {
+        let data = self.data.lock().unwrap();
+        let value = data.items.get(key).map(|item| item.value.clone());
+        String::from_utf8_lossy(&from_base64(&value.unwrap_or_default())).into_owned()
+    }
+
     fn serve(&self, tcp: TcpStream) {
         let _ = tcp.set_nodelay(true);
         let Ok(mut out) = tcp.try_clone() else { return };
@@ -279,8 +286,26 @@
     String::from_utf8_lossy(&out).into_owned()
 }
 
+const SYMBOLS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+fn from_base64(text: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    let (mut bits, mut count) = (0_u32, 0);
+    for byte in text.bytes() {
+        let Some(symbol) = SYMBOLS.iter().position(|symbol| *symbol == byte) else {
+            break;
+        };
+        bits = bits << 6 | symbol as u32;
+        count += 6;
+        if count >= 8 {
+            count -= 8;
+            out.push((bits >> count) as u8);
+        }
+    }
+    out
+}
+
 fn base64(bytes: &[u8]) -> String {
-    const SYMBOLS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for three in bytes.chunks(3) {
         let mut group = [0; 3];
