fix(http): a reset that a write meets does not end a response as a close would

Cause: the system reports the failure of a connection once, to whichever call comes first, and the end of the stream to each later read. Connection::exchange wrote and read side by side and dropped the write's error; the read then saw an end, which ends a response without a length.

A Socket now writes the request on the way of each read, so one place sees both. An end that follows a failed write is reported as that failure, unless the write met a broken pipe: on Linux a connection whose peer has closed its direction before the reset reports just that, and its bytes have all arrived by then. The bytes of a request are also freed once they are written, not when the response has been read.

Evidence: fulmarreel-testing::answers, a server of given answers that ends its connections by a close or a reset before, during or after the request.

--- a/fulmarreel-http/src/connection.rs
+++ b/fulmarreel-http/src/connection.rs
@@ -4,10 +4,10 @@
     message::{Header, Request, Response},
     quota::{self, Quota},
     reader::Reader,
+    socket::Socket,
 };
 use smol::{
     future::{self, FutureExt},
-    io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
 use socket2::{SockRef, TcpKeepalive};
@@ -59,7 +59,7 @@
 /// A connection to a server, closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
-    tcp: TcpStream,
+    socket: Socket,
     peer: SocketAddr,
     buffer: Vec<u8>,
     /// When the last exchange ended, or when the connection was opened.
@@ -79,7 +79,7 @@
         let tcp = TcpStream::connect(peer).await?;
         tcp.set_nodelay(true)?;
         Ok(Self {
-            tcp,
+            socket: Socket::new(tcp),
             peer,
             buffer: Vec::new(),
             idle_since: Instant::now(),
@@ -105,7 +105,7 @@
             .with_time(interval)
             .with_interval(interval)
             .with_retries(KEEPALIVE_PROBES);
-        SockRef::from(&self.tcp).set_tcp_keepalive(&keepalive)
+        SockRef::from(self.socket.tcp()).set_tcp_keepalive(&keepalive)
     }
 
     /// Whether the connection can carry another exchange: the last response was complete and left it
@@ -143,44 +143,20 @@
             return Err(Error::Stale { peer: self.peer });
         }
         self.reusable = false;
-        let encoded = request.encode();
-        let mut writer = self.tcp.clone();
-        let write = async {
-            // A response may arrive before the request is written completely, and the reader
-            // detects a broken connection itself; so a failed write does not end the exchange.
-            let is_written = writer.write_all(&encoded).await.is_ok();
-            if is_written {
-                return true;
-            }
-            future::pending().await
-        };
-        let mut write = std::pin::pin!(write);
-        let mut is_written = false;
+        self.socket.set_request(request.encode());
         let (response, keep_alive) = {
             let received_bytes = &*self.received_bytes;
             let mut reader = Reader::new(
-                &mut self.tcp,
+                &mut self.socket,
                 self.peer,
                 &mut self.buffer,
                 quota,
                 received_bytes,
             );
-            let mut read =
-                std::pin::pin!(reader.read_own_response(request.method, is_own_response));
-            loop {
-                if is_written {
-                    break read.as_mut().await?;
-                }
-                let response = async { Some(read.as_mut().await) };
-                let request_written = async {
-                    is_written = write.as_mut().await;
-                    None
-                };
-                if let Some(result) = response.or(request_written).await {
-                    break result?;
-                }
-            }
+            let read = reader.read_own_response(request.method, is_own_response);
+            read.await?
         };
+        let is_written = self.socket.is_request_written();
         self.reusable = keep_alive && is_written && self.buffer.is_empty();
         self.idle_since = Instant::now();
         Ok(response)
@@ -189,7 +165,7 @@
     /// Whether the server has closed the connection or sent unsolicited bytes; does not wait.
     async fn is_readable(&mut self) -> bool {
         let mut byte = [0; 1];
-        let read = async { Some(self.tcp.read(&mut byte).await) };
+        let read = async { Some(self.socket.read(&mut byte).await) };
         read.or(async { None }).await.is_some()
     }
 }
--- a/fulmarreel-http/src/lib.rs
+++ b/fulmarreel-http/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod message;
 pub mod quota;
 mod reader;
+mod socket;
 
 pub use connection::{Connection, Error};
 pub use message::{Header, Request, Response};
--- a/fulmarreel-http/src/reader.rs
+++ b/fulmarreel-http/src/reader.rs
@@ -5,8 +5,9 @@
     connection::Error,
     message::{Header, Response},
     quota::{Quota, Reservation},
+    socket::Socket,
 };
-use smol::{future, io::AsyncReadExt, net::TcpStream};
+use smol::future;
 use std::{
     io,
     net::SocketAddr,
@@ -35,7 +36,7 @@
 /// Reads the responses of one exchange.
 #[derive(Debug)]
 pub(crate) struct Reader<'a> {
-    pub tcp: &'a mut TcpStream,
+    pub socket: &'a mut Socket,
     pub peer: SocketAddr,
     /// Bytes received that are not yet parsed.
     pub buffer: &'a mut Vec<u8>,
@@ -55,14 +56,14 @@
 
 impl<'a> Reader<'a> {
     pub fn new(
-        tcp: &'a mut TcpStream,
+        socket: &'a mut Socket,
         peer: SocketAddr,
         buffer: &'a mut Vec<u8>,
         quota: &'a Quota,
         received_bytes: &'a AtomicU64,
     ) -> Self {
         Self {
-            tcp,
+            socket,
             peer,
             buffer,
             reservation: quota.reserve(),
@@ -206,7 +207,7 @@
         }
         let start = self.buffer.len();
         self.buffer.resize(start + READ_BYTES, 0);
-        let read = self.tcp.read(&mut self.buffer[start..]).await;
+        let read = self.socket.read(&mut self.buffer[start..]).await;
         let count = *read.as_ref().unwrap_or(&0);
         self.buffer.truncate(start + count);
         self.bytes_since_yield += count;
--- a/fulmarreel-node/tests/mesh/backend.rs
+++ b/fulmarreel-node/tests/mesh/backend.rs
@@ -1,5 +1,6 @@
 //! A fake of a target on the users' platform.
 
+use fulmarreel_testing::answers::{self, Script};
 use smol::{
     Timer,
     io::{AsyncReadExt, AsyncWriteExt},
@@ -16,7 +17,7 @@
 const FLOOD_WRITE_BYTES: usize = 65_536;
 
 /// How the target answers requests.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Behavior {
     /// Time that each request takes.
     pub delay: Duration,
@@ -38,6 +39,10 @@
     pub stray: Option<Stray>,
     /// Leaves the request's id out of each response.
     pub no_ids: bool,
+    /// Sends given bytes for each response; `$ID` stands for the request's id.
+    pub script: Option<Script>,
+    /// Sends given bytes for each response to a health check; `$TARGET` stands for the target's id.
+    pub health_script: Option<Script>,
 }
 
 /// The copy of an earlier refusal.
@@ -67,6 +72,9 @@
 /// How long a connection has been idle when it gets a stray response.
 const STRAY_DELAY: Duration = Duration::from_millis(20);
 
+/// Time between two looks at a head that has not arrived whole.
+const PEEK_INTERVAL: Duration = Duration::from_millis(1);
+
 /// A response without end.
 #[derive(Debug, Clone, Copy)]
 pub struct Flood {
@@ -163,12 +171,28 @@
                 wait_readable(&tcp).await?;
                 send_stray(&mut tcp, stray, last_id).await?;
             }
+            // A script is set while a connection waits for its next request.
+            wait_readable(&tcp).await?;
+            let script = self.lock().behavior.script.clone();
+            if let Some(script) = script
+                && script.timing == answers::Timing::DuringRequest
+            {
+                let head = peek_head(&tcp).await?;
+                if !head.starts_with("GET /health ") {
+                    self.lock().arrivals.push(head.clone());
+                    return send_script(tcp, &script, &head).await;
+                }
+            }
             let Some(request) = read_message(&mut tcp).await? else {
                 return Ok(());
             };
-            let behavior = self.lock().behavior;
+            let behavior = self.lock().behavior.clone();
             if request.starts_with("GET /health ") {
                 self.lock().arrival_times.push(Instant::now());
+                if let Some(mut script) = behavior.health_script {
+                    script.answer = replace(&script.answer, "$TARGET", &self.id);
+                    return send_script(tcp, &script, &request).await;
+                }
                 let status = if behavior.unhealthy { 503 } else { 200 };
                 let id = &self.id;
                 let answer = format!(
@@ -205,6 +229,9 @@
                 return Ok(());
             }
             self.lock().finished += 1;
+            if let Some(script) = behavior.script {
+                return send_script(tcp, &script, &request).await;
+            }
             if let Some(flood) = behavior.flood {
                 self.lock().flooding += 1;
                 let ended = send_flood(&mut tcp, flood, id).await;
@@ -274,6 +301,35 @@
     }
 }
 
+/// Sends the bytes of a script and ends the connection.
+async fn send_script(mut tcp: TcpStream, script: &Script, request: &str) -> io::Result<()> {
+    let id = header(request, "x-request-id").unwrap_or_default();
+    tcp.write_all(&replace(&script.answer, "$ID", id)).await?;
+    answers::end(tcp, script.end).await
+}
+
+/// `bytes` with `value` in place of each `placeholder`.
+fn replace(bytes: &[u8], placeholder: &str, value: &str) -> Vec<u8> {
+    let text = str::from_utf8(bytes).expect("an answer in UTF-8");
+    text.replace(placeholder, value).into_bytes()
+}
+
+/// Waits for the head of a request, and leaves it unread.
+async fn peek_head(tcp: &TcpStream) -> io::Result<String> {
+    let mut buffer = [0; 4_096];
+    loop {
+        let peeked = tcp.peek(&mut buffer).await?;
+        let text = String::from_utf8_lossy(&buffer[..peeked]);
+        if peeked == 0 {
+            return Ok(String::new());
+        }
+        if let Some((head, _)) = text.split_once("\r\n\r\n") {
+            return Ok(format!("{head}\r\n"));
+        }
+        Timer::after(PEEK_INTERVAL).await;
+    }
+}
+
 async fn send_stray(tcp: &mut TcpStream, stray: Stray, last_id: &str) -> io::Result<()> {
     let id_line = if stray.bears_id {
         format!("X-Request-Id: {last_id}\r\n")
--- /dev/null
+++ b/fulmarreel-node/tests/mesh/broken.rs
@@ -0,0 +1,205 @@
+//! Targets in trouble: their broken answers reach no caller, and their sound ones do.
+
+use crate::{
+    backend::{Behavior, header},
+    support::{Answer, Instance, call, start_pair},
+};
+use anyhow::ensure;
+use fulmarreel_testing::answers::{self, Broken, End, Fault, Script, Timing};
+use rstest::rstest;
+
+/// Fields that all answers bear.
+const FIELDS: &str = "X-Request-Id: $ID\r\nX-Server-Seal: seal-$ID\r\n";
+
+/// The body of the answers.
+const BODY: &str = "what the target said";
+
+/// The length of uploads, more than the buffers of the target's connection hold.
+const LONG_BODY_BYTES: usize = 12_582_912;
+
+/// How often an answer is tried where the outcome depends on when its connection ends.
+const ROUNDS: usize = 6;
+
+fn answer_by(target: &Instance, script: Script) {
+    target.backend.set_behavior(Behavior {
+        script: Some(script),
+        ..Behavior::default()
+    });
+}
+
+/// Sends a request with a body.
+async fn upload(to: &Instance, path: &str, id: &str, body: &str) -> anyhow::Result<Answer> {
+    let headers = [("X-Request-Id", id), ("X-Deadline-Ms", "9000")];
+    call(to.callers, "POST", path, "h.example", &headers, body).await
+}
+
+/// Fails if the target did not get a request.
+fn ensure_arrived(target: &Instance, id: &str) -> anyhow::Result<()> {
+    let arrivals = target.backend.arrivals();
+    let mut ids = arrivals
+        .iter()
+        .filter_map(|head| header(head, "x-request-id"));
+    ensure!(ids.any(|arrived| arrived == id), "{id} did not arrive");
+    Ok(())
+}
+
+/// Fails if anything that the target said reaches the caller by an answer that the protocol calls invalid
+/// or incomplete.
+#[rstest]
+fn a_broken_answer_reaches_no_caller(
+    #[values(Fault::Field, Fault::End)] fault: Fault,
+    #[values("/s/", "/s-do/", "/own/", "/own-do/")] path: &str,
+) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (_store, caller, other) = start_pair().await?;
+        caller.wait_served("/own/").await?;
+        let target = if path.starts_with("/own") {
+            &caller
+        } else {
+            &other
+        };
+        let mut taken = Vec::new();
+        for (number, Broken { name, bytes }) in
+            answers::broken(fault, FIELDS, BODY).into_iter().enumerate()
+        {
+            answer_by(
+                target,
+                Script {
+                    answer: bytes,
+                    timing: Timing::AfterRequest,
+                    end: End::Close,
+                },
+            );
+            let id = format!("r-{number}");
+            let answer = caller.request("GET", path, &id).await?;
+            ensure_arrived(target, &id)?;
+            let is_own = matches!(answer.status, 502 | 504) && !answer.text.contains(BODY);
+            if !is_own || header(&answer.text, "x-server-seal").is_some() {
+                taken.push(format!("{name}: {}", answer.text));
+            }
+        }
+        ensure!(taken.is_empty(), "{taken:#?}");
+        Ok(())
+    })
+}
+
+/// Fails if a sound answer does not reach the caller as the target sent it.
+#[rstest]
+fn a_sound_answer_reaches_the_caller(
+    #[values("/s/", "/s-do/", "/own/", "/own-do/")] path: &str,
+) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let (_store, caller, other) = start_pair().await?;
+        caller.wait_served("/own/").await?;
+        let target = if path.starts_with("/own") {
+            &caller
+        } else {
+            &other
+        };
+        for (number, answer) in answers::sound(FIELDS, BODY).into_iter().enumerate() {
+            answer_by(
+                target,
+                Script {
+                    answer: answer.bytes,
+                    timing: Timing::AfterRequest,
+                    end: End::Close,
+                },
+            );
+            let id = format!("r-{number}");
+            let reply = caller.request("GET", path, &id).await?;
+            ensure_whole(answer.name, &id, &reply)?;
+        }
+        Ok(())
+    })
+}
+
+/// Fails unless a caller got the target's whole answer.
+fn ensure_whole(name: &str, id: &str, answer: &Answer) -> anyhow::Result<()> {
+    let text = &answer.text;
+    ensure!(answer.status == 200, "{name}: {text}");
+    ensure!(text.ends_with(&format!("\r\n\r\n{BODY}")), "{name}: {text}");
+    let seal = format!("seal-{id}");
+    ensure!(
+        header(text, "x-server-seal") == Some(&*seal),
+        "{name}: {text}"
+    );
+    Ok(())
+}
+
+/// Fails if part of an answer reaches the caller as a whole one, where the target answers a long upload
+/// at once and resets the connection (issue 46, rule MIXED).
+#[rstest]
+fn an_answer_that_is_reset_during_an_upload_reaches_no_caller(
+    #[values("/s-do/", "/own-do/")] path: &str,
+    #[values("", "Content-Length: 1000\r\n", "Transfer-Encoding: chunked\r\n")] length: &str,
+    #[values(End::Reset, End::LateReset)] end: End,
+) -> anyhow::Result<()> {
+    let body = "b".repeat(LONG_BODY_BYTES);
+    smol::block_on(async {
+        let (_store, caller, other) = start_pair().await?;
+        caller.wait_served("/own/").await?;
+        let target = if path.starts_with("/own") {
+            &caller
+        } else {
+            &other
+        };
+        let part = if length.starts_with("Transfer") {
+            format!("{:x}\r\n{BODY}\r\n", BODY.len())
+        } else {
+            BODY.to_owned()
+        };
+        let answer = format!("HTTP/1.1 200 OK\r\n{FIELDS}{length}\r\n{part}").into_bytes();
+        let timing = Timing::DuringRequest;
+        answer_by(
+            target,
+            Script {
+                answer,
+                timing,
+                end,
+            },
+        );
+        for round in 0..ROUNDS {
+            let id = format!("r-{round}");
+            let reply = upload(&caller, path, &id, &body).await?;
+            ensure_arrived(target, &id)?;
+            ensure!(matches!(reply.status, 502 | 504), "{round}: {}", reply.text);
+        }
+        Ok(())
+    })
+}
+
+/// Fails if a whole answer is lost that the target sent before it had read a long upload.
+#[rstest]
+fn a_whole_answer_during_an_upload_reaches_the_caller(
+    #[values("/s-do/", "/own-do/")] path: &str,
+    #[values(End::Close, End::CloseThenReset, End::LateReset)] end: End,
+) -> anyhow::Result<()> {
+    let body = "b".repeat(LONG_BODY_BYTES);
+    smol::block_on(async {
+        let (_store, caller, other) = start_pair().await?;
+        caller.wait_served("/own/").await?;
+        let target = if path.starts_with("/own") {
+            &caller
+        } else {
+            &other
+        };
+        for (number, answer) in answers::sound(FIELDS, BODY).into_iter().enumerate() {
+            if answer.ends_by_close && end == End::LateReset {
+                continue;
+            }
+            let timing = Timing::DuringRequest;
+            answer_by(
+                target,
+                Script {
+                    answer: answer.bytes,
+                    timing,
+                    end,
+                },
+            );
+            let id = format!("r-{number}");
+            let reply = upload(&caller, path, &id, &body).await?;
+            ensure_whole(answer.name, &id, &reply)?;
+        }
+        Ok(())
+    })
+}
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -2,6 +2,7 @@
 //! the targets are fakes inside the test process.
 
 mod backend;
+mod broken;
 mod cold;
 mod departed;
 mod distribution;
--- a/fulmarreel-testing/src/lib.rs
+++ b/fulmarreel-testing/src/lib.rs
@@ -2,6 +2,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod answers;
 pub mod flood;
 pub mod kv;
 pub mod load;
