fix(http): a response whose head does not tell its length is none

Cause: the standard library parses numbers with a sign, only the first Transfer-Encoding was looked at, and the version was not. RFC 9112, sections 6.1 and 6.3, calls all of these invalid. Lengths are digits only now, a transfer coding stands alone, and an HTTP/1.0 response has none. An invalid length is an error also where there is no body (204, 304, HEAD): such a head is as spoilt.

--- a/fulmarreel-http/src/body.rs
+++ b/fulmarreel-http/src/body.rs
@@ -1,6 +1,6 @@
 //! Body framing: length and chunked transfer coding.
 
-use crate::message::{Header, find};
+use crate::message::Header;
 
 /// The longest chunk-size line, extensions included.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
@@ -38,42 +38,73 @@
 }
 
 impl BodyLength {
-    /// Determines how the body of a response to a request with `method` is delimited.
+    /// Determines how the body of a response to a request with `method` is delimited (RFC 9112, section
+    /// 6.3). Fields that are invalid are an error also where there is no body.
     ///
     /// # Errors
     ///
     /// The headers are contradictory or not understood.
-    pub fn from_headers(method: &str, status: u16, headers: &[Header]) -> Result<Self, Error> {
+    pub fn from_headers(
+        method: &str,
+        status: u16,
+        is_http_11: bool,
+        headers: &[Header],
+    ) -> Result<Self, Error> {
+        let length = content_length(headers)?;
+        let is_chunked = is_chunked(headers)?;
+        // HTTP/1.0 has no transfer codings: the sender may not know what it forwards.
+        if is_chunked && (length.is_some() || !is_http_11) {
+            return Err(Error::AmbiguousLength);
+        }
         if method == "HEAD" || matches!(status, 204 | 304) {
             return Ok(Self::Known(0));
         }
-        let lengths: Vec<&[u8]> = headers
-            .iter()
-            .filter(|header| header.name.eq_ignore_ascii_case("content-length"))
-            .map(|header| header.value.as_slice())
-            .collect();
-        if let Some(coding) = find(headers, "transfer-encoding") {
-            if !lengths.is_empty() {
-                return Err(Error::AmbiguousLength);
-            }
-            return if coding.trim_ascii().eq_ignore_ascii_case(b"chunked") {
-                Ok(Self::Chunked)
-            } else {
-                Err(Error::UnknownCoding)
-            };
-        }
-        match lengths.as_slice() {
-            [] => Ok(Self::UntilClose),
-            [first, rest @ ..] if rest.iter().all(|other| other == first) => {
-                let text =
-                    std::str::from_utf8(first.trim_ascii()).map_err(|_| Error::AmbiguousLength)?;
-                text.parse()
-                    .map(Self::Known)
-                    .map_err(|_| Error::AmbiguousLength)
-            }
-            _ => Err(Error::AmbiguousLength),
+        if is_chunked {
+            return Ok(Self::Chunked);
         }
+        Ok(length.map_or(Self::UntilClose, Self::Known))
+    }
+}
+
+/// The value of `Content-Length`, if there is one; it may be repeated.
+fn content_length(headers: &[Header]) -> Result<Option<usize>, Error> {
+    let mut values = values(headers, "content-length");
+    let Some(first) = values.next() else {
+        return Ok(None);
+    };
+    if values.any(|other| other != first) {
+        return Err(Error::AmbiguousLength);
+    }
+    let length = parse_number(first, 10).ok_or(Error::AmbiguousLength)?;
+    Ok(Some(length))
+}
+
+/// Whether the body has the chunked coding, the only one that the client can undo.
+fn is_chunked(headers: &[Header]) -> Result<bool, Error> {
+    let mut values = values(headers, "transfer-encoding");
+    match (values.next(), values.next()) {
+        (None, _) => Ok(false),
+        (Some(coding), None) if coding.eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(Error::UnknownCoding),
+    }
+}
+
+/// The values of a header, without the blanks around them.
+fn values<'a>(headers: &'a [Header], name: &str) -> impl Iterator<Item = &'a [u8]> {
+    headers
+        .iter()
+        .filter(move |header| header.name.eq_ignore_ascii_case(name))
+        .map(|header| header.value.trim_ascii())
+}
+
+/// Parses an unsigned number without a sign, which the standard library would accept.
+fn parse_number(digits: &[u8], radix: u32) -> Option<usize> {
+    let is_digit = |byte: &u8| char::from(*byte).is_digit(radix);
+    if !digits.iter().all(is_digit) {
+        return None;
     }
+    let text = std::str::from_utf8(digits).ok()?;
+    usize::from_str_radix(text, radix).ok()
 }
 
 /// Decodes a chunked body incrementally.
--- a/fulmarreel-http/src/reader.rs
+++ b/fulmarreel-http/src/reader.rs
@@ -94,7 +94,7 @@
     /// Reads one response; returns it and whether the connection can be used after it.
     async fn read_response(&mut self, method: &str) -> Result<(Response, bool), Error> {
         let head = self.read_final_head().await?;
-        let length = BodyLength::from_headers(method, head.status, &head.headers)
+        let length = BodyLength::from_headers(method, head.status, head.is_http_11, &head.headers)
             .map_err(|error| self.malformed(&error.to_string()))?;
         let body = match length {
             BodyLength::Known(bytes) => self.read_known_length(bytes).await?,
--- a/fulmarreel-http/tests/exchange.rs
+++ b/fulmarreel-http/tests/exchange.rs
@@ -57,6 +57,12 @@
     b"hi",
     true
 )]
+#[case::repeated_length(
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nhi",
+    b"hi",
+    true
+)]
+#[case::length_of_no_body(b"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", b"", true)]
 #[case::until_close(b"HTTP/1.1 200 OK\r\n\r\nhi", b"hi", false)]
 #[case::server_closes(
     b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi",
@@ -124,6 +130,7 @@
 #[case::unknown_coding(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n")]
 #[case::bad_chunk(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nhi\r\n0\r\n\r\n")]
 #[case::not_a_number(b"HTTP/1.1 200 OK\r\nContent-Length: two\r\n\r\nhi")]
+#[case::not_a_number_without_a_body(b"HTTP/1.1 204 None\r\nContent-Length: +0\r\n\r\n")]
 fn invalid_response_is_malformed(#[case] response: &'static [u8]) {
     smol::block_on(async {
         let address = start_server(vec![response]).await.expect("server");
