fix(http): chunks whose size line or trailer is spoilt are no body

Cause: the size was parsed by the standard library, which takes a sign, after blanks were trimmed; extensions and trailers were skipped unread. RFC 9112, section 7.1, allows none of these. The size line is now digits and extensions without control bytes, and each trailer line has to be a field.

--- a/fulmarreel-http/src/body.rs
+++ b/fulmarreel-http/src/body.rs
@@ -1,6 +1,6 @@
 //! Body framing: length and chunked transfer coding.
 
-use crate::message::Header;
+use crate::{field, message::Header};
 
 /// The longest chunk-size line, extensions included.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
@@ -32,6 +32,9 @@
     /// An invalid chunk size, or a chunk without its line end.
     #[error("malformed chunk")]
     MalformedChunk,
+    /// A line of the trailer section that is no field.
+    #[error("malformed trailer")]
+    MalformedTrailer,
     /// A trailer section over the limit.
     #[error("a long trailer")]
     TrailerTooLong,
@@ -161,6 +164,9 @@
                 if line.is_empty() {
                     break true;
                 }
+                if !field::is_line(line) {
+                    return Err(Error::MalformedTrailer);
+                }
                 self.trailer_bytes += end + 2;
                 if self.trailer_bytes > MAX_TRAILER_BYTES {
                     return Err(Error::TrailerTooLong);
@@ -177,10 +183,16 @@
     }
 }
 
+/// Parses the line ahead of a chunk: its size, and extensions, which are ignored.
 fn parse_chunk_size(line: &[u8]) -> Result<usize, Error> {
-    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
-    let text = std::str::from_utf8(digits.trim_ascii()).map_err(|_| Error::MalformedChunk)?;
-    let size = usize::from_str_radix(text, 16).map_err(|_| Error::MalformedChunk)?;
+    let is_digit = |byte: &u8| byte.is_ascii_hexdigit();
+    let end = line.iter().position(|byte| !is_digit(byte));
+    let (digits, rest) = line.split_at(end.unwrap_or(line.len()));
+    let is_extension = rest.trim_ascii_start().starts_with(b";") && field::is_text(rest);
+    if !rest.is_empty() && !is_extension {
+        return Err(Error::MalformedChunk);
+    }
+    let size = parse_number(digits, 16).ok_or(Error::MalformedChunk)?;
     size.checked_add(2)
         .map(|_| size)
         .ok_or(Error::MalformedChunk)
--- a/fulmarreel-http/src/lib.rs
+++ b/fulmarreel-http/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod body;
 pub mod connection;
+pub mod field;
 pub mod message;
 pub mod quota;
 mod reader;
