fix(http): a trailer may be longer than a chunk's size line

A sound chunked response was rejected if a line of its trailer was over 256 bytes and arrived in pieces: the limit of chunk-size lines was applied to trailer lines that had no end yet. The trailer section has a limit of its own, 64 KiB, which now holds for its last line as well.

Evidence: a_sound_answer_is_taken_in_any_pieces, which sends each sound form byte by byte, failed with "long trailer: malformed chunk" before, and passes. Endless trailers are cut off as before (endless.rs).

--- a/fulmarreel-http/src/body.rs
+++ b/fulmarreel-http/src/body.rs
@@ -153,7 +153,10 @@
                 continue;
             }
             let Some(end) = rest.windows(2).position(|pair| pair == b"\r\n") else {
-                if rest.len() > MAX_CHUNK_LINE_BYTES {
+                if self.in_trailer && self.trailer_bytes + rest.len() > MAX_TRAILER_BYTES {
+                    return Err(Error::TrailerTooLong);
+                }
+                if !self.in_trailer && rest.len() > MAX_CHUNK_LINE_BYTES {
                     return Err(Error::MalformedChunk);
                 }
                 break false;
--- a/fulmarreel-http/tests/broken.rs
+++ b/fulmarreel-http/tests/broken.rs
@@ -28,6 +28,12 @@
 /// Long enough for an answer and the end of its connection to arrive.
 const ALL_ARRIVED_AFTER: Duration = Duration::from_millis(500);
 
+/// The length of a request without a body.
+const REQUEST_BYTES: usize = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n".len();
+
+/// Time between two bytes of an answer that is sent byte by byte.
+const BYTE_INTERVAL: Duration = Duration::from_micros(100);
+
 /// The body of the answers.
 const BODY: &str = "whole body";
 
@@ -88,6 +94,34 @@
     });
 }
 
+/// Fails if a sound answer is rejected because it arrives byte by byte.
+#[test]
+fn a_sound_answer_is_taken_in_any_pieces() {
+    for answer in answers::sound("", BODY) {
+        let server = start_slow(answer.bytes).expect("server");
+        let response = smol::block_on(request(server, b""));
+        let response = response.unwrap_or_else(|error| panic!("{}: {error}", answer.name));
+        assert_eq!(response.body, BODY.as_bytes(), "{}", answer.name);
+    }
+}
+
+/// Starts a server that sends `answer` byte by byte, and then closes the connection.
+fn start_slow(answer: Vec<u8>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        let (mut tcp, _) = listener.accept()?;
+        tcp.set_nodelay(true)?;
+        tcp.read_exact(&mut [0; REQUEST_BYTES])?;
+        for byte in answer {
+            tcp.write_all(&[byte])?;
+            thread::sleep(BYTE_INTERVAL);
+        }
+        io::Result::Ok(())
+    });
+    Ok(address)
+}
+
 /// Fails if an answer that ends with its connection is taken for a whole one though the connection was
 /// reset: its part of the body, or any part of another answer, came as a success.
 #[rstest]
