fix(http): a status above 599 or a change of the protocol is no response

Cause: the parser takes any three digits, of which only those below 100 were rejected, and 101 was skipped as an interim response though no request asks for another protocol. RFC 9110, section 15, calls statuses outside of 100 to 599 invalid, and sections 7.8 and 15.2.2 tie 101 to a request for an upgrade.

Evidence: Fault::StatusLine in a_broken_answer_is_none and, on the platform's interface, a_broken_answer_reaches_no_caller. On "status 600", "status 999" and "switched protocols before an answer" reached the caller on all four paths; nothing does now. Statuses up to 599 pass as before (path::the_targets_status_reaches_the_caller).

--- a/fulmarreel-http/src/reader.rs
+++ b/fulmarreel-http/src/reader.rs
@@ -11,6 +11,7 @@
 use std::{
     io,
     net::SocketAddr,
+    ops::RangeInclusive,
     sync::atomic::{AtomicU64, Ordering},
 };
 
@@ -20,9 +21,12 @@
 /// The most bytes of a response's head together with the interim (1xx) heads before it.
 const MAX_HEAD_BYTES: usize = 65_536;
 
-/// The lowest HTTP status. The parser accepts any three digits, and one below would pass for an interim
+/// The HTTP statuses; the parser accepts any three digits, and one below would pass for an interim
 /// response.
-const MIN_STATUS: u16 = 100;
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
+/// The status of a response that changes the protocol, for which no request asks.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Responses to other requests that are skipped before the exchange fails.
 const MAX_SKIPPED_RESPONSES: usize = 16;
@@ -138,8 +142,8 @@
                 match head.parse(self.buffer) {
                     Ok(httparse::Status::Complete(bytes)) if bytes <= limit_bytes => {
                         let status = head.code.unwrap_or(0);
-                        if status < MIN_STATUS {
-                            return Err(self.malformed("a status below 100"));
+                        if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+                            return Err(self.malformed(&format!("status {status:03}")));
                         }
                         let headers = head.headers.iter().map(|header| Header {
                             name: header.name.to_owned(),
--- a/fulmarreel-http/tests/broken.rs
+++ b/fulmarreel-http/tests/broken.rs
@@ -65,7 +65,15 @@
 /// Fails if an answer that the protocol calls invalid or incomplete is taken for an answer.
 #[rstest]
 fn a_broken_answer_is_none(
-    #[values(Fault::Field, Fault::Length, Fault::Coding, Fault::Chunks, Fault::End)] fault: Fault,
+    #[values(
+        Fault::StatusLine,
+        Fault::Field,
+        Fault::Length,
+        Fault::Coding,
+        Fault::Chunks,
+        Fault::End
+    )]
+    fault: Fault,
 ) {
     smol::block_on(async {
         let mut taken = Vec::new();
--- a/fulmarreel-node/tests/mesh/broken.rs
+++ b/fulmarreel-node/tests/mesh/broken.rs
@@ -47,7 +47,15 @@
 /// or incomplete.
 #[rstest]
 fn a_broken_answer_reaches_no_caller(
-    #[values(Fault::Field, Fault::Length, Fault::Coding, Fault::Chunks, Fault::End)] fault: Fault,
+    #[values(
+        Fault::StatusLine,
+        Fault::Field,
+        Fault::Length,
+        Fault::Coding,
+        Fault::Chunks,
+        Fault::End
+    )]
+    fault: Fault,
     #[values("/s/", "/s-do/", "/own/", "/own-do/")] path: &str,
 ) -> anyhow::Result<()> {
     smol::block_on(async {
--- a/fulmarreel-testing/src/answers/broken.rs
+++ b/fulmarreel-testing/src/answers/broken.rs
@@ -29,6 +29,14 @@
     ("control byte in the reason", "HTTP/1.1 200 O\x01K"),
     ("bare CR in the reason", "HTTP/1.1 200 O\rK"),
     ("switched protocols", "HTTP/1.1 101 Switching Protocols"),
+    (
+        "switched protocols before an answer",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK",
+    ),
+    (
+        "status 000 before an answer",
+        "HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK",
+    ),
 ];
 
 /// Lines of a head that are no fields (sections 2.2 and 5).
