fix(target): the own interface reads responses by fulmarreel-http, whole or not at all

Sound ones were lost: a whole response that came before a long request was written (no end within 4 s, a broken pipe or a reset instead), and one with blanks around a chunk's extension. Interim responses without end were read on beyond every deadline.

Cause: trillium-client parses heads and chunks by rules of its own, writes the whole request before it reads, and does not yield while it skips interim responses. Connection::stream of fulmarreel-http now sends a request and returns a body that is read piece by piece, with the socket, head, framing and chunk decoder that the platform's interface uses; a body ends without an error only where it is whole. There is one reader for both.

The check of the length in serve::call is now the body's own.

--- a/fulmarreel-http/src/connection.rs
+++ b/fulmarreel-http/src/connection.rs
@@ -1,10 +1,12 @@
 //! A connection to a server.
 
 use crate::{
+    body::BodyLength,
     message::{Header, Request, Response},
     quota::{self, Quota},
-    reader::Reader,
+    reader::{HEAD_QUOTA_BYTES, Reader},
     socket::Socket,
+    stream::{Body, StreamedResponse},
 };
 use smol::{
     future::{self, FutureExt},
@@ -162,6 +164,44 @@
         Ok(response)
     }
 
+    /// Sends `request`, encoded by [`Request::encode`], and reads the head of the response to it, whose
+    /// body is read afterwards. The connection carries no other request.
+    ///
+    /// # Errors
+    ///
+    /// No head of a response arrived; only [`Error::Stale`] proves that nothing was sent.
+    pub async fn stream(
+        mut self,
+        method: &str,
+        request: Vec<u8>,
+    ) -> Result<StreamedResponse, Error> {
+        if !self.reusable || self.is_readable().await {
+            return Err(Error::Stale { peer: self.peer });
+        }
+        self.socket.set_request(request);
+        let (head, length) = {
+            let quota = Quota::new(HEAD_QUOTA_BYTES);
+            let received_bytes = &*self.received_bytes;
+            let mut reader = Reader::new(
+                &mut self.socket,
+                self.peer,
+                &mut self.buffer,
+                &quota,
+                received_bytes,
+            );
+            reader.read_final_head(method).await?
+        };
+        Ok(StreamedResponse {
+            status: head.status,
+            headers: head.headers,
+            length: match length {
+                BodyLength::Known(bytes) => Some(bytes),
+                BodyLength::Chunked | BodyLength::UntilClose => None,
+            },
+            body: Body::new(self.socket, self.buffer, length, self.received_bytes),
+        })
+    }
+
     /// Whether the server has closed the connection or sent unsolicited bytes; does not wait.
     async fn is_readable(&mut self) -> bool {
         let mut byte = [0; 1];
--- a/fulmarreel-http/src/lib.rs
+++ b/fulmarreel-http/src/lib.rs
@@ -15,7 +15,9 @@
 pub mod quota;
 mod reader;
 mod socket;
+pub mod stream;
 
 pub use connection::{Connection, Error};
 pub use message::{Header, Request, Response};
 pub use quota::Quota;
+pub use stream::{Body, StreamedResponse};
--- a/fulmarreel-http/src/message.rs
+++ b/fulmarreel-http/src/message.rs
@@ -1,5 +1,6 @@
 //! Requests and responses.
 
+use crate::field;
 use std::fmt::Write;
 
 /// Headers that are meaningful for one connection only and must not be forwarded.
@@ -55,6 +56,19 @@
 }
 
 impl Request<'_> {
+    /// Whether a server reads the request as what it is: no part of it ends the line that it is in, or
+    /// begins another part.
+    pub fn is_valid(&self) -> bool {
+        let is_visible = |byte: u8| !byte.is_ascii_control() && byte != b' ';
+        field::is_name(self.method.as_bytes())
+            && !self.target.is_empty()
+            && self.target.bytes().all(is_visible)
+            && self
+                .headers
+                .iter()
+                .all(|(name, value)| field::is_name(name.as_bytes()) && field::is_text(value))
+    }
+
     /// Encodes the request, head and body.
     pub fn encode(&self) -> Vec<u8> {
         let mut head = String::with_capacity(256);
--- a/fulmarreel-http/src/reader.rs
+++ b/fulmarreel-http/src/reader.rs
@@ -21,6 +21,9 @@
 /// The most bytes of a response's head together with the interim (1xx) heads before it.
 const MAX_HEAD_BYTES: usize = 65_536;
 
+/// A quota within which the longest head can be read, by whole reads.
+pub(crate) const HEAD_QUOTA_BYTES: usize = 4 * MAX_HEAD_BYTES;
+
 /// The HTTP statuses; the parser accepts any three digits, and one below would pass for an interim
 /// response.
 const STATUSES: RangeInclusive<u16> = 100..=599;
@@ -32,10 +35,10 @@
 const MAX_SKIPPED_RESPONSES: usize = 16;
 
 /// The most bytes of one read.
-const READ_BYTES: usize = 16_384;
+pub(crate) const READ_BYTES: usize = 16_384;
 
 /// Bytes after which the reader yields to other tasks even if more are available.
-const YIELD_AFTER_BYTES: usize = 65_536;
+pub(crate) const YIELD_AFTER_BYTES: usize = 65_536;
 
 /// Reads the responses of one exchange.
 #[derive(Debug)]
@@ -52,9 +55,9 @@
 }
 
 /// The head of a response.
-struct Head {
-    status: u16,
-    headers: Vec<Header>,
+pub(crate) struct Head {
+    pub status: u16,
+    pub headers: Vec<Header>,
     is_http_11: bool,
 }
 
@@ -97,9 +100,7 @@
 
     /// Reads one response; returns it and whether the connection can be used after it.
     async fn read_response(&mut self, method: &str) -> Result<(Response, bool), Error> {
-        let head = self.read_final_head().await?;
-        let length = BodyLength::from_headers(method, head.status, head.is_http_11, &head.headers)
-            .map_err(|error| self.malformed(&error.to_string()))?;
+        let (head, length) = self.read_final_head(method).await?;
         let body = match length {
             BodyLength::Known(bytes) => self.read_known_length(bytes).await?,
             BodyLength::Chunked => self.read_chunked().await?,
@@ -118,13 +119,17 @@
         Ok((response, keep_alive))
     }
 
-    /// Skips interim (1xx) responses and reads the head of the final one.
-    async fn read_final_head(&mut self) -> Result<Head, Error> {
+    /// Skips interim (1xx) responses and reads the head of the final one; returns it and how its body is
+    /// delimited.
+    pub async fn read_final_head(&mut self, method: &str) -> Result<(Head, BodyLength), Error> {
         let mut remaining_bytes = MAX_HEAD_BYTES;
         loop {
             let (head, bytes) = self.read_head(remaining_bytes).await?;
             if head.status >= 200 {
-                return Ok(head);
+                let (status, is_http_11) = (head.status, head.is_http_11);
+                let length = BodyLength::from_headers(method, status, is_http_11, &head.headers)
+                    .map_err(|error| self.malformed(&error.to_string()))?;
+                return Ok((head, length));
             }
             remaining_bytes = remaining_bytes.saturating_sub(bytes);
         }
--- a/fulmarreel-node/src/serve/call.rs
+++ b/fulmarreel-node/src/serve/call.rs
@@ -7,6 +7,7 @@
     slot_queue::Permit,
 };
 use crate::target::{self, Response};
+use fulmarreel_http::Body;
 use fulmarreel_wire::call::{
     Chunk, Failed, Failure, Frame, Head, MAX_CHUNK_BYTES, MAX_WHOLE_BYTES, Open, Refusal, Refused,
     WINDOW_BYTES,
@@ -22,7 +23,6 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use trillium_client::ResponseBody;
 
 /// How long after a call's deadline the node stops waiting for the target and frees the call's
 /// slot.
@@ -130,28 +130,12 @@
             .await;
     }
 
-    async fn send_response(&self, mut response: Response, permit: Permit) {
-        let Some(mut body) = response.body.take() else {
-            return self.send_whole(&response, Vec::new(), permit).await;
-        };
+    async fn send_response(&self, response: Response, permit: Permit) {
+        let Response { head, mut body } = response;
         let mut prefix = Vec::new();
-        if response
-            .length
-            .is_none_or(|length| length <= MAX_WHOLE_BYTES)
-        {
+        if head.length.is_none_or(|length| length <= MAX_WHOLE_BYTES) {
             match read_prefix(&mut body, &mut prefix).await {
-                Ok(true)
-                    if response
-                        .length
-                        .is_none_or(|length| length == prefix.len() as u64) =>
-                {
-                    return self.send_whole(&response, prefix, permit).await;
-                }
-                Ok(true) => {
-                    log::info!(call = self.sequence(); "target: the answer is shorter than its content-length");
-                    drop(permit);
-                    return self.reply_failed(Failure::TargetLost).await;
-                }
+                Ok(true) => return self.send_whole(&head, prefix, permit).await,
                 Ok(false) => {}
                 Err(error) => {
                     log::info!(call = self.sequence(); "target: answer: {error}");
@@ -160,7 +144,7 @@
                 }
             }
         }
-        let head = self.head(&response, response.length);
+        let head = self.head(&head, head.length);
         let credits = self.register_credits();
         let streaming_result = self.stream(head, prefix, body, &credits).await;
         drop(permit);
@@ -176,8 +160,8 @@
     }
 
     /// Stores a whole response for later queries, and sends it.
-    async fn send_whole(&self, response: &Response, body: Vec<u8>, permit: Permit) {
-        let head = self.head(response, Some(body.len() as u64));
+    async fn send_whole(&self, head: &target::Head, body: Vec<u8>, permit: Permit) {
+        let head = self.head(head, Some(body.len() as u64));
         drop(permit);
         let whole_response = Arc::new(WholeResponse { head, body });
         let bytes = whole_response.body.len() + size_of::<WholeResponse>();
@@ -193,7 +177,7 @@
         self.session().send(&whole_response).await;
     }
 
-    fn head(&self, response: &Response, length: Option<u64>) -> Head {
+    fn head(&self, response: &target::Head, length: Option<u64>) -> Head {
         let (in_flight, slots) = self.server.slot_queue.load();
         Head {
             sequence: self.sequence(),
@@ -223,7 +207,7 @@
         &self,
         head: Head,
         prefix: Vec<u8>,
-        body: ResponseBody<'static>,
+        body: Body,
         credits: &Receiver<u32>,
     ) -> io::Result<()> {
         let length = head.length;
@@ -266,7 +250,7 @@
 }
 
 /// Reads a body until it is longer than [`MAX_WHOLE_BYTES`]; returns true if it ended before that.
-async fn read_prefix(body: &mut ResponseBody<'static>, prefix: &mut Vec<u8>) -> io::Result<bool> {
+async fn read_prefix(body: &mut Body, prefix: &mut Vec<u8>) -> io::Result<bool> {
     let mut bytes = vec![0; MAX_CHUNK_BYTES];
     while prefix.len() as u64 <= MAX_WHOLE_BYTES {
         let read = with_stall_timeout(body.read(&mut bytes)).await?;
--- a/fulmarreel-node/src/target/mod.rs
+++ b/fulmarreel-node/src/target/mod.rs
@@ -1,16 +1,19 @@
 //! The HTTP client for the node's local target.
 
-mod dialer;
-
 use crate::ingress::{ATTEMPT_HEADER, DEADLINE_HEADER, DEPTH_HEADER};
-use dialer::Dialer;
-use fulmarreel_http::message::concerns_connection;
+use fulmarreel_http::{
+    Body, Connection, Error as HttpError, Request, StreamedResponse, message::concerns_connection,
+};
 use fulmarreel_wire::call::{Header, Open};
+use smol::{Timer, future::or};
 use std::{
+    io,
     net::SocketAddr,
     time::{Duration, Instant},
 };
-use trillium_client::{KnownHeaderName, Method, ResponseBody};
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Why a call to the target was not answered.
 #[derive(Debug, thiserror::Error)]
@@ -23,18 +26,12 @@
     Connect {
         /// The target's address.
         target: SocketAddr,
-        /// The HTTP library's error.
-        source: trillium_client::Error,
-    },
-    /// The connection failed before the head of the response arrived, and the target may have run the
-    /// call.
-    #[error("target {target}: {source}")]
-    Exchange {
-        /// The target's address.
-        target: SocketAddr,
-        /// The HTTP library's error.
-        source: trillium_client::Error,
+        /// The cause.
+        source: io::Error,
     },
+    /// No valid head of a response arrived, and the target may have run the call.
+    #[error("target {0}")]
+    Exchange(HttpError),
     /// The target had not answered long after the deadline.
     #[error("no answer long after the deadline")]
     Abandoned,
@@ -43,6 +40,15 @@
 /// The target's response; its body is still to be read.
 #[derive(Debug)]
 pub struct Response {
+    /// What arrived ahead of the body.
+    pub head: Head,
+    /// The body; reading fails if the target ends it early.
+    pub body: Body,
+}
+
+/// What arrived of a response ahead of its body.
+#[derive(Debug)]
+pub struct Head {
     /// HTTP status.
     pub status: u16,
     /// Headers that travel end to end.
@@ -51,8 +57,6 @@
     pub length: Option<u64>,
     /// Time from sending the request until the head of the response arrived.
     pub elapsed: Duration,
-    /// The body; reading fails if the target ends it early.
-    pub body: Option<ResponseBody<'static>>,
 }
 
 /// The HTTP client for the node's local target.
@@ -63,78 +67,100 @@
 #[derive(Debug)]
 pub struct Client {
     target: SocketAddr,
-    http: trillium_client::Client,
+    /// The value of `Host` where the caller's request has none.
+    host: String,
 }
 
 impl Client {
     /// Creates a client for the target at that address.
     pub fn new(target: SocketAddr) -> Self {
-        let http = trillium_client::Client::new(Dialer::default());
-        Self { target, http }
+        let host = target.to_string();
+        Self { target, host }
     }
 
     /// Sends a call to the target and waits for the head of the response.
     ///
     /// # Errors
     ///
-    /// The request is malformed, the target cannot be reached, or the connection fails before the
-    /// head of the response.
+    /// The request is malformed, the target cannot be reached, or no valid head of a response arrives.
     pub async fn call(
         &self,
         open: Open,
         body: Vec<u8>,
         deadline: Instant,
     ) -> Result<Response, Error> {
-        let method: Method = open
-            .method
-            .parse()
-            .map_err(|_| Error::Malformed(open.method.clone()))?;
-        let url = format!("http://{}{}", self.target, open.path);
-        let mut conn = self.http.build_conn(method, url).with_body(body);
-        let headers = conn.request_headers_mut();
-        for header in open.headers {
-            headers.append(header.name, header.value);
+        let connection = self.open().await?;
+        let request = self.encode(&open, &body, deadline)?;
+        drop(body);
+        let started = Instant::now();
+        match connection.stream(&open.method, request).await {
+            Ok(response) => Ok(Response::new(response, started.elapsed())),
+            Err(HttpError::Stale { .. }) => {
+                Err(self.not_connected(io::ErrorKind::ConnectionReset.into()))
+            }
+            Err(error) => Err(Error::Exchange(error)),
         }
-        headers.insert(KnownHeaderName::Connection, "close");
+    }
+
+    async fn open(&self) -> Result<Connection, Error> {
+        let opened = or(Connection::open(self.target), async {
+            Timer::after(CONNECT_TIMEOUT).await;
+            Err(io::ErrorKind::TimedOut.into())
+        });
+        opened.await.map_err(|source| self.not_connected(source))
+    }
+
+    fn not_connected(&self, source: io::Error) -> Error {
+        let target = self.target;
+        Error::Connect { target, source }
+    }
+
+    /// The request of a call; fails if a part of it would not be read as what it is.
+    fn encode(&self, open: &Open, body: &[u8], deadline: Instant) -> Result<Vec<u8>, Error> {
         let remaining = deadline.saturating_duration_since(Instant::now());
-        headers.insert(DEADLINE_HEADER, remaining.as_millis().to_string());
-        headers.insert(ATTEMPT_HEADER, open.attempt.to_string());
-        headers.insert(DEPTH_HEADER, open.depth.saturating_add(1).to_string());
-        let started = Instant::now();
-        if let Err(source) = (&mut conn).await {
-            let target = self.target;
-            return Err(if dialer::is_unsent(&source) {
-                Error::Connect { target, source }
-            } else {
-                Error::Exchange { target, source }
-            });
+        let remaining_ms = remaining.as_millis().to_string();
+        let attempt = open.attempt.to_string();
+        let depth = open.depth.saturating_add(1).to_string();
+        let mut headers: Vec<(&str, &[u8])> = open
+            .headers
+            .iter()
+            .map(|header| (header.name.as_str(), header.value.as_slice()))
+            .collect();
+        if open.header("host").is_none() {
+            headers.push(("Host", self.host.as_bytes()));
         }
-        let status = conn.status().map_or(502, |status| status as u16);
-        let has_no_body = method == Method::Head || matches!(status, 204 | 304);
-        Ok(Response {
-            status,
-            headers: end_to_end(conn.response_headers()),
-            length: if has_no_body {
-                Some(0)
-            } else {
-                conn.response_headers().content_length()
-            },
-            elapsed: started.elapsed(),
-            body: conn.take_response_body(),
-        })
+        headers.push(("Connection", b"close"));
+        headers.push((DEADLINE_HEADER, remaining_ms.as_bytes()));
+        headers.push((ATTEMPT_HEADER, attempt.as_bytes()));
+        headers.push((DEPTH_HEADER, depth.as_bytes()));
+        let request = Request {
+            method: &open.method,
+            target: &open.path,
+            headers: &headers,
+            body,
+        };
+        if !request.is_valid() {
+            return Err(Error::Malformed(format!("{} {}", open.method, open.path)));
+        }
+        Ok(request.encode())
     }
 }
 
-/// The headers that travel end to end.
-fn end_to_end(headers: &trillium::Headers) -> Vec<Header> {
-    headers
-        .iter()
-        .filter(|(name, _)| !concerns_connection(name.as_ref()))
-        .flat_map(|(name, values)| {
-            values.iter().map(move |value| Header {
-                name: name.to_string(),
-                value: AsRef::<[u8]>::as_ref(value).to_vec(),
-            })
-        })
-        .collect()
+impl Response {
+    fn new(response: StreamedResponse, elapsed: Duration) -> Self {
+        let headers = response.headers.into_iter();
+        let headers = headers.filter(|header| !concerns_connection(&header.name));
+        let headers = headers.map(|header| Header {
+            name: header.name,
+            value: header.value,
+        });
+        let head = Head {
+            status: response.status,
+            headers: headers.collect(),
+            length: response.length.map(|bytes| bytes as u64),
+            elapsed,
+        };
+        let body = response.body;
+        Self { head, body }
+    }
 }
--- a/fulmarreel-node/tests/calls.rs
+++ b/fulmarreel-node/tests/calls.rs
@@ -3,6 +3,8 @@
 
 #[path = "calls/body.rs"]
 mod body;
+#[path = "calls/broken.rs"]
+mod broken;
 #[path = "calls/key.rs"]
 mod key;
 #[path = "calls/kill.rs"]
--- a/fulmarreel-node/tests/mesh/broken.rs
+++ b/fulmarreel-node/tests/mesh/broken.rs
@@ -70,14 +70,7 @@
         for (number, Broken { name, bytes }) in
             answers::broken(fault, FIELDS, BODY).into_iter().enumerate()
         {
-            answer_by(
-                target,
-                Script {
-                    answer: bytes,
-                    timing: Timing::AfterRequest,
-                    end: End::Close,
-                },
-            );
+            answer_by(target, Script::closing(bytes));
             let id = format!("r-{number}");
             let answer = caller.request("GET", path, &id).await?;
             ensure_arrived(target, &id)?;
@@ -105,14 +98,7 @@
             &other
         };
         for (number, answer) in answers::sound(FIELDS, BODY).into_iter().enumerate() {
-            answer_by(
-                target,
-                Script {
-                    answer: answer.bytes,
-                    timing: Timing::AfterRequest,
-                    end: End::Close,
-                },
-            );
+            answer_by(target, Script::closing(answer.bytes));
             let id = format!("r-{number}");
             let reply = caller.request("GET", path, &id).await?;
             ensure_whole(answer.name, &id, &reply)?;
--- a/fulmarreel-node/tests/target/stray.rs
+++ b/fulmarreel-node/tests/target/stray.rs
@@ -1,7 +1,7 @@
 //! A target that writes an earlier response once more on a kept connection.
 
 use crate::support::{call, run};
-use anyhow::{Context, ensure};
+use anyhow::ensure;
 use fulmarreel_node::target::Client;
 use rstest::rstest;
 use smol::{
@@ -79,9 +79,9 @@
     run(async {
         let client = Client::new(start_target(timing).await?);
         for number in 0..CALLS {
-            let response = call(&client, number).await?;
-            let body = response.body.context("a body")?;
-            let text = body.await?;
+            let mut response = call(&client, number).await?;
+            let mut text = String::new();
+            response.body.read_to_string(&mut text).await?;
             ensure!(text == number.to_string(), "{number}: {text:?}");
             Timer::after(PAUSE).await;
         }
--- a/fulmarreel-node/tests/target/support.rs
+++ b/fulmarreel-node/tests/target/support.rs
@@ -2,6 +2,8 @@
 
 use fulmarreel_node::target::{Client, Error, Response};
 use fulmarreel_wire::call::Open;
+use futures_lite::AsyncReadExt;
+use smol::{Timer, future::or};
 use std::{
     sync::Once,
     time::{Duration, Instant},
@@ -10,6 +12,9 @@
 /// Limit on the time of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Limit on the time until a response has been read.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Runs a test on the node's runtime.
 pub fn run<T>(test: impl Future<Output = T>) -> T {
     static RUNTIME: Once = Once::new();
@@ -19,6 +24,30 @@
 
 /// Sends call `number`, for the path `/NUMBER`.
 pub async fn call(client: &Client, number: u64) -> Result<Response, Error> {
+    send(client, number, Vec::new()).await
+}
+
+/// Sends a call with a body, and reads the whole response; returns its status and its body.
+pub async fn exchange(client: &Client, body: Vec<u8>) -> anyhow::Result<(u16, Vec<u8>)> {
+    let timeout = async {
+        Timer::after(EXCHANGE_TIMEOUT).await;
+        anyhow::bail!("not answered in {EXCHANGE_TIMEOUT:?}")
+    };
+    or(read_whole(client, body), timeout).await
+}
+
+async fn read_whole(client: &Client, body: Vec<u8>) -> anyhow::Result<(u16, Vec<u8>)> {
+    let Response { head, mut body } = send(client, 1, body).await?;
+    let mut bytes = Vec::new();
+    body.read_to_end(&mut bytes).await?;
+    let read = bytes.len() as u64;
+    let is_whole = head.length.is_none_or(|length| length == read);
+    anyhow::ensure!(is_whole, "{read} of {:?} bytes", head.length);
+    Ok((head.status, bytes))
+}
+
+/// Sends a call with a body, for the path `/NUMBER`.
+async fn send(client: &Client, number: u64, body: Vec<u8>) -> Result<Response, Error> {
     let open = Open {
         sequence: number,
         remaining_ms: 1_000,
@@ -30,11 +59,11 @@
         rank: 1,
         service: "s".to_owned(),
         version: "v1".to_owned(),
-        method: "GET".to_owned(),
+        method: if body.is_empty() { "GET" } else { "POST" }.to_owned(),
         path: format!("/{number}"),
         headers: Vec::new(),
-        length: 0,
+        length: body.len() as u64,
     };
     let deadline = Instant::now() + CALL_TIMEOUT;
-    client.call(open, Vec::new(), deadline).await
+    client.call(open, body, deadline).await
 }
--- a/fulmarreel-testing/src/answers/mod.rs
+++ b/fulmarreel-testing/src/answers/mod.rs
@@ -13,7 +13,12 @@
     net::{Shutdown, TcpListener, TcpStream},
 };
 use socket2::SockRef;
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 /// A request body that does not fit into the buffers of a connection's two sockets.
 pub const LONG_BODY_BYTES: usize = 33_554_432;
@@ -38,6 +43,8 @@
 /// How a connection ends after the answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
+    /// Not by the server, which only reads the rest of the request.
+    Never,
     /// By a close in the server's direction; the rest of the request is read.
     Close,
     /// By a close in the server's direction, and then by a reset.
@@ -59,7 +66,48 @@
     pub end: End,
 }
 
-/// Starts a server that follows `script` on each connection.
+impl Script {
+    /// Answers once the whole request has arrived, and then closes the connection.
+    pub fn closing(answer: Vec<u8>) -> Self {
+        Self {
+            answer,
+            timing: Timing::AfterRequest,
+            end: End::Close,
+        }
+    }
+}
+
+/// A server that follows a script on each connection; it serves until the process ends.
+#[derive(Debug, Clone)]
+pub struct Server {
+    script: Arc<Mutex<Script>>,
+}
+
+impl Server {
+    /// Starts a server on a bound listener.
+    pub fn start(listener: TcpListener, script: Script) -> Self {
+        let script = Arc::new(Mutex::new(script));
+        let server = Self {
+            script: Arc::clone(&script),
+        };
+        smol::spawn(async move {
+            while let Ok((tcp, _)) = listener.accept().await {
+                let script = script.lock().expect("no holder panics").clone();
+                // Fails where the client closes the connection first.
+                smol::spawn(async move { serve(tcp, &script).await.ok() }).detach();
+            }
+        })
+        .detach();
+        server
+    }
+
+    /// Sets the script of later connections.
+    pub fn set_script(&self, script: Script) {
+        *self.script.lock().expect("no holder panics") = script;
+    }
+}
+
+/// Starts a server that follows `script` on each connection, on a free address.
 ///
 /// # Errors
 ///
@@ -67,29 +115,18 @@
 pub async fn start(script: Script) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
-    smol::spawn(async move {
-        while let Ok((tcp, _)) = listener.accept().await {
-            let script = script.clone();
-            // Fails where the client closes the connection first.
-            smol::spawn(async move { serve(tcp, &script).await.ok() }).detach();
-        }
-    })
-    .detach();
+    Server::start(listener, script);
     Ok(address)
 }
 
-/// Answers by `answer` once the whole request has arrived, then closes the connection.
+/// Starts a server that answers by `answer` once the whole request has arrived, and then closes the
+/// connection.
 ///
 /// # Errors
 ///
 /// No address is free.
 pub async fn start_closing(answer: Vec<u8>) -> io::Result<SocketAddr> {
-    start(Script {
-        answer,
-        timing: Timing::AfterRequest,
-        end: End::Close,
-    })
-    .await
+    start(Script::closing(answer)).await
 }
 
 async fn serve(mut tcp: TcpStream, script: &Script) -> io::Result<()> {
@@ -111,8 +148,10 @@
 /// The client has ended it before.
 pub async fn end(mut tcp: TcpStream, end: End) -> io::Result<()> {
     match end {
-        End::Close => {
-            tcp.shutdown(Shutdown::Write)?;
+        End::Never | End::Close => {
+            if end == End::Close {
+                tcp.shutdown(Shutdown::Write)?;
+            }
             let mut rest = vec![0; READ_BYTES];
             while tcp.read(&mut rest).await? > 0 {}
             return Ok(());
