fix(ingress): a streamed response that breaks off does not end as a whole one for HTTP/1.0

Callers of HTTP/1.0 got the first part of a long response as a whole one on the own interface: without a length, its target reset the connection, or broke a chunked body off, after the head had been passed on.

Cause: for HTTP/1.0 the close of the connection is the end of such a body, and the node closed it also where the body broke off. While such a body is delivered the caller's connection is now set to end by a reset, and to end by a close again once all of it has been read: so also where the node is killed on the way. HTTP/1.1 has the last chunk for its end, and is as before. On the platform nodes respond with a length.

--- a/fulmarreel-node/src/ingress/exchange.rs
+++ b/fulmarreel-node/src/ingress/exchange.rs
@@ -30,7 +30,7 @@
     /// The target answered, and the whole response has arrived.
     Whole { head: Head, body: Vec<u8> },
     /// The target answered, and the body is still to arrive.
-    Streamed { head: Head, body: StreamedBody },
+    Streamed { head: Head, body: Box<StreamedBody> },
     /// The call was not run, and never will be.
     NotRun {
         end: FailedAttempt,
@@ -296,6 +296,7 @@
                         partial = Some((head, Vec::new()));
                     } else {
                         let body = StreamedBody::new(pending, events, head.length, WINDOW_BYTES);
+                        let body = Box::new(body);
                         return Ok(CallOutcome::Streamed { head, body });
                     }
                 }
--- a/fulmarreel-node/src/ingress/mod.rs
+++ b/fulmarreel-node/src/ingress/mod.rs
@@ -160,13 +160,13 @@
             }
             let outcome = self.send_keyed(&mut destination, &request, key).await;
             self.log_end(&destination, &request, &outcome);
-            return respond::respond(conn, outcome);
+            return respond::respond(conn, outcome, watcher);
         }
         let outcome = self.send_with_retries(&mut destination, &request);
         match watcher.while_connected(outcome).await {
             Some(outcome) => {
                 self.log_end(&destination, &request, &outcome);
-                respond::respond(conn, outcome)
+                respond::respond(conn, outcome, watcher)
             }
             None => conn
                 .with_response_header(KnownHeaderName::Connection, "close")
--- a/fulmarreel-node/src/ingress/respond.rs
+++ b/fulmarreel-node/src/ingress/respond.rs
@@ -1,9 +1,11 @@
 //! Responses to callers.
 
 use super::exchange::CallOutcome;
+use crate::transport::Watcher;
 use fulmarreel_http::message::concerns_connection;
 use fulmarreel_wire::call::Head;
 use trillium::{Body, Conn, Status};
+use trillium_http::Version;
 
 /// Response header for the outcome of a call: `answered`, `not-run`, `unknown`, or `repeated`,
 /// which means that a call with the same idempotency key was sent before and may have run.
@@ -17,12 +19,16 @@
         .halt()
 }
 
-/// Responds with the outcome of a call.
-pub(super) fn respond(conn: Conn, outcome: CallOutcome) -> Conn {
+/// Responds with the outcome of a call; `caller` is the connection that it came on.
+pub(super) fn respond(conn: Conn, outcome: CallOutcome, caller: &Watcher) -> Conn {
     match outcome {
         CallOutcome::Whole { head, body } => forward_response(conn, head, body.into()),
-        CallOutcome::Streamed { head, body } => {
+        CallOutcome::Streamed { head, mut body } => {
             let length = head.length;
+            // Without a length, only HTTP/1.1 has an end of its own, that of the last chunk.
+            if length.is_none() && conn.http_version() < Version::Http1_1 {
+                body.end_by_close(caller.clone());
+            }
             forward_response(conn, head, Body::new_streaming(body, length))
         }
         CallOutcome::NotRun { reason, .. } => refuse(conn, Status::ServiceUnavailable, reason),
--- a/fulmarreel-node/src/ingress/streamed_body.rs
+++ b/fulmarreel-node/src/ingress/streamed_body.rs
@@ -1,7 +1,7 @@
 //! The body of a streamed response as a reader for the HTTP library.
 
 use super::exchange::PendingCall;
-use crate::peer::Event;
+use crate::{peer::Event, transport::Watcher};
 use fulmarreel_wire::call::Frame;
 use futures_lite::{AsyncRead, Stream as _};
 use smol::channel::Receiver;
@@ -29,6 +29,8 @@
     uncredited: u32,
     /// Bytes to be read before the next credit is sent.
     credit_threshold: u32,
+    /// The caller's connection, if the caller takes a close for the end of the body.
+    ended_by_close: Option<Watcher>,
 }
 
 impl StreamedBody {
@@ -49,9 +51,17 @@
             last: false,
             uncredited: 0,
             credit_threshold: window / 2,
+            ended_by_close: None,
         }
     }
 
+    /// Has the caller's connection reset unless the body is delivered whole, for a caller that takes a
+    /// close for the end of the body; it is reset also where this process is killed.
+    pub fn end_by_close(&mut self, caller: Watcher) {
+        caller.set_reset_on_close(true);
+        self.ended_by_close = Some(caller);
+    }
+
     fn accept(&mut self, event: Option<Event>) -> io::Result<()> {
         let Some(Event::Chunk(chunk)) = event else {
             let lost = matches!(event, Some(Event::Lost { .. } | Event::Failed(_)) | None);
@@ -98,6 +108,9 @@
     ) -> Poll<io::Result<usize>> {
         while self.consumed == self.chunk.len() {
             if self.last {
+                if let Some(caller) = self.ended_by_close.take() {
+                    caller.set_reset_on_close(false);
+                }
                 return Poll::Ready(Ok(0));
             }
             let event = ready!(self.events.as_mut().poll_next(context));
--- a/fulmarreel-node/src/transport/mod.rs
+++ b/fulmarreel-node/src/transport/mod.rs
@@ -16,6 +16,7 @@
     future::{or, yield_now},
     net::TcpStream,
 };
+use socket2::SockRef;
 use status_line::{StatusLine, UnlistedStatus};
 use std::{
     collections::VecDeque,
@@ -245,6 +246,14 @@
         self.unlisted_status.set(code);
     }
 
+    /// Sets whether the connection is reset, and not closed, when it is dropped.
+    pub fn set_reset_on_close(&self, is_reset: bool) {
+        let linger = is_reset.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(&self.tcp).set_linger(linger) {
+            log::warn!("how a caller's connection ends cannot be set: {error}");
+        }
+    }
+
     /// Reads a request's body of at most `limit` bytes.
     ///
     /// # Errors
--- a/fulmarreel-node/tests/calls/broken.rs
+++ b/fulmarreel-node/tests/calls/broken.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use smol::{
     Task, Timer,
-    future::or,
+    future::{or, zip},
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
@@ -30,6 +30,9 @@
 /// Interval between announcements of the target.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time after which what a target has sent of an answer has been passed on.
+const STREAMED_AFTER: Duration = Duration::from_secs(1);
+
 /// Limit on the time of one call.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -196,7 +199,7 @@
     #[values("", "Content-Length: 1000000\r\n", "Transfer-Encoding: chunked\r\n")] length: &str,
     #[values(Timing::DuringRequest, Timing::AfterRequest)] timing: Timing,
     #[values(End::Reset, End::LateReset)] end: End,
-    #[values("1.1")] version: &str,
+    #[values("1.0", "1.1")] version: &str,
     #[values(10, STREAMED_BYTES)] part_bytes: usize,
 ) -> anyhow::Result<()> {
     let body = "b".repeat(LONG_BODY_BYTES);
@@ -245,3 +248,44 @@
         Ok(())
     })
 }
+
+/// Fails if a caller of HTTP/1.0, for whom a close ends an answer without a length, cannot tell a whole one
+/// from one that ended early because its node was killed.
+#[rstest]
+#[case::whole(End::Close, false)]
+#[case::killed(End::Never, true)]
+fn a_caller_of_http_1_0_knows_a_whole_answer(
+    #[case] end: End,
+    #[case] is_killed: bool,
+) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let deployment = Deployment::start().await?;
+        let body = "p".repeat(STREAMED_BYTES);
+        let answer = format!("HTTP/1.1 200 OK\r\n\r\n{body}").into_bytes();
+        let timing = Timing::AfterRequest;
+        deployment.server.set_script(Script {
+            answer,
+            timing,
+            end,
+        });
+        let node = &deployment.mesh.instances[CALLERS].node;
+        let kill = async {
+            Timer::after(STREAMED_AFTER).await;
+            if is_killed {
+                node.signal("KILL")?;
+            }
+            anyhow::Ok(())
+        };
+        let call = deployment.call(BOOKINGS, "1.0", "");
+        let (reply, killed) = zip(call, kill).await;
+        killed?;
+        let reply = reply?;
+        ensure!(reply.is_whole_answer() != is_killed, "{:.400}", reply.text);
+        ensure!(
+            is_killed || reply.text.ends_with(&body),
+            "{:.400}",
+            reply.text
+        );
+        Ok(())
+    })
+}
