fix(ingress): a status that the HTTP library does not list reaches own-interface callers as it is

Callers of the own interface got a target's 208 as a 500, like every status that the HTTP library does not list (docs/PROMISES.md said so). The transport replaces such statuses in the status line, as it does on the platform's interface; the own interface did not use it.

Evidence: calls::broken::the_targets_status_reaches_the_caller failed with 500 for 208, and passes.

--- a/fulmarreel-node/src/ingress/respond.rs
+++ b/fulmarreel-node/src/ingress/respond.rs
@@ -1,7 +1,7 @@
 //! Responses to callers.
 
 use super::exchange::CallOutcome;
-use crate::transport::Watcher;
+use crate::transport::{LISTED_STATUS, Watcher};
 use fulmarreel_http::message::concerns_connection;
 use fulmarreel_wire::call::Head;
 use trillium::{Body, Conn, Status};
@@ -22,14 +22,14 @@
 /// Responds with the outcome of a call; `caller` is the connection that it came on.
 pub(super) fn respond(conn: Conn, outcome: CallOutcome, caller: &Watcher) -> Conn {
     match outcome {
-        CallOutcome::Whole { head, body } => forward_response(conn, head, body.into()),
+        CallOutcome::Whole { head, body } => forward_response(conn, head, body.into(), caller),
         CallOutcome::Streamed { head, mut body } => {
             let length = head.length;
             // Without a length, only HTTP/1.1 has an end of its own, that of the last chunk.
             if length.is_none() && conn.http_version() < Version::Http1_1 {
                 body.end_by_close(caller.clone());
             }
-            forward_response(conn, head, Body::new_streaming(body, length))
+            forward_response(conn, head, Body::new_streaming(body, length), caller)
         }
         CallOutcome::NotRun { reason, .. } => refuse(conn, Status::ServiceUnavailable, reason),
         CallOutcome::Repeated => conn
@@ -45,9 +45,13 @@
     }
 }
 
-fn forward_response(conn: Conn, head: Head, body: Body) -> Conn {
+fn forward_response(conn: Conn, head: Head, body: Body, caller: &Watcher) -> Conn {
+    let status = Status::try_from(head.status).unwrap_or_else(|_| {
+        caller.set_unlisted_status(head.status);
+        LISTED_STATUS
+    });
     let mut conn = conn
-        .with_status(head.status)
+        .with_status(status)
         .with_response_header(OUTCOME_HEADER, "answered")
         .with_body(body);
     for header in head.headers {
--- a/fulmarreel-node/tests/calls/broken.rs
+++ b/fulmarreel-node/tests/calls/broken.rs
@@ -186,6 +186,24 @@
     })
 }
 
+/// Fails if a status that the HTTP library does not list reaches the caller as another one.
+#[test]
+fn the_targets_status_reaches_the_caller() -> anyhow::Result<()> {
+    smol::block_on(async {
+        let deployment = Deployment::start().await?;
+        for status in [208, 200, 299, 399, 419, 499, 500, 509, 520, 599] {
+            let answer = format!("HTTP/1.1 {status} Said\r\nContent-Length: 2\r\n\r\nhi");
+            let script = Script::closing(answer.into_bytes());
+            deployment.server.set_script(script);
+            let reply = deployment.call(BOOKINGS, "1.1", "").await?;
+            let line = format!("HTTP/1.1 {status} ");
+            ensure!(reply.text.starts_with(&line), "{status}: {reply:?}");
+            ensure!(reply.is_whole_answer(), "{status}: {reply:?}");
+        }
+        Ok(())
+    })
+}
+
 fn ensure_whole(name: &str, reply: &Reply) -> anyhow::Result<()> {
     ensure!(reply.is_whole_answer(), "{name}: {reply:?}");
     ensure!(reply.text.ends_with(BODY), "{name}: {reply:?}");
