fix(store): the etcd client reads responses by fulmarreel-http

A broken response of the gateway counted as the result of a call: a write came out as written, and a read had an entry, though the response was in lower-case HTTP, held a NUL, a control byte or a bare CR in its reason or a DEL in a value, or was chunked in HTTP/1.0; a write behind a 101 was reported as refused, though it may have taken effect. Sound responses with blanks around a chunk's extension were lost, and a server that does not send 100 Continue was never answered: the client held the body back until the deadline.

The gateway's calls now go over connections of fulmarreel-http, and watches read a body of Connection::stream. That no connection could be opened now always means that nothing was sent, also for the errors that were not listed. A read of up to 256 MiB has a quota of its own, as before.

Evidence: store::broken.

--- a/fulmarreel-http/src/quota.rs
+++ b/fulmarreel-http/src/quota.rs
@@ -6,7 +6,7 @@
 /// short ones.
 const UNCOUNTED_BYTES: usize = 65_536;
 
-/// The upper limit on one exchange, however large the quota.
+/// The upper limit on one of several exchanges, however large the quota.
 const MAX_EXCHANGE_BYTES: usize = 67_108_864;
 
 /// Why no more bytes may be read.
@@ -31,6 +31,8 @@
 #[derive(Debug)]
 pub struct Quota {
     limit_bytes: usize,
+    /// The most bytes that one exchange may hold.
+    exchange_limit_bytes: usize,
     used_bytes: AtomicUsize,
 }
 
@@ -44,17 +46,27 @@
 }
 
 impl Quota {
-    /// Creates a quota.
+    /// Creates a quota of exchanges that run concurrently; one of them may hold half of it.
     pub fn new(limit_bytes: usize) -> Self {
         Self {
             limit_bytes,
+            exchange_limit_bytes: (limit_bytes / 2).min(MAX_EXCHANGE_BYTES),
+            used_bytes: AtomicUsize::new(0),
+        }
+    }
+
+    /// Creates a quota of one exchange, which may hold all of it.
+    pub fn for_one_exchange(limit_bytes: usize) -> Self {
+        Self {
+            limit_bytes,
+            exchange_limit_bytes: limit_bytes,
             used_bytes: AtomicUsize::new(0),
         }
     }
 
     /// The most bytes that one exchange may hold.
     pub fn exchange_limit_bytes(&self) -> usize {
-        (self.limit_bytes / 2).min(MAX_EXCHANGE_BYTES)
+        self.exchange_limit_bytes
     }
 
     /// Starts an exchange, which holds no bytes yet.
--- a/fulmarreel-store/src/etcd/client.rs
+++ b/fulmarreel-store/src/etcd/client.rs
@@ -6,6 +6,7 @@
         RequestOp, TxnRequest, TxnResponse, decode_entries,
     },
     request::{CallContext, Retry, call, whole_seconds},
+    transport::Transport,
     watch::Watch,
 };
 use crate::{
@@ -19,7 +20,6 @@
     sync::atomic::{AtomicUsize, Ordering},
     time::Duration,
 };
-use trillium_smol::ClientConfig;
 
 /// A client's settings.
 #[derive(Debug, Clone)]
@@ -38,22 +38,17 @@
     pub(super) operation_timeout: Duration,
     /// The index in `peers` of the address that last responded.
     pub(super) preferred: AtomicUsize,
-    pub(super) unary_client: trillium_client::Client,
-    /// Without keep-alive: a watch's response body has no end, so that its connection can't be
-    /// reused once the watch is dropped.
-    pub(super) watch_client: trillium_client::Client,
+    pub(super) transport: Transport,
 }
 
 impl Client {
     /// Creates a client, which connects on first use.
     pub fn new(options: Options) -> Self {
-        let config = ClientConfig::new().with_nodelay(true);
         Self {
             peers: options.peers,
             operation_timeout: options.operation_timeout,
             preferred: AtomicUsize::new(0),
-            unary_client: trillium_client::Client::new(config),
-            watch_client: trillium_client::Client::new(config).without_keepalive(),
+            transport: Transport::default(),
         }
     }
 
--- a/fulmarreel-store/src/etcd/mod.rs
+++ b/fulmarreel-store/src/etcd/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod json;
 mod request;
+mod transport;
 mod watch;
 
 pub use client::{Client, Options};
--- a/fulmarreel-store/src/etcd/request.rs
+++ b/fulmarreel-store/src/etcd/request.rs
@@ -1,21 +1,18 @@
 //! Unary calls: failover between addresses, deadlines and the classification of failures.
 
-use super::{client::Client, json::Failure};
+use super::{client::Client, json::Failure, transport};
 use crate::{
     Error, Revision,
     error::{Operation, Site},
 };
+use fulmarreel_http::Response;
 use serde::{Serialize, de::DeserializeOwned};
 use smol::{Timer, future::FutureExt};
 use std::{
-    io::ErrorKind,
     sync::atomic::Ordering,
     time::{Duration, Instant},
 };
 
-/// The longest response body that is read: a listing of a few hundred values of maximum size.
-const MAX_RESPONSE_BYTES: u64 = 256 * 1024 * 1024;
-
 /// Whether a call may be sent again after a copy may have taken effect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Retry {
@@ -52,14 +49,15 @@
     }
 
     /// The error of a call that failed in the HTTP client.
-    fn transport_error(&self, peer: &str, err: &trillium_client::Error) -> Error {
-        if never_connected(err) {
-            return Error::NotSent {
+    fn transport_error(&self, peer: &str, err: &transport::Error) -> Error {
+        let reason = err.to_string();
+        match err {
+            transport::Error::NotConnected(_) => Error::NotSent {
                 site: self.site(peer),
-                reason: err.to_string(),
-            };
+                reason,
+            },
+            transport::Error::Exchange(_) => self.no_response(peer, reason),
         }
-        self.no_response(peer, err.to_string())
     }
 
     /// The error that a status other than 200 means.
@@ -91,18 +89,6 @@
     }
 }
 
-/// Whether the connection could not be established, so that nothing can have been sent.
-fn never_connected(err: &trillium_client::Error) -> bool {
-    use ErrorKind::{AddrNotAvailable, ConnectionRefused, HostUnreachable, NetworkUnreachable};
-    let trillium_client::Error::Io(err) = err else {
-        return false;
-    };
-    matches!(
-        err.kind(),
-        ConnectionRefused | HostUnreachable | NetworkUnreachable | AddrNotAvailable
-    )
-}
-
 /// Runs `work` until it completes; `None` if `deadline` comes first.
 pub async fn with_deadline<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
     let timeout = async {
@@ -157,24 +143,11 @@
     body: &str,
     deadline: Instant,
 ) -> Result<T, Error> {
-    let exchange = async {
-        let mut conn = client
-            .unary_client
-            .post(url(peer, path))
-            .with_body(body.to_owned())
-            .await?;
-        let status = conn.status().map_or(0, |status| status as u16);
-        let body = conn
-            .response_body()
-            .with_max_len(MAX_RESPONSE_BYTES)
-            .read_bytes()
-            .await?;
-        Ok((status, body))
-    };
-    let (status, body) = with_deadline(deadline, exchange)
+    let response = with_deadline(deadline, client.transport.call(peer, path, body))
         .await
         .ok_or_else(|| context.no_response(peer, "the deadline passed".to_owned()))?
         .map_err(|err| context.transport_error(peer, &err))?;
+    let Response { status, body, .. } = response;
     if status != 200 {
         return Err(context.status_error(peer, status, &body));
     }
@@ -187,11 +160,6 @@
     })
 }
 
-/// The URL of a path of the gateway.
-pub fn url(peer: &str, path: &str) -> String {
-    format!("http://{peer}{path}")
-}
-
 /// The time to live of a lease in seconds, rounded up; the store's minimum is one.
 pub fn whole_seconds(ttl: Duration) -> u64 {
     (ttl.as_secs() + u64::from(ttl.subsec_nanos() > 0)).max(1)
--- a/fulmarreel-store/src/etcd/watch.rs
+++ b/fulmarreel-store/src/etcd/watch.rs
@@ -3,19 +3,19 @@
 use super::{
     client::Client,
     json::{Message, WatchRequest, WatchResponse},
-    request::{split_deadline, url, with_deadline},
+    request::{split_deadline, with_deadline},
 };
 use crate::{
     Batch, Error, Event, Revision,
     error::{Operation, Site},
 };
+use fulmarreel_http::Body;
 use futures_lite::AsyncReadExt;
 use std::{
     fmt,
     sync::atomic::Ordering,
     time::{Duration, Instant},
 };
-use trillium_client::ResponseBody;
 
 /// The most bytes of one read.
 const READ_BYTES: usize = 64 * 1024;
@@ -24,7 +24,7 @@
 
 /// An open watch on the gateway.
 pub struct Watch {
-    body: ResponseBody<'static>,
+    body: Body,
     site: Site,
     /// The lowest revision whose events have not been delivered.
     next_revision: Revision,
@@ -208,26 +208,18 @@
     site: &Site,
     body: &str,
     deadline: Instant,
-) -> Result<ResponseBody<'static>, Error> {
+) -> Result<Body, Error> {
     let no_response = |reason: String| Error::NoResponse {
         site: site.clone(),
         reason,
     };
-    let request = client
-        .watch_client
-        .post(url(&site.peer, "/v3/watch"))
-        .with_body(body.to_owned());
-    let mut conn = with_deadline(deadline, request.into_future())
+    let opened = client.transport.stream(&site.peer, "/v3/watch", body);
+    let response = with_deadline(deadline, opened)
         .await
         .ok_or_else(|| no_response("the deadline passed".to_owned()))?
         .map_err(|err| no_response(err.to_string()))?;
-    match conn.status().map_or(0, |status| status as u16) {
-        200 => {}
-        status => return Err(no_response(format!("status {status}"))),
+    match response.status {
+        200 => Ok(response.body),
+        status => Err(no_response(format!("status {status}"))),
     }
-    let body = conn
-        .take_response_body()
-        .ok_or_else(|| no_response("no body".to_owned()))?;
-    // The stream never ends, so its length can't be limited.
-    Ok(body.with_max_len(u64::MAX))
 }
--- a/fulmarreel-store/tests/store.rs
+++ b/fulmarreel-store/tests/store.rs
@@ -1,6 +1,7 @@
 //! Contract tests of the `Store` trait: the etcd client against the fake store.
 
 mod store {
+    mod broken;
     mod commit;
     mod faults;
     mod gateway;
