test: broken answers of the platform's store and to health checks

Five of seven forms of a broken answer to a health check confirmed a target's announcement, after which the target got requests. Lines that are no field, and parts of an answer, were rejected before.

--- a/fulmarreel-node/src/mesh/mod.rs
+++ b/fulmarreel-node/src/mesh/mod.rs
@@ -16,7 +16,7 @@
 pub(crate) mod caller;
 pub mod context;
 pub(crate) mod credential;
-pub(crate) mod endpoint;
+pub mod endpoint;
 pub mod era;
 pub(crate) mod exchange;
 pub(crate) mod keys;
--- a/fulmarreel-node/tests/mesh/broken.rs
+++ b/fulmarreel-node/tests/mesh/broken.rs
@@ -4,9 +4,14 @@
     backend::{Behavior, header},
     support::{Answer, Instance, call, start_pair},
 };
-use anyhow::ensure;
-use fulmarreel_testing::answers::{self, Broken, End, Fault, Script, Timing};
+use anyhow::{Context, ensure};
+use fulmarreel_testing::{
+    answers::{self, Broken, End, Fault, Script, Timing},
+    kv::Faults,
+};
 use rstest::rstest;
+use smol::Timer;
+use std::time::{Duration, Instant};
 
 /// Fields that all answers bear.
 const FIELDS: &str = "X-Request-Id: $ID\r\nX-Server-Seal: seal-$ID\r\n";
@@ -197,3 +202,62 @@
         Ok(())
     })
 }
+
+/// The fields of the answer to a health check.
+const HEALTH_FIELDS: &str = "X-Instance-Id: $TARGET\r\n";
+
+/// Time in which a node's questions about a target's health have all been asked. Later it goes by the
+/// target's announcements alone.
+const CONFIRMATION_TIME: Duration = Duration::from_millis(1_500);
+
+/// Fails if a broken answer to a health check confirms an announcement, and the target gets a request.
+#[rstest]
+#[case::status_line(Fault::StatusLine, "switched protocols before an answer")]
+#[case::length(Fault::Length, "plus sign")]
+#[case::coding(Fault::Coding, "unknown coding in a second line")]
+#[case::size(Fault::Chunks, "signed size")]
+#[case::trailer(Fault::Chunks, "trailer line that is no field")]
+#[case::field(Fault::Field, "blank in a name")]
+#[case::part(Fault::End, "part of a body")]
+fn a_broken_answer_to_a_health_check_confirms_nothing(
+    #[case] fault: Fault,
+    #[case] name: &str,
+) -> anyhow::Result<()> {
+    smol::block_on(async {
+        let answers = answers::broken(fault, HEALTH_FIELDS, BODY);
+        let broken = answers.into_iter().find(|answer| answer.name == name);
+        let broken = broken.context("the answer")?.bytes;
+        let (store, _caller, mut instance) = start_pair().await?;
+        instance.wait_served("/s/").await?;
+        instance.stop_announcing();
+        instance.process.signal("KILL")?;
+        instance.process.wait_for_exit(Duration::from_secs(2))?;
+        // The node cannot read what its earlier process recorded.
+        store.set_faults(Faults {
+            silent: true,
+            ..Faults::default()
+        });
+        answer_health_checks_by(&instance, broken);
+        instance.restart()?;
+        instance.wait_ready().await?;
+        let announcement = instance.announcement("ready").replace("SEQ", "1000");
+        instance.announce(&announcement).await?;
+        let started = Instant::now();
+        while started.elapsed() < CONFIRMATION_TIME {
+            let answer = instance.request("GET", "/s/", "r-early").await?;
+            ensure!(answer.status == 503, "{}", answer.text);
+            Timer::after(Duration::from_millis(50)).await;
+        }
+        let sound = format!("HTTP/1.1 200 OK\r\n{HEALTH_FIELDS}\r\n{BODY}");
+        answer_health_checks_by(&instance, sound.into_bytes());
+        instance.announce(&announcement).await?;
+        instance.wait_served("/s/").await
+    })
+}
+
+fn answer_health_checks_by(instance: &Instance, answer: Vec<u8>) {
+    instance.backend.set_behavior(Behavior {
+        health_script: Some(Script::closing(answer)),
+        ..Behavior::default()
+    });
+}
--- a/fulmarreel-node/tests/target/main.rs
+++ b/fulmarreel-node/tests/target/main.rs
@@ -1,5 +1,6 @@
-//! The own interface's client of the local target.
+//! The clients of the local target: the own interface's, and the one on the users' platform.
 
 mod broken;
+mod endpoint;
 mod stray;
 mod support;
--- a/fulmarreel-node/tests/target/support.rs
+++ b/fulmarreel-node/tests/target/support.rs
@@ -48,7 +48,13 @@
 
 /// Sends a call with a body, for the path `/NUMBER`.
 async fn send(client: &Client, number: u64, body: Vec<u8>) -> Result<Response, Error> {
-    let open = Open {
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    client.call(open(number, body.len()), body, deadline).await
+}
+
+/// A call for the path `/NUMBER`, with a body of that length.
+pub fn open(number: u64, body_bytes: usize) -> Open {
+    Open {
         sequence: number,
         remaining_ms: 1_000,
         wanted_ms: 1_000,
@@ -59,11 +65,9 @@
         rank: 1,
         service: "s".to_owned(),
         version: "v1".to_owned(),
-        method: if body.is_empty() { "GET" } else { "POST" }.to_owned(),
+        method: if body_bytes == 0 { "GET" } else { "POST" }.to_owned(),
         path: format!("/{number}"),
         headers: Vec::new(),
-        length: body.len() as u64,
-    };
-    let deadline = Instant::now() + CALL_TIMEOUT;
-    client.call(open, body, deadline).await
+        length: body_bytes as u64,
+    }
 }
