fix(peer): a response that another node passed on is checked before a caller gets it

A caller got what a node of an earlier build, which has not the checks of this one, passed on of a broken answer: its status 000 as a 500 with the target's body, 099, 600 and 101 as they are, 2000 with a broken head behind it, control bytes and line ends in values as they were sent, and no answer at all where a name was spoilt. Nodes are replaced one after the other, so both builds work side by side in an upgrade.

Cause: the head of a response from a peer was taken as it came. The one place that reads frames of both interfaces now fails the call as lost at the target unless the status is that of a final response and each header is a field.

Bodies with a gap, and those cut off by a close or a reset, were rejected before.

--- a/fulmarreel-http/src/message.rs
+++ b/fulmarreel-http/src/message.rs
@@ -22,6 +22,11 @@
     headers.any(|header| name.eq_ignore_ascii_case(header))
 }
 
+/// Whether a status can be that of a final response.
+pub fn is_final_status(status: u16) -> bool {
+    (200..=599).contains(&status)
+}
+
 /// A header.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Header {
--- a/fulmarreel-node/src/peer/connection.rs
+++ b/fulmarreel-node/src/peer/connection.rs
@@ -2,9 +2,10 @@
 
 use super::{Identity, stream};
 use crate::telemetry::metrics::{self, AbandonedEnd};
+use fulmarreel_http::{field, message::is_final_status};
 use fulmarreel_wire::{
     Hello, PROTOCOL, Purpose,
-    call::{Chunk, Failed, Frame, Head, Refused, State},
+    call::{Chunk, Failed, Failure, Frame, Head, Refused, State},
 };
 use smol::{
     Timer,
@@ -320,7 +321,13 @@
 
     fn dispatch(&self, frame: Frame) {
         let (sequence, event) = match frame {
-            Frame::Head(head) => (head.sequence, Event::Head(head)),
+            Frame::Head(head) if is_valid(&head) => (head.sequence, Event::Head(head)),
+            Frame::Head(head) => {
+                let (sequence, status) = (head.sequence, head.status);
+                log::warn!(call = sequence, peer:% = self.peer, status; "malformed response");
+                let reason = Failure::TargetLost;
+                (sequence, Event::Failed(Failed { sequence, reason }))
+            }
             Frame::Chunk(chunk) => (chunk.sequence, Event::Chunk(chunk)),
             Frame::Refused(refused) => (refused.sequence, Event::Refused(refused)),
             Frame::Failed(failed) => (failed.sequence, Event::Failed(failed)),
@@ -378,3 +385,11 @@
         }
     }
 }
+
+/// Whether a head can be passed on: a peer of an earlier build may not have checked what its target sent.
+fn is_valid(head: &Head) -> bool {
+    let mut headers = head.headers.iter();
+    is_final_status(head.status)
+        && headers
+            .all(|header| field::is_name(header.name.as_bytes()) && field::is_text(&header.value))
+}
--- a/fulmarreel-node/tests/mesh/main.rs
+++ b/fulmarreel-node/tests/mesh/main.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 mod broken;
+mod broken_peer;
 mod cold;
 mod departed;
 mod distribution;
