--- a/fulmarreel-http/src/connection.rs
+++ b/fulmarreel-http/src/connection.rs
@@ -180,7 +180,7 @@
         }
         self.socket.set_request(request);
         let (head, length) = {
-            let quota = Quota::new(HEAD_QUOTA_BYTES);
+            let quota = Quota::for_one_exchange(HEAD_QUOTA_BYTES);
             let received_bytes = &*self.received_bytes;
             let mut reader = Reader::new(
                 &mut self.socket,
--- a/fulmarreel-http/src/lib.rs
+++ b/fulmarreel-http/src/lib.rs
@@ -4,7 +4,11 @@
 //! A pooling client hides what callers need to know here: whether a request can have reached the
 //! server, whether received bytes belong to it, and whether a response is complete. [`Connection`]
 //! reports all three. Heads are parsed by `httparse`, [`body`] decodes body framing, and a
-//! [`Quota`] limits the memory that endless responses can take up.
+//! [`Quota`] limits the memory that endless responses can take up. [`Connection::exchange`] reads a
+//! response whole, [`Connection::stream`] leaves its body to be read piece by piece.
+//!
+//! A response that RFC 9112 calls invalid or incomplete is an error, never a response: callers may pass
+//! on whatever they get.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
--- a/fulmarreel-http/src/reader.rs
+++ b/fulmarreel-http/src/reader.rs
@@ -22,7 +22,7 @@
 const MAX_HEAD_BYTES: usize = 65_536;
 
 /// A quota within which the longest head can be read, by whole reads.
-pub(crate) const HEAD_QUOTA_BYTES: usize = 4 * MAX_HEAD_BYTES;
+pub(crate) const HEAD_QUOTA_BYTES: usize = MAX_HEAD_BYTES + 2 * READ_BYTES;
 
 /// The HTTP statuses; the parser accepts any three digits, and one below would pass for an interim
 /// response.
--- a/fulmarreel-http/src/socket.rs
+++ b/fulmarreel-http/src/socket.rs
@@ -67,7 +67,7 @@
         self.poll_write(context);
         let read = ready!(Pin::new(&mut self.tcp).poll_read(context, buffer))?;
         if read == 0
-            && let Some(failure) = self.reset()
+            && let Some(failure) = self.failure_without_close()
         {
             return Poll::Ready(Err(failure.into()));
         }
@@ -92,12 +92,13 @@
         }
     }
 
-    /// The failure that ended the connection without a close by the server, if a write has met it.
+    /// The failure that ended the connection, a reset for example, if a write has met it and the server had
+    /// not closed its direction before.
     ///
-    /// The system reports such a failure once, to the write or to the read that comes first, and the end
-    /// of the connection to each later read, as if the server had closed it. Where the server did close
-    /// its direction before the failure, a write reports a broken pipe, and only then.
-    fn reset(&self) -> Option<io::ErrorKind> {
+    /// The system reports such a failure once, to the write or to the read that comes first, and to each
+    /// later read an end as if the server had closed the connection. Where the server did close its
+    /// direction before the failure, Linux reports a broken pipe to the write, and only then.
+    fn failure_without_close(&self) -> Option<io::ErrorKind> {
         self.write_failure
             .filter(|failure| *failure != io::ErrorKind::BrokenPipe)
     }
