fix(http): a response that begins with an empty line is none

Callers got a response ahead of which its target had sent an empty line. RFC 9112, section 2.2, has servers skip such lines, not clients, and none of its responses begins with one; the parser skips them everywhere.

Evidence: a_broken_answer_is_none with Fault::StatusLine failed with "empty line before the version", and passes; so do the tests of the same answers at the other places.

--- a/fulmarreel-http/src/reader.rs
+++ b/fulmarreel-http/src/reader.rs
@@ -141,6 +141,10 @@
     /// by up to one read.
     async fn read_head(&mut self, limit_bytes: usize) -> Result<(Head, usize), Error> {
         loop {
+            if self.buffer.starts_with(b"\r") || self.buffer.starts_with(b"\n") {
+                // The parser would skip empty lines.
+                return Err(self.malformed("an empty line"));
+            }
             if !self.buffer.is_empty() {
                 let mut header_slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
                 let mut head = httparse::Response::new(&mut header_slots);
--- a/fulmarreel-testing/src/answers/broken.rs
+++ b/fulmarreel-testing/src/answers/broken.rs
@@ -25,6 +25,7 @@
     ("other major version", "HTTP/2.0 200 OK"),
     ("spoilt version", "HTTP/1.x 200 OK"),
     ("blank before the version", " HTTP/1.1 200 OK"),
+    ("empty line before the version", "\r\nHTTP/1.1 200 OK"),
     ("NUL in the reason", "HTTP/1.1 200 O\0K"),
     ("control byte in the reason", "HTTP/1.1 200 O\x01K"),
     ("bare CR in the reason", "HTTP/1.1 200 O\rK"),
