--- a/fulmarreel-node/src/ingress/respond.rs
+++ b/fulmarreel-node/src/ingress/respond.rs
@@ -1,7 +1,7 @@
 //! Responses to callers.
 
 use super::exchange::CallOutcome;
-use crate::transport::{LISTED_STATUS, Watcher};
+use crate::transport::Watcher;
 use fulmarreel_http::message::concerns_connection;
 use fulmarreel_wire::call::Head;
 use trillium::{Body, Conn, Status};
@@ -46,12 +46,8 @@
 }
 
 fn forward_response(conn: Conn, head: Head, body: Body, caller: &Watcher) -> Conn {
-    let status = Status::try_from(head.status).unwrap_or_else(|_| {
-        caller.set_unlisted_status(head.status);
-        LISTED_STATUS
-    });
     let mut conn = conn
-        .with_status(status)
+        .with_status(caller.listed_status(head.status))
         .with_response_header(OUTCOME_HEADER, "answered")
         .with_body(body);
     for header in head.headers {
--- a/fulmarreel-node/src/mesh/caller/respond.rs
+++ b/fulmarreel-node/src/mesh/caller/respond.rs
@@ -5,10 +5,7 @@
     offer::{Offers, RequestOutcome},
     quota::OVER_QUOTA,
 };
-use crate::{
-    telemetry::metrics::{self, Outcome as OutcomeLabel},
-    transport::LISTED_STATUS,
-};
+use crate::telemetry::metrics::{self, Outcome as OutcomeLabel};
 use fulmarreel_platform::request;
 use std::time::{Duration, Instant};
 use trillium::{Conn, Status};
@@ -34,11 +31,7 @@
     ) -> Conn {
         match outcome {
             RequestOutcome::Answered(response) => {
-                let status = Status::try_from(response.head.status).unwrap_or_else(|_| {
-                    let watcher = connection.watcher();
-                    watcher.set_unlisted_status(response.head.status);
-                    LISTED_STATUS
-                });
+                let status = connection.watcher().listed_status(response.head.status);
                 let body = delivery::body(response.body, || self.count_in_flight());
                 let mut conn = conn.with_status(status).with_body(body);
                 let headers = conn.response_headers_mut();
--- a/fulmarreel-node/src/transport/mod.rs
+++ b/fulmarreel-node/src/transport/mod.rs
@@ -8,8 +8,6 @@
 
 mod status_line;
 
-pub use status_line::LISTED as LISTED_STATUS;
-
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
 use smol::{
     Timer,
@@ -29,7 +27,7 @@
     task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
-use trillium::Conn;
+use trillium::{Conn, Status};
 
 /// Reading ahead stops once this many bytes are buffered.
 const MAX_READ_AHEAD_BYTES: usize = 65_536;
@@ -240,10 +238,13 @@
         or(disconnected, async { Some(work.await) }).await
     }
 
-    /// Sets the status code of the next response if the HTTP library does not list it; the library is to
-    /// be given [`LISTED_STATUS`].
-    pub fn set_unlisted_status(&self, code: u16) {
-        self.unlisted_status.set(code);
+    /// The status that the HTTP library is to be given for the next response, whose status code is `code`:
+    /// if the library does not list that, the transport replaces the code in the status line.
+    pub fn listed_status(&self, code: u16) -> Status {
+        Status::try_from(code).unwrap_or_else(|_| {
+            self.unlisted_status.set(code);
+            status_line::LISTED
+        })
     }
 
     /// Sets whether the connection is reset, and not closed, when it is dropped.
