--- a/fulmarreel-http/src/message.rs
+++ b/fulmarreel-http/src/message.rs
@@ -71,7 +71,7 @@
             && self
                 .headers
                 .iter()
-                .all(|(name, value)| field::is_name(name.as_bytes()) && field::is_text(value))
+                .all(|(name, value)| field::is_field(name.as_bytes(), value))
     }
 
     /// Encodes the request, head and body.
--- a/fulmarreel-node/src/peer/connection.rs
+++ b/fulmarreel-node/src/peer/connection.rs
@@ -390,6 +390,5 @@
 fn is_valid(head: &Head) -> bool {
     let mut headers = head.headers.iter();
     is_final_status(head.status)
-        && headers
-            .all(|header| field::is_name(header.name.as_bytes()) && field::is_text(&header.value))
+        && headers.all(|header| field::is_field(header.name.as_bytes(), &header.value))
 }
