refactor(http): the socket receives for both readers of a response

The reader of whole responses and the body that is read piece by piece each grew a buffer, counted what was received and yielded after 64 KiB. Socket::poll_receive does this for both; the counter and the bytes since the last yield are the socket's.

--- a/fulmarreel-http/src/connection.rs
+++ b/fulmarreel-http/src/connection.rs
@@ -67,8 +67,6 @@
     /// When the last exchange ended, or when the connection was opened.
     idle_since: Instant,
     reusable: bool,
-    /// Counts the bytes received; may be shared with other connections.
-    received_bytes: Arc<AtomicU64>,
 }
 
 impl Connection {
@@ -86,13 +84,12 @@
             buffer: Vec::new(),
             idle_since: Instant::now(),
             reusable: true,
-            received_bytes: Arc::default(),
         })
     }
 
     /// Counts the bytes received from now on in `received_bytes`, which several connections may share.
     pub fn set_received_counter(&mut self, received_bytes: Arc<AtomicU64>) {
-        self.received_bytes = received_bytes;
+        self.socket.set_received_counter(received_bytes);
     }
 
     /// Sets up TCP keepalive so that the connection fails once the server's host has not responded
@@ -147,14 +144,7 @@
         self.reusable = false;
         self.socket.set_request(request.encode());
         let (response, keep_alive) = {
-            let received_bytes = &*self.received_bytes;
-            let mut reader = Reader::new(
-                &mut self.socket,
-                self.peer,
-                &mut self.buffer,
-                quota,
-                received_bytes,
-            );
+            let mut reader = Reader::new(&mut self.socket, self.peer, &mut self.buffer, quota);
             let read = reader.read_own_response(request.method, is_own_response);
             read.await?
         };
@@ -181,14 +171,7 @@
         self.socket.set_request(request);
         let (head, length) = {
             let quota = Quota::for_one_exchange(HEAD_QUOTA_BYTES);
-            let received_bytes = &*self.received_bytes;
-            let mut reader = Reader::new(
-                &mut self.socket,
-                self.peer,
-                &mut self.buffer,
-                &quota,
-                received_bytes,
-            );
+            let mut reader = Reader::new(&mut self.socket, self.peer, &mut self.buffer, &quota);
             reader.read_final_head(method).await?
         };
         Ok(StreamedResponse {
@@ -198,7 +181,7 @@
                 BodyLength::Known(bytes) => Some(bytes),
                 BodyLength::Chunked | BodyLength::UntilClose => None,
             },
-            body: Body::new(self.socket, self.buffer, length, self.received_bytes),
+            body: Body::new(self.socket, self.buffer, length),
         })
     }
 
--- a/fulmarreel-http/src/reader.rs
+++ b/fulmarreel-http/src/reader.rs
@@ -5,15 +5,9 @@
     connection::Error,
     message::{Header, Response},
     quota::{Quota, Reservation},
-    socket::Socket,
-};
-use smol::future;
-use std::{
-    io,
-    net::SocketAddr,
-    ops::RangeInclusive,
-    sync::atomic::{AtomicU64, Ordering},
+    socket::{READ_BYTES, Socket},
 };
+use std::{future::poll_fn, io, net::SocketAddr, ops::RangeInclusive};
 
 /// The most headers of a response.
 const MAX_HEADERS: usize = 64;
@@ -34,12 +28,6 @@
 /// Responses to other requests that are skipped before the exchange fails.
 const MAX_SKIPPED_RESPONSES: usize = 16;
 
-/// The most bytes of one read.
-pub(crate) const READ_BYTES: usize = 16_384;
-
-/// Bytes after which the reader yields to other tasks even if more are available.
-pub(crate) const YIELD_AFTER_BYTES: usize = 65_536;
-
 /// Reads the responses of one exchange.
 #[derive(Debug)]
 pub(crate) struct Reader<'a> {
@@ -48,10 +36,6 @@
     /// Bytes received that are not yet parsed.
     pub buffer: &'a mut Vec<u8>,
     reservation: Reservation<'a>,
-    /// Counts the bytes received; may be shared with other connections.
-    received_bytes: &'a AtomicU64,
-    /// Bytes read since the reader last yielded.
-    bytes_since_yield: usize,
 }
 
 /// The head of a response.
@@ -67,15 +51,12 @@
         peer: SocketAddr,
         buffer: &'a mut Vec<u8>,
         quota: &'a Quota,
-        received_bytes: &'a AtomicU64,
     ) -> Self {
         Self {
             socket,
             peer,
             buffer,
             reservation: quota.reserve(),
-            received_bytes,
-            bytes_since_yield: 0,
         }
     }
 
@@ -214,21 +195,11 @@
 
     /// Reads once; 0 bytes at the end of the connection.
     async fn read(&mut self) -> Result<usize, Error> {
-        if self.bytes_since_yield >= YIELD_AFTER_BYTES {
-            self.bytes_since_yield = 0;
-            future::yield_now().await;
-        }
-        let start = self.buffer.len();
-        self.buffer.resize(start + READ_BYTES, 0);
-        let read = self.socket.read(&mut self.buffer[start..]).await;
-        let count = *read.as_ref().unwrap_or(&0);
-        self.buffer.truncate(start + count);
-        self.bytes_since_yield += count;
-        self.received_bytes
-            .fetch_add(count as u64, Ordering::Relaxed);
+        let received = poll_fn(|context| self.socket.poll_receive(context, self.buffer));
+        let count = received.await.map_err(|source| self.lost(source))?;
         let extended = self.reservation.extend(count);
         extended.map_err(|source| self.quota_exceeded(source))?;
-        read.map_err(|source| self.lost(source))
+        Ok(count)
     }
 
     fn lost(&self, source: io::Error) -> Error {
--- a/fulmarreel-http/src/socket.rs
+++ b/fulmarreel-http/src/socket.rs
@@ -8,9 +8,19 @@
     future::poll_fn,
     io,
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     task::{Context, Poll, ready},
 };
 
+/// The most bytes of one read.
+pub(crate) const READ_BYTES: usize = 16_384;
+
+/// Bytes after which the reader yields to other tasks even if more are available.
+const YIELD_AFTER_BYTES: usize = 65_536;
+
 /// A socket on which a request is written while its response is read: a server may respond before it has
 /// read the whole request.
 #[derive(Debug)]
@@ -22,6 +32,10 @@
     written: usize,
     /// Why the rest cannot be written.
     write_failure: Option<io::ErrorKind>,
+    /// Counts the bytes received; may be shared with other sockets.
+    received_bytes: Arc<AtomicU64>,
+    /// Bytes received since the reader last yielded.
+    bytes_since_yield: usize,
 }
 
 impl Socket {
@@ -31,9 +45,16 @@
             request: Vec::new(),
             written: 0,
             write_failure: None,
+            received_bytes: Arc::default(),
+            bytes_since_yield: 0,
         }
     }
 
+    /// Counts the bytes received from now on in `received_bytes`.
+    pub fn set_received_counter(&mut self, received_bytes: Arc<AtomicU64>) {
+        self.received_bytes = received_bytes;
+    }
+
     pub fn tcp(&self) -> &TcpStream {
         &self.tcp
     }
@@ -42,6 +63,7 @@
     pub fn set_request(&mut self, request: Vec<u8>) {
         self.request = request;
         self.written = 0;
+        self.bytes_since_yield = 0;
     }
 
     /// Whether the request was written completely.
@@ -58,8 +80,32 @@
         poll_fn(|context| self.poll_read(context, buffer)).await
     }
 
-    /// As [`Self::read`].
-    pub fn poll_read(
+    /// Reads once and appends what was read to `buffer`; returns its length as [`Self::read`] does.
+    pub fn poll_receive(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut Vec<u8>,
+    ) -> Poll<io::Result<usize>> {
+        if self.bytes_since_yield >= YIELD_AFTER_BYTES {
+            self.bytes_since_yield = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let start = buffer.len();
+        buffer.resize(start + READ_BYTES, 0);
+        let read = self.poll_read(context, &mut buffer[start..]);
+        let count = match &read {
+            Poll::Ready(Ok(count)) => *count,
+            Poll::Ready(Err(_)) | Poll::Pending => 0,
+        };
+        buffer.truncate(start + count);
+        self.bytes_since_yield += count;
+        self.received_bytes
+            .fetch_add(count as u64, Ordering::Relaxed);
+        read
+    }
+
+    fn poll_read(
         &mut self,
         context: &mut Context<'_>,
         buffer: &mut [u8],
--- a/fulmarreel-http/src/stream.rs
+++ b/fulmarreel-http/src/stream.rs
@@ -3,17 +3,12 @@
 use crate::{
     body::{BodyLength, ChunkDecoder},
     message::Header,
-    reader::{READ_BYTES, YIELD_AFTER_BYTES},
     socket::Socket,
 };
 use smol::io::AsyncRead;
 use std::{
     io,
     pin::Pin,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
     task::{Context, Poll, ready},
 };
 
@@ -40,9 +35,6 @@
     /// Bytes received that are not yet decoded.
     buffer: Vec<u8>,
     rest: Rest,
-    received_bytes: Arc<AtomicU64>,
-    /// Bytes read since the reader last yielded.
-    bytes_since_yield: usize,
 }
 
 /// What is still to be read of a body.
@@ -63,12 +55,7 @@
 
 impl Body {
     /// The body that follows a head on a connection; `buffer` has the bytes that came with the head.
-    pub(crate) fn new(
-        socket: Socket,
-        buffer: Vec<u8>,
-        length: BodyLength,
-        received_bytes: Arc<AtomicU64>,
-    ) -> Self {
+    pub(crate) fn new(socket: Socket, buffer: Vec<u8>, length: BodyLength) -> Self {
         let rest = match length {
             BodyLength::Known(bytes) => Rest::Known(bytes),
             BodyLength::Chunked => Rest::Chunked {
@@ -82,8 +69,6 @@
             socket,
             buffer,
             rest,
-            received_bytes,
-            bytes_since_yield: 0,
         }
     }
 
@@ -124,23 +109,8 @@
 
     /// Receives more bytes.
     fn poll_receive(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.bytes_since_yield >= YIELD_AFTER_BYTES {
-            self.bytes_since_yield = 0;
-            context.waker().wake_by_ref();
-            return Poll::Pending;
-        }
-        let start = self.buffer.len();
-        self.buffer.resize(start + READ_BYTES, 0);
-        let read = self.socket.poll_read(context, &mut self.buffer[start..]);
-        let count = match &read {
-            Poll::Ready(Ok(count)) => *count,
-            _ => 0,
-        };
-        self.buffer.truncate(start + count);
-        self.bytes_since_yield += count;
-        self.received_bytes
-            .fetch_add(count as u64, Ordering::Relaxed);
-        if ready!(read)? > 0 {
+        let received = self.socket.poll_receive(context, &mut self.buffer);
+        if ready!(received)? > 0 {
             return Poll::Ready(Ok(()));
         }
         let Rest::UntilClose { is_closed } = &mut self.rest else {
