--- a/fulmarreel-node/tests/mesh/broken.rs
+++ b/fulmarreel-node/tests/mesh/broken.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     backend::{Behavior, header},
-    support::{Answer, Instance, call, start_pair},
+    support::{Answer, Instance, Pair, call, start_pair},
 };
 use anyhow::{Context, ensure};
 use fulmarreel_testing::{
     answers::{self, Broken, End, Fault, Script, Timing},
-    kv::{FakePlatformStore, Faults},
+    kv::Faults,
 };
 use rstest::rstest;
 use smol::Timer;
@@ -25,34 +25,6 @@
 /// How often an answer is tried where the outcome depends on when its connection ends.
 const ROUNDS: usize = 6;
 
-/// An instance for callers with a target of `own`, and another with the only target of `s`.
-struct Deployment {
-    _store: FakePlatformStore,
-    caller: Instance,
-    other: Instance,
-}
-
-impl Deployment {
-    async fn start() -> anyhow::Result<Self> {
-        let (store, caller, other) = start_pair().await?;
-        caller.wait_served("/own/").await?;
-        Ok(Self {
-            _store: store,
-            caller,
-            other,
-        })
-    }
-
-    /// The instance whose target serves a path.
-    fn target(&self, path: &str) -> &Instance {
-        if path.starts_with("/own") {
-            &self.caller
-        } else {
-            &self.other
-        }
-    }
-}
-
 fn answer_by(target: &Instance, script: Script) {
     target.backend.set_behavior(Behavior {
         script: Some(script),
@@ -92,8 +64,8 @@
     #[values("/s/", "/s-do/", "/own/", "/own-do/")] path: &str,
 ) -> anyhow::Result<()> {
     smol::block_on(async {
-        let deployment = Deployment::start().await?;
-        let (caller, target) = (&deployment.caller, deployment.target(path));
+        let pair = Pair::start().await?;
+        let (caller, target) = (&pair.caller, pair.serving(path));
         let mut taken = Vec::new();
         for (number, Broken { name, bytes }) in
             answers::broken(fault, FIELDS, BODY).into_iter().enumerate()
@@ -118,8 +90,8 @@
     #[values("/s/", "/s-do/", "/own/", "/own-do/")] path: &str,
 ) -> anyhow::Result<()> {
     smol::block_on(async {
-        let deployment = Deployment::start().await?;
-        let (caller, target) = (&deployment.caller, deployment.target(path));
+        let pair = Pair::start().await?;
+        let (caller, target) = (&pair.caller, pair.serving(path));
         for (number, answer) in answers::sound(FIELDS, BODY).into_iter().enumerate() {
             answer_by(target, Script::closing(answer.bytes));
             let id = format!("r-{number}");
@@ -153,8 +125,8 @@
 ) -> anyhow::Result<()> {
     let body = "b".repeat(LONG_BODY_BYTES);
     smol::block_on(async {
-        let deployment = Deployment::start().await?;
-        let (caller, target) = (&deployment.caller, deployment.target(path));
+        let pair = Pair::start().await?;
+        let (caller, target) = (&pair.caller, pair.serving(path));
         let part = if length.starts_with("Transfer") {
             format!("{:x}\r\n{BODY}\r\n", BODY.len())
         } else {
@@ -188,8 +160,8 @@
 ) -> anyhow::Result<()> {
     let body = "b".repeat(LONG_BODY_BYTES);
     smol::block_on(async {
-        let deployment = Deployment::start().await?;
-        let (caller, target) = (&deployment.caller, deployment.target(path));
+        let pair = Pair::start().await?;
+        let (caller, target) = (&pair.caller, pair.serving(path));
         for (number, answer) in answers::sound(FIELDS, BODY).into_iter().enumerate() {
             if answer.ends_by_close && end == End::LateReset {
                 continue;
--- a/fulmarreel-node/tests/mesh/left.rs
+++ b/fulmarreel-node/tests/mesh/left.rs
@@ -3,10 +3,9 @@
 
 use crate::{
     backend::{Behavior, header},
-    support::{Instance, eventually, send_request, start_pair},
+    support::{Instance, Pair, eventually, send_request},
 };
 use anyhow::ensure;
-use fulmarreel_testing::kv::FakePlatformStore;
 use rstest::rstest;
 use smol::{Timer, net::TcpStream};
 use std::time::{Duration, Instant};
@@ -23,34 +22,7 @@
 /// Requests that are sent to a suspended node.
 const SUSPENDED_REQUESTS: usize = 40;
 
-/// Two instances: one for callers, with the only target of `own`, and one with the only target of
-/// `s`.
-struct Pair {
-    _store: FakePlatformStore,
-    caller: Instance,
-    other: Instance,
-}
-
 impl Pair {
-    async fn start() -> anyhow::Result<Self> {
-        let (store, caller, other) = start_pair().await?;
-        caller.wait_served("/own/").await?;
-        Ok(Self {
-            _store: store,
-            caller,
-            other,
-        })
-    }
-
-    /// The instance whose target serves a path.
-    fn serving(&self, path: &str) -> &Instance {
-        if path.starts_with("/own") {
-            &self.caller
-        } else {
-            &self.other
-        }
-    }
-
     /// Sends a request and doesn't read the response.
     async fn send(&self, path: &str, id: &str) -> anyhow::Result<TcpStream> {
         let headers = [("X-Request-Id", id), ("X-Deadline-Ms", "3000")];
--- a/fulmarreel-node/tests/mesh/path.rs
+++ b/fulmarreel-node/tests/mesh/path.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     backend::{self, Behavior, header},
-    support::{Instance, call, configure, eventually, send_request, start_pair},
+    support::{Instance, Pair, call, configure, eventually, send_request, start_pair},
 };
 use anyhow::{Context, ensure};
 use fulmarreel_testing::kv::FakePlatformStore;
@@ -335,13 +335,8 @@
 #[case::bookings_at_the_own_target("/own-do/")]
 fn a_response_that_breaks_off_is_no_success(#[case] path: &str) -> anyhow::Result<()> {
     smol::block_on(async {
-        let (_store, caller, other) = start_pair().await?;
-        caller.wait_served("/own/").await?;
-        let serving = if path.starts_with("/own") {
-            &caller
-        } else {
-            &other
-        };
+        let pair = Pair::start().await?;
+        let (caller, serving) = (&pair.caller, pair.serving(path));
         let whole = caller.request("GET", path, "r-100").await?;
         ensure!(whole.status == 200, "{}", whole.text);
         let (mut cuts, mut successes) = (0, Vec::new());
--- a/fulmarreel-node/tests/mesh/support.rs
+++ b/fulmarreel-node/tests/mesh/support.rs
@@ -301,6 +301,36 @@
     Ok((store, caller, target))
 }
 
+/// What [`start_pair`] starts, where both targets get requests.
+pub struct Pair {
+    _store: FakePlatformStore,
+    /// The instance for callers, with the only target of `own`.
+    pub caller: Instance,
+    /// The instance with the only target of `s`.
+    pub other: Instance,
+}
+
+impl Pair {
+    pub async fn start() -> anyhow::Result<Self> {
+        let (store, caller, other) = start_pair().await?;
+        caller.wait_served("/own/").await?;
+        Ok(Self {
+            _store: store,
+            caller,
+            other,
+        })
+    }
+
+    /// The instance whose target serves a path.
+    pub fn serving(&self, path: &str) -> &Instance {
+        if path.starts_with("/own") {
+            &self.caller
+        } else {
+            &self.other
+        }
+    }
+}
+
 /// Sends one request on a new connection, and reads the response.
 pub async fn call(
     to: SocketAddr,
