--- a/fulmarreel-http/tests/broken.rs
+++ b/fulmarreel-http/tests/broken.rs
@@ -1,7 +1,7 @@
 //! Answers that are broken: in their form, or by the end of their connection.
 
 use fulmarreel_http::{Connection, Error, Quota, Request, Response};
-use fulmarreel_testing::answers::{self, Broken, End, Fault, LONG_BODY_BYTES, Script, Timing};
+use fulmarreel_testing::answers::{self, End, Fault, LONG_BODY_BYTES, Script, Timing};
 use rstest::rstest;
 use smol::{
     Timer,
@@ -76,13 +76,11 @@
     fault: Fault,
 ) {
     smol::block_on(async {
-        let mut taken = Vec::new();
-        for Broken { name, bytes } in answers::broken(fault, "", BODY) {
-            let server = answers::start_closing(bytes).await.expect("server");
-            if let Ok(response) = request(server, b"").await {
-                taken.push(format!("{name}: {response:?}"));
-            }
-        }
+        let ask = async |server| {
+            let response = request(server, b"").await.ok()?;
+            Some(format!("{response:?}"))
+        };
+        let taken = answers::taken(fault, "", BODY, ask).await.expect("server");
         assert!(taken.is_empty(), "{taken:#?}");
     });
 }
--- a/fulmarreel-node/tests/target/broken.rs
+++ b/fulmarreel-node/tests/target/broken.rs
@@ -4,7 +4,7 @@
 use anyhow::{Context, ensure};
 use fulmarreel_node::target::Client;
 use fulmarreel_testing::{
-    answers::{self, Broken, End, Fault, LONG_BODY_BYTES, Script, Timing},
+    answers::{self, End, Fault, LONG_BODY_BYTES, Script, Timing},
     flood,
 };
 use rstest::rstest;
@@ -38,16 +38,11 @@
     fault: Fault,
 ) -> anyhow::Result<()> {
     run(async {
-        let mut taken = Vec::new();
-        for Broken { name, bytes } in answers::broken(fault, "", BODY) {
-            let client = Client::new(answers::start_closing(bytes).await?);
-            if let Ok((status, body)) = exchange(&client, Vec::new()).await {
-                taken.push(format!(
-                    "{name}: {status} {}",
-                    String::from_utf8_lossy(&body)
-                ));
-            }
-        }
+        let ask = async |target| {
+            let (status, body) = exchange(&Client::new(target), Vec::new()).await.ok()?;
+            Some(format!("{status} {}", String::from_utf8_lossy(&body)))
+        };
+        let taken = answers::taken(fault, "", BODY, ask).await?;
         ensure!(taken.is_empty(), "{taken:#?}");
         Ok(())
     })
--- a/fulmarreel-node/tests/target/endpoint.rs
+++ b/fulmarreel-node/tests/target/endpoint.rs
@@ -4,7 +4,7 @@
 use anyhow::{Context, ensure};
 use fulmarreel_http::{Quota, Response};
 use fulmarreel_node::mesh::endpoint::{Endpoint, Error};
-use fulmarreel_testing::answers::{self, Broken, End, Fault, LONG_BODY_BYTES, Script, Timing};
+use fulmarreel_testing::answers::{self, End, Fault, LONG_BODY_BYTES, Script, Timing};
 use rstest::rstest;
 use std::{
     net::SocketAddr,
@@ -60,13 +60,11 @@
     #[values(Question::Request, Question::HealthCheck)] question: Question,
 ) -> anyhow::Result<()> {
     run(async {
-        let mut taken = Vec::new();
-        for Broken { name, bytes } in answers::broken(fault, FIELDS, BODY) {
-            let target = answers::start_closing(bytes).await?;
-            if let Ok(response) = ask(target, question, b"").await {
-                taken.push(format!("{name}: {response:?}"));
-            }
-        }
+        let ask = async |target| {
+            let response = ask(target, question, b"").await.ok()?;
+            Some(format!("{response:?}"))
+        };
+        let taken = answers::taken(fault, FIELDS, BODY, ask).await?;
         ensure!(taken.is_empty(), "{taken:#?}");
         Ok(())
     })
--- a/fulmarreel-testing/src/answers/mod.rs
+++ b/fulmarreel-testing/src/answers/mod.rs
@@ -129,6 +129,27 @@
     start(Script::closing(answer)).await
 }
 
+/// Sends each broken answer of a kind to a request of `ask`, which returns what it took the answer for, if it
+/// took it; returns these, with the answers' names.
+///
+/// # Errors
+///
+/// No address is free.
+pub async fn taken(
+    fault: Fault,
+    fields: &str,
+    body: &str,
+    ask: impl AsyncFn(SocketAddr) -> Option<String>,
+) -> io::Result<Vec<String>> {
+    let mut taken = Vec::new();
+    for Broken { name, bytes } in broken(fault, fields, body) {
+        if let Some(result) = ask(start_closing(bytes).await?).await {
+            taken.push(format!("{name}: {result}"));
+        }
+    }
+    Ok(taken)
+}
+
 async fn serve(mut tcp: TcpStream, script: &Script) -> io::Result<()> {
     match script.timing {
         Timing::BeforeRequest => {}
