--- a/review/standins-3/mesh.py
+++ b/review/standins-3/mesh.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import shutil
@@ -28,6 +29,15 @@
 }
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Has a process that a case starts killed when the case ends, however that ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def free_port(ip):
     """A port that is free for TCP and UDP on `ip`."""
     while True:
@@ -405,13 +415,13 @@
 class Node:
     """A node process and its addresses."""
 
-    def __init__(self, mesh, name, ip, service, zone, region, extra):
+    def __init__(self, mesh, name, ip, service, zone, region, extra, log=None):
         self.mesh, self.name, self.ip, self.service = mesh, name, ip, service
         ports = [free_port(ip) for _ in range(6)]
         self.inbound, self.outbound, self.ready, self.control, self.peer, self.app = ports
         self.metrics = free_port(ip)
         self.settings = os.path.join(mesh.folder, f"{name}.conf")
-        self.log = os.path.join(mesh.folder, f"{name}.log")
+        self.log = log or os.path.join(mesh.folder, f"{name}.log")
         lines = {
             "node_name": name, "role": "node", "node_class": "sidecar", "serves": "sidecar",
             "ip": ip, "zone": zone, "region": region, f"zones.{zone}": region,
@@ -438,7 +448,8 @@
         out = open(self.log, "ab")
         self.process = await asyncio.create_subprocess_exec(
             NODE, "platform", "--metrics", str(self.metrics), cwd=REPO, env=environment,
-            stdout=out, stderr=out, stdin=asyncio.subprocess.DEVNULL)
+            stdout=out, stderr=out, stdin=asyncio.subprocess.DEVNULL,
+            preexec_fn=end_with_parent)
         out.close()
         self.mesh.record.write(f"node {self.name} starts, process {self.process.pid}")
 
@@ -470,10 +481,11 @@
         self.store = Store()
         await self.store.start()
 
-    async def add(self, service, zone="z", region="r", version="v1", extra=None, starts=True, **endpoint):
+    async def add(self, service, zone="z", region="r", version="v1", extra=None, starts=True, log=None,
+                  **endpoint):
         self.next_ip += 1
         ip = f"127.0.77.{self.next_ip}"
-        node = Node(self, f"n{self.next_ip}", ip, service, zone, region, extra)
+        node = Node(self, f"n{self.next_ip}", ip, service, zone, region, extra, log)
         server = Endpoint(self, ip, node.app, service, version, **endpoint)
         await node.start()
         server.control = f"{ip}:{node.control}"
